Add the lab: one model of the fleet, in virtual time and on sockets, and a ledger that judges

`lanelift serve` runs a balancer from the operators' TOML file, with a fixed list where there is no discovery.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -11,7 +11,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -19,7 +19,7 @@
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE, Budget
 from lanelift.net.disabled import DisabledUpstreams
-from lanelift.net.discovery import Discovery, read_list, split_address
+from lanelift.net.discovery import Discovery, FixedList, read_list, split_address
 from lanelift.net.driver import Driver
 from lanelift.net.frontend import Frontend
 from lanelift.net.listener import listening_socket
@@ -52,6 +52,7 @@
     name: str = ""
     memory_mb: int = MEMORY_MB
     folder: Path | None = None  # what processes of this balancer share
+    fixed: Json | None = None  # the list, where no discovery tells it
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -98,12 +99,14 @@
     """SIGHUP: the file is read again, off the loop, and what may change in a running balancer is applied.
     A file that can't be used leaves everything as it was."""
 
-    APPLIED = frozenset({"discovery"})
+    APPLIED = frozenset({"discovery", "fixed"})
     AT_START = frozenset({"seed", "known"})  # they matter to a start only, and may differ at each reading
 
-    def __init__(self, config: Config, discovery: Discovery) -> None:
+    def __init__(self, config: Config, discovery: Discovery | FixedList,
+                 read: Callable[[], Config]) -> None:
         self.config = config
         self.discovery = discovery
+        self.read = read
         self.asked = False  # once more, for a file that was replaced while it was being read
         self.task: asyncio.Task[None] | None = None
 
@@ -116,7 +119,7 @@
         while self.asked:
             self.asked = False
             try:
-                self._apply(await asyncio.to_thread(read_config, os.environ))
+                self._apply(await asyncio.to_thread(self.read))
             except Exception as error:
                 logging.error("configuration not reloaded: %s", error)
 
@@ -126,13 +129,23 @@
         left = sorted(changed - self.APPLIED)
         if left:
             logging.warning("reload: a change of %s needs a restart", ", ".join(left))
+        if isinstance(self.discovery, FixedList):
+            if new.fixed is None:
+                logging.warning("reload: from a fixed list to discovery needs a restart")
+                return
+            self.discovery.replace(new.fixed)
+            self.config = dataclasses.replace(self.config, fixed=new.fixed)
+            logging.info("configuration reloaded: %d upstreams", len(new.fixed["servers"]))
+            return
         if "discovery" in changed:
             self.discovery.move(new.discovery)
             self.config = dataclasses.replace(self.config, discovery=new.discovery)
         logging.info("configuration reloaded: discovery at %s:%d", *new.discovery)
 
 
-async def serve(config: Config, listener: socket.socket, door: socket.socket | None = None) -> None:
+async def serve(config: Config, listener: socket.socket, door: socket.socket | None = None,
+                read: Callable[[], Config] = lambda: read_config(os.environ)) -> None:
+    """Run a balancer until it is told to leave. `read`: the configuration as it is now, for a reload."""
     loop = asyncio.get_running_loop()
     settings = config.settings
     siblings = Siblings(config.folder)
@@ -145,7 +158,12 @@
             lambda: Peers(driver, config.peers, config.peers_all), local_addr=config.peer_listen)
     disabled = DisabledUpstreams(config.folder, config.name, siblings, driver)
     disabled.start()  # ahead of the first list
-    discovery = driver.discovery = Discovery(driver, config.discovery, config.seed)
+    discovery: Discovery | FixedList
+    if config.fixed is not None:
+        discovery = FixedList(driver, config.fixed)
+    else:
+        discovery = Discovery(driver, config.discovery, config.seed)
+    driver.discovery = discovery
     discovery.start(config.known)
     frontend = Frontend(driver, listener, budget.part.clients, store)
     budget.start(frontend, upstreams, store)
@@ -155,7 +173,7 @@
         await management.start(door)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, frontend.drain)
-    loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery).reload)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery, read).reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     if not siblings.alone:
         # Clients are dealt to this process from its first turn on: it begins once it can serve, and once the
@@ -180,12 +198,13 @@
         siblings.close()
 
 
-def main() -> int:
+def run(read: Callable[[], Config]) -> int:
+    """A balancer in this process, from its configuration to its end. Returns the exit status."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
     # A reload that is asked for before the loop runs waits until then: by itself the signal ends the process.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
-        config = read_config(os.environ)
+        config = read()
         listener = listening_socket(config.listen, shared=True)
         door = None
         if config.mgmt is not None:
@@ -194,9 +213,13 @@
     except (Malformed, OSError) as error:
         print(f"lanelift: {error}", file=sys.stderr)
         return 2
-    asyncio.run(serve(config, listener, door))
+    asyncio.run(serve(config, listener, door, read))
     return 0
 
 
+def main() -> int:
+    return run(lambda: read_config(os.environ))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/lanelift/cli/lab.py
@@ -0,0 +1,198 @@
+"""`lanelift lab ...`: run, replay, compare, hunt, worlds, report."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from lanelift.lab import experiments, results, topology
+from lanelift.lab.hosts import Host, SpreadHost
+from lanelift.lab.policies import policy
+from lanelift.lab.topology import Topology, Unusable
+from lanelift.lab.virtual import Instances, World
+from lanelift.settings import Json
+from lanelift.units import duration
+
+app = typer.Typer(no_args_is_help=True, help="An emulated fleet, faults, and a ledger that judges.")
+out = Console()
+
+World_ = Annotated[str, typer.Argument(help="A bundled world's name, or a topology file.", metavar="WORLD")]
+Set = Annotated[list[str] | None, typer.Option("--set", help="KEY=VALUE in place of what the file says.")]
+Seed = Annotated[int, typer.Option(help="It decides all that is drawn.")]
+Policy = Annotated[str, typer.Option("--policy",
+    help="here, a textbook policy, a module's file, or a git revision.")]
+Out = Annotated[Path | None, typer.Option("--out", help="Where the result goes, as JSON.")]
+Workers = Annotated[int, typer.Option(help="Processes; 0: in this one, or all cores but one for many runs.")]
+
+
+def breaches_exit(found: Json) -> None:
+    """A broken rule is no success, and a run that the lab spoilt is none at all."""
+    if found.get("void"):
+        print(f"lanelift: void: {found['void']}", file=sys.stderr)
+        raise typer.Exit(3)
+    if found["broken"]:
+        raise typer.Exit(1)
+
+
+@app.command()
+def run(world: World_ = "brief", seed: Seed = 1, set_: Set = None, policy_: Policy = "here", out_: Out = None,
+        workers: Workers = 0,
+        minutes: Annotated[float, typer.Option(help="Play this long in place of the file's length.")] = 0.0,
+        sockets: Annotated[bool, typer.Option(
+            "--sockets", help="Real processes on loopback, in real time.")] = False) -> None:
+    """Play a world once: in virtual time, or with real balancers on sockets."""
+    t = topology.load(world, _with_length(set_, minutes))
+    if sockets:
+        found = _on_sockets(t, seed)
+    else:
+        maker = policy(policy_)
+        host: Instances = SpreadHost(workers, maker) if workers else Host(maker)
+        outcome = World(t, seed, host).run()
+        found = results.result(t, seed, outcome, policy_)
+        out.print(f"[dim]decision module: {host.spent_ns / 1000 / max(1, host.events):.1f} us an event, "
+                  f"{host.events} events[/dim]")
+    show(found)
+    _keep(found, out_)
+    breaches_exit(found)
+
+
+def _with_length(set_: list[str] | None, minutes: float) -> list[str]:
+    return [*(set_ or []), *([f"length='{round(minutes * 60_000)}ms'"] if minutes else [])]
+
+
+def _on_sockets(t: Topology, seed: int) -> Json:
+    from lanelift.cli.live import Live
+    from lanelift.lab.sockets.conductor import run as run_sockets
+    with Live(t) as live:
+        return run_sockets(t, seed, live.look)
+
+
+def _keep(found: Json, path: Path | None) -> None:
+    if path is not None:
+        results.write(path, results.encoded(found))
+        out.print(f"result in {path}")
+
+
+@app.command()
+def replay(
+    result: Annotated[Path, typer.Argument(help="A result of `run` or `hunt` in virtual time.")],
+    policy_: Policy = "",
+) -> None:
+    """Play a result's run again from its seed, and say whether it came out the same, byte for byte."""
+    old = results.read(result)
+    if old["drive"] != "virtual":
+        raise Unusable(f"{result}: only runs in virtual time can be played again")
+    t = topology.read(old["topology"], str(result))
+    name = policy_ or old["versions"]["policy"]
+    faults = experiments.faults_from(old["faults"])
+    outcome = World(t, old["seed"], Host(policy(name)), faults).run()
+    found = results.result(t, old["seed"], outcome, name)
+    show(found)
+    same = results.encoded(found) == results.encoded(old)
+    out.print("the same, byte for byte" if same else "[yellow]not the same: another module or model[/yellow]")
+    breaches_exit(found)
+
+
+@app.command()
+def compare(a: Annotated[str, typer.Argument(help="A policy, as for --policy.")],
+            b: Annotated[str, typer.Argument(help="Another one.")],
+            world: Annotated[str, typer.Option(help="A bundled world's name, or a topology file.")] = "brief",
+            seeds: Annotated[int, typer.Option(help="How many pairs.", min=2)] = 20, first: int = 1,
+            set_: Set = None, workers: Workers = 0) -> None:
+    """Two policies on the same seeds: means, and the interval in which the difference lies in 95%."""
+    t = topology.load(world, set_)
+    of_a, of_b = experiments.compare(t, a, b, range(first, first + seeds), workers or experiments.cores(),
+                                     _progress)
+    table = Table(title=f"{world}, {seeds} seeds")
+    for column in ("figure", a, b, "difference (95%)", ""):
+        table.add_column(column)
+    for d in experiments.differences(of_a, of_b):
+        table.add_row(d.figure, f"{d.a:.4f}", f"{d.b:.4f}",
+                      f"{d.b - d.a:+.4f} ({d.low:+.4f} to {d.high:+.4f})", "noise" if d.noise else "")
+    out.print(table)
+    for name, played in ((a, of_a), (b, of_b)):
+        broken = [p for p in played if p.broken]
+        for p in broken[:3]:
+            out.print(f"[red]{name}: seed {p.seed} breaks {', '.join(p.broken)}: {p.breach}[/red]")
+        if broken:
+            out.print(f"{name}: rules broken on {len(broken)} of {len(played)} seeds")
+
+
+def _progress(done: int, of: int) -> None:
+    if sys.stderr.isatty():
+        print(f"\r{done}/{of}", end="\n" if done == of else "", file=sys.stderr, flush=True)
+
+
+@app.command()
+def hunt(world: World_ = "quiet", minutes: float = 1.0, first: Annotated[int, typer.Option(
+             help="The first seed.")] = 1, chance: Annotated[int, typer.Option(
+             help="Faults drawn for each schedule.")] = 4, set_: Set = None, policy_: Policy = "here",
+         corpus: Annotated[Path, typer.Option(help="Where finds go.")] = Path("found"),
+         workers: Workers = 0) -> None:
+    """Draw fault schedules, look for broken rules and collapse, and shrink what is found."""
+    t = topology.load(world, [*(set_ or []), f"chance={chance}"])
+
+    def heard(done: int, finds: list[experiments.Find]) -> None:
+        out.print(f"{done} schedules played, {len(finds)} finds")
+
+    finds = experiments.hunt(t, policy_, duration(f"{minutes}m") / 1e9, first,
+                             workers or experiments.cores(), heard=heard)
+    for find in finds:
+        outcome = experiments.play(t, find.seed, policy(policy_), find.faults)
+        found = results.result(t, find.seed, outcome, policy_)
+        path = corpus / f"{find.what.replace(' ', '-')}-{t.name}-{find.seed}.json"
+        results.write(path, results.encoded(found))
+        out.print(f"[red]{find.what}[/red] at seed {find.seed}: {find.breach}; "
+                  f"{len(find.faults)} faults left: {', '.join(f.kind for f in find.faults)}; "
+                  f"play it again: lanelift lab replay {path}")
+    if finds:
+        raise typer.Exit(1)
+
+
+@app.command()
+def worlds() -> None:
+    """The topologies that come with the package."""
+    for name in topology.bundled():
+        t = topology.load(name)
+        out.print(f"{name}: {t.fleet.boxes} boxes, {t.balancers.count} balancers, {len(t.faults)} faults")
+
+
+@app.command()
+def report(result: Annotated[Path, typer.Argument(help="A result of `run`.")],
+           out_: Annotated[Path, typer.Option("--out", help="The page.")] = Path("report.html")) -> None:
+    """Make a page with plots of a result."""
+    from lanelift.lab.report import page
+    results.write(out_, page(results.read(result)))
+    out.print(f"report in {out_}")
+
+
+def show(found: Json) -> None:
+    """A run in a table."""
+    table = Table(title=f"{found['topology']['name']}, seed {found['seed']}, {found['drive']}")
+    table.add_column("figure")
+    table.add_column("value", justify="right")
+    counts: dict[str, Any] = found["counts"]
+    rows: list[tuple[str, str]] = [
+        ("score (service less penalties)", f"{found['score']:.4f}"),
+        ("worth served, whole run", f"{found['whole']:.4f}"),
+        ("worst window", f"{found['worst_window']:.4f}"),
+        *((f"class {name}", f"{part:.4f}") for name, part in found["by_class"].items()),
+        ("first tries", str(counts.get("first tries", 0))),
+        ("attempts a first try", f"{found['attempts_per_first_try']:.3f}"),
+        ("tries a first try", f"{found['tries_per_first_try']:.3f}"),
+        *((f"answers {name}", str(counts[name])) for name in (
+            "served", "refused", "failed", "unreached", "none") if name in counts),
+        *((f"latency {name} ms", f"{ms:.1f}") for name, ms in found["latency_ms"].items()),
+        ("spread of load over boxes", f"{found['load_spread']:.3f}"),
+        ("rules broken", ", ".join(f"{k}: {v}" for k, v in found["broken"].items()) or "none"),
+    ]
+    for row in rows:
+        table.add_row(*row)
+    out.print(table)
+    for breach in found["breaches"][:5]:
+        out.print(f"[red]{breach['rule']}[/red]: {breach['what']}")
--- /dev/null
+++ b/lanelift/cli/main.py
@@ -0,0 +1,39 @@
+"""`lanelift`: where the groups of verbs come together, and how a wrong use ends: one line, exit status 2."""
+
+from __future__ import annotations
+
+import os
+import sys
+from importlib import metadata
+
+import typer
+
+from lanelift.cli import lab, serve
+from lanelift.lab.topology import Unusable
+from lanelift.settings import Malformed
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
+                  help="A load balancer that keeps its rules, and the lab that shows it under failure.")
+app.add_typer(lab.app, name="lab")
+app.command("serve")(serve.serve)
+
+
+@app.command()
+def version() -> None:
+    """Print the version."""
+    typer.echo(f"lanelift {metadata.version('lanelift')}")
+
+
+def main() -> None:
+    try:
+        app()
+    except (Unusable, Malformed) as error:
+        print(f"lanelift: {error}", file=sys.stderr)
+        sys.exit(2)
+    except BrokenPipeError:  # whoever read the output has gone, as `head` does
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lanelift/lab/experiments.py
@@ -0,0 +1,233 @@
+"""Runs side by side: many seeds over all cores, two policies compared, broken rules hunted and shrunk."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+import random
+import signal
+import statistics
+import time
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
+import numpy as np
+
+from lanelift.lab.hosts import Host
+from lanelift.lab.model.faults import drawn
+from lanelift.lab.policies import ByName, policy
+from lanelift.lab.topology import Fault, Topology, read, source
+from lanelift.lab.virtual import SERIES_NS, Outcome, World
+from lanelift.settings import Json
+from lanelift.units import Duration, decode
+
+SECOND = 1_000_000_000
+RESAMPLES = 10_000
+COLLAPSE = 0.85  # of what was good before the first fault
+CALM_NS = 12 * SECOND  # so long after the last fault, service must be back
+
+
+class Played(NamedTuple):
+    """What a comparison needs of a run; small enough to come back from another process."""
+
+    seed: int
+    score: float
+    whole: float
+    p99_ms: float
+    attempts: float
+    broken: dict[str, int]
+    collapsed: bool
+    breach: str
+
+
+def play(t: Topology, seed: int, maker: ByName, faults: list[Fault] | None = None) -> Outcome:
+    return World(t, seed, Host(maker), faults).run()
+
+
+def played(t: Topology, seed: int, maker: ByName, faults: list[Fault] | None = None) -> Played:
+    outcome = play(t, seed, maker, faults)
+    j = outcome.judgement
+    first = max(1.0, j.counts.get("first tries", 0))
+    breach = j.breaches[0].what if j.breaches else next(iter(outcome.notes), "") if j.broken else ""
+    return Played(seed, j.score, j.whole, outcome.ledger.latency.get_value_at_percentile(99) / 1000,
+                  j.counts.get("attempts", 0) / first, dict(j.broken), collapsed(t, outcome), breach)
+
+
+def collapsed(t: Topology, outcome: Outcome) -> bool:
+    """Did harm outlive its cause: is service still far below what it was, long after the last fault?"""
+    if not outcome.faults:
+        return False
+    first = min(f.at for f in outcome.faults)
+    last = max(f.at + f.lasts for f in outcome.faults) + CALM_NS
+    before = outcome.series[:max(1, first // SERIES_NS)]
+    after = outcome.series[last // SERIES_NS:t.length // SERIES_NS]
+    if len(before) < 4 or len(after) < 6:
+        return False
+    share = [sum(m.good for m in part) / max(1, sum(m.asked for m in part)) for part in (before, after)]
+    return share[1] < COLLAPSE * share[0]
+
+
+# ---- many runs -------------------------------------------------------------------------------------------
+
+Task = tuple[str, int, str, str | None, str]  # topology as JSON, seed, policy, its text, faults as JSON
+
+
+def _quiet() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent ends the pool
+
+
+def _run(task: Task) -> Played:
+    text, seed, name, module, faults = task
+    t = read(msgspec.json.decode(text), "run")
+    chosen = faults_from(msgspec.json.decode(faults)) if faults else None
+    return played(t, seed, ByName(name, module), chosen)
+
+
+def faults_from(raw: Sequence[Json]) -> list[Fault]:
+    return [msgspec.convert(entry, Fault, dec_hook=decode) for entry in raw]
+
+
+def task(t: Topology, seed: int, maker: ByName, faults: Sequence[Fault] | None = None) -> Task:
+    return (msgspec.json.encode(source(t)).decode(), seed, maker.name, maker.text,
+            msgspec.json.encode([source(f) for f in faults]).decode() if faults is not None else "")
+
+
+def spread(tasks: Iterable[Task], workers: int) -> Iterator[tuple[int, Played]]:
+    """Play the tasks on so many cores; results come as they end, with their place among the tasks."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(workers, context, _quiet) as pool:
+        waiting = {pool.submit(_run, t): i for i, t in enumerate(tasks)}
+        try:
+            for future in as_completed(waiting):
+                yield waiting[future], future.result()
+        except BaseException:
+            pool.shutdown(wait=False, cancel_futures=True)
+            raise
+
+
+def cores() -> int:
+    return max(1, len(os.sched_getaffinity(0)) - 1)
+
+
+# ---- compare ---------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One figure of A and B over the same seeds: means, B less A, and the interval that holds it in 95%."""
+
+    figure: str
+    a: float
+    b: float
+    low: float
+    high: float
+
+    @property
+    def noise(self) -> bool:
+        return self.low <= 0.0 <= self.high
+
+
+def differences(a: Sequence[Played], b: Sequence[Played]) -> list[Difference]:
+    """Pairs by seed; the interval is the percentile bootstrap of the mean of the pairs' differences."""
+    figures: list[tuple[str, Callable[[Played], float]]] = [
+        ("score", lambda p: p.score), ("worth served", lambda p: p.whole), ("p99 ms", lambda p: p.p99_ms),
+        ("attempts a request", lambda p: p.attempts)]
+    found = []
+    rng = np.random.default_rng(7)
+    for name, of in figures:
+        pairs = np.array([of(y) - of(x) for x, y in zip(a, b, strict=True)])
+        means = pairs[rng.integers(0, len(pairs), (RESAMPLES, len(pairs)))].mean(axis=1)
+        low, high = np.percentile(means, [2.5, 97.5])
+        found.append(Difference(name, statistics.fmean(map(of, a)), statistics.fmean(map(of, b)),
+                                float(low), float(high)))
+    return found
+
+
+def compare(t: Topology, first: str, second: str, seeds: Sequence[int], workers: int,
+            heard: Callable[[int, int], None] = lambda done, of: None) -> tuple[list[Played], list[Played]]:
+    """Both policies on the same seeds, which draw the same fleet, clients and faults for both."""
+    makers = policy(first), policy(second)
+    tasks = [task(t, seed, maker) for maker in makers for seed in seeds]
+    results: dict[int, Played] = {}
+    for at, one in spread(tasks, workers):
+        results[at] = one
+        heard(len(results), len(tasks))
+    ordered = [results[i] for i in range(len(tasks))]
+    return ordered[:len(seeds)], ordered[len(seeds):]
+
+
+# ---- hunt ------------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Find:
+    """A schedule that breaks a rule, or whose harm outlives it."""
+
+    seed: int
+    what: str
+    faults: list[Fault]
+    breach: str
+
+
+def bad(one: Played) -> str:
+    """What is wrong with a run, in a word that stays the same while its schedule is shrunk."""
+    if one.broken:
+        return sorted(one.broken)[0]
+    return "collapse" if one.collapsed else ""
+
+
+def shrink(t: Topology, seed: int, faults: list[Fault], what: str,
+           is_bad: Callable[[list[Fault]], str]) -> list[Fault]:
+    """The smallest schedule that still does it: faults dropped one by one, then made shorter and milder."""
+    kept = list(faults)
+    for fault in list(kept):
+        fewer = [f for f in kept if f is not fault]
+        if fewer and is_bad(fewer) == what:
+            kept = fewer
+    for i, fault in enumerate(kept):
+        for _ in range(3):
+            milder = msgspec.structs.replace(fault, lasts=Duration(max(SECOND, fault.lasts // 2)))
+            if milder == fault or is_bad([*kept[:i], milder, *kept[i + 1:]]) != what:
+                break
+            kept[i] = fault = milder
+        for _ in range(3):
+            milder = msgspec.structs.replace(fault, part=round(max(0.01, fault.part / 2), 4))
+            if milder == fault or is_bad([*kept[:i], milder, *kept[i + 1:]]) != what:
+                break
+            kept[i] = fault = milder
+    return kept
+
+
+def hunt(t: Topology, name: str, seconds: float, first_seed: int, workers: int, most: int = 5,
+         heard: Callable[[int, list[Find]], None] = lambda done, finds: None) -> list[Find]:
+    """Draw schedules by seed and play them until the time is over; shrink what is bad. Which seeds are played
+    depends on the machine; what each one comes to does not."""
+    maker = policy(name)
+    ends = time.monotonic() + seconds
+    finds: list[Find] = []
+    seen: set[str] = set()
+    done, seed = 0, first_seed
+    while time.monotonic() < ends and len(finds) < most:
+        batch = list(range(seed, seed + 2 * workers))
+        seed = batch[-1] + 1
+        for at, one in spread([task(t, s, maker) for s in batch], workers):
+            done += 1
+            what = bad(one)
+            if not what or what in seen:
+                continue
+            seen.add(what)
+            faults = schedule(t, batch[at])
+            small = shrink(t, batch[at], faults, what,
+                           lambda fewer, s=batch[at]: bad(played(t, s, maker, fewer)))  # type: ignore[misc]
+            again = played(t, batch[at], maker, small)
+            finds.append(Find(batch[at], what, small, again.breach))
+        heard(done, finds)
+    return finds
+
+
+def schedule(t: Topology, seed: int) -> list[Fault]:
+    """The faults of a run, those that its seed draws included."""
+    return list(t.faults) + drawn(t, random.Random(f"{seed}/faults"))
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -204,3 +204,29 @@
         if response is None:
             raise Unanswered(f"no answer: {result.value}")
         return response
+
+
+class FixedList:
+    """A list that the operators wrote down, where there is no discovery: it stands until they replace it."""
+
+    def __init__(self, driver: Driver, servers: Json) -> None:
+        self.driver = driver
+        _, _, self.endpoints = read_list(servers)
+
+    def start(self, known: Json | None) -> None:
+        self.fetch()
+
+    def replace(self, servers: Json) -> None:
+        """What is not in the new list is gone at once."""
+        _, _, self.endpoints = read_list(servers)
+        self.fetch()
+
+    def subscribe(self, on: bool) -> None:
+        if on:
+            self.fetch()
+
+    def fetch(self) -> None:
+        self.driver.learn(api.ListKind.FULL, self.endpoints)
+
+    def close(self) -> None:
+        pass
