Measure one balancer on one core beside a bare relay: lanelift lab capacity

Need: a change to the hot path must be shown as a ratio to what the loop and the sockets cost by themselves.

Change: clients and upstreams on plain sockets and one epoll, on other cores; balancer and relay by turns on one core; rates in a closed loop, times in an open one at half of each one's rate, from when a request was due. A socket run's half-second series now comes from the facts' own times.

--- a/lanelift/cli/lab.py
+++ b/lanelift/cli/lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shlex
 import sys
 from pathlib import Path
 from typing import Annotated, Any
@@ -11,6 +12,7 @@
 from rich.table import Table
 
 from lanelift.lab import experiments, results, topology
+from lanelift.lab.capacity.measure import measure
 from lanelift.lab.hosts import Host, SpreadHost
 from lanelift.lab.policies import policy
 from lanelift.lab.topology import Topology, Unusable
@@ -154,6 +156,28 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def capacity(connections: int = 32, seconds: Annotated[float, typer.Option(help="Of each turn.")] = 3.0,
+             pairs: Annotated[int, typer.Option(help="Turns of each.", min=1)] = 5,
+             command: Annotated[str, typer.Option(help="Another balancer's command line.")] = "") -> None:
+    """Requests a second of one balancer on one core, beside a bare relay on the same core."""
+    found = measure(connections, seconds, pairs, shlex.split(command), lambda pair, ours, relay: out.print(
+        f"pair {pair}: balancer {ours:,.0f}/s, relay {relay:,.0f}/s, ratio {ours / relay:.4f}"))
+    table = Table(title=f"{connections} connections, answers of 200 bytes, keep-alive")
+    for column in ("", "requests/s", "CPU us a request", "peak MB", "p50 ms", "p99 ms", "p99.9 ms"):
+        table.add_column(column, justify="right")
+    for name in ("balancer", "relay"):
+        side = found[name]
+        table.add_row(name, f"{side['per_s']:,.0f}", f"{side['cpu_us']:.0f}", f"{side['peak_mb']:.1f}",
+                      *(f"{ms:.2f}" for ms in side["ms"].values()))
+        if side["wrong"]:
+            out.print(f"[red]{name}: {side['wrong']} answers other than 200[/red]")
+    out.print(table)
+    ratio = found["ratio"]
+    out.print(f"ratio {ratio['median']:.4f} ({ratio['least']:.4f} to {ratio['most']:.4f}); times are those at"
+              " half of each one's rate, from when a request was due")
+
+
 @app.command()
 def worlds() -> None:
     """The topologies that come with the package."""
--- a/lanelift/lab/sockets/conductor.py
+++ b/lanelift/lab/sockets/conductor.py
@@ -29,7 +29,7 @@
 from lanelift.lab.model.workload import Workload, quotas, rate_of
 from lanelift.lab.sockets.facts import Books, Writer
 from lanelift.lab.topology import Topology, Unusable
-from lanelift.lab.virtual import SERIES_NS, TAIL_NS, Moment, Outcome
+from lanelift.lab.virtual import SERIES_NS, TAIL_NS, Outcome
 from lanelift.settings import Json
 from lanelift.units import Duration
 
@@ -98,8 +98,6 @@
         self.faulty: list[str] = []  # what failed in the lab itself
         self.begin_ns = 0
         self.capacity = 0.0
-        self.series: list[Moment] = []
-        self.seen: dict[str, int] = {}
         cores = sorted(os.sched_getaffinity(0))
         # The lab's own parties get cores that no balancer shares, where there are enough.
         self.lab_cores = cores[-3:] if len(cores) > 3 else cores
@@ -307,22 +305,15 @@
             load.order(front=real.number, up=True)
 
     async def _watch_parties(self, fleet: Child, loads: Sequence[Child]) -> None:
-        """Twice a second: a row of the series, and a look for whoever watches."""
+        """Twice a second, a look for whoever watches."""
         while True:
             await asyncio.sleep(SERIES_NS / 1e9)
             for real in self.real:
                 self._sample(real)
             now: dict[str, int] = {}
-            slowest = 0
             for load in loads:
-                slowest = max(slowest, load.status.get("slowest_us", 0))
                 for key, count in load.status.items():
                     now[key] = now.get(key, 0) + count
-            more = {key: now.get(key, 0) - self.seen.get(key, 0) for key in now}
-            self.seen = now
-            self.series.append(Moment(more.get("asked", 0), more.get("good", 0), more.get("late", 0),
-                                      more.get("refused", 0), more.get("failed", 0) + more.get("none", 0)
-                                      + more.get("unreached", 0), 0, more.get("retries", 0), slowest))
             self.look({
                 "at_s": (time.monotonic_ns() - self.begin_ns) / 1e9, "length_s": self.t.length / 1e9,
                 "loads": now, "fleet": fleet.status,
@@ -366,7 +357,7 @@
         rules = msgspec.structs.replace(
             self.t.rules, answer_grace=Duration(self.t.rules.answer_grace + SLACK),
             drain_grace=Duration(self.t.rules.drain_grace + SLACK))
-        books = Books(msgspec.structs.replace(self.t, rules=rules))
+        books = Books(msgspec.structs.replace(self.t, rules=rules), self.begin_ns)
         books.post([own, *self.facts])
         if self.crashes:
             books.ledger.broken["no crash"] += len(self.crashes)
@@ -382,7 +373,7 @@
         for row in status["boxes"]:
             row["load"] = round(row.pop("work") / 1e9 / elapsed, 4)
             boxes.append(row)
-        outcome = Outcome(judged, books.ledger, self.series, plan, list(faults), boxes,
+        outcome = Outcome(judged, books.ledger, books.series, plan, list(faults), boxes,
                           rate_of(self.t, self.capacity), self.capacity, list(self.crashes))
         found = results.result(self.t, self.seed, outcome, "here", "sockets")
         late = [f"{name}: p99 {word['lag_p99_ms']} ms, most {word['lag_most_ms']} ms"
