Shun upstreams that fail alone, most of all for what may not be repeated

Cause: a box that fails fast answers soonest, so it seemed the lightest and drew 2.3 times its share; only one that failed 95% was left alone.

Change: errors count at once and weigh in the choice; above three in ten, and unless half of those within reach fail alike, an upstream is left alone, and then tried one request at a time; what must not run twice goes there only if nothing else was drawn.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -45,7 +45,10 @@
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 EACH_PART = 0.08  # of the aim: what each request that an upstream holds is thought to take at first, at most
-FAULTY = (0.95, 0.8)  # part of errors above which an upstream is left alone, unless that of all is the second
+# Part of errors above which an upstream is left alone, where no more than the second part of those within
+# reach are as bad; below the third it is trusted again; so much each answer counts.
+FAULTY, ERROR_FELT = (0.3, 0.5, 0.1), 0.15
+SHUNNED = 4.0  # an upstream that fails alone seems so much heavier, times its part of errors
 BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
 LATE_NS = 10_000_000  # a timer that comes so late tells of a proxy without time to look
 EVIDENCE = 8  # outcomes before a figure is believed
@@ -362,12 +365,15 @@
         """How many within reach are not left alone: what the dead had must not all move to the rest."""
         return sum(s.barred_ns <= now for s in self.order[:self.width])
 
-    def pick(self, now: int, allowed: Iterable[Server] | None = None) -> Server | None:
-        """The lightest, by own in flight and learned speed, of two draws and the previous winner."""
+    def pick(self, now: int, allowed: Iterable[Server] | None = None, once: bool = False) -> Server | None:
+        """The lightest, by own in flight and learned speed, of two draws and the previous winner. `once`: for
+        what may not be repeated, so not to one that lately failed, if another is drawn."""
         drawn = self.draw(DRAWS, now) if allowed is None else [s for s in allowed if self.fleet.fit(s, now)]
         if not drawn:
             return None
-        self.last = min(drawn, key=lambda s: (max(s.inflight, s.load) + 1) * s.pace)
+        if once:
+            drawn = [s for s in drawn if s.errors < FAULTY[2]] or drawn
+        self.last = min(drawn, key=lambda s: (max(s.inflight, s.load) + 1) * s.pace * (1 + SHUNNED * s.errors))
         return self.last
 
 
@@ -382,7 +388,6 @@
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
-        self.errors = 0.0  # the part of all answers that were errors lately
         self.breaks = 0.0  # the part of all attempts whose connections broke lately
         self.sharers = 1.0  # proxies that have an upstream in their home
         self.banned: set[int] = set()  # by operators, listed or not
@@ -453,12 +458,14 @@
             self.servers.pop(s.id, None)
 
     def judge(self, s: Server, error: bool) -> bool:
-        """Note an answer. Is it one error too many? An upstream that only fails, and at once, seems the
-        lightest of all; one that fails in part still does its share of the work. Where all fail alike, for
-        a fault of the requests or on the way, none is left alone for it."""
-        self.errors += 0.02 * (error - self.errors)
-        s.errors += 0.05 * (error - s.errors)
-        return error and s.errors > FAULTY[0] and self.errors < FAULTY[1]
+        """Note an answer. Is it one error too many? An upstream that fails, and at once, seems the lightest
+        of all, and draws what may not be repeated. Where many fail alike, for a fault of the requests or on
+        the way, none is left alone for it."""
+        s.errors += ERROR_FELT * (error - s.errors)
+        if not error or s.errors <= FAULTY[0]:
+            return False
+        reach = self.main.order[:self.main.width]
+        return sum(o.errors > FAULTY[0] for o in reach) <= FAULTY[1] * len(reach)
 
     def broken(self, s: Server) -> bool:
         """A connection broke. Has its upstream failed? Where connections break all the time, the way there or
@@ -774,7 +781,7 @@
             fleet.judge(server, False)
             fleet.breaks -= 0.02 * fleet.breaks
             server.breaks = 0
-            if server.strikes:
+            if server.strikes and server.errors < FAULTY[0]:
                 server.strikes = server.barred_ns = 0
         elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
             if e.result is api.Result.FULL or self.crowding.crowded():
@@ -924,7 +931,7 @@
             failed = {a.server for a in r.attempts}  # it may fail there again: elsewhere, where that can be
             fresh = [s for s in fresh if s not in failed] or fresh
             r.asked = []
-            server = pool.pick(now, fresh or choices)
+            server = pool.pick(now, fresh or choices, r.cls.effect is not api.Effect.SAFE)
             left = (r.aim_ns - now) / self.crowding.each
             full = fresh and server and server.load >= 1 and (server.load + 1.5) * server.pace > left
             if full or (server is None and choices is not None):
