Prefer the own zone, copy only on a second late answer, let late work end where nobody waits

Change: where crossing has a price, an upstream elsewhere seems 1.4 times heavier, and a zone's own are all in its proxies' home. One late answer tells of long work, which a copy only doubles: copies go out on the second in a row. An attempt past its aim is called off once others wait for its place, and else may end.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -48,8 +48,10 @@
 # Part of errors above which an upstream is left alone, where no more than the second part of those within
 # reach are as bad; below the third it is trusted again; so much each answer counts.
 FAULTY, ERROR_FELT = (0.3, 0.5, 0.1), 0.15
+ACROSS = 1.4  # an upstream in another zone seems so much heavier, where crossing has a price
 SHUNNED = 4.0  # an upstream that fails alone seems so much heavier, times its part of errors
 BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
+LATE_LOOK_NS = SECOND // 50  # between two looks whether others wait for the place of a late attempt
 LATE_NS = 10_000_000  # a timer that comes so late tells of a proxy without time to look
 EVIDENCE = 8  # outcomes before a figure is believed
 
@@ -72,6 +74,7 @@
     opens: bool = False  # more were out there than ever: it had to open a connection
     result: api.Result | None = None
     overdue: bool = False
+    late: bool = False  # its answer comes too late to be worth anything
     waits: bool = False  # for the end of its request's body: its upstream has nothing to do yet
 
     @property
@@ -289,6 +292,7 @@
     barred_ns: int = 0  # not to be tried before this
     struck_ns: int = 0  # the last strike
     own: bool = False  # in this proxy's home
+    way: float = 1.0  # in another zone it seems so much heavier
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # it was asked for its load then, and has not answered
@@ -309,6 +313,11 @@
         return max(self.entry.started_ns, self.back_ns)
 
 
+def weight(s: Server) -> float:
+    """How busy an upstream seems, by own requests there or its report, and by what it learned of it."""
+    return (max(s.inflight, s.load) + 1) * s.pace * (1 + SHUNNED * s.errors) * s.way
+
+
 class Pool:
     """The upstreams that one set of classes may go to, and the part of them this proxy draws from."""
 
@@ -331,7 +340,7 @@
         first = me * n // proxies
         least = max(HOME[0], min(HOME[1], SHARED * n // proxies))
         self.home = n if self.fleet.looks else min(n, max(least, (me + 1) * n // proxies - first))
-        ring = ready[first:] + ready[:first]
+        ring = sorted(ready[first:] + ready[:first], key=lambda s: s.way)  # its own zone's are all at home
         # What operators put back is drawn from by every proxy for a while: they wait to see it in use.
         back = [s for s in ring[self.home:] if s.id in self.fleet.back]
         rest = sorted((s for s in ring[self.home:] if s.id not in self.fleet.back),
@@ -373,7 +382,7 @@
             return None
         if once:
             drawn = [s for s in drawn if s.errors < FAULTY[2]] or drawn
-        self.last = min(drawn, key=lambda s: (max(s.inflight, s.load) + 1) * s.pace * (1 + SHUNNED * s.errors))
+        self.last = min(drawn, key=weight)
         return self.last
 
 
@@ -442,8 +451,10 @@
         """Which upstreams each pool draws from."""
         ready = sorted((s for s in self.servers.values() if s.usable), key=lambda s: (mixed(s.id, 0), s.id))
         proxies = max(1, self.settings.replicas_of_me)
+        here = self.settings.zone if self.settings.prices.cross_zone else ""
         for s in self.servers.values():
             s.own = False
+            s.way = ACROSS if here and s.entry.zone != here else 1.0
         for pool in self.pools.values():
             pool.arrange(ready, proxies)
         self.sharers = max(1.0, proxies * self.main.home / max(1, len(ready)))
@@ -465,7 +476,12 @@
         if not error or s.errors <= FAULTY[0]:
             return False
         reach = self.main.order[:self.main.width]
-        return sum(o.errors > FAULTY[0] for o in reach) <= FAULTY[1] * len(reach)
+        alike = [o for o in reach if o.errors > FAULTY[0]]
+        if len(alike) <= FAULTY[1] * len(reach):
+            return True
+        for o in alike:
+            o.strikes = o.barred_ns = 0
+        return False
 
     def broken(self, s: Server) -> bool:
         """A connection broke. Has its upstream failed? Where connections break all the time, the way there or
@@ -763,14 +779,16 @@
         if r is None or r.attempts[e.attempt].result is not None:
             return
         a = r.attempts[e.attempt]
-        a.result = e.result
+        result = a.result = e.result
+        if a.late and result is api.Result.CANCELLED:
+            result = api.Result.TIMEOUT  # it was called off for want of time
         server = a.server  # also of one that is listed no more: counts must come out even
         fleet = self.fleet
         self.out -= not a.waits
         self.stuck -= a.overdue
-        if e.result is api.Result.OK and a.waits:
+        if result is api.Result.OK and a.waits:
             pass  # answered ahead of the request's end: that tells nothing of the time it takes
-        elif e.result is api.Result.OK:
+        elif result is api.Result.OK:
             self.crowding.note(r, a, e.took_ns)
             self.crowding.feel(e.took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width, now)
             if not server.own:
@@ -783,17 +801,17 @@
             server.breaks = 0
             if server.strikes and server.errors < FAULTY[0]:
                 server.strikes = server.barred_ns = 0
-        elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
-            if e.result is api.Result.FULL or self.crowding.crowded():
+        elif result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
+            if result is api.Result.FULL or self.crowding.crowded():
                 self.crowding.feel(1.0, False, r.pool.width, now)
             self.rate.bad += 1
-            busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
-            if e.result is api.Result.TIMEOUT:
+            busy = result in (api.Result.FULL, api.Result.TIMEOUT)
+            if result is api.Result.TIMEOUT:
                 self.crowding.crowd(a, e.took_ns)
-            if e.result is not api.Result.RESET or fleet.broken(server):
+            if result is not api.Result.RESET or fleet.broken(server):
                 fleet.bar(a, now, a.expected if busy else SECOND / 4)
                 self._later(server.barred_ns, "pump", None)
-        elif e.result is api.Result.ERROR:
+        elif result is api.Result.ERROR:
             self.rate.good += 1
             if fleet.judge(server, True):
                 fleet.bar(a, now, SECOND / 4)
@@ -802,7 +820,7 @@
             server.inflight -= 1
             server.load = max(0.0, server.load - 1)
         fleet.forget(server)
-        if r.turn and e.result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
+        if r.turn and result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
             r.turn.rest_ns = now + self.settings.rules.turn_gap_ns
         if e.complete:
             self._end(r, now)
@@ -875,6 +893,8 @@
                 self._refuse(about, now)
             elif what == "overdue":
                 self._overdue(about, extra, now)
+            elif what == "late":
+                self._late(about, extra, now)
         elif what == "subscribe" and not self.subscribed:
             self.subscribed = True
             self.actions.append(api.Subscribe(True))
@@ -898,12 +918,24 @@
         self.stuck += 1
         self.fleet.bar(a, now, a.expected)
         self._later(a.server.barred_ns, "pump", None)
-        if r.pool.line or now + a.expected > r.aim_ns:
-            return
+        if r.pool.line or now + a.expected > r.aim_ns or a.server.strikes < 2:
+            return  # one late answer tells of long work, which a copy doubles; two in a row, of the upstream
         server = r.pool.pick(now, self._choices(r))
         if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
             self._send(r, server, now)
 
+    def _late(self, r: Request, number: int, now: int) -> None:
+        """Its answer would be late, and worth nothing. While nobody waits for its place it may still come:
+        the work is done, and the client has an answer. Else its place goes to another."""
+        a = r.attempts[number]
+        if a.result is not None or r.over:
+            return
+        a.late = True
+        if r.pool.line or self.crowding.crowded():
+            self.actions.append(api.Cancel(r.id, number))
+        else:
+            self._later(now + LATE_LOOK_NS, "late", r, number)
+
     def _pump(self, now: int) -> None:
         """Serve each line in order while an upstream has room."""
         for pool in self.fleet.pools.values():
@@ -958,9 +990,14 @@
         if self.fleet.cold(server, now):
             server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
             self._later(server.barred_ns, "pump", None)
-        # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
-        timeout = max(1, r.aim_ns - now) if r.whole else r.cls.aim_ns
-        self.actions.append(api.Send(r.id, server.id, 0 if r.cls.late_worth or r.cls.stream else timeout))
+        # Where a late answer is worth nothing, an attempt that others wait for ends at the aim.
+        timeout = 0
+        if not (r.cls.late_worth or r.cls.stream):
+            if r.whole and self.settings.limits.may_cancel:
+                self._later(max(now + 1, r.aim_ns), "late", r, len(r.attempts) - 1)
+            else:
+                timeout = max(1, r.aim_ns - now) if r.whole else r.cls.aim_ns
+        self.actions.append(api.Send(r.id, server.id, timeout))
 
     def _begin(self, r: Request, number: int, now: int) -> None:
         """An upstream has something to do for this attempt from now on."""
