--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -5,16 +5,20 @@
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import math
 import random
 from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from lanelift import interface as api
 
 SECOND = 1_000_000_000
+BY_SPOT, BY_TURN, BY_WAY = attrgetter("spot"), attrgetter("turn"), attrgetter("way")
+SCAN = 64  # upstreams that are looked through at most, where chance finds none that is fit
 DRAWS = 2  # random draws beside the previous winner
 HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
 BANK_S = 0.5  # C_T in seconds of tokens
@@ -302,6 +306,9 @@
     breaks: int = 0  # of connections to it, in a row
     banned: bool = False  # operators took it out
     back_ns: int = 0  # they put it back then
+    spot: tuple[int, int] = (0, 0)  # on the ring that all proxies compute alike
+    turn: tuple[int, int] = (0, 0)  # in this proxy's own order
+    placed: bool = False  # it stands in both
 
     @property
     def usable(self) -> bool:
@@ -328,42 +335,59 @@
         self.home = 0
         self.width = 0  # how many of `order` it draws from
         self.last: Server | None = None  # the previous winner
+        self.near: list[Server] = []  # those at home in its own zone, where that matters
+        self.places: dict[int, int] = {}  # where each stands in `order`
         self.line: deque[Request] = deque()
         self.blocked_ns = 0  # the line found no upstream since
         self.jammed = False  # nor has room for more: its head waits for that, not for an answer about load
 
-    def arrange(self, ready: Sequence[Server], proxies: int) -> None:
+    def arrange(self, ready: list[Server], mine: list[Server], proxies: int) -> None:
         """Extension: each proxy's home is its stretch of one ring that all proxies compute alike, so that
         its own requests in flight say something of the upstream. Beyond it, an order of its own."""
-        ready = [s for s in ready if open_to(s.entry, self.cls)]
+        if self.cls.zones or self.cls.kinds:
+            ready = [s for s in ready if open_to(s.entry, self.cls)]
+            mine = [s for s in mine if open_to(s.entry, self.cls)]
         n, me = len(ready), self.fleet.settings.me
         first = me * n // proxies
+        stretch = (me + 1) * n // proxies - first
         least = max(HOME[0], min(HOME[1], SHARED * n // proxies))
-        self.home = n if self.fleet.looks else min(n, max(least, (me + 1) * n // proxies - first))
-        ring = sorted(ready[first:] + ready[:first], key=lambda s: s.way)  # its own zone's are all at home
+        self.home = n if self.fleet.looks else min(n, max(least, stretch))
+        ring = ready[first:] + ready[:first]
+        # Its own stretch comes first, or some upstream is in nobody's home; then its own zone's.
+        ring[stretch:] = sorted(ring[stretch:], key=BY_WAY)
         # What operators put back is drawn from by every proxy for a while: they wait to see it in use.
-        back = [s for s in ring[self.home:] if s.id in self.fleet.back]
-        rest = sorted((s for s in ring[self.home:] if s.id not in self.fleet.back),
-                      key=lambda s: (mixed(s.id, me + 1), s.id))
-        self.order = ring[:self.home] + back + rest
-        self.home += len(back)
+        home = ring[:self.home]
+        if self.fleet.back:
+            home += [s for s in ring[self.home:] if s.id in self.fleet.back]
+        at_home = {s.id for s in home}
+        self.order = home + [s for s in mine if s.id not in at_home]
+        self.places = {s.id: i for i, s in enumerate(self.order)}
+        self.home = len(home)
+        self.near = [s for s in home if s.way == 1.0]
+        if len(self.near) == len(home):
+            self.near = []  # no choice between them
         self.width = min(n, max(self.width, self.home))
-        for s in self.order[:self.home]:
+        for s in home:
             s.own = True
 
     def draw(self, count: int, now: int) -> list[Server]:
         """So many random draws from those that are fit, and the previous winner. Looks at the upstreams
         within reach at most, never at the fleet."""
-        reach, fit = self.width, self.fleet.fit
+        reach, fit, near = self.width, self.fleet.fit, self.near
         drawn: list[Server] = []
+        if near:  # one of the draws is among those that cost no crossing
+            s = near[int(self.fleet.rng.random() * len(near))]
+            if fit(s, now):
+                drawn.append(s)
         for _ in range(4 * count if reach else 0):
             s = self.order[int(self.fleet.rng.random() * reach)]
             if fit(s, now):
                 drawn.append(s)
                 if len(drawn) == count:
                     break
-        if not drawn:
-            some = [s for s in self.order[:reach] if fit(s, now)]
+        if not drawn and reach:
+            first = int(self.fleet.rng.random() * reach) if reach > SCAN else 0
+            some = [s for s in (self.order[first:reach] + self.order[:first])[:SCAN] if fit(s, now)]
             drawn = [some[int(self.fleet.rng.random() * len(some))] for _ in range(count)] if some else []
         last = self.last
         if last is not None and fit(last, now) and open_to(last.entry, self.cls):
@@ -372,7 +396,10 @@
 
     def able(self, now: int) -> int:
         """How many within reach are not left alone: what the dead had must not all move to the rest."""
-        return sum(s.barred_ns <= now for s in self.order[:self.width])
+        places, width, alone = self.places, self.width, self.fleet.alone
+        for s in [s for s in alone.values() if s.barred_ns <= now]:
+            del alone[s.id]
+        return width - sum(places.get(number, width) < width for number in alone)
 
     def pick(self, now: int, allowed: Iterable[Server] | None = None, once: bool = False) -> Server | None:
         """The lightest, by own in flight and learned speed, of two draws and the previous winner. `once`: for
@@ -401,6 +428,9 @@
         self.sharers = 1.0  # proxies that have an upstream in their home
         self.banned: set[int] = set()  # by operators, listed or not
         self.back: dict[int, int] = {}  # put back by them, and when
+        self.alone: dict[int, Server] = {}  # those left alone for now
+        self.ready: list[Server] = []  # usable ones, by their spot on the ring
+        self.mine: list[Server] = []  # the same in this proxy's own order
         self.pools: dict[tuple[frozenset[str], frozenset[str]], Pool] = {}
         self.main = self.pool(api.RequestClass(""))
 
@@ -412,22 +442,49 @@
     def learn(self, update: api.ListUpdate, now: int) -> None:
         if update.kind is not api.ListKind.DELTA:
             listed = {e.id for e in update.upstreams}
-            for s in self.servers.values():
-                if s.id not in listed:
-                    s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+            for s in [s for s in self.servers.values() if s.id not in listed]:
+                s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+                self.place(s)
+                self.forget(s)
+        here = self.settings.zone if self.settings.prices.cross_zone else ""
         for entry in update.upstreams:
-            s = self.servers.setdefault(entry.id, Server(entry.id, entry))
+            s = self.servers.get(entry.id) or self.met(entry)
+            s.way = ACROSS if here and entry.zone != here else 1.0
             s.banned, s.back_ns = entry.id in self.banned, self.back.get(entry.id, 0)
             was, s.entry = s.entry, entry
             if entry.started_ns != was.started_ns:
                 s.strikes = s.barred_ns = 0
             if self.cold(s, now) and (entry.started_ns != was.started_ns or was is entry):
                 # Rule 4: the first requests of all proxies must not reach it together.
-                s.barred_ns = now + int(self.rng.random() * self.cold_gap_ns(s, now))
-        for s in list(self.servers.values()):
+                self.leave(s, now + int(self.rng.random() * self.cold_gap_ns(s, now)))
+            self.place(s)
             self.forget(s)
         self.arrange()
 
+    def met(self, entry: api.Upstream) -> Server:
+        """An upstream that was not known."""
+        spots = ((mixed(entry.id, salt), entry.id) for salt in (0, self.settings.me + 1))
+        s = self.servers[entry.id] = Server(entry.id, entry)
+        s.spot, s.turn = spots
+        return s
+
+    def place(self, s: Server) -> None:
+        """Keep the two orders of usable ones, whose length must not make each change of the list dear."""
+        if s.usable is s.placed:
+            return
+        s.placed = s.usable
+        for order, by in ((self.ready, BY_SPOT), (self.mine, BY_TURN)):
+            at = bisect.bisect_left(order, by(s), key=by)
+            if s.placed:
+                order.insert(at, s)
+            else:
+                del order[at]
+
+    def leave(self, s: Server, until_ns: int) -> None:
+        """Leave it alone until then."""
+        s.barred_ns = until_ns
+        self.alone[s.id] = s
+
     def ban(self, e: api.Ban, now: int) -> None:
         """It holds whatever the lists say, until it is taken back. Then the upstream counts as cold."""
         self.back = {number: at for number, at in self.back.items()
@@ -440,23 +497,22 @@
             self.back[e.upstream] = now
             if s is not None:
                 s.back_ns, s.strikes = now, 0
-                s.barred_ns = now
+                self.leave(s, now)
                 if self.cold(s, now):
-                    s.barred_ns += int(self.rng.random() * self.cold_gap_ns(s, now))
+                    self.leave(s, now + int(self.rng.random() * self.cold_gap_ns(s, now)))
         if s is not None:
             s.banned = e.on
+            self.place(s)
         self.arrange()
 
     def arrange(self) -> None:
         """Which upstreams each pool draws from."""
-        ready = sorted((s for s in self.servers.values() if s.usable), key=lambda s: (mixed(s.id, 0), s.id))
-        proxies = max(1, self.settings.replicas_of_me)
-        here = self.settings.zone if self.settings.prices.cross_zone else ""
-        for s in self.servers.values():
-            s.own = False
-            s.way = ACROSS if here and s.entry.zone != here else 1.0
+        ready, proxies = self.ready, max(1, self.settings.replicas_of_me)
+        for pool in self.pools.values():
+            for s in pool.order[:pool.home]:
+                s.own = False
         for pool in self.pools.values():
-            pool.arrange(ready, proxies)
+            pool.arrange(ready, self.mine, proxies)
         self.sharers = max(1.0, proxies * self.main.home / max(1, len(ready)))
         own = START_WINDOW * len(ready) / proxies
         own = max(1.0, own + math.sqrt(own))
@@ -467,6 +523,7 @@
         """What has gone and holds no attempt of ours any more is of no use: in time ids are ever new."""
         if s.entry.state is api.State.GONE and not s.inflight:
             self.servers.pop(s.id, None)
+            self.alone.pop(s.id, None)
 
     def judge(self, s: Server, error: bool) -> bool:
         """Note an answer. Is it one error too many? An upstream that fails, and at once, seems the lightest
@@ -475,7 +532,7 @@
         s.errors += ERROR_FELT * (error - s.errors)
         if not error or s.errors <= FAULTY[0]:
             return False
-        reach = self.main.order[:self.main.width]
+        reach = self.main.order[:min(self.main.width, SCAN)]
         alike = [o for o in reach if o.errors > FAULTY[0]]
         if len(alike) <= FAULTY[1] * len(reach):
             return True
@@ -521,10 +578,10 @@
             return
         s.strikes += 1
         s.struck_ns = now
-        reach = self.main.order[:self.main.width]
-        if sum(o.barred_ns > now for o in reach) < 0.7 * len(reach):
+        width = self.main.width
+        if width - self.main.able(now) < 0.7 * width:
             length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
-            s.barred_ns = now + int(length * self.rng.uniform(0.75, 1.25))
+            self.leave(s, now + int(length * self.rng.uniform(0.75, 1.25)))
 
 
 class Crowding:
@@ -946,6 +1003,7 @@
     def _serve(self, pool: Pool, now: int) -> None:
         fleet, limits = self.fleet, self.settings.limits
         jammed = False
+        able = pool.able(now) if pool.line else 0
         while pool.line:
             r = pool.line[0]
             if r.asked and now < r.asked_ns + self.look_ns and any(s.load_ns < r.asked_ns for s in r.asked):
@@ -953,7 +1011,7 @@
             pool.blocked_ns = pool.blocked_ns or now
             # What stands still must not fill the window while other answers are quick; but where they are
             # slow too, upstreams are crowded, and work whose answer is late still runs there.
-            window = max(1.0, self.crowding.window * pool.able(now))
+            window = max(1.0, self.crowding.window * able)
             freed = max(1.0, STUCK_PART * window) * (1 if self.crowding.crowded() else 2)
             if self.out - min(self.stuck, freed) >= window:
                 jammed = True
@@ -975,6 +1033,7 @@
                 r.place = ""
                 if r.may_send(server, now, limits):
                     self._send(r, server, now)
+                    able -= server.barred_ns > now  # cold: not the next one at once
                 else:
                     self._refuse(r, now)
             else:
@@ -988,7 +1047,7 @@
         if r.whole:
             self._begin(r, len(r.attempts) - 1, now)
         if self.fleet.cold(server, now):
-            server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
+            self.fleet.leave(server, now + self.fleet.cold_gap_ns(server, now))
             self._later(server.barred_ns, "pump", None)
         # Where a late answer is worth nothing, an attempt that others wait for ends at the aim.
         timeout = 0
