Play fleets of many sizes under the same faults: lanelift lab scale

Need: what happens to 1,000 boxes when a third restart was a question that nobody could ask.

Change: one command plays a calm run, 30% of the boxes restarted, half of the balancers gone and a surge of three, at any sizes, and times decisions at each.

--- a/lanelift/cli/lab.py
+++ b/lanelift/cli/lab.py
@@ -12,6 +12,7 @@
 from rich.table import Table
 
 from lanelift.lab import experiments, results, topology
+from lanelift.lab import scale as scaling
 from lanelift.lab.capacity.measure import measure
 from lanelift.lab.hosts import Host, SpreadHost
 from lanelift.lab.policies import policy
@@ -21,7 +22,7 @@
 from lanelift.units import duration
 
 app = typer.Typer(no_args_is_help=True, help="An emulated fleet, faults, and a ledger that judges.")
-out = Console()
+out = Console(width=None if sys.stdout.isatty() else 120)  # tables in a file are not cut short
 
 World_ = Annotated[str, typer.Argument(help="A bundled world's name, or a topology file.", metavar="WORLD")]
 Set = Annotated[list[str] | None, typer.Option("--set", help="KEY=VALUE in place of what the file says.")]
@@ -178,6 +179,38 @@
               " half of each one's rate, from when a request was due")
 
 
+@app.command()
+def scale(sizes: Annotated[str, typer.Option(help="BOXESxBALANCERS, with commas between.")] = "13x4,100x32",
+          seed: Seed = 1, policy_: Policy = "here", workers: Workers = 0, out_: Out = None) -> None:
+    """Fleets of many sizes: calm, 30% of boxes restarted, half of the balancers gone, a surge of three."""
+    pairs = []
+    for text in sizes.split(","):
+        boxes, by, balancers = text.strip().partition("x")
+        if not by or not boxes.isdigit() or not balancers.isdigit() or not int(boxes) * int(balancers):
+            raise Unusable(f"--sizes: {text!r} is not BOXESxBALANCERS")
+        pairs.append((int(boxes), int(balancers)))
+    rows = scaling.measure(topology.load("quiet"), pairs, list(scaling.SCENARIOS), seed, policy_,
+                           workers or experiments.cores(), lambda row: out.print(
+                               f"{row.boxes}x{row.balancers} {row.scenario}: {row.whole:.4f}"))
+    table = Table(title=f"load {scaling.LOAD}, {scaling.LENGTH_S} s, fault at {scaling.AT_S} s, seed {seed}")
+    for column in ("boxes x balancers", "scenario", "worth", "p99 ms", "attempts", "spread", "worst s",
+                   "back s", "tries", "rules"):
+        table.add_column(column, justify="right")
+    for row in rows:
+        table.add_row(f"{row.boxes} x {row.balancers}", row.scenario, f"{row.whole:.4f}", f"{row.p99_ms:.0f}",
+                      f"{row.attempts:.3f}", f"{row.spread:.3f}", f"{row.worst:.3f}",
+                      "no" if row.back_s < 0 else f"{row.back_s:.1f}", f"{row.amplified:.2f}",
+                      ", ".join(row.broken) or "kept")
+    out.print(table)
+    costs = scaling.decision_costs(policy_, pairs)
+    for cost in costs:
+        out.print(f"{cost['boxes']} x {cost['balancers']}: {cost['steady']:.0f} us an event steady, "
+                  f"{cost['failing']:.0f} with failing boxes, {cost['crowded']:.0f} in a crowd, "
+                  f"{cost['change']:.0f} a list change")
+    if out_ is not None:
+        results.write(out_, results.encoded({"runs": scaling.as_json(rows), "decisions": costs}))
+
+
 @app.command()
 def worlds() -> None:
     """The topologies that come with the package."""
