--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -25,6 +25,7 @@
 HOLD_PART = 0.2  # C_J as a part of C_T
 START_RATE = 10_000.0  # R starts above anything a proxy carries
 FEEDBACK_NS = SECOND // 2
+ASK_NS = SECOND // 20, 5 * SECOND // 2  # over which first calls for a list are spread: none known, or one
 SLACK = 0.2  # R comes down only when answers take this much more of their aim than is crowded
 CLIMB = 1.1, 2.0  # of R in one interval: the second while nothing is crowded
 CALM, FEW = -0.1, 8  # stress is so far below crowded, and not one attempt in so many failed or was late
@@ -681,7 +682,10 @@
         self.failures = 0
         self.subscribed = settings.discovery_push
         if not self.subscribed:
-            self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
+            # Proxies must not all ask together; but one that knows of no upstream serves nobody until it has.
+            self._later(now + int(self.rng.random() * min(ASK_NS[1], settings.rules.ask_within_ns / 4)),
+                        "subscribe", None)
+            self._later(now + int(self.rng.random() * ASK_NS[0]), "first", None)
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         self.actions = []
@@ -952,7 +956,7 @@
                 self._overdue(about, extra, now)
             elif what == "late":
                 self._late(about, extra, now)
-        elif what == "subscribe" and not self.subscribed:
+        elif (what == "subscribe" or what == "first" and not self.fleet.ready) and not self.subscribed:
             self.subscribed = True
             self.actions.append(api.Subscribe(True))
         elif isinstance(about, Throttle):
