Read heads in one pass, and spare what most requests do not need

Cause: in a profile of one balancer on one core, reading requests took a quarter of the time; a Counter, five passes over the headers, two dataclass factories and a general query parser for each request were part of it.

Change: one pass over a head's rows, the status lines of common answers made once, the key taken from the query without parsing the rest, no set of named headers where there is no Connection header.

--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from http import HTTPStatus
 from typing import cast
-from urllib.parse import parse_qs
+from urllib.parse import unquote_plus
 
 from lanelift import interface as api
 from lanelift.net.body import Body, Store
@@ -515,7 +515,7 @@
         deadline = self._deadline(self.asked_ns, wait)
         if head.stream is not None:
             deadline = self.asked_ns + UPLOAD_NS  # until it is whole
-        key = parse_qs(query).get("obj", [""])[0] if "obj=" in query else ""
+        key = key_of(query) if "obj=" in query else ""
         return api.Arrival(
             request, name, headers.get(b"x-tenant", b"").decode("latin-1"),
             deadline, _whole_number(headers, b"x-cost-hint", 0) * US, key,
@@ -563,8 +563,7 @@
                      or self.frontend.crowded(FULL if served else CROWDED))
         if self.last:
             rows = [*rows, (b"Connection", b"close")]
-        start = b"HTTP/1.1 %d %b" % (status, HTTPStatus(status).phrase.encode())
-        self._write(message(start, rows, body))
+        self._write(message(STARTS.get(status) or start_line(status), rows, body))
 
     def _answered(self) -> None:
         """The answer is given as a whole."""
@@ -628,6 +627,22 @@
             self.transport.write(data)
 
 
+def start_line(status: int) -> bytes:
+    return b"HTTP/1.1 %d %b" % (status, HTTPStatus(status).phrase.encode())
+
+
+STARTS = {status: start_line(status) for status in (200, 503, 502, 504)}
+
+
+def key_of(query: str) -> str:
+    """The first `obj` of a query that is not empty, decoded."""
+    for part in query.split("&"):
+        if part.startswith("obj=") and len(part) > 4:
+            value = part[4:]
+            return unquote_plus(value) if "%" in value or "+" in value else value
+    return ""
+
+
 def _whole_number(headers: Mapping[bytes, bytes], name: bytes, default: int) -> int:
     text = headers.get(name)
     if text is None:
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from typing import cast
 
 from lanelift.interface import Result
@@ -20,12 +20,14 @@
                         b"content-length", b"expect"})
 
 
-def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+def end_to_end(headers: Sequence[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
     """The headers that a proxy passes on: not those of the connection, nor of the body's framing."""
-    rows = list(headers)
+    passed = [row for row in headers if row[0] not in HOP_BY_HOP]
+    if len(passed) == len(headers):
+        return passed  # `connection` itself is not among them
     named = {token.strip().lower()
-             for name, value in rows if name == b"connection" for token in value.split(b",")}
-    return [(name, value) for name, value in rows if name not in HOP_BY_HOP and name not in named]
+             for name, value in headers if name == b"connection" for token in value.split(b",")}
+    return [row for row in passed if row[0] not in named] if named else passed
 
 
 # A connection on which a body stands still for so long, though there is room for more of it, is given up.
--- a/lanelift/net/parse.py
+++ b/lanelift/net/parse.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Generic, TypeVar
 
 import httptools
@@ -60,16 +60,19 @@
 Message = TypeVar("Message", Request, Response)
 
 
-@dataclass(slots=True)
 class Head:
-    """A message under way."""
+    """A message under way. One is made for every message there is: no dataclass, whose factories cost more
+    than all the rest of it."""
+
+    __slots__ = ("body", "complete", "headers", "passed", "size", "target")
 
-    target: bytearray = field(default_factory=bytearray)
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: bytearray = field(default_factory=bytearray)
-    passed: int = 0  # bytes of its body
-    size: int = 0  # bytes read for it; those that also held another message's end are not counted
-    complete: bool = False  # its headers are: what comes as a header now is a trailer
+    def __init__(self) -> None:
+        self.target = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.passed = 0  # bytes of its body
+        self.size = 0  # bytes read for it; those that also held another message's end are not counted
+        self.complete = False  # its headers are: what comes as a header now is a trailer
 
 
 class Reader(Generic[Message]):
@@ -142,15 +145,20 @@
     def on_headers_complete(self) -> None:
         assert self.head is not None and self.parser is not None
         self.head.complete = True
-        headers = self.head.headers
-        if sum(len(name) + len(value) for name, value in headers) + len(self.head.target) > MAX_HEAD:
+        size, length, coding = len(self.head.target), None, []
+        for name, value in self.head.headers:
+            size += len(name) + len(value)
+            if name == b"content-length":
+                length = value if length is None else length
+            elif name == b"transfer-encoding":
+                coding.append(value.lower())
+        if size > MAX_HEAD:
             self._fail(431, "the head is too large")
         if self.parser.get_http_version() not in ("1.0", "1.1"):
             self._fail(400, "not HTTP/1.1")
-        coding = [value.lower() for name, value in headers if name == b"transfer-encoding"]
         if coding and coding != [b"chunked"]:
             self._fail(400, "no such transfer coding")
-        length = next((value for name, value in headers if name == b"content-length"), b"0")
+        length = b"0" if length is None else length
         if not length.isdigit() or len(length) > 15:
             self._fail(400, "Content-Length is not a whole number")
             return
@@ -220,15 +228,19 @@
 
     def _check(self, head: Head) -> None:
         assert self.parser is not None
-        counts = Counter(name for name, _ in head.headers)
-        twice = next((name for name in counts if counts[name] > 1 and name in SINGLE), None)
-        if twice is not None:
-            self._fail(400, f"{twice.decode()} stands there twice")
-        if not counts[b"host"] and self.parser.get_http_version() == "1.1":
+        seen: set[bytes] = set()
+        expected = []
+        for name, value in head.headers:
+            if name in SINGLE:
+                if name in seen:
+                    self._fail(400, f"{name.decode()} stands there twice")
+                seen.add(name)
+            elif name == b"expect":
+                expected.append(value.lower())
+        if b"host" not in seen and self.parser.get_http_version() == "1.1":
             self._fail(400, "no Host")
         if self.parser.get_method() in (b"CONNECT", b"TRACE"):
             self._fail(405, "no such method here")
-        expected = [value.lower() for name, value in head.headers if name == b"expect"]
         if expected not in ([], [b"100-continue"]):
             self._fail(417, "no such expectation")
         self.continues = bool(expected) and self.fault is None
@@ -240,7 +252,7 @@
         keep = self.parser.should_keep_alive() and latest
         method = self.parser.get_method()
         body = b"" if stream is not None else bytes(head.body)
-        self.ready.append(Request(method, bytes(head.target), head.headers, body, keep, latest, stream))
+        self.ready.append(Request(method, head.target, head.headers, body, keep, latest, stream))
 
 
 class ResponseReader(Reader[Response]):
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -304,8 +304,10 @@
 def read_report(text: bytes | None, columns: Collection[str]) -> Report:
     """`inflight=7,queue=2`: what can be read of it, and was agreed on. A figure that is no amount of anything
     must not reach the decisions: comparisons with not-a-number hold for nobody."""
+    if text is None:
+        return None
     report = {}
-    for part in (text or b"").decode("latin-1").split(","):
+    for part in text.decode("latin-1").split(","):
         name, _, value = part.strip().partition("=")
         try:
             figure = float(value)
