End an interrupted socket run without a trace, by SIGTERM too

Cause: SIGTERM, or SIGINT where a shell had it ignored, ended the conductor without its clean-up.

Change: both cancel the run; all processes end, the scratch folder goes, no result is written, exit status 130.

Measured: a test starts a run of a minute, ends it, and finds no process and no file.

--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -30,6 +30,9 @@
     except (Unusable, Malformed) as error:
         print(f"lanelift: {error}", file=sys.stderr)
         sys.exit(2)
+    except KeyboardInterrupt:
+        print("lanelift: interrupted", file=sys.stderr)
+        sys.exit(130)
     except BrokenPipeError:  # whoever read the output has gone, as `head` does
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         sys.exit(1)
--- a/lanelift/lab/sockets/conductor.py
+++ b/lanelift/lab/sockets/conductor.py
@@ -401,6 +401,13 @@
     lab's own lag, and `void` where that was too much. Raises Unusable; an interrupt leaves nothing behind."""
     with tempfile.TemporaryDirectory(prefix="lanelift-lab-") as folder:
         async def play() -> Json:
+            task = asyncio.current_task()
+            assert task is not None
+            for number in (signal.SIGINT, signal.SIGTERM):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
             return await Conductor(t, seed, Path(folder), look).run()
 
-        return asyncio.run(play())
+        try:
+            return asyncio.run(play())
+        except asyncio.CancelledError:
+            raise KeyboardInterrupt from None
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import os
+import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -85,3 +88,17 @@
     books.post([tmp_path / "a"])
     assert [b.what for b in books.ledger.breaches] == [
         "t1 was served with the answer of t0", "balancer 0 closed on t1"]
+
+
+def test_an_interrupted_run_leaves_no_process_and_no_file(tmp_path: Path) -> None:
+    before = children()
+    result = tmp_path / "r.json"
+    words = [sys.executable, "-m", "lanelift.cli.main", "lab", "run", "brief", "--sockets", "--out",
+             str(result), "--set", "length='60s'", "--set", "fault=[]"]
+    with subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+                          env={**os.environ, "TMPDIR": str(tmp_path)}) as run_:
+        assert run_.stdout is not None and "asked" in run_.stdout.readline()  # it is under way
+        assert len(children() - before) >= 6
+        run_.send_signal(signal.SIGTERM)
+        assert run_.wait(timeout=30) == 130
+    assert children() <= before and not list(tmp_path.iterdir())
