--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -51,10 +51,10 @@
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 EACH_PART = 0.08  # of the aim: what each request that an upstream holds is thought to take at first, at most
 # Part of errors above which an upstream is left alone, where no more than the second part of those within
-# reach are as bad; below the third it is trusted again; so much each answer counts.
-FAULTY, ERROR_FELT = (0.3, 0.5, 0.1), 0.15
+# reach are as bad; above the third, what may not be repeated goes elsewhere; so much each answer counts. One
+# that fails in part still does its share of the work: left alone sooner, it crowds the rest on a full day.
+FAULTY, ERROR_FELT = (0.95, 0.5, 0.1), 0.05
 ACROSS = 1.4  # an upstream in another zone seems so much heavier, where crossing has a price
-SHUNNED = 4.0  # an upstream that fails alone seems so much heavier, times its part of errors
 BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
 LATE_LOOK_NS = SECOND // 50  # between two looks whether others wait for the place of a late attempt
 LATE_NS = 10_000_000  # a timer that comes so late tells of a proxy without time to look
@@ -323,7 +323,7 @@
 
 def weight(s: Server) -> float:
     """How busy an upstream seems, by own requests there or its report, and by what it learned of it."""
-    return (max(s.inflight, s.load) + 1) * s.pace * (1 + SHUNNED * s.errors) * s.way
+    return (max(s.inflight, s.load) + 1) * s.pace * s.way
 
 
 class Pool:
