--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -131,10 +131,11 @@
         left = sorted(changed - self.APPLIED)
         if left:
             logging.warning("reload: a change of %s needs a restart", ", ".join(left))
+        if (new.fixed is None) is not (self.config.fixed is None):
+            logging.warning("reload: a change between a fixed list and discovery needs a restart")
+            return
         if isinstance(self.discovery, FixedList):
-            if new.fixed is None:
-                logging.warning("reload: from a fixed list to discovery needs a restart")
-                return
+            assert new.fixed is not None
             self.discovery.replace(new.fixed)
             self.config = dataclasses.replace(self.config, fixed=new.fixed)
             logging.info("configuration reloaded: %d upstreams", len(new.fixed["servers"]))
--- a/lanelift/cli/lab.py
+++ b/lanelift/cli/lab.py
@@ -146,12 +146,12 @@
     finds = experiments.hunt(t, policy_, duration(f"{minutes}m") / 1e9, first,
                              workers or experiments.cores(), heard=heard)
     for find in finds:
-        outcome = experiments.play(t, find.seed, policy(policy_), find.faults)
-        found = results.result(t, find.seed, outcome, policy_)
+        found = results.result(t, find.seed, find.outcome, policy_)
         path = corpus / f"{find.what.replace(' ', '-')}-{t.name}-{find.seed}.json"
         results.write(path, results.encoded(found))
-        out.print(f"[red]{find.what}[/red] at seed {find.seed}: {find.breach}; "
-                  f"{len(find.faults)} faults left: {', '.join(f.kind for f in find.faults)}; "
+        out.print(f"[red]{find.what}[/red] at seed {find.seed}: {experiments.breach(find.outcome)}; "
+                  f"{len(find.outcome.faults)} faults left: "
+                  f"{', '.join(f.kind for f in find.outcome.faults)}; "
                   f"play it again: lanelift lab replay {path}")
     if finds:
         raise typer.Exit(1)
--- a/lanelift/daemon/settings.py
+++ b/lanelift/daemon/settings.py
@@ -5,15 +5,15 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any, Literal
+from typing import Literal
 
 import msgspec
 
 from lanelift.__main__ import MEMORY_MB, SOCKETS, Config
 from lanelift.net.budget import RESERVE
 from lanelift.net.discovery import read_list, split_address
-from lanelift.settings import Json, Malformed, read_settings
-from lanelift.units import Duration, PerSecond, Size, decode
+from lanelift.settings import Json, Malformed, read_settings, write_class
+from lanelift.units import Duration, PerSecond, Size, convert, repeated
 
 MS = 1_000_000
 LEAST_MEMORY = 32 << 20
@@ -98,9 +98,9 @@
         return "class: at least one is needed"
     for what, names in (("class", [c.name for c in f.classes]), ("tenant", [t.name for t in f.tenants]),
                         ("server", [s.id for s in f.servers])):
-        for name in names:
-            if names.count(name) > 1:
-                return f"{what}: {name} stands there twice"
+        twice = repeated(names)
+        if twice:
+            return f"{what}: {twice} stands there twice"
     for c in f.classes:
         if not 0 < c.aim <= c.deadline:
             return f"class {c.name}: aim must be more than nothing and no longer than deadline"
@@ -129,9 +129,9 @@
     except (OSError, ValueError) as error:
         raise Malformed(f"{path}: {getattr(error, 'strerror', None) or error}") from None
     try:
-        file: File = msgspec.convert(raw, File, dec_hook=decode)
-    except (msgspec.ValidationError, ValueError) as error:
-        raise Malformed(f"{path}: {' '.join(str(error).split())}") from None
+        file = convert(raw, File)
+    except ValueError as error:
+        raise Malformed(f"{path}: {error}") from None
     wrong = contradictions(file)
     if wrong:
         raise Malformed(f"{path}: {wrong}")
@@ -147,8 +147,8 @@
         fixed = {"version": 1, "full": True, "servers": [
             {"id": s.id, "addr": s.address, "zone": s.zone, "kind": s.kind, "cell": s.cell, "state": "Ready"}
             for s in f.servers]}
-        for row, _ in zip(fixed["servers"], f.servers, strict=True):
-            split_address(row["addr"])
+        for server in f.servers:
+            split_address(server.address)
         if len(read_list(fixed)[2]) != len(f.servers):
             raise Malformed("server: an address must be IP:PORT")
     listen = split_address(f.listen)
@@ -160,12 +160,10 @@
 
 def settings(f: File) -> Json:
     """The settings object in the platform's form."""
-    found: dict[str, Any] = {
+    return {
         "me": f.number, "replicas_of_me": f.of, "locality": f.zone,
         "registry_mode": "ask" if f.discovery and f.ask else "push",
-        "profiles": [{"name": c.name, "repeat": "read_like" if c.effect == "safe" else "non_idempotent",
-                      "aim_ns": int(c.aim), "hard_limit_ns": int(c.deadline), "worth": c.worth}
-                     for c in f.classes],
+        "profiles": [write_class(c.name, c.effect == "safe", c.aim, c.deadline, c.worth) for c in f.classes],
         "realms": [{"name": t.name, "share": t.share, "quota_per_s": float(t.quota)} for t in f.tenants],
         "limits": {"send_cap": f.retries.attempts, "second_copies": f.retries.second_copies,
                    "may_cancel": True, "probes": f.probes, "retry_after": f.retries.tell_when_to_return,
@@ -175,4 +173,3 @@
         "rules": {"stop_sending_within_ns": int(f.drains.grace), "cold_from": f.drains.cold_from,
                   "cold_ns": int(f.drains.cold)},
     }
-    return found
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -388,7 +388,9 @@
                     break
         if not drawn and reach:
             first = int(self.fleet.rng.random() * reach) if reach > SCAN else 0
-            some = [s for s in (self.order[first:reach] + self.order[:first])[:SCAN] if fit(s, now)]
+            beyond = min(first, max(0, first + SCAN - reach))
+            seen = self.order[first:min(reach, first + SCAN)] + self.order[:beyond]
+            some = [s for s in seen if fit(s, now)]
             drawn = [some[int(self.fleet.rng.random() * len(some))] for _ in range(count)] if some else []
         last = self.last
         if last is not None and fit(last, now) and open_to(last.entry, self.cls):
@@ -498,9 +500,8 @@
             self.back[e.upstream] = now
             if s is not None:
                 s.back_ns, s.strikes = now, 0
-                self.leave(s, now)
-                if self.cold(s, now):
-                    self.leave(s, now + int(self.rng.random() * self.cold_gap_ns(s, now)))
+                gap = int(self.rng.random() * self.cold_gap_ns(s, now)) if self.cold(s, now) else 0
+                self.leave(s, now + gap)
         if s is not None:
             s.banned = e.on
             self.place(s)
@@ -746,8 +747,7 @@
             # any stretch in which the proxy had no time. It hurts where `expected` is far too high.
             self._refuse(r, now)
             return
-        need = expected * (1 + self.crowding.spread)
-        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
+        self._set_give_up(r, expected, now)
         self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
         if cls.in_order and e.key:
             r.turn = self.turns.setdefault(e.key, Turn(e.key))
@@ -759,6 +759,10 @@
             r.place = "turn"  # it holds no token meanwhile, and nobody waits behind it but its own key
             self._later(r.turn_ns, "turn", r.turn)
 
+    def _set_give_up(self, r: Request, expected: float, now: int) -> None:
+        need = expected * (1 + self.crowding.spread)
+        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
+
     def _whole(self, e: api.BodyWhole, now: int) -> None:
         """Its time runs from here, and so does the work of the upstream that has it."""
         r = self.requests.get(e.request)
@@ -766,8 +770,7 @@
             return
         r.whole, r.again = True, e.again
         r.deadline_ns, r.aim_ns = e.deadline_ns, min(e.asked_ns + r.cls.aim_ns, e.deadline_ns)
-        need = self.crowding.expected(r) * (1 + self.crowding.spread)
-        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
+        self._set_give_up(r, self.crowding.expected(r), now)
         for i, a in enumerate(r.attempts):
             if a.waits and a.result is None:
                 a.waits, a.sent_ns = False, now
--- a/lanelift/lab/capacity/blast.py
+++ b/lanelift/lab/capacity/blast.py
@@ -14,7 +14,6 @@
 
 BODY = 200
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY + b"x" * BODY
-LIST = b"/v1/endpoints"
 LONGEST_US = 60_000_000
 STALLED_S = 5.0  # nothing came for so long: whoever is measured has stopped answering
 
--- a/lanelift/lab/capacity/measure.py
+++ b/lanelift/lab/capacity/measure.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 import signal
 import socket
@@ -15,9 +14,11 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
+from typing import TextIO
 
 from hdrh.histogram import HdrHistogram
 
+from lanelift.lab.balancer import environment, prepare
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Json
 
@@ -71,10 +72,10 @@
             process.wait()
         self.folder.cleanup()
 
-    def _start(self, core: int, *command: str, env: dict[str, str] | None = None) -> subprocess.Popen[str]:
+    def _start(self, core: int, *command: str, env: dict[str, str] | None = None,
+               log: TextIO | None = None) -> subprocess.Popen[str]:
         process = subprocess.Popen(
-            [*command], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, env=env,
-            stderr=None if env is None else (Path(self.folder.name) / "log").open("w"),
+            [*command], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, env=env, stderr=log,
             start_new_session=True)
         os.sched_setaffinity(process.pid, {core})
         self.processes.append(process)
@@ -112,12 +113,11 @@
         known = {"version": 1, "full": True, "servers": [
             {"id": f"s-{i}", "addr": f"127.0.0.1:{p}", "state": "Ready"} for i, p in enumerate(ports)]}
         config = Path(self.folder.name) / "config.json"
-        config.write_text(json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}", "seed": "7",
-            "limits": {"sockets": 1024, "memory_mb": 192}, "known": known, "settings": SETTINGS}))
-        given = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
-        process = self._start(self.core, *self.command,
-                              env={**given, "BALANCER_CONFIG": str(config), "TMPDIR": self.folder.name})
+        prepare(config, name="n0", listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery}", seed="7",
+                known=known, settings=SETTINGS)
+        with (Path(self.folder.name) / "log").open("w") as log:
+            process = self._start(self.core, *self.command, log=log,
+                                  env=environment(config, Path(self.folder.name)))
         _wait_for(port)
         return process, port
 
--- a/lanelift/lab/experiments.py
+++ b/lanelift/lab/experiments.py
@@ -4,7 +4,6 @@
 
 import multiprocessing
 import os
-import random
 import signal
 import statistics
 import time
@@ -18,10 +17,11 @@
 import numpy as np
 
 from lanelift.lab.hosts import Host
-from lanelift.lab.model.faults import drawn
+from lanelift.lab.model.faults import schedule
+from lanelift.lab.model.series import SERIES_NS, share
 from lanelift.lab.policies import ByName, policy
 from lanelift.lab.topology import Fault, Topology, read, source
-from lanelift.lab.virtual import SERIES_NS, Outcome, World
+from lanelift.lab.virtual import Outcome, World
 from lanelift.settings import Json
 from lanelift.units import Duration, decode
 
@@ -51,10 +51,16 @@
 def played(t: Topology, seed: int, maker: ByName, faults: list[Fault] | None = None) -> Played:
     outcome = play(t, seed, maker, faults)
     j = outcome.judgement
-    first = max(1.0, j.counts.get("first tries", 0))
-    breach = j.breaches[0].what if j.breaches else next(iter(outcome.notes), "") if j.broken else ""
     return Played(seed, j.score, j.whole, outcome.ledger.latency.get_value_at_percentile(99) / 1000,
-                  j.counts.get("attempts", 0) / first, dict(j.broken), collapsed(t, outcome), breach)
+                  outcome.per_first_try("attempts"), dict(j.broken), collapsed(t, outcome), breach(outcome))
+
+
+def breach(outcome: Outcome) -> str:
+    """The first rule that broke, in words; empty if all were kept."""
+    j = outcome.judgement
+    if j.breaches:
+        return j.breaches[0].what
+    return next(iter(outcome.notes), "") if j.broken else ""
 
 
 def collapsed(t: Topology, outcome: Outcome) -> bool:
@@ -67,8 +73,7 @@
     after = outcome.series[last // SERIES_NS:t.length // SERIES_NS]
     if len(before) < 4 or len(after) < 6:
         return False
-    share = [sum(m.good for m in part) / max(1, sum(m.asked for m in part)) for part in (before, after)]
-    return share[1] < COLLAPSE * share[0]
+    return share(after) < COLLAPSE * share(before)
 
 
 # ---- many runs -------------------------------------------------------------------------------------------
@@ -80,11 +85,8 @@
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the parent ends the pool
 
 
-def _run(task: Task) -> Played:
-    text, seed, name, module, faults = task
-    t = read(msgspec.json.decode(text), "run")
-    chosen = faults_from(msgspec.json.decode(faults)) if faults else None
-    return played(t, seed, ByName(name, module), chosen)
+def _run(packed: Task) -> Played:
+    return played(*unpacked(packed))
 
 
 def faults_from(raw: Sequence[Json]) -> list[Fault]:
@@ -96,6 +98,13 @@
             msgspec.json.encode([source(f) for f in faults]).decode() if faults is not None else "")
 
 
+def unpacked(packed: Task) -> tuple[Topology, int, ByName, list[Fault] | None]:
+    """What `task` packed, in the process that plays it."""
+    text, seed, name, module, faults = packed
+    chosen = faults_from(msgspec.json.decode(faults)) if faults else None
+    return read(msgspec.json.decode(text), "run"), seed, ByName(name, module), chosen
+
+
 @contextmanager
 def processes(workers: int) -> Iterator[ProcessPoolExecutor]:
     """So many of them; what is left to do when the block is left is dropped."""
@@ -174,8 +183,7 @@
 
     seed: int
     what: str
-    faults: list[Fault]
-    breach: str
+    outcome: Outcome  # of the smallest schedule
 
 
 def bad(one: Played) -> str:
@@ -226,15 +234,8 @@
                 if not what or what in seen:
                     continue
                 seen.add(what)
-                faults = schedule(t, batch[at])
-                small = shrink(t, batch[at], faults, what,
+                small = shrink(t, batch[at], schedule(t, batch[at]), what,
                                lambda fewer, s=batch[at]: bad(played(t, s, maker, fewer)))  # type: ignore[misc]
-                again = played(t, batch[at], maker, small)
-                finds.append(Find(batch[at], what, small, again.breach))
+                finds.append(Find(batch[at], what, play(t, batch[at], maker, small)))
             heard(done, finds)
     return finds
-
-
-def schedule(t: Topology, seed: int) -> list[Fault]:
-    """The faults of a run, those that its seed draws included."""
-    return list(t.faults) + drawn(t, random.Random(f"{seed}/faults"))
--- a/lanelift/lab/model/box.py
+++ b/lanelift/lab/model/box.py
@@ -46,7 +46,6 @@
     key: str
     deadline_ns: int
     on_end: Callable[[Job, Verdict, int], None]
-    arrived_ns: int = 0
     began_ns: int = -1
     finish: float = 0.0  # the box's sum at which it is done
     fails: bool = False
@@ -187,6 +186,7 @@
         self.started_ns = 0  # 0: long ago, and warm
         self.slow = 1.0  # times slower, by a fault
         self.error_part = nature.errors
+        self.spoilt = 0.0  # the part of its good answers that come cut off
         self.report_extra_ns = 0
         self.at = now
         self.sum = 0.0  # work done for each place
@@ -372,7 +372,6 @@
     def offer(self, job: Job, now: int, fresh_connection: bool = False) -> None:
         """A request's last byte has come. It ends through `on_end`, at once if it is turned away."""
         self.advance(now)
-        job.arrived_ns = now
         self.counts.offered += 1
         if fresh_connection:
             self.debt += self.nature.handshake_work
@@ -438,6 +437,31 @@
             self.reports.popleft()
         self.next_report = now + self.nature.report_every_ns
 
+    def step(self, what: str, size: float) -> None:
+        """What a schedule does to the box's nature (see `faults.Step`); what it does to its process and its
+        network is the drive's part. The box must have been brought to now."""
+        match what:
+            case "slow":
+                self.slow = size
+            case "slow over":
+                self.slow = 1.0
+            case "errors":
+                self.error_part = max(size, self.nature.errors)
+            case "errors over":
+                self.error_part = self.nature.errors
+            case "spoilt" | "spoilt over":
+                self.spoilt = size
+            case "late reports" | "late reports over":
+                self.report_extra_ns = int(size * SECOND)
+
+    def row(self, zone: str, span_ns: int) -> dict[str, str | int | float | bool]:
+        """What it did in a run of this length, for the result."""
+        n, c = self.nature, self.counts
+        return {"box": self.number, "machine": n.machine, "zone": zone, "speed": round(n.speed, 4),
+                "offered": c.offered, "served": c.served, "turned_away": c.turned_away,
+                "choked_s": round(c.choked_ns / SECOND, 3), "up": self.up,
+                "load": round(c.work_done / (n.capacity * span_ns), 4)}
+
     def die(self, now: int) -> None:
         """The process is gone, with all it had."""
         self.up = False
--- a/lanelift/lab/model/faults.py
+++ b/lanelift/lab/model/faults.py
@@ -69,8 +69,14 @@
     return sorted(faults, key=lambda f: (f.at, f.kind))
 
 
-def steps(t: Topology, faults: Sequence[Fault], rng: random.Random) -> list[Step]:
-    """All that happens, in the order of its time."""
+def schedule(t: Topology, seed: int) -> list[Fault]:
+    """The faults of a run: those of its file, and those that its seed draws."""
+    return list(t.faults) + drawn(t, random.Random(f"{seed}/faults"))
+
+
+def steps(t: Topology, faults: Sequence[Fault], seed: int) -> list[Step]:
+    """All that happens, in the order of its time. The seed draws whom it meets."""
+    rng = random.Random(f"{seed}/whom")
     found: list[Step] = []
     heaviest = max(t.classes, key=lambda c: c.share).name
     for fault in faults:
--- a/lanelift/lab/model/workload.py
+++ b/lanelift/lab/model/workload.py
@@ -101,6 +101,26 @@
         weights = [1.0 / (rank + 1) ** self.habits.key_skew for rank in range(self.habits.keys)]
         self.key_sums = list(itertools.accumulate(weights))
 
+    def step(self, what: str, name: str, size: float, part: float) -> bool:
+        """What a schedule does to the clients' wishes (see `faults.Step`); False if it is none of theirs."""
+        match what:
+            case "surge":
+                self.surges[name] = size
+            case "surge over":
+                self.surges.pop(name, None)
+            case "heavy":
+                self.heavy = (name, part, size)
+            case "heavy over":
+                self.heavy = None
+            case _:
+                return False
+        return True
+
+    def work_asked(self) -> float:
+        """By the first tries of a whole run, nanoseconds on the yardstick; never nothing."""
+        mean = sum(c.share * self.work_of[c.name] for c in self.classes) / self.class_sums[-1]
+        return max(1e-9, self.rate * self.t.length / SECOND * mean)
+
     def _rate_at(self, at_ns: int) -> float:
         wave = math.sin(2 * math.pi * ((at_ns - self.start_ns) / self.t.length + self.phase))
         return self.rate * (1.0 + self.t.clients.swing * wave)
--- a/lanelift/lab/report.py
+++ b/lanelift/lab/report.py
@@ -15,7 +15,7 @@
 from matplotlib.axes import Axes  # noqa: E402
 from matplotlib.figure import Figure  # noqa: E402
 
-from lanelift.lab.virtual import SERIES_NS  # noqa: E402
+from lanelift.lab.model.series import SERIES_NS  # noqa: E402
 from lanelift.settings import Json  # noqa: E402
 
 COLOURS = {"good": "#2e7d32", "late": "#f9a825", "refused": "#1565c0", "failed": "#c62828"}
--- a/lanelift/lab/results.py
+++ b/lanelift/lab/results.py
@@ -43,10 +43,6 @@
     judged = outcome.judgement
     ledger = outcome.ledger
     counts = judged.counts
-    first = max(1.0, counts.get("first tries", 0))
-    loads = [b["load"] for b in outcome.boxes]
-    mean = sum(loads) / max(1, len(loads))
-    spread = (sum((x - mean) ** 2 for x in loads) / max(1, len(loads))) ** 0.5 / mean if mean else 0.0
     return {
         "format": FORMAT, "drive": drive, "seed": seed, "versions": versions(policy),
         "topology": topo.source(t), "faults": [topo.source(f) for f in outcome.faults],
@@ -60,9 +56,9 @@
         "broken": dict(sorted(judged.broken.items())),
         "breaches": [{"rule": b.rule.value, "at_ns": b.at_ns, "what": b.what} for b in judged.breaches],
         "counts": {k: int(v) for k, v in counts.items()},
-        "attempts_per_first_try": rounded(counts.get("attempts", 0) / first),
-        "tries_per_first_try": rounded(counts.get("tries", 0) / first),
-        "load_spread": rounded(spread),
+        "attempts_per_first_try": rounded(outcome.per_first_try("attempts")),
+        "tries_per_first_try": rounded(outcome.per_first_try("tries")),
+        "load_spread": rounded(outcome.load_spread),
         "latency_ms": percentiles(ledger.latency),
         "latency_by_class_ms": {k: percentiles(h) for k, h in sorted(ledger.latency_of.items())},
         "histogram": ledger.latency.encode().decode(),
--- a/lanelift/lab/scale.py
+++ b/lanelift/lab/scale.py
@@ -9,11 +9,12 @@
 import msgspec
 
 from lanelift.lab.decisions import cost
-from lanelift.lab.experiments import processes
+from lanelift.lab.experiments import Task, processes, task, unpacked
 from lanelift.lab.hosts import Host
-from lanelift.lab.policies import ByName, policy
-from lanelift.lab.topology import Fault, Topology, read, source
-from lanelift.lab.virtual import SERIES_NS, Moment, World
+from lanelift.lab.model.series import SERIES_NS, Moment, share
+from lanelift.lab.policies import policy
+from lanelift.lab.topology import Fault, Topology
+from lanelift.lab.virtual import World
 from lanelift.settings import Json
 from lanelift.units import Duration, PerSecond
 
@@ -63,10 +64,6 @@
         faults=SCENARIOS[scenario], chance=0)
 
 
-def share(part: Sequence[Moment]) -> float:
-    return sum(m.good for m in part) / max(1, sum(m.asked for m in part))
-
-
 def recovery(series: Sequence[Moment]) -> tuple[float, float, float]:
     """Seconds until service was back, the worst second, and the most tries for each first try."""
     at = AT_S * SECOND // SERIES_NS
@@ -81,37 +78,32 @@
     return (last_bad + 1 - at) * SERIES_NS / SECOND, worst, amplified
 
 
-def play(task: tuple[str, int, str, str | None, str]) -> Row:
+def play(packed: Task, scenario: str) -> Row:
     """One run, in a process of its own."""
-    text, seed, name, module, scenario = task
-    t = read(msgspec.json.decode(text), scenario)
-    host = Host(ByName(name, module))
+    t, seed, maker, _ = unpacked(packed)
+    host = Host(maker)
     outcome = World(t, seed, host).run()
     j = outcome.judgement
     back, worst, amplified = recovery(outcome.series)
-    loads = [box["load"] for box in outcome.boxes]
-    mean = sum(loads) / len(loads)
-    spread = (sum((x - mean) ** 2 for x in loads) / len(loads)) ** 0.5 / mean if mean else 0.0
     return Row(t.fleet.boxes, t.balancers.count, scenario, j.whole,
                outcome.ledger.latency.get_value_at_percentile(99) / 1000,
-               j.counts.get("attempts", 0) / max(1, j.counts.get("first tries", 0)), spread, back, worst,
-               amplified, dict(j.broken), host.spent_ns / 1000 / max(1, host.events))
+               outcome.per_first_try("attempts"), outcome.load_spread, back, worst, amplified,
+               dict(j.broken), host.spent_ns / 1000 / max(1, host.events))
 
 
 def measure(t: Topology, sizes: Sequence[tuple[int, int]], scenarios: Sequence[str], seed: int, name: str,
             workers: int, heard: Callable[[Row], None] = lambda row: None) -> list[Row]:
     """All scenarios at all sizes, the largest first, over so many cores."""
     maker = policy(name)
-    tasks = [(msgspec.json.encode(source(sized(t, boxes, balancers, scenario))).decode(), seed, maker.name,
-              maker.text, scenario)
+    tasks = [(task(sized(t, boxes, balancers, scenario), seed, maker), scenario)
              for boxes, balancers in sorted(sizes, reverse=True) for scenario in scenarios]
     return sorted(_spread(tasks, workers, heard), key=lambda row: (row.boxes, row.balancers, row.scenario))
 
 
-def _spread(tasks: Sequence[tuple[str, int, str, str | None, str]], workers: int,
+def _spread(tasks: Sequence[tuple[Task, str]], workers: int,
             heard: Callable[[Row], None]) -> Iterator[Row]:
     with processes(workers) as pool:
-        for future in as_completed([pool.submit(play, task) for task in tasks]):
+        for future in as_completed([pool.submit(play, *one) for one in tasks]):
             row = future.result()
             heard(row)
             yield row
--- a/lanelift/lab/sockets/conductor.py
+++ b/lanelift/lab/sockets/conductor.py
@@ -25,11 +25,13 @@
 
 from lanelift.lab import results
 from lanelift.lab import topology as topo
-from lanelift.lab.model.faults import Step, drawn, steps
-from lanelift.lab.model.workload import Workload, quotas, rate_of
+from lanelift.lab.balancer import environment, prepare
+from lanelift.lab.model.faults import Step, schedule, steps
+from lanelift.lab.model.series import SERIES_NS, TAIL_NS
+from lanelift.lab.model.workload import Workload, quotas
 from lanelift.lab.sockets.facts import Books, Writer
 from lanelift.lab.topology import Topology, Unusable
-from lanelift.lab.virtual import SERIES_NS, TAIL_NS, Outcome
+from lanelift.lab.virtual import Outcome
 from lanelift.settings import Json
 from lanelift.units import Duration
 
@@ -40,7 +42,6 @@
 SLACK = Duration(50 * MS)  # on sockets every limit is this much longer
 LATE_P99_MS, LATE_MOST_MS = 20.0, 400.0  # a lab that ran later than this says nothing about its victim
 LEAVE_S = 6.0
-LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 PR_SET_PDEATHSIG = 1
 Look = Callable[[Json], None]
 
@@ -162,10 +163,10 @@
             scratch.mkdir()
             config = self.folder / f"balancer-{n}.json"
             port = taken.getsockname()[1]
-            config.write_text(json.dumps({
-                "name": f"n{n}", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{told['lists'][n]}",
-                "seed": f"{random.Random(f'{self.seed}/real/{n}').getrandbits(60):x}", "limits": LIMITS,
-                "known": told["known"][n], "settings": topo.settings(self.t, n, shares)}))
+            prepare(config, name=f"n{n}", listen=f"127.0.0.1:{port}",
+                    discovery=f"127.0.0.1:{told['lists'][n]}", known=told["known"][n],
+                    seed=f"{random.Random(f'{self.seed}/real/{n}').getrandbits(60):x}",
+                    settings=topo.settings(self.t, n, shares))
             core = self.balancer_cores[n % len(self.balancer_cores)]
             self.real.append(Real(n, port, config, scratch, core))
         for taken in held:
@@ -179,11 +180,9 @@
                 os.sched_setaffinity(0, {real.core})
 
         log = (self.folder / f"balancer-{real.number}.log").open("ab")
-        given = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
         real.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lanelift", stdout=log, stderr=log, start_new_session=True,
-            preexec_fn=settle,
-            env={**given, "BALANCER_CONFIG": str(real.config), "TMPDIR": str(real.scratch)})
+            preexec_fn=settle, env=environment(real.config, real.scratch))
         log.close()
         real.meant_down = False
         self._spawn(self._watch(real, real.process))
@@ -253,9 +252,8 @@
     # ---- the run -----------------------------------------------------------------------------------------
 
     async def _play(self, fleet: Child, loads: Sequence[Child]) -> Json:
-        chance = random.Random(f"{self.seed}/faults")
-        faults = list(self.t.faults) + drawn(self.t, chance)
-        plan = steps(self.t, faults, random.Random(f"{self.seed}/whom"))
+        faults = schedule(self.t, self.seed)
+        plan = steps(self.t, faults, self.seed)
         self.begin_ns = time.monotonic_ns() + SECOND
         for child in (fleet, *loads):
             child.order(go=self.begin_ns)
@@ -366,19 +364,11 @@
         if self.crashes:
             books.ledger.broken["no crash"] += len(self.crashes)
         status = fleet.status
-        elapsed = (self.t.length + TAIL_NS) / 1e9
         work = Workload(self.t, f"{self.seed}/clients/0", self.capacity, 0)
-        whole = sum(c.share for c in self.t.classes)
-        mean = sum(c.share / whole * work.work_of[c.name] for c in self.t.classes)
-        asked = rate_of(self.t, self.capacity) * self.t.length / 1e9 * mean
-        judged = books.ledger.judge(books.last_ns + SECOND, status["wasted"] / max(1.0, asked), books.crossed,
-                                    status["probes"])
-        boxes = []
-        for row in status["boxes"]:
-            row["load"] = round(row.pop("work") / 1e9 / elapsed, 4)
-            boxes.append(row)
-        outcome = Outcome(judged, books.ledger, books.series, plan, list(faults), boxes,
-                          rate_of(self.t, self.capacity), self.capacity, list(self.crashes))
+        wasted = status["wasted"] / work.work_asked()
+        judged = books.ledger.judge(books.last_ns + SECOND, wasted, books.crossed, status["probes"])
+        outcome = Outcome(judged, books.ledger, books.series.moments, plan, list(faults), status["boxes"],
+                          work.rate, self.capacity, list(self.crashes))
         found = results.result(self.t, self.seed, outcome, "here", "sockets")
         late = [f"{name}: p99 {word['lag_p99_ms']} ms, most {word['lag_most_ms']} ms"
                 for name, word in ended.items()
--- a/lanelift/lab/sockets/facts.py
+++ b/lanelift/lab/sockets/facts.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from lanelift.lab.ledger import Answer, Ledger, Root, Rule, Try
+from lanelift.lab.ledger import Answer, Ledger, Root, Rule
+from lanelift.lab.model.series import Series
 from lanelift.lab.topology import Topology
-from lanelift.lab.virtual import SERIES_NS, Moment
 
 HORIZON_NS = 8_000_000_000  # a fact stands in its file at most this far from its place
 LENGTH = struct.Struct(">I")
@@ -80,8 +80,7 @@
 
     def __init__(self, t: Topology, begin_ns: int) -> None:
         self.ledger = Ledger(t)
-        self.begin_ns = begin_ns
-        self.series = [Moment() for _ in range(-(-t.length // SERIES_NS))]
+        self.series = Series(begin_ns, t.length)
         self.classes = {c.name: c for c in t.classes}
         self.roots: dict[int, Root] = {}
         self.open: dict[int, dict[str, None]] = {}  # tries that each balancer has taken and not answered
@@ -94,10 +93,6 @@
             self.last_ns = at
             self._take(at, KINDS[place], what)
 
-    def _moment(self, at_ns: int) -> Moment:
-        """The half second of the series that this falls into; what is beyond an end counts to the last."""
-        return self.series[max(0, min(len(self.series) - 1, (at_ns - self.begin_ns) // SERIES_NS))]
-
     def _take(self, now: int, kind: str, what: list[Any]) -> None:
         ledger = self.ledger
         match kind:
@@ -107,10 +102,10 @@
             case "root":
                 number, cls, tenant, key, within = what
                 self.roots[number] = ledger.root(number, self.classes[cls], tenant, key, now, within)
-                self._moment(now).asked += 1
+                self.series.at(now).asked += 1
             case "asked":
                 ticket, number, deadline, balancer = what
-                self._moment(now).retries += ledger.asked(
+                self.series.at(now).retries += ledger.asked(
                     ticket, self.roots[number], now, deadline, balancer).root.tries > 1
                 while len(self.roots) > 200_000:
                     self.roots.pop(next(iter(self.roots)))
@@ -122,7 +117,7 @@
             case "sent":
                 balancer, box, crosses = what
                 self.crossed += crosses
-                self._moment(now).attempts += 1
+                self.series.at(now).attempts += 1
                 ledger.sent(balancer, box, now)
             case "executed":
                 ledger.executed(what[0], what[1], now)
@@ -153,7 +148,7 @@
         if found is not None:
             self.open.get(found.balancer, {}).pop(ticket, None)
             if found.answer is None:
-                self._count(found, answer, now)
+                self.series.answered(found, answer, now)
         if answer is Answer.NONE:
             if found is not None:
                 self.ledger.silent(ticket, now)
@@ -161,21 +156,6 @@
         self.ledger.answered(ticket, answer, now)
 
 
-    def _count(self, asked: Try, answer: Answer, now: int) -> None:
-        moment = self._moment(now)
-        if answer is Answer.REFUSED:
-            moment.refused += 1
-        elif answer is not Answer.SERVED:
-            moment.failed += 1
-        else:
-            took = now - asked.root.asked_ns
-            moment.slowest_us = max(moment.slowest_us, took // 1000)
-            if took <= asked.root.cls.aim:
-                self._moment(asked.root.asked_ns).good += 1
-            else:
-                moment.late += 1
-
-
 class Lag:
     """How late a party's loop runs: a lab that is itself late must say so."""
 
--- a/lanelift/lab/sockets/fleet.py
+++ b/lanelift/lab/sockets/fleet.py
@@ -18,10 +18,11 @@
 
 from lanelift.interface import State
 from lanelift.lab.model.box import Box, Draw, Job, Verdict
-from lanelift.lab.model.registry import Entry, Registry
+from lanelift.lab.model.fleet import build_fleet, entry_of, zones_of
+from lanelift.lab.model.registry import STOP_TAKING_NS, Entry, Registry
+from lanelift.lab.model.series import TAIL_NS
 from lanelift.lab.sockets.party import Party, main, say
 from lanelift.lab.topology import zone_of
-from lanelift.lab.virtual import STOP_TAKING_NS, build_fleet
 from lanelift.settings import Json
 
 MS = 1_000_000
@@ -127,8 +128,7 @@
         fleet = self.at.fleet
         if verdict is Verdict.SERVED:
             fleet.facts.note(now, "finished", job.ticket)
-            part = fleet.spoilt.get(self.at.box.number, 0.0)
-            if part and fleet.rng.random() < part:
+            if self.at.box.spoilt and fleet.rng.random() < self.at.box.spoilt:
                 self.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\ncut off")
                 self.abort()
                 return
@@ -300,13 +300,12 @@
         t, now = self.t, time.monotonic_ns()
         self.rng = random.Random(f"{self.seed}/fleet/sockets")
         self.boxes = build_fleet(t, self.seed, now)
-        self.zones = [t.network.zones[i % len(t.network.zones)] for i in range(len(self.boxes))]
+        self.zones = zones_of(t)
         for box in self.boxes:
             box.began = lambda job, at, box=box: self.facts.note(  # type: ignore[misc]
                 at, "executed", job.ticket, box.number)
             box.fell = lambda at, work, box=box: self._fell(box, at, work)  # type: ignore[misc]
         self.registry = Registry(t.discovery, [self.entry(i) for i in range(len(self.boxes))], self.rng)
-        self.spoilt: dict[int, float] = {}
         self.probes = 0
         self.due: dict[int, asyncio.TimerHandle] = {}
         self.list_links: set[ToList] = set()
@@ -334,8 +333,7 @@
         await super().listen()
 
     def entry(self, i: int, state: State = State.READY) -> Entry:
-        return Entry(i, i, self.zones[i], self.boxes[i].nature.machine, i // self.t.fleet.cell, state,
-                     self.boxes[i].started_ns)
+        return entry_of(self.t, self.boxes[i], i, state)
 
     def row(self, balancer: int, e: Entry) -> Json:
         """An entry in discovery's form, with the address that this balancer has for it."""
@@ -413,14 +411,12 @@
     # ---- orders ------------------------------------------------------------------------------------------
 
     def status(self) -> Json:
-        return {"held": [box.held for box in self.boxes], "state": [in_a_word(box) for box in self.boxes],
-                "served": sum(b.counts.served for b in self.boxes), "probes": self.probes,
-                "wasted": sum(b.counts.wasted for b in self.boxes),
-                "boxes": [{"box": b.number, "machine": b.nature.machine, "zone": self.zones[b.number],
-                           "speed": round(b.nature.speed, 4), "offered": b.counts.offered,
-                           "served": b.counts.served, "turned_away": b.counts.turned_away,
-                           "choked_s": round(b.counts.choked_ns / 1e9, 3), "up": b.up,
-                           "work": b.counts.work_done / b.nature.capacity} for b in self.boxes]}
+        return {"held": [box.held for box in self.boxes], "state": [in_a_word(box) for box in self.boxes]}
+
+    def final(self) -> Json:
+        span_ns = self.t.length + TAIL_NS
+        return {"probes": self.probes, "wasted": sum(b.counts.wasted for b in self.boxes),
+                "boxes": [b.row(self.zones[b.number], span_ns) for b in self.boxes]}
 
     def order(self, what: Json) -> None:
         if "go" in what:
@@ -445,25 +441,14 @@
                 return
             case "late reports" | "late reports over":
                 for each in self.boxes:
-                    each.report_extra_ns = int(size * 1e9)
+                    each.step(what, size)
                 return
         if whom < 0:
             return
         box = self.boxes[whom]
         box.advance(time.monotonic_ns())
+        box.step(what, size)
         match what:
-            case "slow":
-                box.slow = size
-            case "slow over":
-                box.slow = 1.0
-            case "errors":
-                box.error_part = max(size, box.nature.errors)
-            case "errors over":
-                box.error_part = box.nature.errors
-            case "spoilt":
-                self.spoilt[whom] = size
-            case "spoilt over":
-                self.spoilt.pop(whom, None)
             case "partition":
                 self._doors(whom, "silence")
             case "partition over":
--- a/lanelift/lab/sockets/load.py
+++ b/lanelift/lab/sockets/load.py
@@ -154,15 +154,9 @@
                     link.drop()
                 self.idle[what["front"]].clear()
         elif "step" in what and self.workload is not None:
+            if self.workload.step(what["step"], what["name"], what["size"], what["part"]):
+                return
             match what["step"]:
-                case "surge":
-                    self.workload.surges[what["name"]] = what["size"]
-                case "surge over":
-                    self.workload.surges.pop(what["name"], None)
-                case "heavy":
-                    self.workload.heavy = (what["name"], what["part"], what["size"])
-                case "heavy over":
-                    self.workload.heavy = None
                 case "unfinished":
                     self.unfinished = self._spawn(self._never_finish(max(1.0, what["size"])))
                 case "unfinished over" if self.unfinished is not None:
--- a/lanelift/lab/sockets/party.py
+++ b/lanelift/lab/sockets/party.py
@@ -46,6 +46,10 @@
     def status(self) -> Json:
         raise NotImplementedError
 
+    def final(self) -> Json:
+        """What is told once, at the end."""
+        return self.status()
+
     def _measure(self) -> None:
         self.lag.tick()
         self.loop.call_later(Lag.EVERY_S, self._measure)
@@ -71,7 +75,7 @@
             self.order(what)
         self.facts.close()
         with suppress(BrokenPipeError):
-            say(done=self.status(), lag_p99_ms=round(self.lag.p99_ms(), 2),
+            say(done=self.final(), lag_p99_ms=round(self.lag.p99_ms(), 2),
                 lag_most_ms=round(self.lag.most_ns / 1e6, 2))
         self.over.set()
 
--- a/lanelift/lab/topology.py
+++ b/lanelift/lab/topology.py
@@ -14,10 +14,11 @@
 import msgspec
 
 from lanelift import interface as api
-from lanelift.settings import Json
-from lanelift.units import Duration, Numbers, PerSecond, Times, decode, duration, written
+from lanelift.settings import Json, write_class
+from lanelift.units import Duration, Numbers, PerSecond, Times, convert, duration, repeated, written
 
 MS = 1_000_000
+SEND_CAP, COPIES = 4, 2  # attempts of a request in all, and at once
 
 
 class Unusable(Exception):
@@ -204,11 +205,9 @@
     if not t.classes or not t.fleet.machines or not t.network.zones:
         return "class, fleet.machines and network.zones: at least one of each"
     for what, listed in (("class", t.classes), ("tenant", t.tenants), ("fleet.machines", t.fleet.machines)):
-        seen: set[str] = set()
-        for entry in listed:
-            if entry.name in seen:
-                return f"{what}: {entry.name} stands there twice"
-            seen.add(entry.name)
+        twice = repeated(entry.name for entry in listed)
+        if twice:
+            return f"{what}: {twice} stands there twice"
         if listed and sum(entry.share for entry in listed) <= 0:
             return f"{what}: the shares add up to nothing"
     for c in t.classes:
@@ -235,9 +234,9 @@
 def read(raw: Any, where: str) -> Topology:
     """A topology from parsed TOML or JSON. Raises Unusable with one line."""
     try:
-        topology: Topology = msgspec.convert(raw, Topology, dec_hook=decode)
-    except (msgspec.ValidationError, ValueError) as error:
-        raise Unusable(f"{where}: {' '.join(str(error).split())}") from None
+        topology = convert(raw, Topology)
+    except ValueError as error:
+        raise Unusable(f"{where}: {error}") from None
     wrong = contradictions(topology)
     if wrong:
         raise Unusable(f"{where}: {wrong}")
@@ -315,11 +314,9 @@
     return {
         "me": me, "replicas_of_me": t.balancers.count, "locality": zone_of(t, me),
         "registry_mode": t.discovery.mode,
-        "profiles": [{"name": c.name, "repeat": "read_like" if c.effect == "safe" else "non_idempotent",
-                      "aim_ns": int(c.aim), "hard_limit_ns": int(c.deadline), "worth": c.worth}
-                     for c in t.classes],
+        "profiles": [write_class(c.name, c.effect == "safe", c.aim, c.deadline, c.worth) for c in t.classes],
         "realms": [{"name": n.name, "share": n.share, "quota_per_s": quotas[n.name]} for n in t.tenants],
-        "limits": {"send_cap": 4, "second_copies": True, "may_cancel": True, "probes": True,
+        "limits": {"send_cap": SEND_CAP, "second_copies": COPIES > 1, "may_cancel": True, "probes": True,
                    "retry_after": True, "max_retry_after_ns": int(duration("1500ms")),
                    "connect_timeout_ns": int(t.fleet.connect_timeout), "conn_idle_ns": int(t.fleet.idle)},
         "rules": {"stop_sending_within_ns": int(t.rules.drain_grace),
--- a/lanelift/lab/virtual.py
+++ b/lanelift/lab/virtual.py
@@ -16,19 +16,19 @@
 from lanelift.lab import topology as topo
 from lanelift.lab.hosts import Batch, Crashed, Host
 from lanelift.lab.ledger import Answer, Judgement, Ledger, Root, Try
-from lanelift.lab.model.box import Box, Draw, Job, KeyMemory, Nature, Verdict, draw_nature
-from lanelift.lab.model.faults import Step, drawn, steps
-from lanelift.lab.model.registry import Entry, Registry
-from lanelift.lab.model.workload import Want, Workload, quotas, rate_of
+from lanelift.lab.model.box import Box, Draw, Job, Verdict
+from lanelift.lab.model.faults import Step, schedule, steps
+from lanelift.lab.model.fleet import build_fleet, entry_of, zones_of
+from lanelift.lab.model.registry import STOP_TAKING_NS, Entry, Registry
+from lanelift.lab.model.series import SERIES_NS, TAIL_NS, Moment, Series
+from lanelift.lab.model.workload import Want, Workload, quotas
 from lanelift.lab.topology import Fault, Topology
 from lanelift.settings import Json
 
 SECOND = 1_000_000_000
 START_NS = 10 * SECOND  # the clock begins here, so that 0 can stand for long ago
 READY_NS = 200_000_000  # a started balancer is in use by the front after this
-STOP_TAKING_NS = SECOND  # a draining box turns new work away so long after the list says so
-TAIL_NS = 4 * SECOND  # a run goes on so long after the last first try
-SERIES_NS = SECOND // 2
+PROBE_WAIT_NS = 120_000_000  # a probe that nobody answers ends after this
 
 RESULT_OF = {Verdict.SERVED: api.Result.OK, Verdict.ERROR: api.Result.ERROR,
              Verdict.TURNED_AWAY: api.Result.FULL, Verdict.EXPIRED: api.Result.FULL,
@@ -91,21 +91,6 @@
     version: int = 0
     requests: dict[str, Open] = field(default_factory=dict)
     idle: dict[int, list[int]] = field(default_factory=dict)  # box: when each idle connection came free
-    heard_ns: int = 0
-
-
-@dataclass(slots=True)
-class Moment:
-    """Half a second of a run, for plots: answers by kind, attempts, boxes that are choked."""
-
-    asked: int = 0
-    good: int = 0
-    late: int = 0
-    refused: int = 0
-    failed: int = 0
-    attempts: int = 0
-    retries: int = 0
-    slowest_us: int = 0
 
 
 @dataclass(slots=True)
@@ -122,6 +107,17 @@
     capacity: float
     notes: list[str]
 
+    def per_first_try(self, count: str) -> float:
+        counts = self.judgement.counts
+        return counts.get(count, 0) / max(1.0, counts.get("first tries", 0))
+
+    @property
+    def load_spread(self) -> float:
+        """Coefficient of variation of what boxes did against their capacity."""
+        loads = [box["load"] for box in self.boxes]
+        mean = sum(loads) / max(1, len(loads))
+        return (sum((x - mean) ** 2 for x in loads) / max(1, len(loads))) ** 0.5 / mean if mean else 0.0
+
 
 class World:
     """A fleet, its clients, its list and its balancers, driven by one heap."""
@@ -141,7 +137,7 @@
         self.cross_ns = self.draw.ns(t.network.cross)
         self.client_ns = self.draw.ns(t.network.client)
         self.boxes = build_fleet(t, seed, START_NS)
-        self.zones = [t.network.zones[i % len(t.network.zones)] for i in range(len(self.boxes))]
+        self.zones = zones_of(t)
         ids = self._chance("ids")
         self.ids = [ids.getrandbits(32) for _ in self.boxes]
         self.by_id = {number: i for i, number in enumerate(self.ids)}
@@ -152,7 +148,6 @@
                                  self._chance("list"))
         self.capacity = sum(box.nature.capacity for box in self.boxes)
         self.quotas = quotas(t, self.capacity)
-        self.rate = rate_of(t, self.capacity)
         self.workload = Workload(t, f"{seed}/clients/0", self.capacity, START_NS)
         self.arrivals: Iterator[Want] = iter(())
         self.lives = [Life(n, topo.zone_of(t, n)) for n in range(t.balancers.count)]
@@ -161,23 +156,20 @@
         self.flush_at = -1
         self.due: dict[int, int] = {}  # box: when it wants to be called next
         self.cut: set[int] = set()  # boxes behind a silent partition
-        self.spoilt: dict[int, float] = {}
         self.used: dict[int, int] = {i: 0 for i in range(len(self.boxes))}  # connections at each box
         self.tickets = 0
         self.crossed = self.probes = 0
-        self.series: list[Moment] = []
+        self.series = Series(START_NS)
         self.end_ns = START_NS + int(t.length)
-        self.faults = list(t.faults) + drawn(t, self._chance("faults")) if faults is None else faults
-        self.steps = steps(t, self.faults, self._chance("whom"))
+        self.faults = schedule(t, seed) if faults is None else faults
+        self.steps = steps(t, self.faults, seed)
         self.notes: list[str] = []
 
     def _chance(self, what: str) -> random.Random:
         return random.Random(f"{self.seed}/{what}")
 
     def entry(self, i: int, state: api.State = api.State.READY) -> Entry:
-        box = self.boxes[i]
-        return Entry(i, self.ids[i], self.zones[i], box.nature.machine, i // self.t.fleet.cell, state,
-                     box.started_ns)
+        return entry_of(self.t, self.boxes[i], self.ids[i], state)
 
     # ---- the heap ----------------------------------------------------------------------------------------
 
@@ -212,33 +204,16 @@
         return self._outcome(stop)
 
     def _outcome(self, stop: int) -> Outcome:
-        asked = max(1e-9, self.rate * self.t.length / SECOND * sum(
-            c.share * self.workload.work_of[c.name] for c in self.t.classes) / sum(
-            c.share for c in self.t.classes))
         for box in self.boxes:
             box.advance(stop)
-        wasted = sum(box.counts.wasted for box in self.boxes) / asked
+        wasted = sum(box.counts.wasted for box in self.boxes) / self.workload.work_asked()
         judgement = self.ledger.judge(stop, wasted, self.crossed, self.probes)
-        boxes: list[Json] = [
-            {"box": i, "machine": b.nature.machine, "zone": self.zones[i], "speed": round(b.nature.speed, 4),
-             "offered": b.counts.offered, "served": b.counts.served, "turned_away": b.counts.turned_away,
-             "choked_s": round(b.counts.choked_ns / SECOND, 3), "up": b.up,
-             "load": round(b.counts.work_done / (b.nature.capacity * (stop - START_NS)), 4)}
-            for i, b in enumerate(self.boxes)]
-        return Outcome(judgement, self.ledger, self.series, self.steps, self.faults, boxes, self.rate,
-                       self.capacity, self.notes)
-
-    def _moment(self) -> Moment:
-        return self._moment_at(self.now)
-
-    def _moment_at(self, when: int) -> Moment:
-        index = max(0, when - START_NS) // SERIES_NS
-        while len(self.series) <= index:
-            self.series.append(Moment())
-        return self.series[index]
+        boxes = [b.row(self.zones[i], stop - START_NS) for i, b in enumerate(self.boxes)]
+        return Outcome(judgement, self.ledger, self.series.moments, self.steps, self.faults, boxes,
+                       self.workload.rate, self.capacity, self.notes)
 
     def _tick_series(self, _: Any) -> None:
-        self._moment()
+        self.series.at(self.now)  # also where nothing happens
         if self.now < self.end_ns:
             self.at(self.now + SERIES_NS, self._tick_series)
 
@@ -251,7 +226,7 @@
 
     def _arrive(self, want: Want) -> None:
         root = self.ledger.root(want.number, want.cls, want.tenant, want.key, self.now, want.within)
-        self._moment().asked += 1
+        self.series.at(self.now).asked += 1
         self._try(want, root)
         self._next_arrival(None)
 
@@ -259,7 +234,7 @@
         self.tickets += 1
         ticket = f"q{self.tickets}"
         if root.tries:
-            self._moment().retries += 1
+            self.series.at(self.now).retries += 1
         deadline = self.workload.try_ns(want.cls, root.asked_ns, self.now)
         life = self._pick_balancer(want.zone)
         asked = self.ledger.asked(ticket, root, self.now, deadline, life.number if life else -1)
@@ -306,25 +281,14 @@
         self.ledger.answered(asked.ticket, answer, self.now)
         if known:
             return
-        moment = self._moment()
-        if answer is Answer.SERVED:
-            took = self.now - asked.root.asked_ns
-            moment.slowest_us = max(moment.slowest_us, took // 1000)
-            if took <= want.cls.aim:
-                self._moment_at(asked.root.asked_ns).good += 1
-            else:
-                moment.late += 1
-        elif answer is Answer.REFUSED:
-            moment.refused += 1
-        else:
-            moment.failed += 1
+        self.series.answered(asked, answer, self.now)
         self._maybe_again(want, asked, answer, told_ns)
 
     def _client_waited(self, what: tuple[Want, Try]) -> None:
         want, asked = what
         if asked.answer is None:
             self.ledger.silent(asked.ticket, self.now)
-            self._moment().failed += 1
+            self.series.answered(asked, Answer.NONE, self.now)
             self._maybe_again(want, asked, Answer.NONE, 0)
 
     def _maybe_again(self, want: Want, asked: Try, answer: Answer, told_ns: int) -> None:
@@ -478,7 +442,7 @@
         request.attempts.append(attempt)
         request.out += 1
         left = request.asked.deadline_ns - self.now
-        if request.over or left <= 0 or attempt.number >= 4 or request.out > 2:
+        if request.over or left <= 0 or attempt.number >= topo.SEND_CAP or request.out > topo.COPIES:
             self._end(life, attempt, api.Result.MOOT)
             return
         timeout = min(action.timeout_ns or left, left)
@@ -486,7 +450,7 @@
             self._end(life, attempt, api.Result.TIMEOUT)
             return
         self.ledger.sent(life.number, number, self.now)
-        self._moment().attempts += 1
+        self.series.at(self.now).attempts += 1
         self.crossed += self.zones[number] != life.zone
         self.at(self.now + timeout, self._expire, (life, life.life, attempt))
         way = self._way(life, number)
@@ -536,8 +500,7 @@
             if verdict is Verdict.SERVED:
                 self.ledger.finished(job.ticket)
             result = RESULT_OF[verdict]
-            part = self.spoilt.get(box.number, 0.0)
-            if result is api.Result.OK and part and self.rng.random() < part:
+            if result is api.Result.OK and box.spoilt and self.rng.random() < box.spoilt:
                 result = api.Result.RESET  # it ran, and its answer came spoilt
             self.at(now, self._box_says, (life, number, attempt, result))
 
@@ -644,7 +607,7 @@
             self.at(self.now + 2 * self.cross_ns, self._probed,
                     (life, life.life, upstream_id, api.Result.CONNECT_FAILED, self.now, None))
         elif number in self.cut:
-            self.at(self.now + 120_000_000, self._probed,
+            self.at(self.now + PROBE_WAIT_NS, self._probed,
                     (life, life.life, upstream_id, api.Result.TIMEOUT, self.now, None))
         else:
             self.at(self.now + self._way(life, number), self._probe_there,
@@ -738,23 +701,17 @@
 
     def _step(self, step: Step) -> None:
         box = self.boxes[step.whom] if 0 <= step.whom < len(self.boxes) else None
+        if self.workload.step(step.what, step.name, step.size, step.part):
+            return
         match step.what:
             case "balancer down":
                 if self.lives[step.whom].up:
                     self._kill(self.lives[step.whom])
             case "balancer up":
                 self._revive(self.lives[step.whom])
-            case "surge":
-                self.workload.surges[step.name] = step.size
-            case "surge over":
-                self.workload.surges.pop(step.name, None)
-            case "heavy":
-                self.workload.heavy = (step.name, step.part, step.size)
-            case "heavy over":
-                self.workload.heavy = None
             case "late reports" | "late reports over":
                 for each in self.boxes:
-                    each.report_extra_ns = int(step.size * SECOND)
+                    each.step(step.what, step.size)
             case "list down":
                 self.registry.down = True
                 for life in self.lives:
@@ -771,19 +728,8 @@
     def _box_step(self, step: Step, box: Box) -> None:
         box.advance(self.now)
         number = step.whom
+        box.step(step.what, step.size)
         match step.what:
-            case "slow":
-                box.slow = step.size
-            case "slow over":
-                box.slow = 1.0
-            case "errors":
-                box.error_part = max(step.size, box.nature.errors)
-            case "errors over":
-                box.error_part = box.nature.errors
-            case "spoilt":
-                self.spoilt[number] = step.size
-            case "spoilt over":
-                self.spoilt.pop(number, None)
             case "partition":
                 self.cut.add(number)
             case "partition over":
@@ -810,30 +756,3 @@
 
 def upstream(e: Entry) -> api.Upstream:
     return api.Upstream(e.id, e.state, e.zone, e.cell, 1.0, e.started_ns, e.kind)
-
-
-def build_fleet(t: Topology, seed: int, now: int) -> list[Box]:
-    """The boxes of a run, drawn by its seed: machines dealt by their shares, in a drawn order."""
-    rng = random.Random(f"{seed}/fleet")
-    draw = Draw(rng)
-    natures: list[Nature] = []
-    whole = sum(m.share for m in t.fleet.machines)
-    speeds = {m.name: draw.of(m.speed) for m in t.fleet.machines}
-    for m in t.fleet.machines:
-        count = round(t.fleet.boxes * m.share / whole)
-        for _ in range(count if m is not t.fleet.machines[-1] else t.fleet.boxes - len(natures)):
-            nature = draw_nature(t.fleet, m, draw)
-            nature.speed = speeds[m.name] * (1.0 + 0.1 * (2 * rng.random() - 1))
-            natures.append(nature)
-    natures = natures[:t.fleet.boxes]
-    rng.shuffle(natures)
-    lasts = draw.ns(t.fleet.key_memory)
-    keys = draw.of(t.fleet.keys_per_core)
-    boxes = []
-    memory = KeyMemory(lasts, 1)
-    for i, nature in enumerate(natures):
-        if i % t.fleet.cell == 0:
-            cores = sum(n.cores for n in natures[i:i + t.fleet.cell])
-            memory = KeyMemory(lasts, max(1, round(keys * cores)))
-        boxes.append(Box(i, nature, t.rules, memory, random.Random(f"{seed}/box/{i}"), now))
-    return boxes
--- a/lanelift/settings.py
+++ b/lanelift/settings.py
@@ -77,6 +77,12 @@
         kinds=_names(row, "allowed_on"), **given)
 
 
+def write_class(name: str, safe: bool, aim_ns: int, deadline_ns: int, worth: float) -> Json:
+    """What `read_class` reads back."""
+    return {"name": name, "repeat": "read_like" if safe else "non_idempotent", "aim_ns": int(aim_ns),
+            "hard_limit_ns": int(deadline_ns), "worth": worth}
+
+
 def read_settings(raw: Json) -> api.Settings:
     classes = [read_class(typed(row, "profiles", dict)) for row in maybe(raw, "profiles", list, ())]
     tenants = [api.Tenant(need(typed(row, "realms", dict), "name", str),
--- a/lanelift/units.py
+++ b/lanelift/units.py
@@ -1,15 +1,20 @@
-"""Times, sizes and rates as operators write them, with their units: `250ms`, `64KiB`, `340/s`, and ranges."""
+"""Times, sizes and rates as operators write them, with their units: `250ms`, `64KiB`, `340/s`, and ranges;
+and what reading a file of them comes to."""
 
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from typing import Any, Generic, TypeVar
 
+import msgspec
+
 NS = {"ns": 1, "us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 BYTES = {"B": 1, "kB": 1_000, "MB": 1_000_000, "GB": 1_000_000_000,
          "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
 PER_S = {"/s": 1.0, "/m": 1 / 60, "/h": 1 / 3600}
 T = TypeVar("T", int, float)
+File = TypeVar("File")
 NUMBER = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z/]*)\Z")
 
 
@@ -116,6 +121,25 @@
     return reader(given)
 
 
+def convert(raw: Any, kind: type[File]) -> File:
+    """Parsed TOML or JSON as this type. Raises ValueError, in one line, where it does not fit."""
+    try:
+        found: File = msgspec.convert(raw, kind, dec_hook=decode)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise ValueError(" ".join(str(error).split())) from None
+    return found
+
+
+def repeated(names: Iterable[str]) -> str:
+    """The first name that stands there twice; empty if none does."""
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            return name
+        seen.add(name)
+    return ""
+
+
 def written(ns: int) -> str:
     """Nanoseconds as the shortest exact text that `duration` reads back."""
     for unit in ("h", "m", "s", "ms", "us"):
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -81,6 +81,13 @@
             process.send_signal(signal.SIGHUP)
             assert b"not reloaded" in await process.stderr.readline()
             assert (await client.ask("r2")).body == b"s-0"
+            path.write_text(settings(first).replace("[[server]]", "discovery = '127.0.0.1:1'\n[[class]]", 1)
+                            .replace(f"id = '{first.name}'\naddress = '127.0.0.1:{first.port}'\n",
+                                     "name = 'other'\naim = '1s'\ndeadline = '1s'\n"))
+            process.send_signal(signal.SIGHUP)
+            lines = [await process.stderr.readline() for _ in range(2)]
+            assert any(b"between a fixed list and discovery needs a restart" in line for line in lines)
+            assert (await client.ask("r2b")).body == b"s-0"
             path.write_text(settings(second))
             process.send_signal(signal.SIGHUP)
             assert b"reloaded: 1 upstreams" in await process.stderr.readline()
