--- /dev/null
+++ b/lanelift/lab/cluster/plans.py
@@ -0,0 +1,370 @@
+"""What goes wrong in a simulated cluster, drawn from a seed, and a whole run of it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lanelift.lab.cluster import linear
+from lanelift.lab.cluster.checks import Broken
+from lanelift.lab.cluster.clients import GROUPS, KEYS, Client
+from lanelift.lab.cluster.linear import Operation
+from lanelift.lab.cluster.sim import CONFIG, MS, SECOND, Cluster, Node, agreed
+from lanelift.store.raft.core import Core, Role
+from lanelift.store.raft.members import Change
+from lanelift.store.raft.messages import Members
+
+STORM = 8 * SECOND  # faults for so long
+CALM = 30 * SECOND  # and then all must come right within this
+CLIENTS = 4
+
+
+@dataclass(slots=True)
+class Outcome:
+    seed: int
+    size: int
+    broken: str = ""  # the property, and what happened; empty: all held
+    counts: dict[str, int] = field(default_factory=dict)
+
+
+class Storm:
+    """Draws faults, one after another, while the clients work."""
+
+    def __init__(self, cluster: Cluster, kinds: tuple[str, ...] = ()) -> None:
+        self.cluster = cluster
+        self.rng = random.Random(f"{cluster.seed}/storm")
+        everything: dict[str, Callable[[], None]] = {
+            "kill": self.kill, "power": self.power, "fuse": self.fuse, "part": self.part, "alone": self.alone,
+            "oneway": self.oneway, "bridge": self.bridge, "lossy": self.lossy, "slow": self.slow,
+            "doubled": self.doubled, "clock": self.clock, "rate": self.rate, "full": self.full,
+            "slowdisk": self.slowdisk, "learn": self.learn, "promote": self.promote, "remove": self.remove,
+            "transfer": self.transfer, "all": self.all, "wipe": self.wipe, "flip": self.flip,
+            "silence": self.silence}
+        names = kinds or tuple(everything)
+        # A few kinds a run, drawn anew for each: what only comes together in twos and threes is found so.
+        self.kinds = [everything[n] for n in self.rng.sample(names, min(len(names), self.rng.randint(2, 8)))]
+        self.over = False
+        self._next()
+
+    def _next(self) -> None:
+        self.cluster.at(self.rng.randint(50 * MS, 900 * MS), self._strike)
+
+    def _strike(self) -> None:
+        if self.over:
+            return
+        self.rng.choice(self.kinds)()
+        self._next()
+
+    def _some(self) -> Node:
+        """A running node, the leader more often than the others."""
+        leader = self.cluster.leader()
+        if leader is not None and self.rng.random() < 0.4:
+            return leader
+        return self.rng.choice(self.cluster.up() or list(self.cluster.nodes.values()))
+
+    def _lasting(self, undo: Callable[[], None], most: int = 2 * SECOND) -> None:
+        self.cluster.at(self.rng.randint(50 * MS, most), undo)
+
+    # ---- crashes -----------------------------------------------------------------------------------------
+
+    def kill(self) -> None:
+        node = self._some()
+        self.cluster.stop(node, False)
+        self._lasting(lambda: self.cluster.start(node))
+
+    def power(self) -> None:
+        node = self._some()
+        self.cluster.stop(node, True)
+        self._lasting(lambda: self.cluster.start(node))
+
+    def fuse(self) -> None:
+        """Power goes at one of the next boundaries of the disk."""
+        self._some().fuse = self.rng.randint(1, 12)
+
+    def all(self) -> None:
+        """The whole room loses power."""
+        for node in self.cluster.up():
+            self.cluster.stop(node, True)
+            self._lasting(lambda n=node: self.cluster.start(n), SECOND)  # type: ignore[misc]
+
+    def wipe(self) -> None:
+        """A member is lost for good, while the others are a majority."""
+        node, leader = self._some(), self.cluster.leader()
+        if leader is None or leader.replica is None or leader is node:
+            return
+        voters = leader.replica.core.members.voters
+        alive = [n.id for n in self.cluster.up() if n.id in voters and n is not node]
+        if len(alive) > len(voters) // 2 + 1:
+            self.cluster.stop(node, True)
+            node.dead = "lost"
+            self.cluster.counts["lost"] += 1
+
+    def flip(self) -> None:
+        """A bit goes bad in a log at rest, before the last batch: the node must notice and stay away."""
+        node, leader = self._some(), self.cluster.leader()
+        if node.replica is None or leader is None or leader.replica is None or leader is node:
+            return
+        voters = leader.replica.core.members.voters
+        alive = [n.id for n in self.cluster.up() if n.id in voters and n is not node]
+        journal = node.replica.journal
+        name, end = journal.segments[-1].name, journal.newest
+        if len(alive) <= len(voters) // 2 + 1 or end <= 0:
+            return
+        self.cluster.stop(node, False)
+        node.disk.flip(name, self.rng.randrange(end), self.rng)
+        self.cluster.counts["flips"] += 1
+
+        def back() -> None:
+            self.cluster.start(node)
+            if not node.dead:
+                raise Broken("damage is noticed", f"node {node.id} started from a log with a flipped bit")
+        self._lasting(back)
+
+    # ---- network -----------------------------------------------------------------------------------------
+
+    def _cut(self, pairs: set[tuple[int, int]]) -> None:
+        net = self.cluster.network
+        net.cut |= pairs
+        self.cluster.counts["partitions"] += 1
+
+        def heal() -> None:
+            net.cut -= pairs
+        self._lasting(heal)
+
+    def part(self) -> None:
+        ids = list(self.cluster.nodes)
+        self.rng.shuffle(ids)
+        at = self.rng.randint(1, len(ids) - 1)
+        self._cut({pair for a in ids[:at] for b in ids[at:] for pair in ((a, b), (b, a))})
+
+    def alone(self) -> None:
+        one = self._some().id
+        self._cut({pair for n in self.cluster.nodes if n != one for pair in ((one, n), (n, one))})
+
+    def silence(self) -> None:
+        """Clients still reach a leader that the others don't hear, and hears them."""
+        one = self._some().id
+        self._cut({(one, n) for n in self.cluster.nodes if n != one})
+
+    def oneway(self) -> None:
+        a, b = self.rng.sample(list(self.cluster.nodes), 2)
+        self._cut({(a, b)})
+
+    def bridge(self) -> None:
+        """Two halves that only one node reaches."""
+        ids = list(self.cluster.nodes)
+        self.rng.shuffle(ids)
+        _, *rest = ids
+        half = len(rest) // 2
+        self._cut({pair for a in rest[:half] for b in rest[half:] for pair in ((a, b), (b, a))})
+
+    def lossy(self) -> None:
+        net = self.cluster.network
+        net.loss = self.rng.choice([0.02, 0.1, 0.3])
+
+        def heal() -> None:
+            net.loss = 0.0
+        self._lasting(heal)
+
+    def slow(self) -> None:
+        net = self.cluster.network
+        net.slow_part = self.rng.choice([0.1, 0.4])
+
+        def heal() -> None:
+            net.slow_part = 0.01
+        self._lasting(heal)
+
+    def doubled(self) -> None:
+        net = self.cluster.network
+        net.doubled = 0.3
+
+        def heal() -> None:
+            net.doubled = 0.0
+        self._lasting(heal)
+
+    # ---- clocks and disks --------------------------------------------------------------------------------
+
+    def clock(self) -> None:
+        node = self._some()
+        node.skew += self.rng.choice([-5 * SECOND, -300 * MS, 300 * MS, 5 * SECOND, 600 * SECOND])
+
+    def rate(self) -> None:
+        self._some().rate = self.rng.choice([0.5, 0.9, 1.0, 1.1, 2.0])
+
+    def full(self) -> None:
+        node = self._some()
+        node.disk.full = True
+
+        def heal() -> None:
+            node.disk.full = False
+        self._lasting(heal)
+
+    def slowdisk(self) -> None:
+        node = self._some()
+        before, node.disk_ns = node.disk_ns, (100 * MS, 1500 * MS)
+
+        def heal() -> None:
+            node.disk_ns = before
+        self._lasting(heal)
+
+    # ---- members -----------------------------------------------------------------------------------------
+
+    def learn(self) -> None:
+        if len(self.cluster.up()) > 8 or self.cluster.leader() is None:
+            return
+        self.cluster.last_id += 1
+        number = self.cluster.last_id
+        self.cluster.add_node(number, Members())
+        self.cluster.change(Change("learn", number, str(number)))
+
+    def _members(self) -> Members | None:
+        leader = self.cluster.leader()
+        return leader.replica.core.members if leader is not None and leader.replica is not None else None
+
+    def promote(self) -> None:
+        members = self._members()
+        if members is None:
+            return
+        if not members.learners:
+            self.learn()
+            return
+        self.cluster.change(Change("promote", self.rng.choice(members.learners)))
+
+    def remove(self) -> None:
+        """One goes, the leader too; never so many that what is left could not bear a loss."""
+        members = self._members()
+        if members is None:
+            return
+        dead = [n for n in members.all if self.cluster.nodes[n].dead]
+        up = {n.id for n in self.cluster.up()}
+        voters_up = [n for n in members.voters if n in up]
+        candidates = dead or [n for n in members.all if n in members.learners or (
+            len(members.voters) > 3 and len(voters_up) - 1 > (len(members.voters) - 1) // 2)]
+        if candidates:
+            self.cluster.change(Change("remove", self.rng.choice(candidates)))
+
+    def transfer(self) -> None:
+        leader = self.cluster.leader()
+        if leader is None or leader.replica is None:
+            return
+        to = self.rng.choice(leader.replica.core.members.voters)
+        try:
+            leader.replica.core.transfer(to)
+        except Exception as error:  # it may be busy or gone; what else it were would be a defect
+            if type(error).__name__ not in ("Busy", "NotLeader", "Refused"):
+                raise
+            return
+        self.cluster.turn(leader)
+
+
+def play(seed: int, size: int = 0, make: type[Core] = Core, kinds: tuple[str, ...] = (),
+         prepare: Callable[[Cluster], None] = lambda cluster: None) -> Outcome:
+    """A storm, then calm, in which all must come right. What is broken is in the outcome, with the first
+    property that did not hold."""
+    size = size or random.Random(f"{seed}/size").choice([3, 3, 5, 5, 7])
+    cluster = Cluster(seed, size, make)
+    prepare(cluster)
+    history: list[Operation] = []
+    clients = [Client(cluster, i, history) for i in range(CLIENTS)]
+    outcome = Outcome(seed, size)
+    try:
+        storm = Storm(cluster, kinds)
+        cluster.run(STORM)
+        storm.over = True
+        _calm(cluster, clients)
+        _judge(history)
+        agreed(cluster)
+    except Broken as error:
+        outcome.broken = str(error)
+    except AssertionError as error:
+        outcome.broken = f"assertion: {error}"
+    cluster.counts["operations"] = sum(op.complete for op in history)
+    cluster.counts["unknown"] = sum(not op.complete and bool(op.writes) for op in history)
+    cluster.counts["entries"] = max(cluster.checks.committed, default=0)
+    cluster.counts["terms"] = len(cluster.checks.leaders)
+    outcome.counts = dict(cluster.counts)
+    return outcome
+
+
+def _calm(cluster: Cluster, clients: list[Client]) -> None:
+    """All that broke is mended, but for what is lost for good; then every client is served again."""
+    net = cluster.network
+    cluster.run(cluster.now + 2 * SECOND)  # what was to be undone is undone
+    net.cut.clear()
+    net.loss = net.doubled = 0.0
+    net.slow_part = 0.01
+    for node in cluster.nodes.values():
+        node.disk.full, node.disk_ns, node.rate, node.fuse = False, (MS // 2, 4 * MS), 1.0, -1
+        cluster.start(node)
+    began = [c.done for c in clients]
+    cluster.run(cluster.now + CALM, lambda: all(c.done >= b + 3 for c, b in zip(clients, began, strict=True)))
+    if any(c.done < b + 3 for c, b in zip(clients, began, strict=True)):
+        raise Broken("progress", f"no service {CALM // SECOND} s after all was mended: {describe(cluster)}")
+    for c in clients:
+        c.stopped = True
+    cluster.run(cluster.now + CALM, lambda: all(c.idle for c in clients) and _level(cluster))
+    if not _level(cluster):
+        raise Broken("progress", f"members did not catch up in {CALM // SECOND} s: {describe(cluster)}")
+
+
+def _level(cluster: Cluster) -> bool:
+    """Every member that runs has applied all."""
+    leader = cluster.leader()
+    if leader is None or leader.replica is None:
+        return False
+    core = leader.replica.core
+    if core.applied < core.log.last:
+        return False
+    return all(n.replica is None or n.id not in core.members.all or n.replica.core.applied == core.applied
+               for n in cluster.nodes.values())
+
+
+def describe(cluster: Cluster) -> str:
+    words = []
+    for node in cluster.nodes.values():
+        if node.replica is None:
+            words.append(f"{node.id} down{f' ({node.dead})' if node.dead else ''}")
+        else:
+            c = node.replica.core
+            words.append(f"{node.id} {c.role.value} term {c.term} log {c.log.base}-{c.log.last} "
+                         f"commit {c.commit} applied {c.applied} leader {c.leader} voters {c.members.voters}"
+                         f"{' installing' if c.installing else ''}{' removed' if c.removed else ''}")
+    return "; ".join(words)
+
+
+def _judge(history: list[Operation]) -> None:
+    for group in range(GROUPS):
+        verdict = linear.check([op for op in history if op.group == group], KEYS)
+        if not verdict.linearizable:
+            raise Broken("linearizability", f"group {group}: none of {verdict.stuck} can come next")
+
+
+def disturbed(seed: int, make: type[Core] = Core) -> Outcome:
+    """One follower is cut off for long and comes back to a healthy cluster: the leader must stay (thesis
+    9.6)."""
+    cluster = Cluster(seed, 3, make)
+    history: list[Operation] = []
+    clients = [Client(cluster, i, history) for i in range(2)]
+    outcome = Outcome(seed, 3)
+    cluster.run(2 * SECOND)
+    leader = cluster.leader()
+    try:
+        if leader is None or leader.replica is None:
+            raise Broken("progress", f"no leader after 2 s: {describe(cluster)}")
+        term = leader.replica.core.term
+        one = next(n for n in cluster.nodes.values() if n is not leader)
+        pairs = {pair for n in cluster.nodes if n != one.id for pair in ((one.id, n), (n, one.id))}
+        cluster.network.cut |= pairs
+        cluster.run(cluster.now + 10 * CONFIG.election_ns)
+        cluster.network.cut -= pairs
+        cluster.run(cluster.now + 10 * CONFIG.election_ns)
+        core = leader.replica.core
+        if core.role is not Role.LEADER or core.term != term:
+            raise Broken("a returning node disturbs nobody", f"term {term} became {core.term}")
+        _calm(cluster, clients)
+        _judge(history)
+    except Broken as error:
+        outcome.broken = str(error)
+    outcome.counts = dict(cluster.counts)
+    return outcome
--- /dev/null
+++ b/lanelift/lab/cluster/sim.py
@@ -0,0 +1,390 @@
+"""A cluster of replicas in virtual time: clocks, a network and disks that fail, clients that judge. The
+consensus, log and state are the real ones; one seed decides all else.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lanelift.lab.cluster.checks import Broken, Checks
+from lanelift.lab.cluster.disk import Disk, MemoryVault, PowerLost
+from lanelift.store import commands, replica
+from lanelift.store.commands import AnyCommand, Result
+from lanelift.store.durable import journal as journals
+from lanelift.store.durable.journal import Damaged, Full, Journal
+from lanelift.store.raft.core import Batch, Busy, Config, Core, NotLeader, Role
+from lanelift.store.raft.members import Change, Refused
+from lanelift.store.raft.messages import AnyMessage, Members, Piece, pack, unpack_message
+from lanelift.store.replica import Boundaries, Identity, Replica
+
+MS = 1_000_000
+SECOND = 1000 * MS
+CONFIG = Config(heartbeat_ns=50 * MS, election_ns=200 * MS, append_bytes=2_000, window=8,
+                piece_bytes=16 << 10, uncommitted_bytes=64 << 10, slow_disk_ns=600 * MS, promote_lag=50)
+BOUNDARIES = Boundaries(keep=20, entries=60, bytes=1 << 20)
+SEGMENT = 6_000
+Answer = Callable[[str, Any], None]  # how it ended, and a Result, a reading or the leader
+
+
+@dataclass(slots=True)
+class Network:
+    """Delays in ns; parts of messages that are lost and doubled; pairs that can't speak."""
+
+    delay: tuple[int, int] = (MS // 2, 3 * MS)
+    slow: tuple[int, int] = (20 * MS, 400 * MS)  # a part of messages takes so long
+    slow_part: float = 0.01
+    loss: float = 0.0
+    doubled: float = 0.0
+    cut: set[tuple[int, int]] = field(default_factory=set)  # from, to
+
+
+@dataclass(eq=False)
+class Node:
+    id: int
+    disk: Disk
+    vault: MemoryVault
+    rng: random.Random
+    replica: Replica | None = None  # None: it is down
+    epoch: int = 0  # of its life: what was meant for an earlier one is dropped
+    skew: int = 0
+    rate: float = 1.0
+    disk_ns: tuple[int, int] = (MS // 2, 4 * MS)
+    applying: bool = False
+    exporting: bool = False
+    due: int = 0  # its next tick, as scheduled
+    waiting: dict[int, tuple[int, Answer]] = field(default_factory=dict)  # index: term, whom to answer
+    reads: dict[int, tuple[int, Callable[[], Any], Answer]] = field(default_factory=dict)
+    tickets: int = 0
+    dead: str = ""  # why it will not come back
+    fuse: int = -1  # boundaries until its power goes
+
+
+class Cluster:
+    def __init__(self, seed: int, size: int, make: type[Core] = Core) -> None:
+        self.seed = seed
+        self.rng = random.Random(f"{seed}/cluster")
+        self.now = 0
+        self.heap: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = 0
+        self.network = Network()
+        self.checks = Checks()
+        self.nodes: dict[int, Node] = {}
+        self.make = make
+        self.counts: Counter[str] = Counter()
+        self.log: list[str] = []
+        ids = list(range(1, size + 1))
+        self.founders = Members(tuple(ids), (), {i: str(i) for i in ids})
+        self.last_id = size
+        for i in ids:
+            self.add_node(i, self.founders)
+
+    # ---- time --------------------------------------------------------------------------------------------
+
+    def at(self, delay: int, act: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.heap, (self.now + max(0, delay), self.order, act))
+
+    def run(self, until: int, stop: Callable[[], bool] = lambda: False) -> None:
+        while self.heap and self.heap[0][0] <= until and not stop():
+            self.now, _, act = heapq.heappop(self.heap)
+            act()
+        if not stop():
+            self.now = until
+
+    def between(self, span: tuple[int, int]) -> int:
+        return self.rng.randint(*span)
+
+    # ---- nodes -------------------------------------------------------------------------------------------
+
+    def add_node(self, number: int, members: Members) -> Node:
+        """A fresh folder; a newcomer's `members` are empty until it hears of them."""
+        rng = random.Random(f"{self.seed}/node/{number}")
+        disk = Disk()
+        vault = MemoryVault(disk, "sim", members)
+        node = self.nodes[number] = Node(number, disk, vault, rng)
+        identity = Identity(replica.FORMAT, "sim", number)
+        fresh = self._journal(node)
+        fresh.create()
+        replica.write_identity(disk, identity)
+        self.start(node)
+        return node
+
+    def _journal(self, node: Node) -> Journal:
+        return Journal(node.disk, "sim", node.id, SEGMENT, lambda: node.rng.randbytes(8))
+
+    def clock(self, node: Node) -> int:
+        return int(self.now * node.rate) + node.skew
+
+    def start(self, node: Node) -> None:
+        if node.replica is not None or node.dead:
+            return
+        node.epoch += 1
+        node.disk.trip = lambda: None
+        node.fuse = -1
+        try:
+            identity = replica.read_identity(node.disk)
+            node.replica = Replica.open(identity, self._journal(node), node.vault, CONFIG, self.clock(node),
+                                        node.rng, BOUNDARIES, self.make)
+        except Damaged as error:
+            node.dead = str(error)
+            self.counts["damaged"] += 1
+            return
+        self.counts["starts"] += 1
+        self.checks.restarted(node.id, node.replica.core)
+        node.disk.trip = lambda: self._trip(node)
+        self.turn(node)
+
+    def _trip(self, node: Node) -> None:
+        if node.fuse > 0:
+            node.fuse -= 1
+            if node.fuse == 0:
+                raise PowerLost
+
+    def stop(self, node: Node, power: bool) -> None:
+        """Killed; with `power`, what was not synced is lost in part."""
+        if node.replica is None:
+            return
+        node.replica = None
+        node.epoch += 1
+        node.applying = node.exporting = False
+        node.disk.trip = lambda: None
+        self.counts["power lost" if power else "kills"] += 1
+        if power:
+            node.disk.lose_power(node.rng)
+        node.vault.restart(node.rng if power else None)
+        for _, answer in node.waiting.values():
+            answer("unknown", None)
+        for _, _, answer in node.reads.values():
+            answer("unknown", None)
+        node.waiting.clear()
+        node.reads.clear()
+
+    def guarded(self, node: Node, act: Callable[[Replica], None]) -> Callable[[], None]:
+        """For this life of the node alone; power may go in the middle."""
+        epoch = node.epoch
+
+        def go() -> None:
+            if node.epoch != epoch or node.replica is None:
+                return
+            try:
+                act(node.replica)
+            except PowerLost:
+                self.stop(node, True)
+                self.at(self.between((50 * MS, 2 * SECOND)), lambda: self.start(node))
+            except journals.Broken:
+                self.stop(node, False)
+        return go
+
+    def turn(self, node: Node) -> None:
+        """Carry out what the core wants done."""
+        r = node.replica
+        assert r is not None
+        core = r.core
+        self.checks.look(node.id, core)
+        while True:
+            for to, message in core.take_out():
+                self.send(node, to, message)
+            for to, meta, offset, round_ in core.take_pieces():
+                data = r.vault.read_piece(meta, offset, CONFIG.piece_bytes)
+                if data is None:
+                    core.snapshot_lost()
+                    break
+                self.send(node, to, Piece(core.term, meta, offset, data, round_))
+            batch = core.take_batch()
+            if batch is None:
+                break
+            if batch.on_disk:
+                self._later_write(node, batch)
+                break
+            core.persisted(batch)
+            self.checks.look(node.id, core)
+        if not node.applying and core.commit > core.handed:
+            entries = core.take_committed(50)
+            if entries:
+                node.applying = True
+                self.at(self.between((MS // 10, MS)), self.guarded(
+                    node, lambda r: self._apply(node, r, entries)))
+        self._reads(node, core)
+        if core.wants_snapshot and not node.exporting:
+            node.exporting = True
+            self.at(self.between((MS, 30 * MS)), self.guarded(node, lambda r: self._export(node, r)))
+        wake = self.now + max(MS, core.wake_ns - self.clock(node))
+        if not self.now < node.due <= wake:
+            node.due = wake
+            self.at(wake - self.now, self.guarded(node, lambda r: self._tick(node, r, wake)))
+
+    def _tick(self, node: Node, r: Replica, due: int) -> None:
+        if due != node.due:
+            return  # an earlier one took its place
+        node.due = 0
+        r.core.tick(self.clock(node))
+        self.turn(node)
+
+    def _later_write(self, node: Node, batch: Batch, delay: int = 0) -> None:
+        self.at(delay or self.between(node.disk_ns), self.guarded(
+            node, lambda r: self._write(node, r, batch)))
+
+    def _write(self, node: Node, r: Replica, batch: Batch) -> None:
+        if batch.install is not None and node.applying:
+            self._later_write(node, batch, MS)
+            return
+        try:
+            installed = r.write(batch)
+        except Full:
+            self.counts["full disk"] += 1
+            self._later_write(node, batch, 100 * MS)
+            return
+        if batch.install is not None:
+            self.counts["snapshots taken"] += installed
+        r.core.persisted(batch, installed)
+        self.turn(node)
+
+    def _apply(self, node: Node, r: Replica, entries: list[Any]) -> None:
+        results = r.apply(entries)
+        node.vault.committed()
+        for entry, result in zip(entries, results, strict=True):
+            self.checks.applied(node.id, entry.index, commands.pack(result))
+            term, answer = node.waiting.pop(entry.index, (0, None))
+            if answer is not None:
+                if term == entry.term:
+                    answer("done", result)
+                else:
+                    answer("unknown", None)
+        r.core.applied_to(entries[-1].index)
+        node.applying = False
+        if r.wants_cut:
+            try:
+                r.flush()
+                r.cut()
+                self.counts["cuts"] += 1
+            except Full:
+                pass
+        self.turn(node)
+
+    def _export(self, node: Node, r: Replica) -> None:
+        if node.applying:
+            self.at(MS, self.guarded(node, lambda r: self._export(node, r)))
+            return
+        node.exporting = False
+        try:
+            r.core.snapshot_made(r.vault.export())
+        except Full:
+            return
+        self.turn(node)
+
+    def _reads(self, node: Node, core: Core) -> None:
+        for ticket in core.take_proved():
+            if ticket in node.reads:
+                _, look, answer = node.reads.pop(ticket)
+                answer("done", look())
+        if core.role is not Role.LEADER:
+            for index, (term, answer) in list(node.waiting.items()):
+                if term < core.term:
+                    del node.waiting[index]
+                    answer("unknown", None)
+            for ticket, (term, _, answer) in list(node.reads.items()):
+                if term < core.term:
+                    del node.reads[ticket]
+                    answer("unknown", None)
+
+    # ---- network -----------------------------------------------------------------------------------------
+
+    def send(self, node: Node, to: int, message: AnyMessage) -> None:
+        self.checks.said(node.id, to, message)
+        self.counts["messages"] += 1
+        data = pack(message)
+        net = self.network
+        copies = 1 + (self.rng.random() < net.doubled)
+        for _ in range(copies):
+            if (node.id, to) in net.cut or self.rng.random() < net.loss:
+                continue
+            slow = self.rng.random() < net.slow_part
+            self.at(self.between(net.slow if slow else net.delay),
+                    lambda: self._arrive(node.id, to, data))
+
+    def _arrive(self, sender: int, to: int, data: bytes) -> None:
+        node = self.nodes.get(to)
+        if node is None or node.replica is None or (sender, to) in self.network.cut:
+            return
+        # Nodes refuse one that they know to be removed, as they do at a connection's beginning.
+        core = node.replica.core
+        core.tick(self.clock(node))
+        core.step(sender, unpack_message(data))
+        self.turn(node)
+
+    # ---- clients and operators ---------------------------------------------------------------------------
+
+    def propose(self, number: int, command: AnyCommand, answer: Answer) -> None:
+        """A client's command at a node; it is answered once, or the client's own time runs out."""
+        node = self.nodes[number]
+        if node.replica is None:
+            return
+        core = node.replica.core
+        try:
+            index = core.propose([commands.pack(command)])[0]
+        except NotLeader as error:
+            answer("elsewhere", error.leader)
+            return
+        except Busy:
+            answer("busy", None)
+            return
+        node.waiting[index] = (core.term, answer)
+        self.turn(node)
+
+    def read(self, number: int, look: Callable[[Replica], Any], answer: Answer) -> None:
+        node = self.nodes[number]
+        if node.replica is None:
+            return
+        core = node.replica.core
+        node.tickets += 1
+        r = node.replica
+        node.reads[node.tickets] = (core.term, lambda: look(r), answer)
+        try:
+            core.read(node.tickets)
+        except NotLeader:
+            del node.reads[node.tickets]
+            answer("elsewhere", 0)
+            return
+        except Busy:
+            del node.reads[node.tickets]
+            answer("busy", None)
+            return
+        self.turn(node)
+
+    def change(self, change: Change) -> bool:
+        leader = self.leader()
+        if leader is None or leader.replica is None:
+            return False
+        try:
+            leader.replica.core.change(change)
+        except (NotLeader, Busy, Refused):
+            return False
+        self.turn(leader)
+        return True
+
+    def leader(self) -> Node | None:
+        """The one of the latest term among those that think they lead."""
+        return max((n for n in self.nodes.values() if n.replica and n.replica.core.role is Role.LEADER),
+                   key=lambda n: n.replica.core.term if n.replica else 0, default=None)
+
+    def up(self) -> list[Node]:
+        return [n for n in self.nodes.values() if n.replica is not None]
+
+
+def agreed(cluster: Cluster) -> None:
+    """At the end: all members hold the same state. Raises Broken."""
+    digests: dict[tuple[int, int], list[int]] = {}
+    for node in cluster.up():
+        assert node.replica is not None
+        state = node.replica.state
+        digests.setdefault((state.applied, state.digest()), []).append(node.id)
+    if len({applied for applied, _ in digests}) < len(digests):
+        raise Broken("state machine safety", f"states differ after the same entries: {digests}")
+
+
+__all__ = ["Cluster", "Node", "Network", "Result", "agreed"]
--- /dev/null
+++ b/lanelift/store/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated store: consensus (pure), log, state, nodes, client."""
--- /dev/null
+++ b/lanelift/store/commands.py
@@ -0,0 +1,115 @@
+"""What entries of the log say to the state, and what it answers. Msgpack arrays with a tag; the format is
+fixed: what one version of the program can't read, no later one may write before all nodes can."""
+
+from __future__ import annotations
+
+import re
+from enum import IntEnum
+
+import msgspec
+
+from lanelift.store.raft.messages import Array
+
+KEY = re.compile(r"[a-z0-9][A-Za-z0-9._:@-]*(/[A-Za-z0-9][A-Za-z0-9._:@-]*)*\Z")
+MOST_KEY = 512  # characters
+MOST_VALUE = 1 << 20  # bytes
+MOST_OPS = 256
+MOST_TEXT = 1024  # of an author or a note
+ANY = -1  # a check or op that does not care about the version
+
+
+class Op(Array, frozen=True):
+    """Put `value` under `key`, or delete the key where it is None. `version`: what the key must be at, as its
+    whole command's condition; 0: it must not be there; ANY: whatever."""
+
+    key: str
+    value: bytes | None
+    version: int = ANY
+
+
+class Command(msgspec.Struct, frozen=True, array_like=True, tag=True, forbid_unknown_fields=True):
+    """What an entry holds."""
+
+
+class Write(Command, frozen=True, tag=1):
+    """All of `ops`, or none. Writes of a session are numbered from 1; `answered` says that the answers up to
+    that number came, so that they need not be kept."""
+
+    session: int
+    number: int
+    answered: int
+    ops: tuple[Op, ...]
+    checks: tuple[tuple[str, int], ...] = ()  # keys that are not written, and what they must be at
+    author: str = ""
+    note: str = ""
+    time_ms: int = 0  # the proposer's clock: shown, never decided by
+
+
+class OpenSession(Command, frozen=True, tag=2):
+    """`session` is drawn by the client; opening it twice is harmless."""
+
+    session: int
+    name: str = ""
+
+
+class CloseSession(Command, frozen=True, tag=3):
+    session: int
+
+
+AnyCommand = Write | OpenSession | CloseSession
+
+
+class Code(IntEnum):
+    """How a command ended."""
+
+    DONE = 0
+    CONFLICT = 1  # a key is at another version
+    EXPIRED = 2  # the session is not known any more: whether the write was made before can't be told
+    REFUSED = 3  # it breaks a limit: every node says so alike
+
+
+class Result(Array, frozen=True):
+    """`revision`: the log index that made the change; `versions`: of the written keys, in the order of `ops`;
+    after a conflict, the version that the key named in `text` is at."""
+
+    code: int
+    revision: int = 0
+    versions: tuple[int, ...] = ()
+    text: str = ""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_commands = msgspec.msgpack.Decoder(AnyCommand)
+_results = msgspec.msgpack.Decoder(Result)
+
+
+def pack(what: msgspec.Struct) -> bytes:
+    return _encoder.encode(what)
+
+
+def unpack_command(data: bytes) -> AnyCommand:
+    """Raises ValueError."""
+    return _commands.decode(data)
+
+
+def unpack_result(data: bytes) -> Result:
+    """Raises ValueError."""
+    return _results.decode(data)
+
+
+def wrong(command: Write) -> str:
+    """The first thing about a write that no state takes, whatever it holds; empty: none. Part of the
+    format."""
+    if not command.ops or len(command.ops) + len(command.checks) > MOST_OPS:
+        return f"a write has 1 to {MOST_OPS} operations"
+    keys = [op.key for op in command.ops] + [key for key, _ in command.checks]
+    for key in keys:
+        if len(key) > MOST_KEY or not KEY.match(key):
+            return f"{key[:60]!r} is no key"
+    if len(set(keys)) < len(keys):
+        return "a key stands there twice"
+    if any(op.value is not None and len(op.value) > MOST_VALUE for op in command.ops):
+        return f"a value has {MOST_VALUE} bytes at most"
+    if len(command.author) > MOST_TEXT or len(command.note) > MOST_TEXT:
+        return f"author and note have {MOST_TEXT} characters at most"
+    return ""
--- /dev/null
+++ b/lanelift/store/durable/__init__.py
@@ -0,0 +1,1 @@
+"""What is on disk: log segments, state, snapshots."""
--- /dev/null
+++ b/lanelift/store/durable/state.py
@@ -0,0 +1,403 @@
+"""The state that the log builds: keys with versions, their history, sessions, changes for watchers. SQLite.
+
+A run of entries is applied in one transaction together with its last index, so no reader sees half of a write
+and no entry is applied twice. Commits here are not synced: after power was lost the state may be older than
+the log, which then plays the rest again; `flush` syncs it, and the log is cut only up to there.
+
+Everything that decides lies in the entries and in the state: the same log gives the same bytes of answer on
+every node.
+"""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import google_crc32c
+
+from lanelift.store import commands
+from lanelift.store.commands import ANY, CloseSession, Code, Op, OpenSession, Result, Write, unpack_command
+from lanelift.store.durable.journal import Damaged
+from lanelift.store.raft.messages import Entry, Kind, Members, SnapshotMeta, pack, unpack_members
+
+FORMAT = 1
+HISTORY = 100  # versions of a key under `config/` that are kept
+HISTORY_OF = "config/"
+EVENTS, EVENTS_BYTES = 10_000, 16 << 20  # changes that are kept for watchers
+SESSIONS = 2_000  # the least lately used goes
+WINDOW = 256  # answers that are kept of one session
+CHUNK = 1 << 20
+
+TABLES = """
+CREATE TABLE meta (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
+CREATE TABLE items (key TEXT PRIMARY KEY, value BLOB NOT NULL, version INTEGER NOT NULL,
+    revision INTEGER NOT NULL, time_ms INTEGER NOT NULL, author TEXT NOT NULL, note TEXT NOT NULL) WITHOUT
+    ROWID;
+CREATE TABLE versions (key TEXT PRIMARY KEY, version INTEGER NOT NULL) WITHOUT ROWID;
+CREATE TABLE history (key TEXT, version INTEGER, value BLOB, revision INTEGER NOT NULL,
+    time_ms INTEGER NOT NULL, author TEXT NOT NULL, note TEXT NOT NULL, PRIMARY KEY (key, version)) WITHOUT
+    ROWID;
+CREATE TABLE events (revision INTEGER, place INTEGER, key TEXT NOT NULL, version INTEGER NOT NULL, value BLOB,
+    PRIMARY KEY (revision, place)) WITHOUT ROWID;
+CREATE TABLE sessions (id INTEGER PRIMARY KEY, name TEXT NOT NULL, answered INTEGER NOT NULL,
+    used INTEGER NOT NULL);
+CREATE INDEX sessions_used ON sessions (used);
+CREATE TABLE answers (session INTEGER, number INTEGER, result BLOB NOT NULL,
+    PRIMARY KEY (session, number)) WITHOUT ROWID;
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key as it stands, or as it stood."""
+
+    key: str
+    value: bytes | None  # None: deleted
+    version: int
+    revision: int
+    time_ms: int = 0
+    author: str = ""
+    note: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A change that a watcher is told; `value` is None where the key was deleted."""
+
+    revision: int
+    key: str
+    version: int
+    value: bytes | None
+
+
+Failed = sqlite3.Error
+
+
+class Compacted(Exception):
+    """The history that a watcher asks for is gone."""
+
+    def __init__(self, oldest: int) -> None:
+        super().__init__(f"changes before revision {oldest} are gone: read anew, and watch from there")
+        self.oldest = oldest
+
+
+class State:
+    """One thread at a time."""
+
+    def __init__(self, db: sqlite3.Connection) -> None:
+        self.db = db
+        self.applied = int(self._meta("applied"))
+        self.term = int(self._meta("term"))
+        self.members = unpack_members(bytes(self._meta("members")))
+        self.cluster = str(self._meta("cluster"))
+        self.forgotten = int(self._meta("forgotten"))  # changes up to this revision are gone
+        self.kept_events = int(self._meta("events"))
+        self.kept_bytes = int(self._meta("events_bytes"))
+        self.sessions = int(db.execute("SELECT count(*) FROM sessions").fetchone()[0])
+
+    def _meta(self, name: str) -> Any:
+        row = self.db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
+        if row is None:
+            raise Damaged(f"the state has no {name}")
+        return row[0]
+
+    def close(self) -> None:
+        self.db.close()
+
+    # ---- applying ----------------------------------------------------------------------------------------
+
+    def apply(self, entries: Sequence[Entry]) -> list[Result]:
+        """The entries follow on what was applied; all of them or, where this raises, none."""
+        assert entries[0].index == self.applied + 1, "a gap between state and log"
+        kept = self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            results = [self._apply(entry) for entry in entries]
+            self._forget_events()
+            self._set(applied=entries[-1].index, term=entries[-1].term, forgotten=self.forgotten,
+                      events=self.kept_events, events_bytes=self.kept_bytes)
+            self.db.execute("COMMIT")
+        except BaseException:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions = kept
+            raise
+        self.applied, self.term = entries[-1].index, entries[-1].term
+        return results
+
+    def _set(self, **values: int | bytes) -> None:
+        self.db.executemany("UPDATE meta SET value = ? WHERE name = ?", [(v, n) for n, v in values.items()])
+
+    def _apply(self, entry: Entry) -> Result:
+        if entry.kind == Kind.MEMBERS:
+            self.members = unpack_members(entry.data)
+            self._set(members=entry.data)
+            return Result(Code.DONE, entry.index)
+        if entry.kind != Kind.COMMAND:
+            return Result(Code.DONE, entry.index)
+        try:
+            command = unpack_command(entry.data)
+        except ValueError as error:
+            return Result(Code.REFUSED, entry.index, (), f"it does not read: {' '.join(str(error).split())}")
+        match command:
+            case OpenSession():
+                return self._open(command, entry.index)
+            case CloseSession():
+                self._drop(command.session)
+                return Result(Code.DONE, entry.index)
+            case Write():
+                return self._once(command, entry.index)
+
+    def _open(self, command: OpenSession, index: int) -> Result:
+        fresh = self.db.execute("INSERT INTO sessions VALUES (?, ?, 0, ?) ON CONFLICT (id) DO NOTHING",
+                                (command.session, command.name, index)).rowcount
+        self.sessions += fresh
+        while self.sessions > SESSIONS:
+            oldest = self.db.execute("SELECT id FROM sessions ORDER BY used, id LIMIT 1").fetchone()[0]
+            self._drop(oldest)
+        return Result(Code.DONE, index)
+
+    def _drop(self, session: int) -> None:
+        self.sessions -= self.db.execute("DELETE FROM sessions WHERE id = ?", (session,)).rowcount
+        self.db.execute("DELETE FROM answers WHERE session = ?", (session,))
+
+    def _once(self, command: Write, index: int) -> Result:
+        """A write that was made before is answered as it was then (thesis 6.3)."""
+        row = self.db.execute("SELECT answered FROM sessions WHERE id = ?", (command.session,)).fetchone()
+        if row is None:
+            return Result(Code.EXPIRED, index, (), "the session is not known here: it is too long ago")
+        if command.number <= row[0]:
+            return Result(Code.EXPIRED, index, (), f"write {command.number} was answered before")
+        old = self.db.execute("SELECT result FROM answers WHERE session = ? AND number = ?",
+                              (command.session, command.number)).fetchone()
+        if old is not None:
+            return commands.unpack_result(old[0])
+        answered = max(row[0], command.answered, command.number - WINDOW)
+        if answered > row[0]:
+            self.db.execute("DELETE FROM answers WHERE session = ? AND number <= ?",
+                            (command.session, answered))
+        self.db.execute("UPDATE sessions SET answered = ?, used = ? WHERE id = ?",
+                        (answered, index, command.session))
+        result = self._write(command, index)
+        self.db.execute("INSERT INTO answers VALUES (?, ?, ?)",
+                        (command.session, command.number, commands.pack(result)))
+        return result
+
+    def _write(self, command: Write, index: int) -> Result:
+        why = commands.wrong(command)
+        if why:
+            return Result(Code.REFUSED, index, (), why)
+        checks = [*command.checks, *((op.key, op.version) for op in command.ops if op.version != ANY)]
+        for key, version in checks:
+            now = self._version(key)
+            if now != version:
+                return Result(Code.CONFLICT, index, (now,), key)
+        return Result(Code.DONE, index, tuple(
+            self._op(op, command, index, place) for place, op in enumerate(command.ops)))
+
+    def _version(self, key: str) -> int:
+        """0: the key is not there."""
+        row = self.db.execute("SELECT version FROM items WHERE key = ?", (key,)).fetchone()
+        return int(row[0]) if row else 0
+
+    def _op(self, op: Op, command: Write, index: int, place: int) -> int:
+        # Versions go on counting over a deletion, so that none stands for two values.
+        row = self.db.execute("SELECT version FROM versions WHERE key = ?", (op.key,)).fetchone()
+        version = (int(row[0]) if row else 0) + 1
+        if op.value is None:
+            if self.db.execute("DELETE FROM items WHERE key = ?", (op.key,)).rowcount == 0:
+                return 0
+        else:
+            self.db.execute("INSERT OR REPLACE INTO items VALUES (?, ?, ?, ?, ?, ?, ?)",
+                            (op.key, op.value, version, index, command.time_ms, command.author, command.note))
+        self.db.execute("INSERT OR REPLACE INTO versions VALUES (?, ?)", (op.key, version))
+        if op.key.startswith(HISTORY_OF):
+            self.db.execute("INSERT INTO history VALUES (?, ?, ?, ?, ?, ?, ?)",
+                            (op.key, version, op.value, index, command.time_ms, command.author, command.note))
+            self.db.execute("DELETE FROM history WHERE key = ? AND version <= ?", (op.key, version - HISTORY))
+        self.db.execute("INSERT INTO events VALUES (?, ?, ?, ?, ?)",
+                        (index, place, op.key, version, op.value))
+        self.kept_events += 1
+        self.kept_bytes += len(op.value or b"") + len(op.key.encode())
+        return 0 if op.value is None else version
+
+    def _forget_events(self) -> None:
+        """Whole revisions, oldest first, until what is left is within bounds."""
+        while self.kept_events > EVENTS or self.kept_bytes > EVENTS_BYTES:
+            oldest = self.db.execute("SELECT min(revision) FROM events").fetchone()[0]
+            count, size = self.db.execute(
+                "SELECT count(*), sum(length(CAST(key AS BLOB)) + coalesce(length(value), 0)) FROM events"
+                " WHERE revision = ?", (oldest,)).fetchone()
+            self.db.execute("DELETE FROM events WHERE revision = ?", (oldest,))
+            self.kept_events -= count
+            self.kept_bytes -= size
+            self.forgotten = oldest
+
+    # ---- reading -----------------------------------------------------------------------------------------
+
+    def get(self, key: str) -> Item | None:
+        row = self.db.execute("SELECT key, value, version, revision, time_ms, author, note FROM items"
+                              " WHERE key = ?", (key,)).fetchone()
+        return Item(*row) if row else None
+
+    def scan(self, prefix: str, after: str = "", most: int = 1000) -> list[Item]:
+        """Keys that begin so, in their order, from the one behind `after` on."""
+        return [Item(*row) for row in self.db.execute(
+            "SELECT key, value, version, revision, time_ms, author, note FROM items"
+            " WHERE key >= ? AND key < ? AND key > ? ORDER BY key LIMIT ?",
+            (prefix, prefix + "\U0010ffff", after, most))]
+
+    def history(self, key: str, most: int = HISTORY) -> list[Item]:
+        """What a key was, newest first."""
+        return [Item(*row) for row in self.db.execute(
+            "SELECT key, value, version, revision, time_ms, author, note FROM history WHERE key = ?"
+            " ORDER BY version DESC LIMIT ?", (key, most))]
+
+    def events(self, prefix: str, after: int, most: int = 256) -> list[Event]:
+        """Changes after this revision, whole revisions only, in their order. Raises Compacted."""
+        if after < self.forgotten:
+            raise Compacted(self.forgotten)
+        rows = self.db.execute(
+            "SELECT revision, key, version, value FROM events WHERE revision > ? AND key >= ? AND key < ?"
+            " ORDER BY revision, place LIMIT ?", (after, prefix, prefix + "\U0010ffff", most)).fetchall()
+        if len(rows) == most:
+            last = rows[-1][0]
+            whole = [row for row in rows if row[0] < last]
+            rows = whole or self.db.execute(
+                "SELECT revision, key, version, value FROM events WHERE revision = ? AND key >= ? AND key < ?"
+                " ORDER BY place", (last, prefix, prefix + "\U0010ffff")).fetchall()
+        return [Event(*row) for row in rows]
+
+    def digest(self) -> int:
+        """A checksum of all that the log decides: the same on every node that applied as much."""
+        total = 0
+        for table, order in (("items", "key"), ("versions", "key"), ("history", "key, version"),
+                             ("events", "revision, place"), ("sessions", "id"),
+                             ("answers", "session, number"), ("meta", "name")):
+            for row in self.db.execute(f"SELECT * FROM {table} ORDER BY {order}"):
+                total = google_crc32c.extend(total, repr(row).encode())
+        return int(total)
+
+
+# ---- files -----------------------------------------------------------------------------------------------
+
+
+def _connect(path: str) -> sqlite3.Connection:
+    db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, cached_statements=64)
+    db.execute("PRAGMA journal_mode = WAL")
+    db.execute("PRAGMA synchronous = NORMAL")  # durable with `flush`
+    db.execute("PRAGMA wal_autocheckpoint = 0")  # only `flush` moves it, so that its syncs are known
+    db.execute("PRAGMA cache_size = -8192")
+    return db
+
+
+def fill(db: sqlite3.Connection, cluster: str, members: Members) -> None:
+    """A new, empty state."""
+    db.executescript("BEGIN;" + TABLES + "COMMIT;")
+    db.executemany("INSERT INTO meta VALUES (?, ?)", [
+        ("format", FORMAT), ("cluster", cluster), ("applied", 0), ("term", 0), ("members", pack(members)),
+        ("forgotten", 0), ("events", 0), ("events_bytes", 0)])
+
+
+def checked(db: sqlite3.Connection, name: str) -> State:
+    """Raises Damaged, in one line."""
+    try:
+        version = db.execute("SELECT value FROM meta WHERE name = 'format'").fetchone()
+        if version is None or version[0] > FORMAT:
+            raise Damaged(f"{name}: format {version[0] if version else '?'} is newer than {FORMAT}, "
+                          "which this program knows")
+        return State(db)
+    except (sqlite3.Error, ValueError) as error:
+        raise Damaged(f"{name}: {' '.join(str(error).split())}") from None
+
+
+def create(path: Path, cluster: str, members: Members) -> State:
+    db = _connect(str(path))
+    fill(db, cluster, members)
+    db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    return State(db)
+
+
+def open_state(path: Path) -> State:
+    """Raises Damaged."""
+    if not path.exists():
+        raise Damaged(f"{path.name} is not there")
+    try:
+        db = _connect(str(path))
+    except sqlite3.Error as error:
+        raise Damaged(f"{path.name}: {error}") from None
+    return checked(db, path.name)
+
+
+def flush(state: State) -> int:
+    """Sync what was applied; the index up to which the state is durable now. Raises sqlite3.Error."""
+    applied = state.applied
+    busy, _, _ = state.db.execute("PRAGMA wal_checkpoint(FULL)").fetchone()
+    if busy:
+        raise sqlite3.OperationalError("a reader holds the state: it can't be synced now")
+    return applied
+
+
+def verify(path: Path) -> str:
+    """What is wrong with a state's file, after looking at all of it; empty: nothing."""
+    try:
+        db = sqlite3.connect(f"file:{path}?mode=ro", uri=True)
+        try:
+            found = db.execute("PRAGMA integrity_check(1)").fetchone()[0]
+            return "" if found == "ok" else str(found)
+        finally:
+            db.close()
+    except sqlite3.Error as error:
+        return str(error)
+
+
+def export(source: Path, target: Path) -> SnapshotMeta:
+    """A copy of the state as of one entry, while it goes on changing; durable when this returns. Runs on a
+    connection of its own. Raises sqlite3.Error, OSError."""
+    target.unlink(missing_ok=True)
+    db = sqlite3.connect(f"file:{source}?mode=ro", uri=True, timeout=5)
+    try:
+        db.execute("VACUUM INTO ?", (str(target),))
+    finally:
+        db.close()
+    number = os.open(target, os.O_RDONLY)
+    try:
+        os.fsync(number)
+    finally:
+        os.close(number)
+    return describe(target)
+
+
+def describe(path: Path) -> SnapshotMeta:
+    """Raises Damaged."""
+    try:
+        db = sqlite3.connect(f"file:{path}?mode=ro&immutable=1", uri=True)
+        try:
+            meta = dict(db.execute("SELECT name, value FROM meta"))
+        finally:
+            db.close()
+        if meta["format"] > FORMAT:
+            raise Damaged(f"{path.name}: format {meta['format']} is newer than {FORMAT}, which this program"
+                          " knows")
+        return SnapshotMeta(int(meta["applied"]), int(meta["term"]), unpack_members(meta["members"]),
+                            path.stat().st_size, checksum(path))
+    except (sqlite3.Error, KeyError, ValueError) as error:
+        raise Damaged(f"{path.name}: no snapshot: {' '.join(str(error).split())}") from None
+
+
+def of_bytes(data: bytes) -> int:
+    """Their CRC-32C."""
+    return int(google_crc32c.value(data))
+
+
+def checksum(path: Path) -> int:
+    """CRC-32C of a file."""
+    total = 0
+    with open(path, "rb") as file:
+        while chunk := file.read(CHUNK):
+            total = google_crc32c.extend(total, chunk)
+    return int(total)
--- /dev/null
+++ b/lanelift/store/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Consensus: Raft as a state machine without I/O."""
--- /dev/null
+++ b/lanelift/store/replica.py
@@ -0,0 +1,144 @@
+"""One member's consensus, log and state put together, still without sockets, threads or a clock of its own.
+
+Whoever drives it, a node or a simulator, may carry out `write` in one thread and `apply`, `flush` in another:
+they share nothing but the state, which `write` takes only to install a snapshot while nothing is being
+applied.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from lanelift.store.commands import Result
+from lanelift.store.durable.files import Files, write_whole
+from lanelift.store.durable.journal import Damaged, Journal
+from lanelift.store.durable.state import State
+from lanelift.store.durable.vault import Vault
+from lanelift.store.raft.core import Batch, Config, Core
+from lanelift.store.raft.log import Log
+from lanelift.store.raft.messages import Array, Entry, Members
+
+IDENTITY = "identity.json"
+FORMAT = 1
+KEEP = 2_000  # entries that stay in the log behind the state, for members that are a little behind
+CUT_BYTES, CUT_ENTRIES = 16 << 20, 10_000  # the log is cut when it holds more
+PATIENCE = 4  # times that, where a member that takes a snapshot will need the entries after it
+
+
+class Identity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Whose folder this is; written once."""
+
+    format: int
+    cluster: str
+    node: int
+    name: str = ""
+
+
+class Boundaries(Array, frozen=True):
+    """When the log is cut, and what of it is kept."""
+
+    keep: int = KEEP
+    entries: int = CUT_ENTRIES
+    bytes: int = CUT_BYTES
+
+
+def write_identity(files: Files, identity: Identity) -> None:
+    write_whole(files, IDENTITY, msgspec.json.encode(identity))
+
+
+def read_identity(files: Files) -> Identity:
+    """Raises Damaged."""
+    try:
+        raw = files.read(IDENTITY)
+    except FileNotFoundError:
+        raise Damaged(f"there is no {IDENTITY}: this folder belongs to no cluster yet") from None
+    try:
+        version = msgspec.json.decode(raw)["format"]
+        if version > FORMAT:
+            raise Damaged(f"{IDENTITY}: format {version} is newer than {FORMAT}, which this program knows")
+        return msgspec.json.decode(raw, type=Identity)
+    except (ValueError, KeyError, TypeError) as error:
+        raise Damaged(f"{IDENTITY}: {error}") from None
+
+
+class Replica:
+    def __init__(self, identity: Identity, journal: Journal, vault: Vault, state: State, core: Core,
+                 boundaries: Boundaries) -> None:
+        self.identity = identity
+        self.journal = journal
+        self.vault = vault
+        self.state = state
+        self.core = core
+        self.boundaries = boundaries
+        self.flushed = 0  # the state holds so much durably
+
+    @classmethod
+    def open(cls, identity: Identity, journal: Journal, vault: Vault, config: Config, now: int,
+             rng: random.Random, boundaries: Boundaries = Boundaries(),  # noqa: B008 (it can't be changed)
+             make: type[Core] = Core) -> Replica:
+        """From what is on disk. Raises Damaged."""
+        found = journal.open()
+        state = vault.open()
+        if found.install is not None and found.install.index > state.applied:
+            # Power went between the word in the log and the deed.
+            state = vault.swap(state, found.install)
+        if state.cluster != identity.cluster:
+            raise Damaged(f"the state belongs to cluster {state.cluster}")
+        if state.applied < found.base:
+            raise Damaged(f"the state ends at entry {state.applied}, the log begins after {found.base}")
+        log = Log(found.base, found.base_term, found.entries)
+        if state.applied > log.last:
+            raise Damaged(f"the log ends at entry {log.last}, the state holds {state.applied}")
+        core = make(identity.node, config, found.hard, log, state.members, now, rng, state.applied)
+        core.cut(state.applied - boundaries.keep)
+        return cls(identity, journal, vault, state, core, boundaries)
+
+    def write(self, batch: Batch) -> bool:
+        """Make a batch durable; False where the snapshot in it is not whole. Raises Full, and may be called
+        again with the same batch; raises Broken."""
+        for piece in batch.pieces:
+            self.vault.write_piece(piece.offset, piece.data)
+        if batch.hard is not None or batch.entries:
+            self.journal.write(batch.hard, batch.entries)
+        if batch.install is None:
+            return True
+        if not self.vault.arrived(batch.install):
+            return False
+        self.journal.write(None, (), batch.install)
+        self.state = self.vault.swap(self.state, batch.install)
+        return True
+
+    def apply(self, entries: Sequence[Entry]) -> list[Result]:
+        return self.state.apply(entries)
+
+    @property
+    def wants_cut(self) -> bool:
+        """Is there so much log that the state should be synced and the log cut?"""
+        log, b = self.core.log, self.boundaries
+        behind = self.core.applied - log.base
+        return behind > b.keep and (behind > b.entries or log.bytes > b.bytes)
+
+    def flush(self) -> int:
+        """Sync the state. Raises Full."""
+        self.flushed = self.vault.flush(self.state)
+        return self.flushed
+
+    def cut(self) -> None:
+        """Drop from the log what is durable in the state, but for the last entries."""
+        log = self.core.log
+        index = min(self.flushed, self.core.applied - self.boundaries.keep)
+        if log.bytes > self.boundaries.bytes:
+            index = self.flushed  # what is kept must not outgrow memory
+        if log.bytes < PATIENCE * self.boundaries.bytes:
+            index = min(index, self.core.awaited)
+        if index > log.base:
+            self.core.cut(index)
+            self.journal.cut(index)
+
+
+def members_of(node: int, address: str) -> Members:
+    """A cluster of one."""
+    return Members((node,), (), {node: address})
