--- a/lanelift/lab/cluster/checks.py
+++ b/lanelift/lab/cluster/checks.py
@@ -43,7 +43,8 @@
         if isinstance(m, Vote) and m.granted and not m.pre:
             self.voted(node, m.term, to)
         # Who declines, or asks to read, binds itself to nothing.
-        binds = (isinstance(m, Append | Piece | TakeOver | PieceTaken) or (isinstance(m, VoteAsk) and not m.pre)
+        binds = (isinstance(m, Append | Piece | TakeOver | PieceTaken)
+                 or (isinstance(m, VoteAsk) and not m.pre)
                  or (isinstance(m, Vote) and m.granted and not m.pre)
                  or (isinstance(m, Appended) and not m.rejected))
         if binds:
--- a/lanelift/lab/scale.py
+++ b/lanelift/lab/scale.py
@@ -28,6 +28,8 @@
     "boxes 30%": [Fault(kind="restart", at=Duration(AT_S * SECOND), lasts=Duration(4 * SECOND), part=0.3)],
     "balancers 50%": [Fault(kind="kill_balancers", at=Duration(AT_S * SECOND), lasts=Duration(4 * SECOND),
                             part=0.5)],
+    "errors 20%": [Fault(kind="errors", at=Duration(AT_S * SECOND), lasts=Duration(6 * SECOND), part=0.2,
+                         size=0.6)],
     "surge x3": [Fault(kind="surge", at=Duration(AT_S * SECOND), lasts=Duration(6 * SECOND), size=3.0)]}
 
 
