--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -21,7 +21,7 @@
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE, Budget
 from lanelift.net.disabled import DisabledUpstreams
-from lanelift.net.discovery import Discovery, FixedList, read_list, split_address
+from lanelift.net.discovery import Discovery, FixedList, read_list
 from lanelift.net.driver import Driver
 from lanelift.net.frontend import Frontend
 from lanelift.net.listener import listening_socket
@@ -29,7 +29,7 @@
 from lanelift.net.peers import Address, Peers
 from lanelift.net.siblings import Siblings
 from lanelift.net.upstream import Upstreams
-from lanelift.settings import Json, Malformed, maybe, need, read_settings, typed
+from lanelift.settings import Json, Malformed, maybe, need, read_settings, split_address, typed
 
 SOCKETS, MEMORY_MB = 1024, 256  # where no limit is told
 DOOR = CONNECTIONS + TURN + 1  # descriptors kept for the operators' door
--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -8,13 +8,16 @@
 
 import typer
 
-from lanelift.cli import lab, serve
+from lanelift.cli import lab, serve, store
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Malformed
+from lanelift.store.client import StoreError
+from lanelift.store.durable.journal import Damaged, Full
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A load balancer that keeps its rules, and the lab that shows it under failure.")
 app.add_typer(lab.app, name="lab")
+app.add_typer(store.app, name="store")
 app.command("serve")(serve.serve)
 
 
@@ -30,6 +33,9 @@
     except (Unusable, Malformed) as error:
         print(f"lanelift: {error}", file=sys.stderr)
         sys.exit(2)
+    except (StoreError, Damaged, Full) as error:
+        print(f"lanelift: {error}", file=sys.stderr)
+        sys.exit(1)
     except KeyboardInterrupt:
         print("lanelift: interrupted", file=sys.stderr)
         sys.exit(130)
--- /dev/null
+++ b/lanelift/cli/store.py
@@ -0,0 +1,252 @@
+"""`lanelift store ...`: make, run and look after the nodes of the replicated store."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import typer
+import uvloop
+from rich.console import Console
+from rich.table import Table
+
+from lanelift.settings import Malformed
+from lanelift.store import run as running
+from lanelift.store.client import Client
+from lanelift.store.durable import state as states
+from lanelift.store.durable.vault import STATE
+from lanelift.store.security import Tls
+from lanelift.store.settings import read_store
+
+app = typer.Typer(no_args_is_help=True, help="The replicated store: its nodes, members, copies.")
+out = Console(width=None if sys.stdout.isatty() else 120)
+T = TypeVar("T")
+
+Settings = Annotated[Path, typer.Option("--settings", help="The node's settings, a TOML file.")]
+At = Annotated[str, typer.Option("--at", envvar="LANELIFT_STORE", help="Addresses of members, HOST:PORT, with"
+                                                                        " commas between.")]
+Cert = Annotated[Path | None, typer.Option("--certificate", envvar="LANELIFT_STORE_CERTIFICATE",
+                                           help="Of this client, PEM.")]
+Key = Annotated[Path | None, typer.Option("--key", envvar="LANELIFT_STORE_KEY")]
+Authority = Annotated[Path | None, typer.Option("--authority", envvar="LANELIFT_STORE_AUTHORITY")]
+Within = Annotated[float, typer.Option("--within", help="Seconds until it is given up.")]
+NAME = Annotated[str, typer.Option(help="Of the node, for people.")]
+
+
+def client(at: str, certificate: Path | None, key: Path | None, authority: Path | None,
+           name: str = "lanelift command", within_s: float = 5.0) -> Client:
+    """Raises Malformed."""
+    addresses = [a.strip() for a in at.split(",") if a.strip()]
+    if not addresses:
+        raise Malformed("--at: addresses of members are needed, HOST:PORT")
+    if not certificate:
+        return Client(addresses, name=name, deadline_s=within_s)
+    if not key or not authority:
+        raise Malformed("--key and --authority: both go with --certificate")
+    context = Tls(certificate, key, authority).context(False)
+    return Client(addresses, lambda: context, name=name, deadline_s=within_s)
+
+
+def using(made: Client, work: Callable[[Client], Awaitable[T]]) -> T:
+    async def go() -> T:
+        try:
+            return await work(made)
+        finally:
+            await made.close()
+    return uvloop.run(go())
+
+
+def number(text: str) -> int:
+    try:
+        return int(text, 16)
+    except ValueError:
+        raise Malformed(f"{text!r} is no node's number: `lanelift store status` shows them") from None
+
+
+@app.command()
+def init(settings: Settings, name: NAME = "",
+         cluster: Annotated[str, typer.Option(help="Its name; drawn where it is not told.")] = "") -> None:
+    """Make a new cluster of one node, in an empty folder."""
+    made = running.init(read_store(settings), cluster, name)
+    out.print(f"cluster {made.cluster}, node {made.node:x}: run it with"
+              f" lanelift store run --settings {settings}", soft_wrap=True)
+
+
+@app.command()
+def run(settings: Settings) -> None:
+    """Run a node until SIGTERM."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    read = read_store(settings)
+    why = uvloop.run(running.serve(read, lambda r: print(f"listening on port {r.server.port}", flush=True)))
+    if why:
+        print(f"lanelift: {why}", file=sys.stderr)
+        raise typer.Exit(1)
+
+
+@app.command()
+def join(settings: Settings, at: At, name: NAME = "", certificate: Cert = None, key: Key = None,
+         authority: Authority = None, within: Within = 10.0) -> None:
+    """Make a node's folder and have the cluster take it in as a learner; run it, and promote it when it has
+    caught up."""
+    read = read_store(settings)
+
+    async def work(c: Client) -> None:
+        status = await c.status()
+        made = running.prepare(read, status["cluster"], name)
+        try:
+            await c.manage("learn", made.node, read.advertise)
+        except BaseException:
+            out.print(f"the folder {read.folder} is made, the cluster has not taken the node in: remove it"
+                      " and try again", soft_wrap=True)
+            raise
+        out.print(f"cluster {made.cluster}, node {made.node:x}, a learner: run it with lanelift store run"
+                  f" --settings {settings}, then lanelift store promote {made.node:x}", soft_wrap=True)
+
+    using(client(at, certificate, key, authority, within_s=within), work)
+
+
+def _manage(what: str, node: str, at: str, certificate: Path | None, key: Path | None, authority: Path | None,
+            within: float) -> None:
+    made = client(at, certificate, key, authority, within_s=within)
+    out.print(using(made, lambda c: c.manage(what, number(node) if node else 0)))
+
+
+@app.command()
+def promote(node: str, at: At, certificate: Cert = None, key: Key = None, authority: Authority = None,
+            within: Within = 10.0) -> None:
+    """Give a learner a vote."""
+    _manage("promote", node, at, certificate, key, authority, within)
+
+
+@app.command()
+def remove(node: str, at: At, certificate: Cert = None, key: Key = None, authority: Authority = None,
+           within: Within = 10.0) -> None:
+    """Remove a member for good. Its number never returns."""
+    _manage("remove", node, at, certificate, key, authority, within)
+
+
+@app.command()
+def transfer(node: str, at: At, certificate: Cert = None, key: Key = None, authority: Authority = None,
+             within: Within = 10.0) -> None:
+    """Hand leadership to this voter."""
+    _manage("transfer", node, at, certificate, key, authority, within)
+
+
+@app.command()
+def snapshot(at: At, certificate: Cert = None, key: Key = None, authority: Authority = None,
+             within: Within = 60.0) -> None:
+    """Have the node make the snapshot that it sends to members far behind, now."""
+    _manage("snapshot", "", at, certificate, key, authority, within)
+
+
+@app.command()
+def status(at: At, certificate: Cert = None, key: Key = None, authority: Authority = None,
+           within: Within = 5.0,
+           as_json: Annotated[bool, typer.Option("--json", help="All of it, for programs.")] = False) -> None:
+    """What each member says of itself, and who leads."""
+    addresses = [a.strip() for a in at.split(",") if a.strip()]
+
+    async def one(address: str) -> dict[str, Any]:
+        made = client(address, certificate, key, authority, within_s=min(within, 2.0))
+        try:
+            return await made.status()
+        except Exception as error:
+            return {"address": address, "trouble": str(error)}
+        finally:
+            await made.close()
+
+    async def work() -> list[dict[str, Any]]:
+        found = await asyncio.gather(*map(one, addresses))
+        # Members that were not named answer as well.
+        known = {m["address"] for s in found for m in s.get("members", ()) if m["address"]} - set(addresses)
+        return [*found, *await asyncio.gather(*map(one, sorted(known)))]
+
+    found = uvloop.run(work())
+    if as_json:
+        print(json.dumps(found, indent=1))
+    else:
+        show(found)
+    if all("trouble" in s for s in found):
+        raise typer.Exit(1)
+
+
+def show(found: list[dict[str, Any]]) -> None:
+    clusters = sorted({s["cluster"] for s in found if "cluster" in s})
+    table = Table(title=f"cluster {', '.join(clusters) or 'unknown'}")
+    for column in ("node", "name", "address", "role", "term", "last", "commit", "applied", "lag",
+                   "sync p50 ms", "sync p99 ms", "trouble"):
+        table.add_column(column, justify="left" if column in ("node", "name", "trouble") else "right",
+                         no_wrap=column in ("node", "address"))
+    lags = {m["node"]: m["lag"] for s in found for m in s.get("members", ()) if m["lag"] is not None}
+    for s in found:
+        if "trouble" in s:
+            table.add_row("?", "", s["address"], *[""] * 8, s["trouble"])
+            continue
+        me = next((m for m in s["members"] if m["here"]), None)
+        troubles = [t for t in (
+            "removed" if s["removed"] else "",
+            f"no leader for {s['leaderless_ms']} ms" if not s["leader"] else "",
+            f"disk full for {s['disk_full_s']} s" if s["disk_full_s"] else "") if t]
+        role = s["role"] if me is None or me["voter"] else "learner"
+        lag = lags.get(s["node"])
+        table.add_row(s["node"], s["name"], me["address"] if me else "", role, str(s["term"]), str(s["last"]),
+                      str(s["commit"]), str(s["applied"]), "" if lag is None else str(lag),
+                      str(s["sync_p50_ms"]), str(s["sync_p99_ms"]), "; ".join(troubles))
+    out.print(table)
+
+
+@app.command()
+def backup(copy: Annotated[Path, typer.Argument(help="Where the copy goes.")], at: At,
+           certificate: Cert = None, key: Key = None, authority: Authority = None,
+           within: Within = 60.0) -> None:
+    """Copy the state as of one entry, checked, while everything goes on."""
+    fresh = copy.with_name(copy.name + ".new")
+    try:
+        with open(fresh, "wb") as file:
+            index, _, size, checksum = using(client(at, certificate, key, authority),
+                                             lambda c: c.copy(file.write, within))
+        if fresh.stat().st_size != size or states.checksum(fresh) != checksum:
+            raise Malformed(f"{copy}: it did not come whole: try again")
+        fresh.rename(copy)
+    finally:
+        fresh.unlink(missing_ok=True)
+    out.print(f"{copy}: entries up to {index}, {size} bytes")
+
+
+@app.command()
+def restore(copy: Annotated[Path, typer.Argument(help="A copy, or the state.db of a stopped node.")],
+            settings: Settings, name: NAME = "",
+            cluster: Annotated[str, typer.Option(help="The new cluster's name; drawn where not told.")] = "",
+            ) -> None:
+    """Make a new cluster of one node with what a copy holds."""
+    made = running.restore(read_store(settings), copy, cluster, name)
+    out.print(f"cluster {made.cluster}, node {made.node:x}: run it with"
+              f" lanelift store run --settings {settings}; other nodes join it anew", soft_wrap=True)
+
+
+@app.command()
+def verify(settings: Annotated[Path | None, typer.Option("--settings", help="Of a stopped node.")] = None,
+           copy: Annotated[Path | None, typer.Option("--copy", help="A copy.")] = None) -> None:
+    """Read all of a folder or a copy, and say what is wrong with it."""
+    wrong: list[str] = []
+    if settings is not None:
+        wrong += running.verify(read_store(settings))
+    if copy is not None:
+        why = states.verify(copy)
+        if why:
+            wrong.append(f"{copy}: {why}")
+        else:
+            meta = states.describe(copy)
+            out.print(f"{copy}: entries up to {meta.index}, {meta.size} bytes")
+    if settings is None and copy is None:
+        raise Malformed("--settings or --copy: one of them is needed")
+    for line in wrong:
+        print(f"lanelift: {line}", file=sys.stderr)
+    if wrong:
+        raise typer.Exit(1)
+    out.print(f"{'copy' if settings is None else STATE + ' and log'}: good")
--- a/lanelift/daemon/settings.py
+++ b/lanelift/daemon/settings.py
@@ -11,8 +11,8 @@
 
 from lanelift.__main__ import MEMORY_MB, SOCKETS, Config
 from lanelift.net.budget import RESERVE
-from lanelift.net.discovery import read_list, split_address
-from lanelift.settings import Json, Malformed, read_settings, write_class
+from lanelift.net.discovery import read_list
+from lanelift.settings import Json, Malformed, read_settings, split_address, write_class
 from lanelift.units import Duration, PerSecond, Size, convert, repeated
 
 MS = 1_000_000
--- a/lanelift/lab/cluster/disk.py
+++ b/lanelift/lab/cluster/disk.py
@@ -255,6 +255,9 @@
         data = self.disk.read(INCOMING)
         return len(data) == meta.size and states.of_bytes(data) == meta.checksum
 
+    def close(self) -> None:
+        pass
+
     def swap(self, state: State | None, meta: SnapshotMeta) -> State:
         if INCOMING in self.disk.files:
             data = self.disk.read(INCOMING)
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -16,7 +16,7 @@
 from lanelift.net.http import Connection, Exchange
 from lanelift.net.parse import Response, message
 from lanelift.net.upstream import Endpoint, number_of
-from lanelift.settings import Json, Malformed, maybe, need, typed, word
+from lanelift.settings import Json, Malformed, maybe, need, split_address, typed, word
 
 log = logging.getLogger(__name__)
 
@@ -39,13 +39,6 @@
     """A call failed: discovery is down, or said what can't be read."""
 
 
-def split_address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise Malformed(f"{text!r} is not HOST:PORT")
-    return host.strip("[]"), int(port)
-
-
 def read_endpoint(row: Any) -> Endpoint:
     row = typed(row, "server", dict)
     state = word(row, "state", STATES, "Ready")
--- a/lanelift/settings.py
+++ b/lanelift/settings.py
@@ -25,6 +25,13 @@
     """The input is not what the wire allows."""
 
 
+def split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Malformed(f"{text!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
 def need(row: Json, key: str, kind: type) -> Any:
     """A field that must be there, of this type; a whole number is no bool."""
     if key not in row:
--- a/lanelift/store/durable/journal.py
+++ b/lanelift/store/durable/journal.py
@@ -165,8 +165,8 @@
         self.last, self.last_term = base, base_term
         self._begin_segment(1)
 
-    def open(self) -> Found:
-        """Raises Damaged, and cuts off a torn tail."""
+    def open(self, repair: bool = True) -> Found:
+        """Raises Damaged, and cuts off a torn tail; without `repair` it is only looked at."""
         numbers = sorted(int(name[len(PREFIX):]) for name in self.files.names()
                          if name.startswith(PREFIX) and name[len(PREFIX):].isdigit())
         if not numbers:
@@ -183,12 +183,15 @@
             if first is None:
                 if number == numbers[-1] and found is not None and _later(data, 0, salt, self.sequence) < 0:
                     found.cut += len(data)
-                    self.files.remove(segment.name)  # it was being begun
-                    self.files.sync_folder()
+                    if repair:
+                        self.files.remove(segment.name)  # it was being begun
+                        self.files.sync_folder()
                     break
                 raise Damaged(f"{segment.name}: its head does not read")
             found = self._read(segment, data, salt, found, number == numbers[-1])
         assert found is not None
+        if not repair:
+            return found
         self.file = self.files.open(self.segments[-1].name)
         if found.cut:
             self.file.truncate(self.at)
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -355,6 +355,19 @@
         return str(error)
 
 
+def rename(path: Path, cluster: str, members: Members) -> None:
+    """Make a copy the state of another cluster, whose only member is new. Raises Damaged."""
+    state = open_state(path)
+    try:
+        state.db.execute("BEGIN IMMEDIATE")
+        state._set(members=pack(members))
+        state.db.execute("UPDATE meta SET value = ? WHERE name = 'cluster'", (cluster,))
+        state.db.execute("COMMIT")
+        flush(state)
+    finally:
+        state.close()
+
+
 def export(source: Path, target: Path) -> SnapshotMeta:
     """A copy of the state as of one entry, while it goes on changing; durable when this returns. Runs on a
     connection of its own. Raises sqlite3.Error, OSError."""
--- a/lanelift/store/durable/vault.py
+++ b/lanelift/store/durable/vault.py
@@ -41,6 +41,8 @@
         """The incoming snapshot takes the place of the state; carried out twice it does the same. Raises
         Damaged."""
 
+    def close(self) -> None: ...
+
 
 class DiskVault:
     def __init__(self, folder: Path) -> None:
--- /dev/null
+++ b/lanelift/store/link.py
@@ -0,0 +1,151 @@
+"""Connections to other members, one for each, made anew whenever they break. Messages that can't go are
+dropped: consensus sends again what matters."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import ssl
+import time
+from collections.abc import Callable, Sequence
+from typing import cast
+
+from lanelift.settings import Malformed, split_address
+from lanelift.store.raft.messages import AnyMessage, pack
+from lanelift.store.wire import protocol
+from lanelift.store.wire.frames import Receiver, Refused, Sender
+from lanelift.store.wire.protocol import Declined, Hello, Welcome, unpack_greeting
+
+log = logging.getLogger(__name__)
+
+MOST_WAITING = 16 << 20  # bytes that a slow member may leave unread; beyond it nothing more is written
+CONNECT_S = 2.0
+BACKOFF_S = 0.05, 2.0
+STUCK_S = 5.0  # nothing was read for so long, though there was something: the connection is dead
+
+
+class Dialing(asyncio.Protocol):
+    """One connection, until it ends."""
+
+    def __init__(self, hello: Hello, expected: int) -> None:
+        self.hello = hello
+        self.expected = expected
+        self.sender = Sender()
+        self.receiver = Receiver()
+        self.transport: asyncio.Transport | None = None
+        loop = asyncio.get_running_loop()
+        self.welcomed: asyncio.Future[str] = loop.create_future()  # empty, or why not
+        self.closed: asyncio.Future[None] = loop.create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(MOST_WAITING)
+        self.transport.write(self.sender.frame(protocol.pack(self.hello)))
+
+    def data_received(self, data: bytes) -> None:
+        self.receiver.feed(data)
+        try:
+            for payload in self.receiver.payloads():
+                self._greeted(unpack_greeting(payload))
+        except (Refused, ValueError) as error:
+            self._end(str(error))
+
+    def _greeted(self, greeting: Hello | Welcome | Declined) -> None:
+        if isinstance(greeting, Declined):
+            self._end(greeting.text)
+        elif isinstance(greeting, Hello) or self.welcomed.done():
+            self._end("it speaks out of turn")
+        elif greeting.node != self.expected or greeting.cluster != self.hello.cluster:
+            self._end(f"node {greeting.node:x} of cluster {greeting.cluster} answers there")
+        else:
+            self.sender.bind(greeting.nonce)
+            self.welcomed.set_result("")
+
+    def _end(self, why: str) -> None:
+        if not self.welcomed.done():
+            self.welcomed.set_result(why)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._end("the connection was closed")
+        if not self.closed.done():
+            self.closed.set_result(None)
+
+
+class Link:
+    """The way to one member."""
+
+    def __init__(self, node: int, address: str, hello: Callable[[], Hello],
+                 tls: Callable[[], ssl.SSLContext | None]) -> None:
+        self.node = node
+        self.address = address
+        self.hello = hello
+        self.tls = tls
+        self.now: Dialing | None = None  # greeted, and open
+        self.dropped = 0
+        self.why = "not tried yet"
+        self.unread = 0  # bytes, when last looked
+        self.read_s = 0.0  # when it last went down
+        self.task = asyncio.get_running_loop().create_task(self._keep())
+
+    def send(self, messages: Sequence[AnyMessage]) -> None:
+        dialing = self.now
+        if dialing is None or dialing.transport is None or dialing.transport.is_closing():
+            self.dropped += len(messages)
+            return
+        waiting = dialing.transport.get_write_buffer_size()
+        if waiting > MOST_WAITING:
+            self.dropped += len(messages)
+            return
+        now = time.monotonic()
+        if waiting == 0 or waiting < self.unread:
+            self.read_s = now
+        elif now - self.read_s > STUCK_S:
+            self.why = f"nothing was read for {STUCK_S:.0f} s"
+            dialing.transport.abort()
+            return
+        dialing.transport.write(b"".join(dialing.sender.frame(pack(m)) for m in messages))
+        self.unread = dialing.transport.get_write_buffer_size()
+
+    async def _keep(self) -> None:
+        wait = BACKOFF_S[0]
+        said = ""
+        while True:
+            try:
+                self.why = await self._once()
+                wait = BACKOFF_S[0]
+            except (OSError, TimeoutError, Malformed, ssl.SSLError) as error:
+                self.why = str(error) or "no connection in time"
+            finally:
+                self.now = None
+            if self.why != said:
+                log.warning("node %x at %s: %s", self.node, self.address, self.why)
+                said = self.why
+            await asyncio.sleep(wait * random.uniform(0.5, 1.0))
+            wait = min(2 * wait, BACKOFF_S[1])
+
+    async def _once(self) -> str:
+        """One connection's life; why it ended."""
+        dialing = Dialing(self.hello(), self.node)
+        loop = asyncio.get_running_loop()
+        host, port = split_address(self.address)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await loop.create_connection(lambda: dialing, host, port, ssl=self.tls())
+                why = await dialing.welcomed
+            if why:
+                raise ConnectionError(why)
+            self.now, self.read_s, self.unread = dialing, time.monotonic(), 0
+            log.info("node %x at %s: connected", self.node, self.address)
+            await dialing.closed
+        finally:
+            if dialing.transport is not None:
+                dialing.transport.abort()
+        return "the connection was closed"
+
+    def close(self) -> None:
+        self.task.cancel()
+        if self.now is not None and self.now.transport is not None:
+            self.now.transport.abort()
--- a/lanelift/store/replica.py
+++ b/lanelift/store/replica.py
@@ -126,17 +126,26 @@
         self.flushed = self.vault.flush(self.state)
         return self.flushed
 
-    def cut(self) -> None:
-        """Drop from the log what is durable in the state, but for the last entries."""
+    def cut_index(self) -> int:
+        """Up to which entry the log may be dropped: what is durable in the state, but for the last
+        entries."""
         log = self.core.log
         index = min(self.flushed, self.core.applied - self.boundaries.keep)
         if log.bytes > self.boundaries.bytes:
             index = self.flushed  # what is kept must not outgrow memory
         if log.bytes < PATIENCE * self.boundaries.bytes:
             index = min(index, self.core.awaited)
-        if index > log.base:
-            self.core.cut(index)
-            self.journal.cut(index)
+        return max(index, log.base)
+
+    def cut(self) -> None:
+        index = self.cut_index()
+        self.core.cut(index)
+        self.journal.cut(index)
+
+    def close(self) -> None:
+        self.journal.close()
+        self.state.close()
+        self.vault.close()
 
 
 def members_of(node: int, address: str) -> Members:
--- /dev/null
+++ b/lanelift/store/run.py
@@ -0,0 +1,181 @@
+"""A store node as a process or within one: made, joined, run, restored."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import shutil
+import signal
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+
+from lanelift.settings import Malformed
+from lanelift.store import metrics
+from lanelift.store import replica as replicas
+from lanelift.store.durable import state as states
+from lanelift.store.durable import vault
+from lanelift.store.durable.files import Folder
+from lanelift.store.durable.journal import Damaged, Journal
+from lanelift.store.node import Node, locked
+from lanelift.store.raft.messages import Members
+from lanelift.store.replica import Identity, members_of, read_identity, write_identity
+from lanelift.store.server import Server
+from lanelift.store.settings import StoreSettings
+
+log = logging.getLogger(__name__)
+
+
+def new_number() -> int:
+    """Of a node: drawn, so that none returns."""
+    return random.SystemRandom().getrandbits(48) | 1
+
+
+def new_cluster() -> str:
+    return f"c{random.SystemRandom().getrandbits(40):010x}"
+
+
+def make_folder(settings: StoreSettings) -> None:
+    """An empty one. Raises Malformed."""
+    try:
+        settings.folder.mkdir(parents=True, exist_ok=True)
+        taken = [p.name for p in settings.folder.iterdir() if p.name != "lock"]
+    except OSError as error:
+        raise Malformed(f"{settings.folder}: {error.strerror}") from None
+    if taken:
+        raise Malformed(f"{settings.folder}: it holds {sorted(taken)[0]}; a new node begins in an empty"
+                        " folder")
+
+
+def init(settings: StoreSettings, cluster: str = "", name: str = "") -> Identity:
+    """A new cluster of this one node. Raises Malformed."""
+    number = new_number()
+    return _fill(settings, Identity(replicas.FORMAT, cluster or new_cluster(), number, name),
+                 members_of(number, settings.advertise))
+
+
+def prepare(settings: StoreSettings, cluster: str, name: str = "") -> Identity:
+    """A folder for a node that will join. Raises Malformed."""
+    return _fill(settings, Identity(replicas.FORMAT, cluster, new_number(), name), Members())
+
+
+def _fill(settings: StoreSettings, identity: Identity, members: Members) -> Identity:
+    make_folder(settings)
+    lock = locked(settings)
+    try:
+        files = Folder(settings.folder)
+        states.create(settings.folder / vault.STATE, identity.cluster, members).close()
+        journal = Journal(files, identity.cluster, identity.node)
+        journal.create()
+        journal.close()
+        files.sync_folder()
+        write_identity(files, identity)  # last: without it the folder belongs to nobody
+    except OSError as error:
+        raise Malformed(f"{settings.folder}: {error.strerror}") from None
+    finally:
+        os.close(lock)
+    return identity
+
+
+def restore(settings: StoreSettings, copy: Path, cluster: str = "", name: str = "") -> Identity:
+    """A new cluster of this one node with what a copy, or another node's state, holds. It has a name of its
+    own, so that members of the old one can't speak to it. Raises Malformed, Damaged."""
+    why = states.verify(copy)
+    if why:
+        raise Damaged(f"{copy}: {why}")
+    meta = states.describe(copy)
+    make_folder(settings)
+    number = new_number()
+    identity = Identity(replicas.FORMAT, cluster or new_cluster(), number, name)
+    lock = locked(settings)
+    try:
+        files = Folder(settings.folder)
+        target = settings.folder / vault.STATE
+        shutil.copyfile(copy, target)
+        for beside in ("-wal",):
+            if Path(str(copy) + beside).exists():
+                shutil.copyfile(str(copy) + beside, str(target) + beside)
+        states.rename(target, identity.cluster, members_of(number, settings.advertise))
+        journal = Journal(files, identity.cluster, identity.node)
+        journal.create(meta.index, meta.term)
+        journal.close()
+        files.sync_folder()
+        write_identity(files, identity)
+    except OSError as error:
+        raise Malformed(f"{settings.folder}: {error.strerror}") from None
+    finally:
+        os.close(lock)
+    return identity
+
+
+def verify(settings: StoreSettings) -> list[str]:
+    """What is wrong with a folder whose node does not run; empty: nothing. Raises Malformed."""
+    lock = locked(settings)
+    try:
+        wrong: list[str] = []
+        files = Folder(settings.folder)
+        try:
+            identity = read_identity(files)
+            found = Journal(files, identity.cluster, identity.node).open(repair=False)
+            if found.cut:
+                wrong.append(f"the log ends in a torn tail of {found.cut} bytes; the next start cuts it off")
+        except Damaged as error:
+            wrong.append(str(error))
+        why = states.verify(settings.folder / vault.STATE)
+        if why:
+            wrong.append(f"{vault.STATE}: {why}")
+        return wrong
+    finally:
+        os.close(lock)
+
+
+class Running:
+    """A node and its listeners."""
+
+    def __init__(self, settings: StoreSettings) -> None:
+        """Raises Damaged, Malformed."""
+        self.settings = settings
+        self.node = Node.open(settings)
+        self.server = Server(self.node)
+        self.page: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Raises Malformed, OSError."""
+        await self.server.start()
+        if self.settings.metrics is not None:
+            self.page = await metrics.serve(self.node, self.settings.metrics)
+        self.node.start()
+
+    async def close(self) -> None:
+        if self.page is not None:
+            self.page.close()
+        await self.server.close()
+        await self.node.close()
+
+
+async def serve(settings: StoreSettings, started: Callable[[Running], None] = lambda running: None) -> str:
+    """Run a node until SIGTERM; why it ended, empty where it was asked to. Raises Damaged, Malformed."""
+    loop = asyncio.get_running_loop()
+    asked: asyncio.Future[str] = loop.create_future()
+
+    def stop() -> None:
+        if not asked.done():
+            asked.set_result("")
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    running = Running(settings)
+    try:
+        try:
+            await running.start()
+        except OSError as error:
+            raise Malformed(f"listen: {error.strerror or error}") from None
+        started(running)
+        done, _ = await asyncio.wait({asked, running.node.failed}, return_when=asyncio.FIRST_COMPLETED)
+        return next(iter(done)).result()
+    finally:
+        with suppress(OSError):
+            await running.close()
+
--- /dev/null
+++ b/lanelift/store/server.py
@@ -0,0 +1,473 @@
+"""The store's listener: members and clients connect here, greet, and are known by their certificates."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+import ssl
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import msgspec
+
+from lanelift.settings import Malformed
+from lanelift.store import commands
+from lanelift.store.commands import Result
+from lanelift.store.durable.journal import Full
+from lanelift.store.durable.state import Compacted, Item, State
+from lanelift.store.node import Late, Node, Unknown
+from lanelift.store.raft.core import Busy, NotLeader
+from lanelift.store.raft.members import Refused as ChangeRefused
+from lanelift.store.raft.messages import SnapshotMeta, unpack_message
+from lanelift.store.security import may, role_of
+from lanelift.store.wire import protocol
+from lanelift.store.wire.frames import NONCE, Receiver, Refused, Sender
+from lanelift.store.wire.protocol import (
+    AnyRequest,
+    Change,
+    Changes,
+    Copy,
+    Declined,
+    Done,
+    Failed,
+    Get,
+    Hello,
+    Info,
+    Manage,
+    Part,
+    Past,
+    Put,
+    Reply,
+    Row,
+    Rows,
+    Scan,
+    Status,
+    Trouble,
+    Unwatch,
+    Watch,
+    Welcome,
+)
+
+log = logging.getLogger(__name__)
+
+GREET_S = 5.0  # a connection that has not greeted by then is closed
+OPEN_MOST = 512  # requests of one connection on their way
+WATCHES_MOST = 64  # of one connection
+UNREAD_MOST = 8 << 20  # bytes of answers that a client leaves unread: then nothing more is read from it
+COPY_BYTES = 512 << 10
+PROGRESS_S = 5.0  # a watch with nothing to tell says so often how far it has looked
+NEEDS: dict[type, str] = {Put: "write", Get: "read", Scan: "read", Past: "read", Watch: "read",
+                          Unwatch: "read", Status: "read", Manage: "admin", Copy: "admin"}
+
+
+class Server:
+    """All connections to one node."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.settings = node.settings
+        self.connections: set[Connection] = set()
+        self.listener: socket.socket | None = None
+        self.server: asyncio.Server | None = None
+        self.context: ssl.SSLContext | None = None
+        self.stamp: tuple[tuple[int, int], ...] = ()
+        self.watch_keys: asyncio.Task[None] | None = None
+
+    @property
+    def port(self) -> int:
+        assert self.listener is not None
+        return int(self.listener.getsockname()[1])
+
+    async def start(self) -> None:
+        """Raises OSError, Malformed."""
+        host, port = self.settings.listen
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.listener = socket.socket(family, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.listener.bind((host, port))
+        except OSError as error:
+            self.listener.close()
+            raise Malformed(f"listen: {host}:{port}: {error.strerror}") from None
+        if self.settings.tls is not None:
+            self.stamp = self.settings.tls.stamp()
+            self.context = self.settings.tls.context(True)
+            self.watch_keys = asyncio.get_running_loop().create_task(self._keys())
+        await self._open()
+
+    async def _open(self) -> None:
+        assert self.listener is not None
+        self.server = await asyncio.get_running_loop().create_server(
+            lambda: Connection(self), sock=self.listener.dup(), ssl=self.context, backlog=128,
+            ssl_handshake_timeout=GREET_S if self.context else None)
+
+    async def _keys(self) -> None:
+        """Certificates are replaced while the node runs: new connections take the new ones."""
+        assert self.settings.tls is not None
+        while True:
+            await asyncio.sleep(1.0)
+            await self.look_at_keys()
+
+    async def look_at_keys(self) -> bool:
+        """Read the certificates again if their files changed; those in use stay where the new ones are
+        bad."""
+        assert self.settings.tls is not None
+        stamp = self.settings.tls.stamp()
+        if stamp == self.stamp:
+            return False
+        try:
+            context, client = self.settings.tls.context(True), self.settings.tls.context(False)
+        except Malformed as error:
+            log.error("%s; the old ones stay in use", error)
+            self.stamp = stamp
+            return False
+        self.stamp, self.context, self.node.tls = stamp, context, client
+        if self.server is not None:
+            self.server.close()
+        await self._open()
+        log.info("new certificates are in use")
+        return True
+
+    async def close(self) -> None:
+        if self.watch_keys is not None:
+            self.watch_keys.cancel()
+        if self.server is not None:
+            self.server.close()
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class Connection(asyncio.Protocol):
+    """One connection: greeting, then messages of a member or requests of a client."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.node = server.node
+        self.receiver = Receiver()
+        self.sender = Sender()
+        self.transport: asyncio.Transport | None = None
+        self.who = ""  # for the log
+        self.member = 0  # its number, where a member connected
+        self.role = ""  # where a client did
+        self.open = 0
+        self.watches: dict[int, Watching] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info("peername")
+        self.who = f"{peer[0]}:{peer[1]}" if peer else "?"
+        self.transport.set_write_buffer_limits(UNREAD_MOST)
+        self.server.connections.add(self)
+        if len(self.server.connections) > self.server.settings.connections:
+            self._decline("there are too many connections")
+            return
+        self.timer = self.node.loop.call_later(GREET_S, self._late)
+
+    def _late(self) -> None:
+        if not self.member and not self.role:
+            self._decline("no greeting came in time")
+
+    def data_received(self, data: bytes) -> None:
+        self.receiver.feed(data)
+        try:
+            for payload in self.receiver.payloads():
+                if self.transport is None or self.transport.is_closing():
+                    return
+                if self.member:
+                    self.node.step(self.member, unpack_message(payload))
+                elif self.role:
+                    self._request(protocol.unpack_request(payload))
+                else:
+                    self._greet(payload)
+        except (Refused, ValueError) as error:
+            self._decline(" ".join(str(error).split()))
+
+    def _greet(self, payload: bytes) -> None:
+        assert self.transport is not None
+        hello = protocol.unpack_greeting(payload)
+        identity = self.node.identity
+        if not isinstance(hello, Hello):
+            return self._decline("it does not greet")
+        if hello.format > protocol.FORMAT:
+            return self._decline(f"protocol {hello.format} is newer than {protocol.FORMAT}")
+        if hello.cluster != identity.cluster and (hello.node or hello.cluster):
+            return self._decline(f"this is cluster {identity.cluster}, not {hello.cluster}")
+        role = "node" if hello.node else "admin"
+        if self.server.context is not None:
+            role = role_of(self.transport.get_extra_info("peercert"), identity.cluster)
+        if bool(hello.node) != (role == "node"):
+            return self._decline(f"its certificate's role is {role or 'none'}")
+        if hello.node in self.node.core.members.gone:
+            return self._decline(f"node {hello.node:x} was removed")
+        if hello.node == identity.node:
+            return self._decline("it has this node's own number")
+        nonce = os.urandom(NONCE)
+        self._send_raw(Welcome(protocol.FORMAT, identity.cluster, identity.node, nonce, role))
+        self.sender.bind(nonce)
+        self.receiver.bind(nonce)
+        self.receiver.most = protocol.MOST_MESSAGE if hello.node else protocol.MOST_REQUEST
+        if hello.node:
+            self.member = hello.node
+            self.node.note_address(hello.node, hello.address)
+        else:
+            self.role = role
+        return None
+
+    def _decline(self, why: str) -> None:
+        """In one line, here and there."""
+        log.warning("store: connection from %s refused: %s", self.who, why)
+        if self.transport is not None and not self.transport.is_closing():
+            if not self.member and not self.role:
+                self._send_raw(Declined(why))
+            self.transport.close()
+
+    def _send_raw(self, what: msgspec.Struct) -> None:
+        assert self.transport is not None
+        self.transport.write(self.sender.frame(protocol.pack(what)))
+
+    def send(self, reply: Reply) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self._send_raw(reply)
+
+    def fail(self, number: int, trouble: Trouble, text: str, leader: int = 0) -> None:
+        self.send(Failed(number, trouble, text, self.node.address_of(leader) if leader else ""))
+
+    # ---- requests ----------------------------------------------------------------------------------------
+
+    def _request(self, r: AnyRequest) -> None:
+        if not may(self.role, NEEDS[type(r)]):
+            return self.fail(r.id, Trouble.FORBIDDEN, f"the role {self.role} may not do that")
+        if self.open >= OPEN_MOST:
+            return self.fail(r.id, Trouble.BUSY, "too many requests on one connection")
+        match r:
+            case Put():
+                self._put(r)
+            case Get():
+                keys = r.keys
+                self._read(r, r.linear, lambda s: (tuple(row(s.get(k), k) for k in keys), False))
+            case Scan():
+                self._read(r, r.linear, lambda s: scan(s, r.prefix, r.after, r.most))
+            case Past():
+                self._read(r, True, lambda s: (tuple(row(i, i.key) for i in s.history(r.key, r.most)), False))
+            case Watch():
+                if len(self.watches) >= WATCHES_MOST:
+                    return self.fail(r.id, Trouble.BUSY, f"there are {WATCHES_MOST} watches already")
+                self.watches[r.id] = Watching(self, r)
+            case Unwatch():
+                watching = self.watches.pop(r.watch, None)
+                if watching is not None:
+                    watching.stop()
+            case Status():
+                self.send(Info(r.id, msgspec.json.encode(self.node.status())))
+            case Manage():
+                self._task(r.id, self._manage(r))
+            case Copy():
+                self._task(r.id, self._copy(r))
+        return None
+
+    def _put(self, r: Put) -> None:
+        if len(r.command) > protocol.MOST_REQUEST:
+            return self.fail(r.id, Trouble.REFUSED, "the write is too large")
+        try:
+            command = commands.unpack_command(r.command)
+        except ValueError as error:
+            return self.fail(r.id, Trouble.REFUSED, " ".join(str(error).split()))
+        if isinstance(command, commands.Write):
+            why = commands.wrong(command)
+            if why:  # a log need not hold what every state refuses
+                return self.fail(r.id, Trouble.REFUSED, why)
+        try:
+            future = self.node.put(r.command)
+        except NotLeader as error:
+            return self.fail(r.id, Trouble.NOT_LEADER, str(error), error.leader)
+        except Busy as error:
+            return self.fail(r.id, Trouble.BUSY, str(error))
+        self.open += 1
+        future.add_done_callback(lambda done: self._put_done(r.id, done))
+        return None
+
+    def _put_done(self, number: int, done: asyncio.Future[Result]) -> None:
+        self.open -= 1
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is None:
+            self.send(Done(number, commands.pack(done.result())))
+        else:
+            self.fail(number, Trouble.UNKNOWN, str(error), self.node.core.leader)
+
+    def _read(self, r: Get | Scan | Past, linear: bool,
+              look: Callable[[State], tuple[tuple[Row, ...], bool]]) -> None:
+        self._task(r.id, self._read_on(r.id, linear, look))
+
+    async def _read_on(self, number: int, linear: bool,
+                       look: Callable[[State], tuple[tuple[Row, ...], bool]]) -> None:
+        behind = 0
+        if linear:
+            await self.node.current()
+        else:
+            behind = self.node.behind_ms()
+        rows, more, revision = await self.node.query(lambda s: (*look(s), s.applied))
+        self.send(Rows(number, rows, revision, more, behind))
+
+    async def _manage(self, r: Manage) -> None:
+        done = await self.node.manage(r.what, r.node, r.address, r.within_ms / 1000)
+        log.info("store: %s asked: %s", self.who, done)
+        self.send(Info(r.id, msgspec.json.encode({"done": done})))
+
+    async def _copy(self, r: Copy) -> None:
+        vault, loop = self.node.replica.vault, self.node.loop
+        if r.offset == 0:
+            meta = await loop.run_in_executor(self.node.copies, vault.export)
+        else:
+            index, term, size, checksum = r.meta_id
+            meta = SnapshotMeta(index, term, self.node.core.members, size, checksum)
+        data = vault.read_piece(meta, r.offset, COPY_BYTES)
+        if data is None:
+            self.fail(r.id, Trouble.UNKNOWN, "another copy was made meanwhile: begin anew")
+        else:
+            self.send(Part(r.id, meta.id, r.offset, data))
+
+    def _task(self, number: int, work: Coroutine[Any, Any, None]) -> None:
+        self.open += 1
+        task = self.node.loop.create_task(self._answered(number, work))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _answered(self, number: int, work: Coroutine[Any, Any, None]) -> None:
+        try:
+            await work
+        except NotLeader as error:
+            self.fail(number, Trouble.NOT_LEADER, str(error), error.leader)
+        except Busy as error:
+            self.fail(number, Trouble.BUSY, str(error))
+        except ChangeRefused as error:
+            self.fail(number, Trouble.REFUSED, str(error))
+        except Unknown as error:
+            self.fail(number, Trouble.UNKNOWN, str(error), self.node.core.leader)
+        except Late as error:
+            self.fail(number, Trouble.LATE, str(error))
+        except Full as error:
+            self.fail(number, Trouble.FULL, str(error))
+        finally:
+            self.open -= 1
+
+    def pause_writing(self) -> None:
+        """It does not read its answers: nothing more is read from it, and watches wait."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+        for watching in self.watches.values():
+            watching.paused = True
+
+    def resume_writing(self) -> None:
+        if self.transport is not None:
+            self.transport.resume_reading()
+        for watching in self.watches.values():
+            watching.paused = False
+            watching.poke()
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.server.connections.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        for watching in self.watches.values():
+            watching.stop()
+        self.watches.clear()
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class Watching:
+    """One watch: tells every change behind a revision, as fast as its client reads and no faster. A client
+    that falls behind what is kept is told so, and has to read anew."""
+
+    def __init__(self, connection: Connection, r: Watch) -> None:
+        self.connection = connection
+        self.id = r.id
+        self.prefix = r.prefix
+        self.after = r.after
+        self.told = time.monotonic()
+        self.paused = self.stopped = False
+        self.looking: asyncio.Task[None] | None = None
+        self.again = False
+        connection.node.watchers[self] = self.poke
+        self.timer = connection.node.loop.call_later(PROGRESS_S, self._progress)
+        self.poke()
+
+    def poke(self) -> None:
+        if self.stopped or self.paused:
+            return
+        if self.looking is not None and not self.looking.done():
+            self.again = True
+            return
+        self.looking = self.connection.node.loop.create_task(self._look())
+
+    def _progress(self) -> None:
+        self.timer = self.connection.node.loop.call_later(PROGRESS_S, self._progress)
+        if time.monotonic() - self.told > PROGRESS_S / 2 and not self.paused:
+            self.told = 0.0
+            self.poke()
+
+    async def _look(self) -> None:
+        node = self.connection.node
+        while not self.stopped and not self.paused:
+            self.again = False
+            try:
+                events, applied = await node.query(lambda s: (s.events(self.prefix, self.after), s.applied))
+            except Compacted as error:
+                self.connection.fail(self.id, Trouble.COMPACTED, str(error))
+                self.connection.watches.pop(self.id, None)
+                self.stop()
+                return
+            if events:
+                # A page may end before what is applied; then there is more to tell.
+                upto = events[-1].revision
+                changes = tuple(Change(e.revision, e.key, e.version, e.value) for e in events)
+                self._tell(Changes(self.id, changes, upto))
+                continue
+            if applied > self.after:
+                self.after = applied
+            if self.told == 0.0:
+                self._tell(Changes(self.id, (), self.after))
+            if not self.again:
+                return
+
+    def _tell(self, changes: Changes) -> None:
+        self.after, self.told = changes.revision, time.monotonic()
+        if not self.stopped:
+            self.connection.send(changes)
+
+    def stop(self) -> None:
+        self.stopped = True
+        self.timer.cancel()
+        self.connection.node.watchers.pop(self, None)
+
+
+def row(item: Item | None, key: str) -> Row:
+    if item is None:
+        return Row(key, None, 0, 0)
+    return Row(item.key, item.value, item.version, item.revision, item.time_ms, item.author, item.note)
+
+
+def scan(state: State, prefix: str, after: str, most: int) -> tuple[tuple[Row, ...], bool]:
+    """A page: so many keys at most, and no more bytes than one answer takes."""
+    most = max(1, min(most, 1000))
+    found: list[Row] = []
+    size = 0
+    for item in state.scan(prefix, after, most):
+        size += len(item.value or b"") + len(item.key)
+        if found and size > protocol.PAGE_BYTES:
+            return tuple(found), True
+        found.append(row(item, item.key))
+    return tuple(found), len(found) == most
--- /dev/null
+++ b/lanelift/store/settings.py
@@ -0,0 +1,108 @@
+"""A store node's settings: a TOML file."""
+
+from __future__ import annotations
+
+import ipaddress
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from lanelift.settings import Malformed, split_address
+from lanelift.store.raft.core import Config
+from lanelift.store.replica import Boundaries
+from lanelift.store.security import Tls
+from lanelift.units import Duration, Size, convert
+
+MS = 1_000_000
+
+
+class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A table of the file."""
+
+
+class Keys(Part, frozen=True):
+    """PEM files; a certificate names its role (see `lanelift/store/security.py`)."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class Timing(Part, frozen=True):
+    heartbeat: Duration = Duration(100 * MS)
+    election: Duration = Duration(500 * MS)  # an election time-out lies between this and twice this
+    slow_disk: Duration = Duration(1500 * MS)  # a leader whose disk takes longer over one batch hands over
+
+
+class Sizes(Part, frozen=True):
+    log: Size = Size(16 << 20)  # the log is cut when it holds more
+    keep: int = 2000  # entries that stay in it, for members that are a little behind
+    uncommitted: Size = Size(8 << 20)  # of writes on their way
+    connections: int = 256
+
+
+class StoreFile(Part, frozen=True):
+    """The whole file."""
+
+    folder: str
+    listen: str
+    advertise: str = ""  # what others connect to, where it is not `listen`
+    metrics: str = ""  # an address of its own for them, plain HTTP
+    tls: Keys | None = None
+    timing: Timing = Timing()
+    limits: Sizes = Sizes()
+
+
+class StoreSettings(msgspec.Struct, frozen=True):
+    """What a node runs on."""
+
+    folder: Path
+    listen: tuple[str, int]
+    advertise: str
+    metrics: tuple[str, int] | None
+    tls: Tls | None
+    config: Config
+    boundaries: Boundaries
+    connections: int
+
+
+def is_loopback(host: str) -> bool:
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
+def read_store(path: Path) -> StoreSettings:
+    """Raises Malformed with one line."""
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise Malformed(f"{path}: {getattr(error, 'strerror', None) or error}") from None
+    try:
+        return settled(convert(raw, StoreFile), path.parent)
+    except (ValueError, Malformed) as error:
+        raise Malformed(f"{path}: {error}") from None
+
+
+def settled(f: StoreFile, beside: Path) -> StoreSettings:
+    """Relative paths count from the settings file. Raises Malformed."""
+    listen = split_address(f.listen)
+    if f.tls is None and not is_loopback(listen[0]):
+        raise Malformed("tls: without it the store listens on loopback only")
+    if f.advertise:
+        split_address(f.advertise)
+    if not 0 < 2 * f.timing.heartbeat <= f.timing.election:
+        raise Malformed("timing: an election time-out is at least two heartbeats")
+    if f.limits.keep < 0 or f.limits.connections < 8:
+        raise Malformed("limits: keep must not be negative, and connections must be 8 at least")
+    if f.limits.uncommitted < 2 << 20:
+        raise Malformed("limits.uncommitted: must be 2MiB at least")
+    config = Config(heartbeat_ns=int(f.timing.heartbeat), election_ns=int(f.timing.election),
+                    slow_disk_ns=int(f.timing.slow_disk), uncommitted_bytes=int(f.limits.uncommitted))
+    tls = Tls(beside / f.tls.certificate, beside / f.tls.key, beside / f.tls.authority) if f.tls else None
+    return StoreSettings(beside / f.folder, listen, f.advertise or f.listen,
+                         split_address(f.metrics) if f.metrics else None, tls, config,
+                         Boundaries(f.limits.keep, 5 * f.limits.keep + 1000, int(f.limits.log)),
+                         f.limits.connections)
--- a/lanelift/store/wire/protocol.py
+++ b/lanelift/store/wire/protocol.py
@@ -191,7 +191,8 @@
 AnyReply = Done | Rows | Changes | Failed | Info | Part
 
 _encoder = msgspec.msgpack.Encoder()
-_greetings = msgspec.msgpack.Decoder(Hello | Welcome | Declined)
+AnyGreeting = Hello | Welcome | Declined
+_greetings = msgspec.msgpack.Decoder(AnyGreeting)
 _requests = msgspec.msgpack.Decoder(AnyRequest)
 _replies = msgspec.msgpack.Decoder(AnyReply)
 
@@ -200,9 +201,10 @@
     return _encoder.encode(what)
 
 
-def unpack_greeting(data: bytes) -> Hello | Welcome | Declined:
+def unpack_greeting(data: bytes) -> AnyGreeting:
     """Raises ValueError."""
-    return _greetings.decode(data)
+    found: AnyGreeting = _greetings.decode(data)
+    return found
 
 
 def unpack_request(data: bytes) -> AnyRequest:
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -15,11 +15,11 @@
 from lanelift.decide import Balancer
 from lanelift.net import discovery, driver
 from lanelift.net.body import Store
-from lanelift.net.discovery import read_endpoint, split_address
+from lanelift.net.discovery import read_endpoint
 from lanelift.net.driver import Driver
 from lanelift.net.parse import message
 from lanelift.net.upstream import Upstreams, number_of
-from lanelift.settings import Malformed
+from lanelift.settings import Malformed, split_address
 from tests.fakes import SECOND, SETTINGS, FakeUpstream, Heard, never, run, world
 
 
