Keep configuration documents in the store: config get, put, diff, history, rollback

Need: an edit of the settings reaches all balancers as a whole, checked before it is proposed, with compare-and-set and a way back. Pages of 1 KiB, the state synced by entries too.

--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from lanelift.cli import clusters, lab, serve, store
+from lanelift.cli import clusters, config, lab, serve, store
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Malformed
 from lanelift.store.client import StoreError
@@ -19,6 +19,7 @@
 clusters.add_to(lab.app)
 app.add_typer(lab.app, name="lab")
 app.add_typer(store.app, name="store")
+app.add_typer(config.app, name="config")
 app.command("serve")(serve.serve)
 
 
--- a/lanelift/cli/store.py
+++ b/lanelift/cli/store.py
@@ -82,6 +82,7 @@
     """Run a node until SIGTERM."""
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     read = read_store(settings)
+    sys.setswitchinterval(0.0005)  # the disk's thread must not wait long for the loop's, when it is done
     why = uvloop.run(running.serve(read, lambda r: print(f"listening on port {r.server.port}", flush=True)))
     if why:
         print(f"lanelift: {why}", file=sys.stderr)
--- a/lanelift/daemon/settings.py
+++ b/lanelift/daemon/settings.py
@@ -125,20 +125,23 @@
 def read_file(path: Path) -> Config:
     """The configuration from the operators' file. Raises Malformed with one line."""
     try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        text = path.read_text(encoding="utf-8")
     except (OSError, ValueError) as error:
         raise Malformed(f"{path}: {getattr(error, 'strerror', None) or error}") from None
+    return read_text(text, str(path))
+
+
+def read_text(text: str, where: str) -> Config:
+    """The configuration from the operators' settings; `where` they stand is told in errors. Raises
+    Malformed."""
     try:
-        file = convert(raw, File)
-    except ValueError as error:
-        raise Malformed(f"{path}: {error}") from None
-    wrong = contradictions(file)
-    if wrong:
-        raise Malformed(f"{path}: {wrong}")
-    try:
+        file = convert(tomllib.loads(text), File)
+        wrong = contradictions(file)
+        if wrong:
+            raise Malformed(wrong)
         return config(file)
-    except Malformed as error:
-        raise Malformed(f"{path}: {error}") from None
+    except (ValueError, Malformed) as error:
+        raise Malformed(f"{where}: {error}") from None
 
 
 def config(f: File) -> Config:
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -288,6 +288,7 @@
 
 def _connect(path: str) -> sqlite3.Connection:
     db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, cached_statements=64)
+    db.execute("PRAGMA page_size = 1024")  # of a new file: a write touches a page of each of a few tables
     db.execute("PRAGMA journal_mode = WAL")
     db.execute("PRAGMA synchronous = NORMAL")  # durable with `flush`
     db.execute("PRAGMA wal_autocheckpoint = 0")  # only `flush` moves it, so that its syncs are known
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -43,7 +43,7 @@
 APPLY = 1000  # entries in one transaction
 FULL_S = 0.5  # between two tries to write to a full disk
 READ_S = 3.0  # a read that is not proved by then is answered so
-FLUSH_S = 5.0  # the state is synced so often, where something was applied
+FLUSH_S, FLUSH_ENTRIES = 5.0, 2_000  # the state is synced so often, where something was applied
 SLOW_TURN_S = 0.25  # a turn of the loop that came so late is told
 
 
@@ -180,8 +180,9 @@
         if core.wants_snapshot and not self.exporting:
             self.exporting = True
             self._task(self._export())
-        if not self.flushing and (self.replica.wants_cut or (
-                time.monotonic() - self.flushed_s > FLUSH_S and core.applied > self.replica.flushed)):
+        unsynced = core.applied - self.replica.flushed
+        if not self.flushing and unsynced and (self.replica.wants_cut or unsynced > FLUSH_ENTRIES
+                                               or time.monotonic() - self.flushed_s > FLUSH_S):
             self.flushing = True
             self._task(self._flush())
         wake_ns = core.wake_ns
