--- a/lanelift/lab/cluster/plans.py
+++ b/lanelift/lab/cluster/plans.py
@@ -11,7 +11,7 @@
 from lanelift.lab.cluster.clients import GROUPS, KEYS, Client
 from lanelift.lab.cluster.linear import Operation
 from lanelift.lab.cluster.sim import CONFIG, MS, SECOND, Cluster, Node, agreed
-from lanelift.store.raft.core import Core, Role
+from lanelift.store.raft.core import Config, Core, Role
 from lanelift.store.raft.members import Change
 from lanelift.store.raft.messages import Members
 
@@ -40,7 +40,7 @@
             "doubled": self.doubled, "clock": self.clock, "rate": self.rate, "full": self.full,
             "slowdisk": self.slowdisk, "learn": self.learn, "promote": self.promote, "remove": self.remove,
             "transfer": self.transfer, "all": self.all, "wipe": self.wipe, "flip": self.flip,
-            "silence": self.silence}
+            "silence": self.silence, "burst": self.burst}
         names = kinds or tuple(everything)
         # A few kinds a run, drawn anew for each: what only comes together in twos and threes is found so.
         self.kinds = [everything[n] for n in self.rng.sample(names, min(len(names), self.rng.randint(2, 8)))]
@@ -244,6 +244,16 @@
         if candidates:
             self.cluster.change(Change("remove", self.rng.choice(candidates)))
 
+    def burst(self) -> None:
+        """Several changes at once, at whoever thinks that it leads."""
+        members = self._members()
+        if members is None or len(members.voters) < 4:
+            self.learn()
+            self.promote()
+            return
+        for number in self.rng.sample(members.voters, min(2, len(members.voters) - 2)):
+            self.cluster.change(Change("remove", number), True)
+
     def transfer(self) -> None:
         leader = self.cluster.leader()
         if leader is None or leader.replica is None:
@@ -259,11 +269,11 @@
 
 
 def play(seed: int, size: int = 0, make: type[Core] = Core, kinds: tuple[str, ...] = (),
-         prepare: Callable[[Cluster], None] = lambda cluster: None) -> Outcome:
+         prepare: Callable[[Cluster], None] = lambda cluster: None, config: Config = CONFIG) -> Outcome:
     """A storm, then calm, in which all must come right. What is broken is in the outcome, with the first
     property that did not hold."""
     size = size or random.Random(f"{seed}/size").choice([3, 3, 5, 5, 7])
-    cluster = Cluster(seed, size, make)
+    cluster = Cluster(seed, size, make, config)
     prepare(cluster)
     history: list[Operation] = []
     clients = [Client(cluster, i, history) for i in range(CLIENTS)]
--- a/lanelift/lab/cluster/planted.py
+++ b/lanelift/lab/cluster/planted.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any, NamedTuple
 
 from lanelift.lab.cluster.plans import Outcome, disturbed, play
-from lanelift.lab.cluster.sim import Cluster, Node
-from lanelift.store.raft.core import Batch, Core
+from lanelift.lab.cluster.sim import CONFIG, Cluster, Node
+from lanelift.store.raft.core import Batch, Config, Core
 from lanelift.store.raft.messages import Entry, VoteAsk
 
 
@@ -120,20 +121,25 @@
     kinds: tuple[str, ...] = ()  # of faults that it is looked for with
     prepare: Callable[[Cluster], None] = lambda cluster: None
     size: int = 0
+    config: Config = CONFIG
 
 
+# One entry a message, so that old ones arrive long before the first of a new term.
+ONE_BY_ONE = replace(CONFIG, append_bytes=1, window=2)
+
 PLANTS: dict[str, Plant] = {
     "vote-without-sync": Plant(NoSyncBeforeVote, kinds=("power", "fuse", "all", "part", "slowdisk"), size=3),
     "ack-without-sync": Plant(AckBeforeSync, kinds=("power", "all", "fuse", "slowdisk")),
     "lying-disk": Plant(Core, kinds=("power", "all", "kill"), prepare=lying_disks),
-    "old-term-by-count": Plant(OldTermByCount, kinds=("alone", "part", "kill", "bridge", "slowdisk")),
-    "read-without-quorum": Plant(ReadWithoutQuorum, kinds=("silence", "alone", "part")),
-    "read-too-early": Plant(ReadTooEarly, kinds=("transfer", "kill", "alone")),
+    "old-term-by-count": Plant(OldTermByCount, kinds=("alone", "part", "kill", "silence", "slow"), size=5,
+                               config=ONE_BY_ONE),
+    "read-without-quorum": Plant(ReadWithoutQuorum, kinds=("silence", "alone", "part", "rate")),
+    "read-too-early": Plant(ReadTooEarly, kinds=("transfer", "slow")),
     "no-pre-vote": Plant(NoPreVote, "disturbed"),
     "two-votes": Plant(TwoVotes, kinds=("kill", "part", "all")),
     "small-quorum": Plant(SmallQuorum, kinds=("part", "kill", "alone")),
-    "hasty-members": Plant(HastyMembers, kinds=("learn", "promote", "remove", "part", "alone", "transfer")),
-    "many-members": Plant(ManyMembers, kinds=("learn", "promote", "remove", "part", "alone")),
+    "hasty-members": Plant(HastyMembers, kinds=("burst", "promote", "part", "alone", "transfer"), size=5),
+    "many-members": Plant(ManyMembers, kinds=("burst", "promote", "part", "alone"), size=5),
     "forgets-log": Plant(ForgetsLog, kinds=("part", "alone", "kill")),
 }
 
@@ -143,4 +149,4 @@
     plant = PLANTS[name]
     if plant.run == "disturbed":
         return disturbed(seed, plant.make)
-    return play(seed, plant.size, plant.make, plant.kinds, plant.prepare)
+    return play(seed, plant.size, plant.make, plant.kinds, plant.prepare, plant.config)
--- a/lanelift/lab/cluster/sim.py
+++ b/lanelift/lab/cluster/sim.py
@@ -65,8 +65,9 @@
 
 
 class Cluster:
-    def __init__(self, seed: int, size: int, make: type[Core] = Core) -> None:
+    def __init__(self, seed: int, size: int, make: type[Core] = Core, config: Config = CONFIG) -> None:
         self.seed = seed
+        self.config = config
         self.rng = random.Random(f"{seed}/cluster")
         self.now = 0
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -128,8 +129,8 @@
         node.fuse = -1
         try:
             identity = replica.read_identity(node.disk)
-            node.replica = Replica.open(identity, self._journal(node), node.vault, CONFIG, self.clock(node),
-                                        node.rng, BOUNDARIES, self.make)
+            node.replica = Replica.open(identity, self._journal(node), node.vault, self.config,
+                                        self.clock(node), node.rng, BOUNDARIES, self.make)
         except Damaged as error:
             node.dead = str(error)
             self.counts["damaged"] += 1
@@ -190,7 +191,7 @@
             for to, message in core.take_out():
                 self.send(node, to, message)
             for to, meta, offset, round_ in core.take_pieces():
-                data = r.vault.read_piece(meta, offset, CONFIG.piece_bytes)
+                data = r.vault.read_piece(meta, offset, self.config.piece_bytes)
                 if data is None:
                     core.snapshot_lost()
                     break
@@ -356,8 +357,10 @@
             return
         self.turn(node)
 
-    def change(self, change: Change) -> bool:
-        leader = self.leader()
+    def change(self, change: Change, anywhere: bool = False) -> bool:
+        """At the leader; `anywhere`, at any node that thinks it leads."""
+        leading = [n for n in self.up() if n.replica and n.replica.core.role is Role.LEADER]
+        leader = self.rng.choice(leading) if anywhere and leading else self.leader()
         if leader is None or leader.replica is None:
             return False
         try:
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -398,7 +398,8 @@
                     until: float = 0.0) -> AnyReply:
         """Ask until there is an answer or the deadline has come."""
         until = until or time.monotonic() + (within_s or self.deadline_s)
-        wait, why, sent = BACKOFF_S[0], "no node answers", False
+        wait, why = BACKOFF_S[0], "no node answers"
+        maybe = False  # a try was sent, and nobody said that it came to nothing
         while (left := until - time.monotonic()) > 0:
             try:
                 wire = await self._connected(until, leader)
@@ -406,12 +407,12 @@
                 why = str(error) or "no connection in time"
             else:
                 request = make(self._next(), int(left * 1000))
+                changes = isinstance(request, Put | Manage)
                 try:
-                    future = wire.ask(request)
-                    sent = True
-                    reply = await asyncio.wait_for(future, min(TRY_S, left))
+                    reply = await asyncio.wait_for(wire.ask(request), min(TRY_S, left))
                 except (OSError, TimeoutError) as error:
                     why = str(error) or f"{self.at} did not answer in time"
+                    maybe = maybe or changes
                     self._leave(wire)
                 else:
                     if not isinstance(reply, Failed):
@@ -419,8 +420,8 @@
                     why = reply.text
                     if reply.trouble in (Trouble.REFUSED, Trouble.FORBIDDEN):
                         raise Rejected(why)
-                    if reply.trouble in (Trouble.NOT_LEADER, Trouble.BUSY):
-                        sent = sent and not isinstance(request, Put | Manage)
+                    if reply.trouble not in (Trouble.NOT_LEADER, Trouble.BUSY):
+                        maybe = maybe or changes
                     if reply.trouble == Trouble.UNKNOWN and isinstance(request, Manage | Copy):
                         raise Undecided(why)
                     if reply.leader and leader and reply.leader != self.at:
@@ -432,7 +433,7 @@
                         self._leave(wire)
             await asyncio.sleep(min(wait * self.rng.uniform(0.5, 1.0), max(0.0, until - time.monotonic())))
             wait = min(2 * wait, BACKOFF_S[1])
-        if sent:
+        if maybe:
             raise Undecided(why)
         raise Unavailable(why)
 
--- /dev/null
+++ b/tests/test_store_journal.py
@@ -0,0 +1,238 @@
+"""The log on disk: what was synced comes back, a torn tail goes, damage is refused."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from lanelift.lab.cluster.disk import Disk, PowerLost
+from lanelift.store.durable import journal as journals
+from lanelift.store.durable.files import Folder
+from lanelift.store.durable.journal import Broken, Damaged, Found, Full, Journal
+from lanelift.store.raft.messages import Entry, HardState, Members, SnapshotMeta
+
+SALT = b"saltsalt"
+
+
+def journal(disk: Disk, segment: int = 1 << 20) -> Journal:
+    return Journal(disk, "c", 7, segment, lambda: SALT)
+
+
+def entries(first: int, count: int, term: int = 1, size: int = 20) -> list[Entry]:
+    return [Entry(term, i, 1, bytes([i % 256]) * size) for i in range(first, first + count)]
+
+
+def written() -> tuple[Disk, list[Found]]:
+    """A journal of three batches, and what stands after each."""
+    disk = Disk()
+    j = journal(disk)
+    j.create()
+    stands = [Found(HardState(), 0, 0)]
+    j.write(HardState(1, 2), entries(1, 3))
+    stands.append(Found(HardState(1, 2), 0, 0, entries(1, 3)))
+    j.write(None, entries(3, 2, 2))
+    stands.append(Found(HardState(1, 2), 0, 0, entries(1, 2) + entries(3, 2, 2)))
+    j.write(HardState(3, 0), [])
+    stands.append(Found(HardState(3, 0), 0, 0, stands[-1].entries))
+    return disk, stands
+
+
+def opened(disk: Disk) -> Found:
+    return journal(disk).open()
+
+
+def same(found: Found, other: Found) -> bool:
+    return (found.hard, found.base, found.entries) == (other.hard, other.base, other.entries)
+
+
+def test_what_was_written_comes_back_and_goes_on() -> None:
+    disk, stands = written()
+    j = journal(disk)
+    assert same(j.open(), stands[-1])
+    j.write(HardState(4, 7), entries(5, 1, 4))
+    found = opened(disk)
+    assert found.hard == HardState(4, 7) and found.last == 5 and found.last_term == 4
+
+
+def test_a_tail_torn_anywhere_leaves_the_batches_before_it() -> None:
+    disk, stands = written()
+    whole = disk.read("log-00000001")
+    seen: set[int] = set()
+    for length in range(len(whole)):
+        short, _ = written()
+        short.files["log-00000001"].seen = bytearray(whole[:length])
+        try:
+            found = opened(short)
+        except Damaged as error:
+            assert "head does not read" in str(error) and not seen  # not even the head is there
+            continue
+        at = next(i for i, stand in enumerate(stands) if same(found, stand))
+        seen.add(at)
+        assert same(opened(short), stands[at])  # what was cut is gone for good
+    assert seen == {0, 1, 2}
+
+
+@pytest.mark.parametrize("marked", [True, False])
+def test_no_flipped_bit_passes(marked: bool) -> None:
+    """In a batch that another follows, or a mark, it is damage; in the last without one, a torn tail."""
+    disk, stands = written()
+    j = journal(disk)
+    j.open()
+    newest = len(disk.read("log-00000001")) - 60
+    if marked:
+        j.marked = False
+        j.mark()
+    whole = disk.read("log-00000001")
+    end = len(whole) - (journals.FRAME.size if marked else 0)
+    cut = 0
+    for at in range(end):
+        for bit in (0, 5):
+            flipped, _ = written()
+            blob = flipped.files["log-00000001"]
+            blob.seen = bytearray(whole)
+            blob.seen[at] ^= 1 << bit
+            try:
+                found = opened(flipped)
+            except Damaged:
+                continue
+            cut += 1
+            assert not marked and at > newest and same(found, stands[-2]), at
+    assert bool(cut) is not marked
+
+
+def test_segments_follow_on_each_other_and_old_ones_go() -> None:
+    disk = Disk()
+    j = journal(disk, 400)
+    j.create()
+    for i in range(30):
+        j.write(HardState(1 + i // 10, 0), entries(1 + i, 1, 1 + i // 10, 100))
+    assert len(j.segments) > 5
+    assert opened(disk).entries[-1].index == 30
+    j.cut(15)
+    found = opened(disk)
+    assert 0 < found.base <= 15 and found.last == 30 and found.hard == HardState(3, 0)
+    middle = j.segments[1].name
+    disk.remove(middle)
+    with pytest.raises(Damaged, match="missing"):
+        opened(disk)
+
+
+def test_a_full_disk_loses_nothing_and_goes_on_when_there_is_room() -> None:
+    disk, stands = written()
+    j = journal(disk)
+    j.open()
+    disk.full = True
+    for _ in range(2):
+        with pytest.raises(Full, match="no space"):
+            j.write(None, entries(5, 4, 3))
+    assert same(opened(disk), stands[-1])
+    disk.full = False
+    j.write(None, entries(5, 4, 3))
+    assert opened(disk).last == 8
+
+
+def test_after_a_failed_sync_nothing_more_is_written(monkeypatch: pytest.MonkeyPatch) -> None:
+    disk, _ = written()
+    j = journal(disk)
+    j.open()
+
+    def fails() -> bool:
+        raise OSError(5, "input/output error")
+
+    disk.lying = fails
+    with pytest.raises(Broken, match="input/output"):
+        j.write(None, entries(5, 1, 3))
+    disk.lying = lambda: False
+    with pytest.raises(Broken):
+        j.write(None, entries(5, 1, 3))
+
+
+def test_a_snapshot_takes_the_place_of_all_before_it() -> None:
+    disk, _ = written()
+    j = journal(disk)
+    j.open()
+    meta = SnapshotMeta(90, 5, Members((7,)), 10, 1)
+    j.write(None, (), meta)
+    j.write(None, entries(91, 2, 5))
+    found = opened(disk)
+    assert (found.base, found.base_term, found.last, found.install) == (90, 5, 92, meta)
+
+
+def test_what_belongs_elsewhere_or_is_newer_is_refused_in_one_line() -> None:
+    disk, _ = written()
+    with pytest.raises(Damaged, match="node 7 of cluster c"):
+        Journal(disk, "c", 8).open()
+    newer = Disk()
+    j = journal(newer)
+    journals.FORMAT += 1
+    try:
+        j.create()
+    finally:
+        journals.FORMAT -= 1
+    with pytest.raises(Damaged, match="format 2 is newer than 1"):
+        opened(newer)
+
+
+def test_a_stored_frame_is_not_taken_for_one_of_the_log() -> None:
+    """A value may hold bytes of another journal."""
+    disk, _ = written()
+    frames = disk.read("log-00000001")[journals.START:]
+    other = Disk()
+    j = Journal(other, "c", 7, 1 << 20, lambda: b"another!")
+    j.create()
+    j.write(HardState(1, 1), [Entry(1, 1, 1, frames)])
+    blob = other.files["log-00000001"]
+    del blob.seen[-1:]  # torn: what it holds must not look like something that follows
+    assert Journal(other, "c", 7).open().entries == []
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_power_lost_at_any_boundary_loses_nothing_that_was_answered(seed: int) -> None:
+    rng = random.Random(seed)
+    disk = Disk()
+    j = journal(disk, 500)
+    j.create()
+    done: list[Entry] = []
+    term = 1
+    fuse = rng.randint(1, 40)
+
+    def trip() -> None:
+        nonlocal fuse
+        fuse -= 1
+        if fuse == 0:
+            raise PowerLost
+
+    disk.trip = trip
+    wanted: list[Entry] = []
+    try:
+        while True:
+            term += rng.random() < 0.2
+            batch = entries(len(done) + 1, rng.randint(1, 3), term, rng.randint(1, 900))
+            wanted = done + batch
+            j.write(HardState(term, 0), batch)
+            done = wanted
+    except PowerLost:
+        disk.trip = lambda: None
+        disk.lose_power(rng)
+    found = opened(disk)
+    assert found.entries in (done, wanted), f"seed {seed}"
+    assert same(opened(disk), found)
+
+
+def test_a_real_folder_does_the_same(tmp_path: Path) -> None:
+    j = Journal(Folder(tmp_path), "c", 7, 300)
+    j.create()
+    for i in range(10):
+        j.write(HardState(1, 0), entries(1 + i, 1, 1, 100))
+    j.close()
+    again = Journal(Folder(tmp_path), "c", 7)
+    found = again.open()
+    assert found.last == 10 and not found.cut
+    again.close()
+    newest = sorted(tmp_path.glob("log-*"))[-1]
+    newest.write_bytes(newest.read_bytes()[:-30])
+    assert Journal(Folder(tmp_path), "c", 7).open(repair=False).cut > 0
+    assert msgspec.msgpack.encode(found.entries)
--- /dev/null
+++ b/tests/test_store_node.py
@@ -0,0 +1,400 @@
+"""Running nodes on loopback: members, clients, watches, certificates, and what is refused."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from lanelift.lab.cluster.churn import churn
+from lanelift.lab.cluster.real import free_port
+from lanelift.store import run as running
+from lanelift.store.client import Client, Compacted, Conflict, Rejected, StoreError, Unavailable, Wire
+from lanelift.store.commands import Op, OpenSession, Write, pack
+from lanelift.store.durable import state as states
+from lanelift.store.durable.journal import Damaged
+from lanelift.store.raft.messages import VoteAsk
+from lanelift.store.raft.messages import pack as pack_message
+from lanelift.store.run import Running
+from lanelift.store.security import Tls
+from lanelift.store.settings import StoreSettings, read_store
+from lanelift.store.wire import frames, protocol
+from lanelift.store.wire.protocol import Hello, Put
+from tests.certificates import Authority
+
+
+class Cluster:
+    """Nodes in this process."""
+
+    def __init__(self, folder: Path, tls: Tls | None = None) -> None:
+        self.folder = folder
+        self.tls = tls
+        self.nodes: dict[int, Running] = {}
+        self.settings: dict[int, StoreSettings] = {}
+        self.clients: list[Client] = []
+
+    def read(self, place: int, extra: str = "") -> StoreSettings:
+        path = self.folder / f"{place}.toml"
+        keys = (f'[tls]\ncertificate = "{self.tls.certificate}"\nkey = "{self.tls.key}"\n'
+                f'authority = "{self.tls.authority}"\n') if self.tls else ""
+        path.write_text(f'folder = "n{place}"\nlisten = "127.0.0.1:{free_port()}"\n{extra}\n{keys}'
+                        '[timing]\nheartbeat = "40ms"\nelection = "200ms"\n')
+        self.settings[place] = read_store(path)
+        return self.settings[place]
+
+    async def begin(self, place: int) -> Running:
+        self.nodes[place] = Running(self.settings[place])
+        await self.nodes[place].start()
+        return self.nodes[place]
+
+    async def start(self, size: int, extra: str = "") -> None:
+        running.init(self.read(0, extra), "c")
+        await self.begin(0)
+        client = self.client()
+        for place in range(1, size):
+            made = running.prepare(self.read(place, extra), "c")
+            await self.insist(client, "learn", made.node, self.settings[place].advertise)
+            await self.begin(place)
+            await self.insist(client, "promote", made.node)
+
+    @staticmethod
+    async def insist(client: Client, what: str, node: int, address: str = "") -> None:
+        async with asyncio.timeout(20):
+            while True:
+                try:
+                    await client.manage(what, node, address)
+                    return
+                except StoreError:
+                    await asyncio.sleep(0.01)
+
+    def client(self, tls: Tls | None = None, deadline_s: float = 5.0, only: int = -1) -> Client:
+        keys = tls or self.tls_of_client()
+        context = keys.context(False) if keys else None
+        places = [only] if only >= 0 else sorted(self.settings)
+        self.clients.append(Client([self.settings[p].advertise for p in places], lambda: context,
+                                   deadline_s=deadline_s))
+        return self.clients[-1]
+
+    def tls_of_client(self) -> Tls | None:
+        if self.tls is None:
+            return None
+        folder = self.tls.certificate.parent
+        return Tls(folder / "admin.pem", folder / "admin.key", self.tls.authority)
+
+    def leader(self) -> int:
+        return next(p for p, r in self.nodes.items() if r.node.core.role.value == "leader")
+
+    async def stop(self, place: int) -> None:
+        await self.nodes.pop(place).close()
+
+    async def close(self) -> None:
+        for client in self.clients:
+            await client.close()
+        for place in list(self.nodes):
+            await self.stop(place)
+
+
+@asynccontextmanager
+async def cluster(folder: Path, size: int = 3, tls: Tls | None = None,
+                  extra: str = "") -> AsyncIterator[Cluster]:
+    made = Cluster(folder, tls)
+    try:
+        await made.start(size, extra)
+        yield made
+    finally:
+        await made.close()
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(asyncio.wait_for(work(), 60))
+
+
+def test_what_was_answered_is_read_from_any_node_and_after_a_restart(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            client = c.client()
+            assert await client.put("config/a", b"1", 0) == 1
+            with pytest.raises(Conflict, match="config/a is at version 1"):
+                await client.put("config/a", b"2", 0)
+            for place in c.nodes:
+                row = (await c.client(only=place).get("config/a")).rows[0]
+                assert (row.value, row.version) == (b"1", 1)
+            result = await client.write([Op("b", b"x", 0), Op("config/a", b"2", 1)], note="both")
+            assert result.versions == (1, 2)
+            for place in list(c.nodes):
+                await c.stop(place)
+            for place in list(c.settings):
+                await c.begin(place)
+            again = await c.client().scan("")
+            assert [(r.key, r.version) for r in again.rows] == [("b", 1), ("config/a", 2)]
+            past = await c.client().history("config/a")
+            assert [(r.version, r.note) for r in past.rows] == [(2, "both"), (1, "")]
+            metrics = await c.client().status()
+            assert metrics["applied"] == metrics["commit"] > 5
+    run(test)
+
+
+def test_the_leaders_loss_is_borne_and_a_lone_node_says_since_when(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            client = c.client()
+            await client.put("a", b"1")
+            await c.stop(c.leader())
+            assert await client.put("a", b"2", 1) == 2
+            await c.stop(c.leader())
+            lone = next(iter(c.nodes))
+            one = c.client(only=lone, deadline_s=1.5)
+            async with asyncio.timeout(10):
+                while not c.nodes[lone].node.behind_ms():
+                    await asyncio.sleep(0.01)
+            stale = await one.get("a", stale=True)
+            assert stale.rows[0].value == b"2" and stale.behind_ms > 0
+            with pytest.raises(Unavailable):
+                await one.get("a")
+            with pytest.raises(Unavailable, match="no leader"):
+                await one.put("a", b"3")
+    run(test)
+
+
+def test_a_write_sent_twice_is_made_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await client.put("n", b"0")
+            wire = client.wire
+            assert wire is not None
+            session = 4242
+            write = pack(Write(session, 1, 0, (Op("n", b"1"),)))
+            await wire.ask(Put(9001, 1000, pack(OpenSession(session))))
+            first, second = await asyncio.gather(*(wire.ask(Put(n, 1000, write)) for n in (9002, 9003)))
+            assert isinstance(first, protocol.Done) and isinstance(second, protocol.Done)
+            assert first.result == second.result
+            assert (await client.get("n")).rows[0].version == 2
+    run(test)
+
+
+def test_a_watch_sees_every_change_over_a_change_of_leader(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            client, watcher = c.client(), c.client()
+            start = (await client.get("w/x")).revision
+            seen: list[int] = []
+
+            async def watch() -> None:
+                async for told in watcher.watch("w/", start):
+                    seen.extend(change.version for change in told.changes)
+                    if seen and seen[-1] == 60:
+                        return
+
+            task = asyncio.create_task(watch())
+            for i in range(60):
+                if i == 30:
+                    await c.stop(c.leader())
+                await client.put("w/x", b"%d" % i)
+                await client.put("other", b"")
+            await task
+            assert seen == list(range(1, 61))
+    run(test)
+
+
+def test_a_watch_whose_history_is_gone_says_so(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(states, "EVENTS", 3)
+
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            for i in range(9):
+                await client.put("w", b"%d" % i)
+            with pytest.raises(Compacted, match="read anew"):
+                async for _ in client.watch("w", 0):
+                    pass
+    run(test)
+
+
+def test_a_newcomer_far_behind_takes_a_snapshot(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1, extra='[limits]\nkeep = 5\nlog = "64KiB"') as c:
+            client = c.client()
+            for i in range(120):
+                await client.put(f"k/{i}", bytes(3000))
+            first = c.nodes[0].node
+            async with asyncio.timeout(10):
+                while first.core.log.base < 60:
+                    await asyncio.sleep(0.01)
+            made = running.prepare(c.read(1), "c")
+            await c.insist(client, "learn", made.node, c.settings[1].advertise)
+            await c.begin(1)
+            await c.insist(client, "promote", made.node)
+            assert first.figures.exports >= 1
+            rows = (await c.client(only=1).scan("k/")).rows
+            assert len(rows) == 120 and c.nodes[1].node.core.log.base > 60
+            assert len(list((tmp_path / "n0").glob("log-*"))) < 8
+    run(test)
+
+
+def test_who_was_removed_is_refused_and_quiet(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            client = c.client()
+            gone = next(p for p in c.nodes if p != c.leader())
+            number = c.nodes[gone].node.identity.node
+            await client.manage("remove", number)
+            term = c.nodes[c.leader()].node.core.term
+            async with asyncio.timeout(10):
+                while f"node {number:x} was removed" not in caplog.text:
+                    await asyncio.sleep(0.01)
+            await client.put("a", b"1")
+            assert c.nodes[c.leader()].node.core.term == term
+            with pytest.raises(Rejected, match="comes back only with a new data folder"):
+                await client.manage("learn", number, "127.0.0.1:1")
+    with caplog.at_level(logging.WARNING):
+        run(test)
+
+
+async def greeted(c: Cluster, hello: Hello, tls: Tls | None = None) -> tuple[Wire, str]:
+    """A connection that says this, and what came of it: empty where it was welcomed."""
+    wire = Wire(hello)
+    host, port = c.settings[0].listen
+    await asyncio.get_running_loop().create_connection(lambda: wire, host, port,
+                                                       ssl=tls.context(False) if tls else None)
+    try:
+        await asyncio.wait_for(wire.welcomed, 5)
+    except ConnectionError as error:
+        return wire, str(error)
+    return wire, ""
+
+
+def test_what_is_not_of_this_cluster_is_refused_in_one_line(tmp_path: Path,
+                                                             caplog: pytest.LogCaptureFixture) -> None:
+    async def closed(wire: Wire) -> None:
+        async with asyncio.timeout(5):
+            while not wire.closed:
+                await asyncio.sleep(0.005)
+
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            term = c.nodes[0].node.core.term
+            assert "this is cluster c, not d" in (await greeted(c, Hello(1, "d", 5)))[1]
+            assert "protocol 9 is newer" in (await greeted(c, Hello(9, "c", 0)))[1]
+            assert "own number" in (await greeted(c, Hello(1, "c", c.nodes[0].node.identity.node)))[1]
+            # A frame that was recorded on one connection, played on another.
+            vote = pack_message(VoteAsk(term + 50, 10**9, 10**9, False, True))
+            recorded, why = await greeted(c, Hello(1, "c", 77))
+            assert not why
+            replayed = recorded.sender.frame(vote)
+            other, _ = await greeted(c, Hello(1, "c", 78))
+            assert other.transport is not None
+            other.transport.write(replayed)
+            await closed(other)
+            assert "belongs to another connection" in caplog.text and c.nodes[0].node.core.term == term
+            # And twice on its own.
+            again, _ = await greeted(c, Hello(1, "c", 79))
+            assert again.transport is not None
+            frame = again.sender.frame(pack_message(VoteAsk(term, 0, 0, True)))
+            again.transport.write(frame + frame)
+            await closed(again)
+            assert "frame 1 where 2 was due" in caplog.text
+            large, _ = await greeted(c, Hello(1, "c", 80))
+            assert large.transport is not None
+            large.transport.write(frames.HEAD.pack(1 << 30, 1, 0))
+            await closed(large)
+            assert "a frame of 1073741824 bytes" in caplog.text
+            assert await c.client().put("a", b"1") == 1
+    with caplog.at_level(logging.WARNING):
+        run(test)
+
+
+def test_certificates_give_roles_and_are_replaced_while_it_runs(tmp_path: Path) -> None:
+    authority = Authority(tmp_path)
+    node = authority.issue("node")
+    admin, write, read = (authority.issue(role) for role in ("admin", "write", "read"))
+    elsewhere = authority.issue("admin", "another", "elsewhere")
+    foreign = Authority(tmp_path, "foreign").issue("admin", name="stranger")
+
+    async def test() -> None:
+        async with cluster(tmp_path, 2, node) as c:
+            assert await c.client(write).put("a", b"1") == 1
+            assert (await c.client(read).get("a")).rows[0].value == b"1"
+            with pytest.raises(Rejected, match="the role read may not"):
+                await c.client(read).put("a", b"2")
+            with pytest.raises(Rejected, match="the role write may not"):
+                await c.client(write).manage("transfer", 5)
+            for stranger in (elsewhere, foreign, node):
+                with pytest.raises(Unavailable):
+                    await c.client(stranger, deadline_s=0.7).get("a")
+            assert "role is admin" in (await greeted(c, Hello(1, "c", 99), admin))[1]
+            # All get new ones, of another authority; nodes take them without a restart.
+            fresh = Authority(tmp_path, "fresh")
+            for role in ("node", "admin"):
+                made = fresh.issue(role)
+            authority.path.write_bytes(fresh.path.read_bytes())
+            del made
+            for running_ in c.nodes.values():
+                await running_.server.look_at_keys()
+                assert running_.server.stamp == c.settings[0].tls.stamp()  # type: ignore[union-attr]
+            assert await c.client(admin).put("a", b"3") == 2
+            with pytest.raises(Unavailable):
+                await c.client(write, deadline_s=0.7).put("a", b"4")
+            # Bad ones leave the good in use.
+            node.certificate.write_text("nonsense")
+            for running_ in c.nodes.values():
+                assert not await running_.server.look_at_keys()
+            assert await c.client(admin).put("a", b"5") == 3
+    run(test)
+
+
+def test_a_copy_becomes_a_new_cluster_that_the_old_one_does_not_know(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await client.put("config/a", b"kept")
+            copy = tmp_path / "copy.db"
+            with open(copy, "wb") as file:
+                index, _, size, checksum = await client.copy(file.write)
+            assert copy.stat().st_size == size and states.checksum(copy) == checksum
+            made = running.restore(c.read(1), copy, "d")
+            await c.begin(1)
+            other = c.client(only=1)
+            assert (await other.get("config/a")).rows[0].value == b"kept"
+            assert await other.put("config/a", b"on", 1) == 2 and made.cluster == "d"
+            assert (await other.status())["last"] > index
+            assert (await client.get("config/a")).rows[0].version == 1
+    run(test)
+
+
+def test_a_folder_that_can_not_be_used_is_told_in_one_line(tmp_path: Path) -> None:
+    c = Cluster(tmp_path)
+    settings = c.read(0)
+    running.init(settings, "c")
+    assert running.verify(settings) == []
+    with pytest.raises(Exception, match="begins in an empty folder"):
+        running.init(settings, "c")
+
+    async def open_() -> None:
+        await Running(settings).close()
+
+    (tmp_path / "n0" / "identity.json").rename(tmp_path / "kept")
+    with pytest.raises(Damaged, match="belongs to no cluster yet"):
+        run(open_)
+    (tmp_path / "kept").rename(tmp_path / "n0" / "identity.json")
+    log = next((tmp_path / "n0").glob("log-*"))
+    data = bytearray(log.read_bytes())
+    data[40] ^= 1
+    log.write_bytes(data)
+    with pytest.raises(Damaged, match="head does not read"):
+        run(open_)
+    assert len(running.verify(settings)) == 1
+
+
+def test_nothing_is_lost_doubled_or_halved_while_nodes_are_killed(tmp_path: Path) -> None:
+    report = asyncio.run(churn(tmp_path, 20.0, seed=3))
+    assert report.wrong == [], "lanelift lab store-churn --seed 3"
+    assert report.kills >= 3 and report.lost >= 1 and report.acknowledged > 300
+    assert report.pairs > 50 and report.changes >= report.acknowledged
+
+
+
--- /dev/null
+++ b/tests/test_store_state.py
@@ -0,0 +1,179 @@
+"""The state that the log builds: all or nothing, once, alike on every node."""
+
+from __future__ import annotations
+
+import sqlite3
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lanelift.store import commands
+from lanelift.store.commands import ANY, AnyCommand, CloseSession, Code, Op, OpenSession, Result, Write
+from lanelift.store.durable import state as states
+from lanelift.store.durable.journal import Damaged
+from lanelift.store.durable.state import Compacted, State
+from lanelift.store.raft.messages import Entry, Kind, Members, pack
+
+MEMBERS = Members((1,), (), {1: "a"})
+
+
+def fresh() -> State:
+    db = sqlite3.connect(":memory:", isolation_level=None)
+    states.fill(db, "c", MEMBERS)
+    return State(db)
+
+
+class Log:
+    """Feeds a state."""
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+
+    def do(self, *said: AnyCommand) -> list[Result]:
+        first = self.state.applied + 1
+        return self.state.apply([Entry(1, first + i, Kind.COMMAND, commands.pack(c))
+                                 for i, c in enumerate(said)])
+
+
+def write(number: int, *ops: Op, session: int = 5, answered: int = 0, **rest: object) -> Write:
+    return Write(session, number, answered, ops, **rest)  # type: ignore[arg-type]
+
+
+def test_a_write_that_comes_twice_is_made_once() -> None:
+    log = Log(fresh())
+    log.do(OpenSession(5))
+    first, again = log.do(write(1, Op("a", b"1")), write(1, Op("a", b"1")))
+    assert first == again and first.versions == (1,)
+    item = log.state.get("a")
+    assert item is not None and item.version == 1
+    late = log.do(write(2, Op("a", b"2"), answered=1), write(1, Op("a", b"1")))[1]
+    assert late.code == Code.EXPIRED and log.state.get("a").version == 2  # type: ignore[union-attr]
+
+
+def test_all_of_a_write_or_nothing() -> None:
+    log = Log(fresh())
+    log.do(OpenSession(5), write(1, Op("a", b"1"), Op("b", b"1")))
+    result = log.do(write(2, Op("a", b"2"), Op("b", b"2", 7)))[0]
+    assert (result.code, result.versions, result.text) == (Code.CONFLICT, (1,), "b")
+    assert [i.value for i in log.state.scan("")] == [b"1", b"1"]
+    assert log.do(write(3, Op("c", b"x", 0), checks=(("a", 1),)))[0].code == Code.DONE
+    assert log.do(write(4, Op("d", b"x"), checks=(("a", 2),)))[0].code == Code.CONFLICT
+
+
+def test_versions_go_on_counting_over_a_deletion() -> None:
+    log = Log(fresh())
+    log.do(OpenSession(5))
+    versions = [r.versions for r in log.do(write(1, Op("config/a", b"1")), write(2, Op("config/a", None)),
+                                           write(3, Op("config/a", b"2", 0)), write(4, Op("nothing", None)))]
+    assert versions == [(1,), (0,), (3,), (0,)]
+    assert [(i.version, i.value) for i in log.state.history("config/a")] == [(3, b"2"), (2, None), (1, b"1")]
+
+
+def test_a_session_that_is_unknown_or_closed_is_told_so() -> None:
+    log = Log(fresh())
+    results = log.do(write(1, Op("a", b"1")), OpenSession(5), write(1, Op("a", b"1")), CloseSession(5),
+                     write(2, Op("a", b"1")))
+    assert [r.code for r in results] == [Code.EXPIRED, Code.DONE, Code.DONE, Code.DONE, Code.EXPIRED]
+
+
+def test_the_least_lately_used_session_goes_when_there_are_too_many(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(states, "SESSIONS", 3)
+    log = Log(fresh())
+    log.do(*[OpenSession(i) for i in (1, 2, 3)], write(1, Op("a", b"1"), session=1), OpenSession(4))
+    codes = [log.do(write(9, Op("a", b"2"), session=i))[0].code for i in (1, 2, 3, 4)]
+    assert codes == [Code.DONE, Code.EXPIRED, Code.DONE, Code.DONE]
+
+
+def test_a_watcher_is_told_everything_or_that_it_is_gone(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(states, "EVENTS", 5)
+    log = Log(fresh())
+    log.do(OpenSession(5))
+    log.do(*[write(i, Op(f"k/{i % 2}", b"%d" % i), Op("other", b"x")) for i in range(1, 9)])
+    events = log.state.events("k/", log.state.forgotten)
+    assert [e.value for e in events] == [b"7", b"8"] and log.state.events("k/", events[-1].revision) == []
+    assert log.state.events("", 8, 1)[0].revision == 9 == log.state.events("", 8, 1)[-1].revision
+    with pytest.raises(Compacted):
+        log.state.events("k/", log.state.forgotten - 1)
+
+
+@pytest.mark.parametrize("op", [Op("A", b""), Op("a//b", b""), Op("a" * 600, b""), Op("a", bytes(2 << 20)),
+                                Op("a/", b""), Op("", b"")])
+def test_what_breaks_a_limit_is_refused_by_every_node_alike(op: Op) -> None:
+    log = Log(fresh())
+    assert log.do(OpenSession(5), write(1, op))[1].code == Code.REFUSED
+    assert log.do(write(2, Op("a", b"1"), Op("a", b"2")))[0].code == Code.REFUSED
+
+
+def test_an_entry_that_does_not_read_stops_nobody() -> None:
+    state = fresh()
+    result = state.apply([Entry(1, 1, Kind.COMMAND, b"\xc1 nonsense"), Entry(1, 2, Kind.NOTHING),
+                          Entry(1, 3, Kind.MEMBERS, pack(Members((1, 2))))])
+    assert result[0].code == Code.REFUSED and state.members.voters == (1, 2) and state.applied == 3
+
+
+def test_a_run_that_breaks_off_leaves_nothing_of_itself(monkeypatch: pytest.MonkeyPatch) -> None:
+    log = Log(fresh())
+    log.do(OpenSession(5), write(1, Op("a", b"1")))
+    before = log.state.digest()
+    real = State._op
+
+    def breaks(self: State, op: Op, *rest: object) -> int:
+        if op.key == "c":
+            raise sqlite3.OperationalError("disk I/O error")
+        return real(self, op, *rest)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(State, "_op", breaks)
+    with pytest.raises(sqlite3.OperationalError):
+        log.do(write(2, Op("b", b"1")), write(3, Op("c", b"1")))
+    assert log.state.digest() == before and log.state.applied == 2
+    monkeypatch.setattr(State, "_op", real)
+    assert [r.code for r in log.do(write(2, Op("b", b"1")), write(3, Op("c", b"1")))] == [0, 0]
+
+
+KEYS = st.sampled_from(["config/a", "b", "c"])
+OPS = st.builds(Op, KEYS, st.one_of(st.none(), st.binary(max_size=4)), st.sampled_from([ANY, 0, 1, 2]))
+SAID = st.one_of(
+    st.builds(lambda s, n, ops: Write(s, n, 0, tuple({o.key: o for o in ops}.values())),
+              st.integers(1, 2), st.integers(1, 6), st.lists(OPS, min_size=1, max_size=3)),
+    st.builds(OpenSession, st.integers(1, 2)), st.builds(CloseSession, st.integers(1, 2)))
+
+
+@given(st.lists(SAID, max_size=30), st.randoms())
+def test_one_log_one_state_however_it_is_cut_into_runs(said: list[AnyCommand], rng: object) -> None:
+    log = [Entry(1, i + 1, Kind.COMMAND, commands.pack(c)) for i, c in enumerate(said)]
+    one, other = fresh(), fresh()
+    answers: list[Result] = []
+    while len(answers) < len(log):
+        size = rng.randint(1, 5)  # type: ignore[attr-defined]
+        answers += one.apply(log[len(answers):len(answers) + size])
+    assert answers == [r for e in log for r in other.apply([e])] and one.digest() == other.digest()
+
+
+def test_a_copy_is_of_one_entry_and_checked(tmp_path: Path) -> None:
+    state = states.create(tmp_path / "state.db", "c", MEMBERS)
+    log = Log(state)
+    log.do(OpenSession(5), *[write(i, Op(f"k{i}", bytes(500))) for i in range(1, 50)])
+    meta = states.export(tmp_path / "state.db", tmp_path / "copy.db")
+    log.do(write(50, Op("later", b"1")))
+    assert (meta.index, meta.members) == (50, MEMBERS) and states.verify(tmp_path / "copy.db") == ""
+    copy = states.open_state(tmp_path / "copy.db")
+    assert copy.get("k49") is not None and copy.get("later") is None
+    copy.close()
+    raw = bytearray((tmp_path / "copy.db").read_bytes())
+    raw[4096:5200] = bytes(1104)
+    (tmp_path / "copy.db").write_bytes(raw)
+    assert states.verify(tmp_path / "copy.db") != ""
+    assert states.checksum(tmp_path / "copy.db") != meta.checksum
+
+
+def test_a_state_of_a_newer_format_is_refused_in_one_line(tmp_path: Path) -> None:
+    state = states.create(tmp_path / "state.db", "c", MEMBERS)
+    state.db.execute("UPDATE meta SET value = 9 WHERE name = 'format'")
+    state.close()
+    with pytest.raises(Damaged, match="format 9 is newer than 1"):
+        states.open_state(tmp_path / "state.db")
+    (tmp_path / "state.db").write_bytes(b"no database" * 1000)
+    with pytest.raises(Damaged):
+        states.open_state(tmp_path / "state.db")
