Tell the module what it had learnt before a restart, the less believed the older

Need: a balancer that restarts at the peak relearns everything. The module can be asked what it learnt (rates by tenant, times by class, paces by upstream with the start they were learnt of) and told it with an age; half is believed after a minute.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from operator import attrgetter
 
@@ -59,6 +59,9 @@
 LATE_LOOK_NS = SECOND // 50  # between two looks whether others wait for the place of a late attempt
 LATE_NS = 10_000_000  # a timer that comes so late tells of a proxy without time to look
 EVIDENCE = 8  # outcomes before a figure is believed
+# What was learnt before a restart is believed by half after so long, and not at all below a part; it counts
+# as so many outcomes. R comes back with room on top, more the older it is: too low a start starves tenants.
+HALF_LIFE_NS, LEAST_BELIEF, RECALLED, HEADROOM = 60 * SECOND, 0.05, 20, 1.3
 
 
 def mixed(number: int, salt: int) -> int:
@@ -269,6 +272,10 @@
         self._share(now)
         self.since, self.good, self.bad, self.unplaced = now, 0, 0, 0
 
+    def recall(self, value: float, now: int) -> None:
+        self.value = self.served = min(self.value, value)
+        self._share(now)
+
     def _share(self, now: int) -> None:
         """Fair shares of R by weight; what quiet tenants leave is lent to those who want more."""
         whole = sum(t.weight for t in self.throttles)
@@ -424,6 +431,7 @@
         self.crowding = crowding
         self.rng = rng
         self.servers: dict[int, Server] = {}
+        self.past: dict[int, tuple[float, int]] = {}  # learnt before a restart, of what is not listed yet
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
@@ -469,8 +477,23 @@
         spots = ((mixed(entry.id, salt), entry.id) for salt in (0, self.settings.me + 1))
         s = self.servers[entry.id] = Server(entry.id, entry)
         s.spot, s.turn = spots
+        if entry.id in self.past:
+            self.remember(s)
         return s
 
+    def recall(self, paces: Mapping[int, tuple[float, int]], trust: float) -> None:
+        """How fast upstreams were before a restart of this proxy; those not yet listed take it when they
+        are."""
+        self.past = {n: (1.0 + trust * (pace - 1.0), started) for n, (pace, started) in paces.items()}
+        for number in [n for n in self.past if n in self.servers]:
+            self.remember(self.servers[number])
+
+    def remember(self, s: Server) -> None:
+        """One that was started since is another."""
+        pace, started = self.past.pop(s.id)
+        if started == s.entry.started_ns:
+            s.pace = min(10.0, max(0.1, pace))
+
     def place(self, s: Server) -> None:
         """Keep the two orders of usable ones, whose length must not make each change of the list dear."""
         if s.usable is s.placed:
@@ -707,6 +730,8 @@
                 self._whole(e, now)
             elif type(e) is api.Ban:
                 self.fleet.ban(e, now)
+            elif type(e) is api.Learnt:
+                self._recall(e, now)
             elif type(e) is api.Wake and e.name == str(self.timer):
                 self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
         while self.due and self.due[0][0] <= now:
@@ -726,6 +751,33 @@
             self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
         return self.actions
 
+    def learnt(self) -> api.Learnt:
+        """What it has learnt so far, for its successor."""
+        c = self.crowding
+        demands = {name: t.demand for name, t in self.throttles.items()}
+        return api.Learnt(0, self.rate.value if self.rate.value < START_RATE else 0.0, demands, dict(c.taken),
+                          c.each, c.calm, c.window, {s.id: (s.pace, s.started_ns) for s in self.fleet.ready})
+
+    def _recall(self, e: api.Learnt, now: int) -> None:
+        """Begin with what was learnt before a restart. What this proxy has seen by itself stands."""
+        trust = 0.5 ** (max(0, e.age_ns) / HALF_LIFE_NS)
+        c = self.crowding
+        if trust < LEAST_BELIEF or c.seen >= EVIDENCE:
+            return
+        for name, took in e.taken.items():
+            c.taken.setdefault(name, took)
+        if e.each_ns > 0:
+            c.each += trust * (e.each_ns - c.each)
+            c.calm += trust * (min(e.calm, EASE[1]) - c.calm)
+            c.window += trust * (min(e.window, c.widest) - c.window)
+            c.seen = max(c.seen, int(RECALLED * trust))
+        self.fleet.recall(e.paces, trust)
+        if e.rate:
+            for name, demand in e.demands.items():
+                if name in self.throttles:
+                    self.throttles[name].demand = demand
+            self.rate.recall(e.rate * HEADROOM / trust, now)
+
     def _later(self, at: int, what: str, about: Request | Throttle | Turn | None, extra: int = 0) -> None:
         self.count += 1
         heapq.heappush(self.due, (at, self.count, what, about, extra))
--- a/lanelift/interface.py
+++ b/lanelift/interface.py
@@ -227,8 +227,23 @@
     on: bool = True
 
 
+class Learnt(NamedTuple):
+    """What a proxy had learnt when it was asked (`Balancer.learnt`), told to it, or to its successor, after a
+    restart. The older it is, the less of it is believed."""
+
+    age_ns: int = 0
+    rate: float = 0.0  # requests a second that it let through at most; 0: not told
+    demands: Mapping[str, float] = {}  # tenant -> requests a second
+    taken: Mapping[str, float] = {}  # class -> ns that a request takes
+    each_ns: float = 0.0  # for each request that an upstream holds
+    calm: float = 0.0  # part of its aim that an answer takes in good times
+    window: float = 0.0  # own requests in flight for each upstream
+    # Upstream -> its time for a request against the fleet's, and the start of which that was learnt.
+    paces: Mapping[int, tuple[float, int]] = {}
+
+
 Event = (ListUpdate | Arrival | BodyWhole | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage
-         | Wake | Ban)
+         | Wake | Ban | Learnt)
 
 # ---- actions -------------------------------------------------------------------------------------------
 
--- a/lanelift/lab/cluster/plans.py
+++ b/lanelift/lab/cluster/plans.py
@@ -40,7 +40,8 @@
             "doubled": self.doubled, "clock": self.clock, "rate": self.rate, "full": self.full,
             "slowdisk": self.slowdisk, "learn": self.learn, "promote": self.promote, "remove": self.remove,
             "transfer": self.transfer, "all": self.all, "wipe": self.wipe, "flip": self.flip,
-            "silence": self.silence, "burst": self.burst}
+            "silence": self.silence, "burst": self.burst,
+            "lonely": self.lonely, "eager": self.eager, "behead": self.behead}
         names = kinds or tuple(everything)
         # A few kinds a run, drawn anew for each: what only comes together in twos and threes is found so.
         self.kinds = [everything[n] for n in self.rng.sample(names, min(len(names), self.rng.randint(2, 8)))]
@@ -142,6 +143,37 @@
         one = self._some().id
         self._cut({pair for n in self.cluster.nodes if n != one for pair in ((one, n), (n, one))})
 
+    def lonely(self) -> None:
+        """A leader that no member hears, and whose clock is slow: it believes for long that it leads."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        before, leader.rate = leader.rate, 0.3
+        one = leader.id
+        self._cut({pair for n in self.cluster.nodes if n != one for pair in ((one, n), (n, one))})
+
+        def back() -> None:
+            leader.rate = before
+        self._lasting(back)
+
+    def _often(self, times: int, every: int, act: Callable[[], None]) -> None:
+        act()
+        if times > 1 and not self.over:
+            self.cluster.at(every, lambda: self._often(times - 1, every, act))
+
+    def behead(self) -> None:
+        """Whoever has just won dies at once, again and again (paper, figure 8)."""
+        seen: set[int] = set()
+
+        def look() -> None:
+            leader = self.cluster.leader()
+            if leader is None or leader.replica is None or leader.replica.core.term in seen:
+                return
+            seen.add(leader.replica.core.term)
+            self.cluster.at(self.rng.randint(0, 40 * MS), lambda: self.cluster.stop(leader, False))
+            self.cluster.at(self.rng.randint(100 * MS, 900 * MS), lambda: self.cluster.start(leader))
+        self._often(500, 5 * MS, look)
+
     def silence(self) -> None:
         """Clients still reach a leader that the others don't hear, and hears them."""
         one = self._some().id
@@ -254,6 +286,20 @@
         for number in self.rng.sample(members.voters, min(2, len(members.voters) - 2)):
             self.cluster.change(Change("remove", number), True)
 
+    def eager(self) -> None:
+        """Operators that ask for a change of members the moment there is a leader, over and over."""
+        def ask() -> None:
+            members = self._members()
+            if members is None:
+                return
+            if members.learners and self.rng.random() < 0.6:
+                self.cluster.change(Change("promote", self.rng.choice(members.learners)), True)
+            elif len(members.voters) > 3 and self.rng.random() < 0.5:
+                self.cluster.change(Change("remove", self.rng.choice(members.voters)), True)
+            elif len(members.voters) < 5:
+                self.learn()
+        self._often(60, 20 * MS, ask)
+
     def transfer(self) -> None:
         leader = self.cluster.leader()
         if leader is None or leader.replica is None:
--- a/lanelift/lab/hosts.py
+++ b/lanelift/lab/hosts.py
@@ -39,6 +39,9 @@
     def __init__(self, maker: Maker = Balancer) -> None:
         self.maker = maker
         self.instances: dict[int, Module] = {}
+        self.remembers = bool(getattr(maker, "remembers", False))
+        self.past: dict[int, tuple[int, api.Learnt]] = {}  # of those that were killed, and when
+        self.now = 0
         self._spent_ns = 0
         self._events = 0
 
@@ -55,13 +58,23 @@
         self.instances[number] = self.maker(read_settings(settings), seed, now)
 
     def kill(self, number: int) -> None:
-        self.instances.pop(number, None)
+        killed = self.instances.pop(number, None)
+        if self.remembers and isinstance(killed, Balancer):
+            self.past[number] = self.now, killed.learnt()
+
+    def _remind(self, number: int, now: int, events: Sequence[api.Event]) -> Sequence[api.Event]:
+        """With its first events, what its predecessor had learnt."""
+        at, learnt = self.past.pop(number)
+        return [learnt._replace(age_ns=now - at), *events]
 
     def handle(self, now: int, batch: Batch) -> Actions:
         began = time.perf_counter_ns()
+        self.now = now
         answers: Actions = {}
         for number, events in batch.items():
             self._events += len(events)
+            if number in self.past:
+                events = self._remind(number, now, events)
             try:
                 answers[number] = self.instances[number].handle(now, events)
             except Exception as error:
--- a/lanelift/lab/policies.py
+++ b/lanelift/lab/policies.py
@@ -17,6 +17,7 @@
 from lanelift.lab.topology import Unusable
 
 HERE = "here"
+REMEMBERING = "here+memory"  # what an instance learnt outlives its restart
 MODULE = "lanelift/decide.py"
 POLL_NS = 500_000_000
 
@@ -247,6 +248,11 @@
         self.text = text
         self.made: Callable[[api.Settings, int, int], Module] | None = None
 
+    @property
+    def remembers(self) -> bool:
+        """Is what an instance learnt handed to its successor?"""
+        return self.name == REMEMBERING
+
     def __getstate__(self) -> tuple[str, str | None]:
         return self.name, self.text
 
@@ -277,12 +283,13 @@
 def policy(name: str) -> ByName:
     """`here`, the name of a textbook or broken policy, the path of a module's file, or a git revision whose
     module is meant. Raises Unusable."""
-    if name == HERE or name in TEXTBOOK or name in BROKEN:
+    if name in (HERE, REMEMBERING) or name in TEXTBOOK or name in BROKEN:
         return ByName(name)
     if Path(name).is_file():
         return ByName(name, Path(name).read_text(encoding="utf-8"))
     shown = subprocess.run(["git", "show", f"{name}:{MODULE}"], capture_output=True, text=True, check=False)
     if shown.returncode != 0:
         raise Unusable(f"{name}: no policy, file or revision of that name; policies are {HERE}, "
+                       f"{REMEMBERING}, "
                        f"{', '.join(sorted(TEXTBOOK) + sorted(BROKEN))}")
     return ByName(name, shown.stdout)
