Let a balancer take settings, sets, lists and what it learnt from the store

Need: an edit reaches balancers one by one, what operators took out is known to one machine, and a restart begins with nothing. lanelift serve with a [store] table reads its settings from a document (or the copy it keeps), shares the set of disabled upstreams, and saves and recalls the box list and what the module learnt. Without a store, or a leader, it goes on and says since when.

Seen: pytest tests/test_store_daemon.py: served, reloaded on a put, served on after SIGKILL of the store, started again from the copy.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Protocol
 
 import uvloop
 
@@ -146,8 +147,27 @@
         logging.info("configuration reloaded: discovery at %s:%d", *new.discovery)
 
 
+@dataclass(frozen=True)
+class Parts:
+    """What a companion may look at and tell."""
+
+    config: Config
+    driver: Driver
+    disabled: DisabledUpstreams
+    reload: Callable[[], None]
+
+
+class Companion(Protocol):
+    """Runs beside a balancer in its process, and must never hold it up."""
+
+    def start(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
 async def serve(config: Config, listener: socket.socket, door: socket.socket | None = None,
-                read: Callable[[], Config] = lambda: read_config(os.environ)) -> None:
+                read: Callable[[], Config] = lambda: read_config(os.environ),
+                companion: Callable[[Parts], Companion] | None = None) -> None:
     """Run a balancer until it is told to leave. `read`: the configuration as it is now, for a reload."""
     loop = asyncio.get_running_loop()
     settings = config.settings
@@ -176,8 +196,12 @@
         await management.start(door)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, frontend.drain)
-    loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery, read).reload)
+    reloader = Reloader(config, discovery, read)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    beside = companion(Parts(config, driver, disabled, reloader.reload)) if companion is not None else None
+    if beside is not None:
+        beside.start()
     if not siblings.alone:
         # Clients are dealt to this process from its first turn on: it begins once it can serve, and once the
         # other one leaves it its part of the descriptors.
@@ -194,6 +218,8 @@
         log = logging.error if driver.open else logging.info
         log("left with %d requests and %d clients' connections open", driver.open, frontend.held)
     finally:
+        if beside is not None:
+            await beside.close()
         frontend.close()
         management.close()
         discovery.close()
@@ -201,7 +227,7 @@
         siblings.close()
 
 
-def run(read: Callable[[], Config]) -> int:
+def run(read: Callable[[], Config], companion: Callable[[Parts], Companion] | None = None) -> int:
     """A balancer in this process, from its configuration to its end. Returns the exit status."""
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
     # A reload that is asked for before the loop runs waits until then: by itself the signal ends the process.
@@ -217,7 +243,7 @@
         print(f"lanelift: {error}", file=sys.stderr)
         return 2
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(config, listener, door, read))
+        runner.run(serve(config, listener, door, read, companion))
     return 0
 
 
--- a/lanelift/cli/serve.py
+++ b/lanelift/cli/serve.py
@@ -14,8 +14,15 @@
 def serve(settings: Annotated[Path, typer.Option(help="The operators' settings, a TOML file.")],
           check: Annotated[bool, typer.Option("--check", help="Read the file and stop.")] = False) -> None:
     """Run a balancer until SIGTERM. SIGHUP reads the file again."""
+    from lanelift.daemon.boot import read_boot  # the store's libraries only where one is named
+    boot = read_boot(settings)
     if check:
-        read_file(settings)
+        if boot is None:
+            read_file(settings)
+        elif boot.cache is None:
+            boot.read()
         typer.echo(f"{settings}: good")
         return
-    raise typer.Exit(run(lambda: read_file(settings)))
+    if boot is None:
+        raise typer.Exit(run(lambda: read_file(settings)))
+    raise typer.Exit(run(boot.read, boot.companion))
--- /dev/null
+++ b/lanelift/daemon/keeper.py
@@ -0,0 +1,302 @@
+"""What a balancer keeps in the store, and takes from it: its settings, the upstreams that operators took out,
+the last box list, and what the module learnt. It never holds up the balancer: without a store, or one without
+a leader, the balancer goes on with what it has, and the log says since when.
+
+    config/DOCUMENT            the operators' settings, TOML
+    disabled/SERVICE           names, JSON
+    list/SERVICE               the last box list
+    learnt/SERVICE/BALANCER    what its module learnt
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from lanelift import interface as api
+from lanelift.__main__ import Parts
+from lanelift.net.upstream import Endpoint
+from lanelift.store.client import Client, Compacted, Conflict, StoreError
+from lanelift.store.documents import PREFIX
+from lanelift.store.wire.protocol import Row
+
+log = logging.getLogger(__name__)
+
+SAVE_S = 5.0  # between two looks at what is to be saved
+ASK_S = 1.0  # a start waits no longer for the store
+RETRY_S = 0.5
+OLDEST_LIST_S = 24 * 3600.0
+
+
+class SavedEndpoint(msgspec.Struct, frozen=True):
+    """An entry of a list, with clock time in place of this process's."""
+
+    id: int
+    host: str
+    port: int
+    zone: str
+    kind: str
+    cell: int
+    weight: float
+    started: float  # Unix time; 0: long ago
+    draining: bool
+
+
+class SavedList(msgspec.Struct, frozen=True):
+    at: float
+    servers: list[SavedEndpoint]
+
+
+class SavedLearnt(msgspec.Struct, frozen=True):
+    """`paces`: by upstream, its pace and Unix time of the start that it was learnt of."""
+
+    at: float
+    rate: float
+    demands: dict[str, float]
+    taken: dict[str, float]
+    each_ns: float
+    calm: float
+    window: float
+    paces: dict[int, tuple[float, float]]
+
+
+def _wall(started_ns: int) -> float:
+    """Monotonic nanoseconds as Unix time, to the millisecond."""
+    if not started_ns:
+        return 0.0
+    return round(time.time() - (time.monotonic_ns() - started_ns) / 1e9, 3)
+
+
+def _mono(wall: float) -> int:
+    return 0 if not wall else time.monotonic_ns() - int((time.time() - wall) * 1e9)
+
+
+def save_list(endpoints: list[Endpoint]) -> list[SavedEndpoint]:
+    """In a fixed order, so that equal lists are equal bytes."""
+    return sorted((SavedEndpoint(e.entry.id, e.host, e.port, e.entry.zone, e.entry.kind, e.entry.cell,
+                                 e.entry.weight, round(_wall(e.entry.started_ns), 1),
+                                 e.entry.state is api.State.DRAINING) for e in endpoints), key=lambda s: s.id)
+
+
+def load_list(saved: SavedList) -> list[Endpoint]:
+    return [Endpoint(api.Upstream(s.id, api.State.DRAINING if s.draining else api.State.READY, s.zone, s.cell,
+                                  s.weight, _mono(s.started), s.kind), s.host, s.port) for s in saved.servers]
+
+
+def save_learnt(learnt: api.Learnt) -> SavedLearnt:
+    return SavedLearnt(time.time(), learnt.rate, dict(learnt.demands), dict(learnt.taken), learnt.each_ns,
+                       learnt.calm, learnt.window,
+                       {n: (round(pace, 4), _wall(started)) for n, (pace, started) in learnt.paces.items()})
+
+
+def load_learnt(saved: SavedLearnt, listed: dict[int, int]) -> api.Learnt:
+    """`listed`: upstreams and the starts that they are listed with; clocks are only so exact."""
+    paces = {}
+    for number, (pace, started) in saved.paces.items():
+        now = listed.get(number, 0)
+        if bool(now) == bool(started) and abs(_wall(now) - started) < 1.0:
+            paces[number] = pace, now
+    age = int(max(0.0, time.time() - saved.at) * 1e9)
+    return api.Learnt(age, saved.rate, saved.demands, saved.taken, saved.each_ns, saved.calm, saved.window,
+                      paces)
+
+
+class Keeper:
+    def __init__(self, client: Client, service: str, balancer: str, document: str, cache: Path | None,
+                 parts: Parts) -> None:
+        self.client = client
+        self.document = document
+        self.cache = cache
+        self.parts = parts
+        self.keys = f"disabled/{service}", f"list/{service}", f"learnt/{service}/{balancer}"
+        self.asked: list[tuple[str, bool]] = []  # what operators changed here and the store has not yet
+        self.more = asyncio.Event()
+        self.saved: list[SavedEndpoint] = []  # as the store has it
+        self.lost_s = 0.0  # since when the store does not answer
+        self.tasks: list[asyncio.Task[None]] = []
+        parts.disabled.heard.append(self._heard)
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self._kept(work)) for work in (
+            self._begin, self._watch_disabled, self._tell_disabled, self._save)]
+        if self.document:
+            self.tasks.append(loop.create_task(self._kept(self._watch_document)))
+
+    async def _kept(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Whatever goes wrong here is told, tried again, and does the balancer no harm."""
+        while True:
+            try:
+                await work()
+                return
+            except StoreError as error:
+                self._lost(str(error))
+            except Exception:
+                log.exception("the store's keeper")
+            await asyncio.sleep(RETRY_S)
+
+    def _lost(self, why: str) -> None:
+        if not self.lost_s:
+            self.lost_s = time.monotonic()
+            log.warning("the store does not answer (%s): going on with what is known", why)
+
+    def _found(self) -> None:
+        if self.lost_s:
+            log.info("the store answers again after %.1f s", time.monotonic() - self.lost_s)
+            self.lost_s = 0.0
+
+    # ---- at the start ------------------------------------------------------------------------------------
+
+    async def _begin(self) -> None:
+        """The last list, where discovery has not told one, and what was learnt; from whichever node is
+        there."""
+        driver = self.parts.driver
+        found = await self.client.get(*self.keys, stale=True, within_s=ASK_S)
+        self._found()
+        _, listed, learnt = found.rows
+        saved = _decoded(listed, SavedList)
+        if saved is not None:
+            self.saved = saved.servers
+            age = time.time() - saved.at
+            if not driver.told.is_set() and not driver.upstreams.targets and age < OLDEST_LIST_S:
+                endpoints = load_list(saved)
+                driver.learn(api.ListKind.CACHED, endpoints)
+                log.info("store: %d upstreams from a list %.0f s old", len(endpoints), age)
+        past = _decoded(learnt, SavedLearnt)
+        if past is not None:
+            starts = {n: t.endpoint.entry.started_ns for n, t in driver.upstreams.targets.items()}
+            driver.post(load_learnt(past, starts))
+            log.info("store: what was learnt %.0f s ago", time.time() - past.at)
+
+    # ---- what operators took out -------------------------------------------------------------------------
+
+    def _heard(self, name: str, on: bool) -> None:
+        self.asked.append((name, on))
+        self.more.set()
+
+    def _with_asked(self, names: frozenset[str]) -> frozenset[str]:
+        for name, on in self.asked:
+            names = names | {name} if on else names - {name}
+        return names
+
+    async def _watch_disabled(self) -> None:
+        key = self.keys[0]
+        while True:
+            found = await self.client.get(key, stale=True)
+            self._found()
+            if found.rows[0].value is not None:
+                await self.parts.disabled.adopt(self._with_asked(_names(found.rows[0].value)))
+            elif self.parts.disabled.names and not self.asked:
+                self.asked = [(name, True) for name in sorted(self.parts.disabled.names)]
+                self.more.set()
+            with suppress(Compacted):
+                async for told in self.client.watch(key, found.revision):
+                    self._found()
+                    for change in told.changes:
+                        if change.key == key:
+                            await self.parts.disabled.adopt(self._with_asked(_names(change.value or b"[]")))
+
+    async def _tell_disabled(self) -> None:
+        """Each change of the operators here, merged into what the others have."""
+        key = self.keys[0]
+        while True:
+            await self.more.wait()
+            self.more.clear()
+            while self.asked:
+                done = len(self.asked)
+                try:
+                    row = (await self.client.get(key)).rows[0]
+                    names = self._with_asked(_names(row.value or b"[]"))
+                    await self.client.put(key, msgspec.json.encode(sorted(names)), row.version)
+                except Conflict:
+                    continue
+                except StoreError as error:
+                    self._lost(str(error))
+                    await asyncio.sleep(RETRY_S)
+                    continue
+                del self.asked[:done]
+
+    # ---- settings ----------------------------------------------------------------------------------------
+
+    async def _watch_document(self) -> None:
+        key = PREFIX + self.document
+        while True:
+            found = await self.client.get(key, stale=True)
+            self._take(found.rows[0].value, found.rows[0].version)
+            with suppress(Compacted):
+                async for told in self.client.watch(key, found.revision):
+                    self._found()
+                    for change in told.changes:
+                        if change.key == key:
+                            self._take(change.value, change.version)
+
+    def _take(self, value: bytes | None, version: int) -> None:
+        if value is None or self.cache is None or (self.cache.exists() and self.cache.read_bytes() == value):
+            return
+        write_cache(self.cache, value)
+        log.info("store: %s is at version %d", self.document, version)
+        self.parts.reload()
+
+    # ---- saving ------------------------------------------------------------------------------------------
+
+    async def _save(self) -> None:
+        while True:
+            await asyncio.sleep(SAVE_S)
+            await self.save()
+
+    async def save(self, within_s: float = 0.0) -> None:
+        """Raises StoreError."""
+        driver = self.parts.driver
+        _, listed, learnt = self.keys
+        servers = save_list([t.endpoint for t in driver.upstreams.targets.values()])
+        if servers and servers != self.saved:
+            await self.client.put(listed, msgspec.json.encode(SavedList(time.time(), servers)),
+                                  within_s=within_s)
+            self.saved = servers
+        known = driver.balancer.learnt()
+        if known.taken:
+            await self.client.put(learnt, msgspec.json.encode(save_learnt(known)), within_s=within_s)
+        self._found()
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        with suppress(StoreError):
+            await self.save(0.5)
+        await self.client.close()
+
+
+def _names(value: bytes) -> frozenset[str]:
+    try:
+        return frozenset(msgspec.json.decode(value, type=list[str]))
+    except ValueError as error:
+        log.error("store: the set of disabled upstreams does not read: %s", error)
+        return frozenset()
+
+
+def _decoded(row: Row, kind: type[Any]) -> Any:
+    """None where there is none, or it does not read: another version of the program may have written it."""
+    if row.value is None:
+        return None
+    try:
+        return msgspec.json.decode(row.value, type=kind)
+    except ValueError as error:
+        log.warning("store: %s is left aside: %s", row.key, error)
+        return None
+
+
+def write_cache(path: Path, value: bytes) -> None:
+    """Replaced as a whole; it spares a start the store, so a loss of it is borne."""
+    fresh = path.with_name(path.name + ".new")
+    try:
+        fresh.write_bytes(value)
+        fresh.replace(path)
+    except OSError as error:
+        log.error("%s: %s", path, error.strerror)
--- a/lanelift/lab/cluster/sim.py
+++ b/lanelift/lab/cluster/sim.py
@@ -385,6 +385,8 @@
     for node in cluster.up():
         assert node.replica is not None
         state = node.replica.state
+        if not state.applied:
+            continue  # a newcomer that nobody spoke to knows no members, a founder does
         digests.setdefault((state.applied, state.digest()), []).append(node.id)
     if len({applied for applied, _ in digests}) < len(digests):
         raise Broken("state machine safety", f"states differ after the same entries: {digests}")
--- a/lanelift/lab/decisions.py
+++ b/lanelift/lab/decisions.py
@@ -10,6 +10,7 @@
 import random
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any, NamedTuple
 
 from lanelift import interface as api
@@ -45,8 +46,7 @@
 
     def __init__(self, maker: Maker, boxes: int, balancers: int) -> None:
         self.now = 10 * SECOND
-        settings = api.Settings(**{name: getattr(SETTINGS, name) for name in SETTINGS.__slots__}
-                                | {"replicas_of_me": balancers})
+        settings = replace(SETTINGS, replicas_of_me=balancers)
         self.module = maker(settings, 1, self.now)
         self.rng = random.Random(1)
         self.entries = [api.Upstream(i + 1, api.State.READY, "abcd"[i % 4], i // 4) for i in range(boxes)]
--- a/lanelift/net/disabled.py
+++ b/lanelift/net/disabled.py
@@ -12,7 +12,7 @@
 import logging
 import os
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 from http import HTTPStatus
@@ -53,6 +53,7 @@
         self.version = 0
         self.seen: tuple[int, int] | None = None  # the file as it was when it was last read
         self.turn = asyncio.Lock()
+        self.heard: list[Callable[[str, bool], None]] = []  # who is told what operators asked for here
 
     def start(self) -> None:
         if self.folder is not None and not (self.folder / FILE).exists():
@@ -76,9 +77,25 @@
             # The module has heard of it once the loop has turned.
             await asyncio.sleep(0)
             await asyncio.sleep(0)
+        for hear in self.heard:
+            hear(name, on)
         if not await self.siblings.agreed(lambda note: note.obeys >= version, AGREE_S):
             raise No(HTTPStatus.SERVICE_UNAVAILABLE, "done here, not yet by another process: repeat")
 
+    async def adopt(self, names: frozenset[str]) -> None:
+        """The set as all balancers of the service keep it. It holds here even if it can't be saved."""
+        async with self.turn:
+            if names == self.names:
+                return
+            version = 1 + max(self.version, *(note.obeys for note in self.siblings.others), 0)
+            self._take(names, version)
+            if self.folder is not None:
+                try:
+                    async with self._locked(self.folder / LOCK):
+                        self._save(names, version)
+                except (OSError, TimeoutError) as error:
+                    log.error("the set of disabled upstreams is not saved: %s", error)
+
     async def _write(self, name: str, on: bool) -> int:
         assert self.folder is not None
         try:
--- /dev/null
+++ b/tests/test_store_daemon.py
@@ -0,0 +1,235 @@
+"""A balancer with a store: settings that come from it, sets that all share, and what outlives a restart."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from lanelift import interface as api
+from lanelift.__main__ import Parts
+from lanelift.daemon.documents import check
+from lanelift.daemon.keeper import Keeper, SavedLearnt, load_learnt, save_learnt
+from lanelift.decide import Balancer
+from lanelift.lab.cluster.real import RealCluster
+from lanelift.net.disabled import DisabledUpstreams
+from lanelift.net.siblings import Siblings
+from lanelift.net.upstream import Endpoint
+from lanelift.store import documents
+from lanelift.store.client import Conflict, Rejected
+from tests.fakes import Client, FakeUpstream, free_port, run
+from tests.test_store_node import Cluster, cluster
+
+
+def settings(port: int, upstream: FakeUpstream) -> str:
+    return (f"listen = '127.0.0.1:{port}'\n[[server]]\nid = '{upstream.name}'\n"
+            f"address = '127.0.0.1:{upstream.port}'\n[[class]]\nname = 'quote'\neffect = 'safe'\n"
+            "aim = '2s'\ndeadline = '3s'\n")
+
+
+async def until(done: Callable[[], bool], seconds: float = 15.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not done():
+            await asyncio.sleep(0.005)
+
+
+async def answered(port: int) -> Client:
+    """A connection to the balancer as soon as it takes one."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                return await Client.to(("127.0.0.1", port))
+            except OSError:
+                await asyncio.sleep(0.005)
+
+
+def test_settings_come_from_the_store_and_outlive_it(tmp_path: Path) -> None:
+    async def begin(path: Path) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanelift.cli.main", "serve", "--settings", str(path),
+            stderr=asyncio.subprocess.PIPE)
+
+    async def heard(process: asyncio.subprocess.Process, words: str) -> None:
+        assert process.stderr is not None
+        async with asyncio.timeout(20):
+            while words.encode() not in (line := await process.stderr.readline()):
+                assert line, words
+
+    async def test() -> None:
+        first, second = FakeUpstream("s-0"), FakeUpstream("s-1")
+        await first.start()
+        await second.start()
+        port = free_port()
+        store = RealCluster(tmp_path, 1)
+        process = None
+        try:
+            await store.start()
+            client = store.client()
+            boot = tmp_path / "boot.toml"
+            boot.write_text(f"[store]\naddresses = ['{store.addresses[0]}']\nservice = 'orders'\n"
+                            "document = 'balancer/orders'\nfolder = 'copy'\n")
+            process = await begin(boot)
+            await heard(process, "no store tells it, and there is no copy")
+            assert await process.wait() == 2
+            await documents.put(client, "balancer/orders", settings(port, first), check, 0, "me")
+            process = await begin(boot)
+            asked = await answered(port)
+            assert (await asked.ask("r1")).body == b"s-0"
+            with pytest.raises(Rejected, match="missing required field"):
+                await documents.put(client, "balancer/orders", "listen = 'x'\n[[class]]\n", check, 1, "me")
+            with pytest.raises(Conflict):
+                await documents.put(client, "balancer/orders", settings(port, second), check, 9, "me")
+            await documents.put(client, "balancer/orders", settings(port, second), check, 1, "me")
+            await heard(process, "reloaded: 1 upstreams")
+            assert (await asked.ask("r2")).body == b"s-1"
+            # The store goes: the balancer goes on, says so, and even starts again.
+            await client.close()
+            await store.kill(store.members[0], signal.SIGKILL)
+            await heard(process, "the store does not answer")
+            assert (await asked.ask("r3")).body == b"s-1"
+            process.terminate()
+            assert await process.wait() == 0
+            began = time.monotonic()
+            process = await begin(boot)
+            again = await answered(port)
+            assert (await again.ask("r4")).body == b"s-1"
+            assert time.monotonic() - began < 10
+        finally:
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+            await store.stop()
+            first.stop()
+            second.stop()
+
+    run(test())
+
+
+class FakeDriver:
+    """What a keeper needs of a driver."""
+
+    def __init__(self) -> None:
+        self.told = asyncio.Event()
+        self.upstreams = SimpleNamespace(targets={})
+        self.lists: list[tuple[api.ListKind, list[Endpoint]]] = []
+        self.posted: list[api.Event] = []
+        self.banned: dict[str, bool] = {}
+        self.module = Balancer(api.Settings(classes={"q": api.RequestClass("q")}), 1, time.monotonic_ns())
+
+    @property
+    def balancer(self) -> Balancer:
+        return self.module
+
+    def learn(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
+        self.lists.append((kind, endpoints))
+        self.upstreams.targets = {e.entry.id: SimpleNamespace(endpoint=e) for e in endpoints}
+
+    def post(self, event: api.Event) -> None:
+        self.posted.append(event)
+
+    def listed(self, name: str) -> bool:
+        return True
+
+    def ban(self, name: str, on: bool) -> None:
+        self.banned[name] = on
+
+
+class Beside:
+    """A keeper with a driver of its own."""
+
+    def __init__(self, c: Cluster, name: str) -> None:
+        self.driver = FakeDriver()
+        self.disabled = DisabledUpstreams(None, name, Siblings(None), self.driver)
+        parts = Parts(cast(Any, None), cast(Any, self.driver), self.disabled, lambda: None)
+        self.keeper = Keeper(c.client(), "orders", name, "", None, parts)
+        self.keeper.start()
+
+
+def test_what_operators_take_out_on_one_balancer_is_out_on_all(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            one, two = Beside(c, "one"), Beside(c, "two")
+            await asyncio.gather(one.disabled.disable("box-1"), two.disabled.disable("box-2"))
+            both = frozenset({"box-1", "box-2"})
+            await until(lambda: one.disabled.names == two.disabled.names == both)
+            await c.stop(c.leader())
+            await one.disabled.enable("box-2")
+            await until(lambda: two.disabled.names == {"box-1"})
+            assert two.driver.banned == {"box-1": True, "box-2": False}
+            late = Beside(c, "late")
+            await until(lambda: late.driver.banned == {"box-1": True})
+            for beside in (one, two, late):
+                await beside.keeper.close()
+    run(test())
+
+
+def test_operators_need_no_store_and_it_hears_of_them_later(tmp_path: Path,
+                                                              caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            one = Beside(c, "one")
+            await c.stop(0)
+            await one.disabled.disable("box-1")
+            assert one.driver.banned == {"box-1": True}
+            await until(lambda: "the store does not answer" in caplog.text)
+            await c.begin(0)
+            two = Beside(c, "two")
+            await until(lambda: two.driver.banned == {"box-1": True})
+            await until(lambda: "the store answers again after" in caplog.text)
+            await one.keeper.close()
+            await two.keeper.close()
+    with caplog.at_level(logging.INFO):
+        run(test())
+
+
+def test_the_last_list_and_what_was_learnt_come_back(tmp_path: Path) -> None:
+    now = time.monotonic_ns()
+    old = [Endpoint(api.Upstream(i, api.State.READY, "z", 1, 1.0, now - i * 10**9, "k"), "127.0.0.1",
+                    9000 + i) for i in (1, 2)]
+
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            one = Beside(c, "one")
+            one.driver.learn(api.ListKind.FULL, old)
+            one.driver.module.handle(now, [api.ListUpdate(api.ListKind.FULL, [e.entry for e in old])])
+            one.driver.module.crowding.taken["q"] = 5e6
+            one.driver.module.fleet.servers[2].pace = 3.0
+            await one.keeper.save()
+            await one.keeper.close()
+            two = Beside(c, "one")
+            await until(lambda: bool(two.driver.posted))
+            (kind, listed), = two.driver.lists
+            assert kind is api.ListKind.CACHED and [e.port for e in listed] == [9001, 9002]
+            learnt, = two.driver.posted
+            assert isinstance(learnt, api.Learnt) and learnt.taken == {"q": 5e6} and learnt.age_ns < 5 * 10**9
+            update = api.ListUpdate(api.ListKind.CACHED, [e.entry for e in listed])
+            two.driver.module.handle(now, [update, learnt])
+            assert 2.5 < two.driver.module.fleet.servers[2].pace <= 3.0
+            await two.keeper.close()
+    run(test())
+
+
+def test_the_older_the_less_is_believed_and_nothing_of_another_start() -> None:
+    def paces(age_s: float, started: int) -> float:
+        now = 10**12
+        module = Balancer(api.Settings(classes={"q": api.RequestClass("q")}), 1, now)
+        module.handle(now, [api.Learnt(int(age_s * 1e9), 50.0, {"": 40.0}, {"q": 5e6}, 1e6, 0.2, 3.0,
+                                       {1: (3.0, 7)})])
+        module.handle(now, [api.ListUpdate(api.ListKind.FULL, [api.Upstream(1, started_ns=started)])])
+        return module.fleet.servers[1].pace
+
+    fresh, aged, stale = (paces(age, 7) for age in (0, 60, 3600))
+    assert fresh == 3.0 and aged == pytest.approx(2.0) and stale == 1.0
+    assert paces(0, 8) == 1.0
+    saved = save_learnt(api.Learnt(0, 9.0, {"a": 1.0}, {"q": 2.0}, 3.0, 0.1, 2.0,
+                                   {1: (2.0, 0), 2: (2.0, 10**9)}))
+    back = load_learnt(SavedLearnt(**{f: getattr(saved, f) for f in saved.__struct_fields__}), {1: 0, 2: 0})
+    assert back.paces == {1: (2.0, 0)} and back.rate == 9.0
