--- a/lanelift/lab/cluster/campaign.py
+++ b/lanelift/lab/cluster/campaign.py
@@ -7,11 +7,11 @@
 from concurrent.futures import Future, as_completed
 from dataclasses import dataclass, field
 
-from lanelift.lab.cluster.plans import Outcome, disturbed, play
+from lanelift.lab.cluster.plans import Outcome, disturbed, figure_8, play
 from lanelift.lab.cluster.planted import PLANTS, played
 from lanelift.lab.experiments import processes
 
-EVERY_DISTURBED = 10  # one seed of so many plays a returning node in place of a storm
+EVERY_STEERED = 10  # one seed of so many plays a returning node, or figure 8, in place of a storm
 AHEAD = 4  # runs handed to each process beforehand
 
 
@@ -19,7 +19,9 @@
     """A run by its seed alone."""
     if plant:
         return played(plant, seed)
-    return disturbed(seed) if seed % EVERY_DISTURBED == 0 else play(seed)
+    if seed % EVERY_STEERED == 0:
+        return disturbed(seed) if seed // EVERY_STEERED % 2 else figure_8(seed)
+    return play(seed)
 
 
 @dataclass(slots=True)
--- a/lanelift/lab/cluster/plans.py
+++ b/lanelift/lab/cluster/plans.py
@@ -11,6 +11,7 @@
 from lanelift.lab.cluster.clients import GROUPS, KEYS, Client
 from lanelift.lab.cluster.linear import Operation
 from lanelift.lab.cluster.sim import CONFIG, MS, SECOND, Cluster, Node, agreed
+from lanelift.store.commands import OpenSession
 from lanelift.store.raft.core import Config, Core, Role
 from lanelift.store.raft.members import Change
 from lanelift.store.raft.messages import Members
@@ -424,3 +425,73 @@
         outcome.broken = str(error)
     outcome.counts = dict(cluster.counts)
     return outcome
+
+
+def figure_8(seed: int, make: type[Core] = Core, config: Config = CONFIG) -> Outcome:
+    """The paper's figure 8, steered: an entry of an old term reaches a majority, its leader dies before one
+    of its own term does, and a node with a later entry in its place stands for election."""
+    cluster = Cluster(seed, 5, make, config)
+    outcome = Outcome(seed, 5)
+    try:
+        _figure_8(cluster)
+    except Broken as error:
+        outcome.broken = str(error)
+    outcome.counts = dict(cluster.counts)
+    return outcome
+
+
+def _figure_8(cluster: Cluster) -> None:
+    nodes = cluster.nodes
+
+    def only(*groups: tuple[int, ...]) -> None:
+        """Who may speak to whom."""
+        cluster.network.cut = {(a, b) for a in nodes for b in nodes if a != b and not any(
+            a in g and b in g for g in groups)}
+
+    def core(number: int) -> Core:
+        replica = nodes[number].replica
+        if replica is None:
+            raise Broken("progress", f"node {number} is down")
+        return replica.core
+
+    def wait(what: Callable[[], bool], seconds: int = 5) -> bool:
+        until = cluster.now + seconds * SECOND
+        while cluster.now < until and not what():
+            cluster.run(cluster.now + MS // 10)
+        return what()
+
+    def leads(among: tuple[int, ...]) -> int:
+        return next((n for n in among if nodes[n].replica and core(n).role is Role.LEADER), 0)
+
+    everyone = tuple(nodes)
+    wait(lambda: bool(leads(everyone)) and len({(core(n).commit, core(n).log.last) for n in everyone}) == 1)
+    a = leads(everyone)
+    b, *others = (n for n in everyone if n != a)
+    rest = tuple(others)
+    only((a, b), rest)  # (a): the entry stands on two of five
+    cluster.propose(a, OpenSession(7), lambda how, what: None)
+    entry = core(a).log.last
+    wait(lambda: core(b).stable == entry)
+    wait(lambda: bool(leads(rest)))  # (b): another leads, and its entry stands on itself alone
+    e = leads(rest)
+    if not e:
+        return
+    only((a, b))
+    wait(lambda: core(e).stable >= entry)
+    cluster.stop(nodes[e], False)
+    c, d = (n for n in rest if n != e)
+    only((a, b, c), (b, c, d))
+    wait(lambda: bool(leads((a, b))))  # (c): the first leads again, and spreads the old entry
+    f = leads((a, b))
+    if not f:
+        return
+    wait(lambda: core(f).commit >= entry, 2)
+    cluster.network.cut |= {(f, n) for n in everyone}
+    cluster.stop(nodes[f], False)
+    cluster.start(nodes[e])  # (d): may the other still win?
+    only((c, d, e))
+    wait(lambda: bool(leads((c, d, e))), 3)
+    cluster.start(nodes[f])
+    only(everyone)
+    wait(lambda: _level(cluster), 20)
+    agreed(cluster)
--- a/lanelift/lab/cluster/planted.py
+++ b/lanelift/lab/cluster/planted.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Any, NamedTuple
 
-from lanelift.lab.cluster.plans import Outcome, disturbed, play
+from lanelift.lab.cluster.plans import Outcome, disturbed, figure_8, play
 from lanelift.lab.cluster.sim import CONFIG, Cluster, Node
 from lanelift.store.raft.core import Batch, Config, Core
 from lanelift.store.raft.messages import Entry, VoteAsk
@@ -117,7 +117,7 @@
 
 class Plant(NamedTuple):
     make: type[Core]
-    run: str = "storm"  # or "disturbed"
+    run: str = "storm"  # or "disturbed", or "figure 8"
     kinds: tuple[str, ...] = ()  # of faults that it is looked for with
     prepare: Callable[[Cluster], None] = lambda cluster: None
     size: int = 0
@@ -131,7 +131,7 @@
     "vote-without-sync": Plant(NoSyncBeforeVote, kinds=("power", "fuse", "all", "part", "slowdisk"), size=3),
     "ack-without-sync": Plant(AckBeforeSync, kinds=("power", "all", "fuse", "slowdisk")),
     "lying-disk": Plant(Core, kinds=("power", "all", "kill"), prepare=lying_disks),
-    "old-term-by-count": Plant(OldTermByCount, kinds=("behead", "slow"), size=5, config=ONE_BY_ONE),
+    "old-term-by-count": Plant(OldTermByCount, "figure 8", config=ONE_BY_ONE),
     "read-without-quorum": Plant(ReadWithoutQuorum, kinds=("lonely", "silence")),
     "read-too-early": Plant(ReadTooEarly, kinds=("transfer", "slow")),
     "no-pre-vote": Plant(NoPreVote, "disturbed"),
@@ -148,4 +148,6 @@
     plant = PLANTS[name]
     if plant.run == "disturbed":
         return disturbed(seed, plant.make)
+    if plant.run == "figure 8":
+        return figure_8(seed, plant.make, plant.config)
     return play(seed, plant.size, plant.make, plant.kinds, plant.prepare, plant.config)
