Let one piece of code serve where the store, its lab and its commands wrote it twice

Need: a second reading of the whole change. One Dial for members and clients that connect, one pack, one read_toml and read_table, one way to fill a node's folder, one loop in the keeper that follows a key, one free port, one wait until nodes are level, one console; dead classes, exports and fields are gone. A balancer's file with a store is parsed once, not cut apart line by line. restore begins the log where the state ends, its write-ahead file included; before, it believed the main file alone.

--- a/lanelift/cli/clusters.py
+++ b/lanelift/cli/clusters.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 import tempfile
 import time
 from collections.abc import Iterator
@@ -12,15 +11,15 @@
 
 import typer
 import uvloop
-from rich.console import Console
 from rich.table import Table
 
+from lanelift.cli.console import out
 from lanelift.lab import experiments, results
 from lanelift.lab.cluster import campaign
 from lanelift.lab.cluster.campaign import Campaign
+from lanelift.lab.cluster.planted import PLANTS
 from lanelift.lab.topology import Unusable
 
-out = Console(width=None if sys.stdout.isatty() else 120)
 SAY_S = 10.0
 Keep = Annotated[Path | None, typer.Option(help="A folder to leave nodes and logs in.")]
 
@@ -46,8 +45,8 @@
     if planted == "all":
         _catch_all(workers)
         return
-    if planted and planted not in campaign.PLANTS:
-        raise Unusable(f"--planted: {planted!r} is none of {', '.join(campaign.PLANTS)}")
+    if planted and planted not in PLANTS:
+        raise Unusable(f"--planted: {planted!r} is none of {', '.join(PLANTS)}")
     began = said = time.monotonic()
 
     def heard(c: Campaign) -> None:
@@ -73,7 +72,7 @@
     for column in ("bug", "seed", "what broke"):
         table.add_column(column)
     missed = False
-    for plant in campaign.PLANTS:
+    for plant in PLANTS:
         outcome = campaign.catch(plant, workers)
         missed = missed or outcome is None
         table.add_row(plant, str(outcome.seed) if outcome else "none", outcome.broken[:70] if outcome else "")
@@ -127,10 +126,9 @@
                       f"{turn['part']:.2f}", f"{turn['bytes']:.0f}", f"{turn['cpu_us']:.0f}")
     out.print(table)
     if found["elections_ms"]:
-        ordered = sorted(found["elections_ms"])
-        out.print(f"leader killed to first commit, {len(ordered)} times: p50"
-                  f" {ordered[len(ordered) // 2]:.0f} ms, p99"
-                  f" {ordered[int(0.99 * (len(ordered) - 1))]:.0f} ms, at most {ordered[-1]:.0f} ms;"
+        middle, late, most = results.spread(found["elections_ms"])
+        out.print(f"leader killed to first commit, {len(found['elections_ms'])} times: p50 {middle:.0f} ms,"
+                  f" p99 {late:.0f} ms, at most {most:.0f} ms;"
                   f" an election time-out is {found['election_ms']:.0f} to {2 * found['election_ms']:.0f} ms",
                   soft_wrap=True)
     if out_ is not None:
@@ -154,6 +152,3 @@
     for name, verb in (("store-sim", store_sim), ("store-churn", store_churn), ("store-bench", store_bench),
                        ("store-restart", store_restart)):
         app.command(name)(verb)
-
-
-
--- a/lanelift/cli/config.py
+++ b/lanelift/cli/config.py
@@ -11,7 +11,8 @@
 import typer
 from rich.table import Table
 
-from lanelift.cli.store import At, Authority, Cert, Key, client, out, using
+from lanelift.cli.console import out
+from lanelift.cli.store import At, Authority, Cert, Key, client, using
 from lanelift.daemon.documents import check
 from lanelift.settings import Malformed
 from lanelift.store import documents
--- a/lanelift/cli/lab.py
+++ b/lanelift/cli/lab.py
@@ -8,9 +8,9 @@
 from typing import Annotated, Any
 
 import typer
-from rich.console import Console
 from rich.table import Table
 
+from lanelift.cli.console import out
 from lanelift.lab import experiments, results, topology
 from lanelift.lab import scale as scaling
 from lanelift.lab.capacity.measure import measure
@@ -22,7 +22,6 @@
 from lanelift.units import duration
 
 app = typer.Typer(no_args_is_help=True, help="An emulated fleet, faults, and a ledger that judges.")
-out = Console(width=None if sys.stdout.isatty() else 120)  # tables in a file are not cut short
 
 World_ = Annotated[str, typer.Argument(help="A bundled world's name, or a topology file.", metavar="WORLD")]
 Set = Annotated[list[str] | None, typer.Option("--set", help="KEY=VALUE in place of what the file says.")]
--- a/lanelift/cli/store.py
+++ b/lanelift/cli/store.py
@@ -12,9 +12,9 @@
 
 import typer
 import uvloop
-from rich.console import Console
 from rich.table import Table
 
+from lanelift.cli.console import out
 from lanelift.settings import Malformed
 from lanelift.store import run as running
 from lanelift.store.client import Client
@@ -24,7 +24,6 @@
 from lanelift.store.settings import read_store
 
 app = typer.Typer(no_args_is_help=True, help="The replicated store: its nodes, members, copies.")
-out = Console(width=None if sys.stdout.isatty() else 120)
 T = TypeVar("T")
 
 Settings = Annotated[Path, typer.Option("--settings", help="The node's settings, a TOML file.")]
@@ -38,18 +37,24 @@
 NAME = Annotated[str, typer.Option(help="Of the node, for people.")]
 
 
+def addresses(at: str) -> list[str]:
+    """Raises Malformed."""
+    found = [a.strip() for a in at.split(",") if a.strip()]
+    if not found:
+        raise Malformed("--at: addresses of members are needed, HOST:PORT")
+    return found
+
+
 def client(at: str, certificate: Path | None, key: Path | None, authority: Path | None,
            name: str = "lanelift command", within_s: float = 5.0) -> Client:
     """Raises Malformed."""
-    addresses = [a.strip() for a in at.split(",") if a.strip()]
-    if not addresses:
-        raise Malformed("--at: addresses of members are needed, HOST:PORT")
+    known = addresses(at)
     if not certificate:
-        return Client(addresses, name=name, deadline_s=within_s)
+        return Client(known, name=name, deadline_s=within_s)
     if not key or not authority:
         raise Malformed("--key and --authority: both go with --certificate")
     context = Tls(certificate, key, authority).context(False)
-    return Client(addresses, lambda: context, name=name, deadline_s=within_s)
+    return Client(known, lambda: context, name=name, deadline_s=within_s)
 
 
 def using(made: Client, work: Callable[[Client], Awaitable[T]]) -> T:
@@ -150,7 +155,7 @@
            within: Within = 5.0,
            as_json: Annotated[bool, typer.Option("--json", help="All of it, for programs.")] = False) -> None:
     """What each member says of itself, and who leads."""
-    addresses = [a.strip() for a in at.split(",") if a.strip()]
+    asked = addresses(at)
 
     async def one(address: str) -> dict[str, Any]:
         made = client(address, certificate, key, authority, within_s=min(within, 2.0))
@@ -162,9 +167,9 @@
             await made.close()
 
     async def work() -> list[dict[str, Any]]:
-        found = await asyncio.gather(*map(one, addresses))
+        found = await asyncio.gather(*map(one, asked))
         # Members that were not named answer as well.
-        known = {m["address"] for s in found for m in s.get("members", ()) if m["address"]} - set(addresses)
+        known = {m["address"] for s in found for m in s.get("members", ()) if m["address"]} - set(asked)
         return [*found, *await asyncio.gather(*map(one, sorted(known)))]
 
     found = uvloop.run(work())
--- a/lanelift/daemon/boot.py
+++ b/lanelift/daemon/boot.py
@@ -13,19 +13,17 @@
 import asyncio
 import logging
 import ssl
-import tomllib
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from lanelift.__main__ import Config, Parts
+from lanelift.daemon import documents
 from lanelift.daemon.keeper import Keeper, write_cache
-from lanelift.daemon.settings import read_text
-from lanelift.settings import Malformed, split_address
+from lanelift.daemon.settings import read_raw, read_table
+from lanelift.settings import Json, Malformed, split_address
 from lanelift.store.client import Client
 from lanelift.store.documents import key
-from lanelift.store.security import Tls
 from lanelift.store.settings import Keys
 from lanelift.units import convert
 
@@ -46,7 +44,7 @@
 class Boot:
     """Settings that name a store."""
 
-    def __init__(self, path: Path, table: StoreTable, rest: dict[str, Any]) -> None:
+    def __init__(self, path: Path, table: StoreTable, rest: Json) -> None:
         """Raises Malformed."""
         self.path = path
         self.table = table
@@ -66,9 +64,7 @@
                 folder.mkdir(parents=True, exist_ok=True)
             except OSError as error:
                 raise Malformed(f"{folder}: {error.strerror}") from None
-        keys = table.tls
-        self.tls = Tls(path.parent / keys.certificate, path.parent / keys.key,
-                       path.parent / keys.authority) if keys else None
+        self.tls = table.tls.beside(path.parent) if table.tls else None
         self.fetched = False
 
     def client(self) -> Client:
@@ -80,7 +76,9 @@
         """The configuration; from the store the first time, then from the copy that the keeper replaces.
         Raises Malformed."""
         if self.cache is None:
-            return read_text(_without_store(self.path.read_text(encoding="utf-8")), str(self.path))
+            raw = read_table(self.path)
+            raw.pop("store", None)
+            return read_raw(raw, str(self.path))
         if not self.fetched:
             self.fetched = True
             asyncio.run(self._fetch())
@@ -88,7 +86,7 @@
             text = self.cache.read_text(encoding="utf-8")
         except OSError:
             raise Malformed(f"{self.table.document}: no store tells it, and there is no copy of it") from None
-        return read_text(text, self.table.document)
+        return documents.read(self.table.document, text)
 
     async def _fetch(self) -> None:
         """The document as a majority has it; where none is there, what the nearest node knows is still newer
@@ -114,23 +112,9 @@
                       parts)
 
 
-def _without_store(text: str) -> str:
-    """The file's own settings: the table of the store is not one of them."""
-    lines, skip = [], False
-    for line in text.splitlines(keepends=True):
-        if line.lstrip().startswith("["):
-            skip = line.strip().startswith(("[store]", "[store."))
-        if not skip:
-            lines.append(line)
-    return "".join(lines)
-
-
 def read_boot(path: Path) -> Boot | None:
     """None where the file names no store. Raises Malformed."""
-    try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        raise Malformed(f"{path}: {getattr(error, 'strerror', None) or error}") from None
+    raw = read_table(path)
     if "store" not in raw:
         return None
     table = raw.pop("store")
@@ -138,5 +122,3 @@
         return Boot(path, convert(table, StoreTable), raw)
     except ValueError as error:
         raise Malformed(f"{path}: store: {error}") from None
-
-
--- a/lanelift/daemon/documents.py
+++ b/lanelift/daemon/documents.py
@@ -4,22 +4,33 @@
 
 import tomllib
 
-from lanelift.daemon.settings import read_text
-from lanelift.settings import Malformed
+from lanelift.__main__ import Config
+from lanelift.daemon.settings import read_raw
+from lanelift.settings import Json, Malformed
 
 BALANCER = "balancer"  # and `balancer/NAME`: the operators' settings of balancers
 
 
+def parsed(name: str, text: str) -> Json:
+    """Raises Malformed."""
+    try:
+        return tomllib.loads(text)
+    except ValueError as error:
+        raise Malformed(f"{name}: {error}") from None
+
+
+def read(name: str, text: str) -> Config:
+    """A document of a balancer's settings. Raises Malformed."""
+    return read_raw(parsed(name, text), name)
+
+
 def check(name: str, text: str) -> str:
     """The first thing wrong with a document, in one line; empty: nothing."""
-    if name == BALANCER or name.startswith(BALANCER + "/"):
-        try:
-            read_text(text, name)
-        except Malformed as error:
-            return str(error).removeprefix(f"{name}: ")
-        return ""
     try:
-        tomllib.loads(text)
-    except ValueError as error:
-        return str(error)
+        if name == BALANCER or name.startswith(BALANCER + "/"):
+            read(name, text)
+        else:
+            parsed(name, text)
+    except Malformed as error:
+        return str(error).removeprefix(f"{name}: ")
     return ""
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -152,6 +152,20 @@
             log.info("the store answers again after %.1f s", time.monotonic() - self.lost_s)
             self.lost_s = 0.0
 
+    async def _follow(self, key: str, take: Callable[[bytes | None, int], Awaitable[None]]) -> None:
+        """Hand over what a key is, as the nearest node knows it, and each value and version that it gets;
+        None where it is not there, at version 0 where it never changed while this looked."""
+        while True:
+            found = await self.client.get(key, stale=True)
+            self._found()
+            await take(found.rows[0].value, found.rows[0].version)
+            with suppress(Compacted):
+                async for told in self.client.watch(key, found.revision):
+                    self._found()
+                    for change in told.changes:
+                        if change.key == key:
+                            await take(change.value, change.version)
+
     # ---- at the start ------------------------------------------------------------------------------------
 
     async def _begin(self) -> None:
@@ -187,21 +201,15 @@
         return names
 
     async def _watch_disabled(self) -> None:
-        key = self.keys[0]
-        while True:
-            found = await self.client.get(key, stale=True)
-            self._found()
-            if found.rows[0].value is not None:
-                await self.parts.disabled.adopt(self._with_asked(_names(found.rows[0].value)))
-            elif self.parts.disabled.names and not self.asked:
-                self.asked = [(name, True) for name in sorted(self.parts.disabled.names)]
-                self.more.set()
-            with suppress(Compacted):
-                async for told in self.client.watch(key, found.revision):
-                    self._found()
-                    for change in told.changes:
-                        if change.key == key:
-                            await self.parts.disabled.adopt(self._with_asked(_names(change.value or b"[]")))
+        await self._follow(self.keys[0], self._take_disabled)
+
+    async def _take_disabled(self, value: bytes | None, version: int) -> None:
+        if value is not None or version:
+            await self.parts.disabled.adopt(self._with_asked(_names(value or b"[]")))
+        elif self.parts.disabled.names and not self.asked:
+            # The store never heard of a set: it begins with this one.
+            self.asked = [(name, True) for name in sorted(self.parts.disabled.names)]
+            self.more.set()
 
     async def _tell_disabled(self) -> None:
         """Each change of the operators here, merged into what the others have."""
@@ -226,18 +234,9 @@
     # ---- settings ----------------------------------------------------------------------------------------
 
     async def _watch_document(self) -> None:
-        key = PREFIX + self.document
-        while True:
-            found = await self.client.get(key, stale=True)
-            self._take(found.rows[0].value, found.rows[0].version)
-            with suppress(Compacted):
-                async for told in self.client.watch(key, found.revision):
-                    self._found()
-                    for change in told.changes:
-                        if change.key == key:
-                            self._take(change.value, change.version)
+        await self._follow(PREFIX + self.document, self._take_document)
 
-    def _take(self, value: bytes | None, version: int) -> None:
+    async def _take_document(self, value: bytes | None, version: int) -> None:
         if value is None or self.cache is None or (self.cache.exists() and self.cache.read_bytes() == value):
             return
         write_cache(self.cache, value)
--- a/lanelift/daemon/settings.py
+++ b/lanelift/daemon/settings.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 from typing import Literal
 
@@ -13,7 +12,7 @@
 from lanelift.net.budget import RESERVE
 from lanelift.net.discovery import read_list
 from lanelift.settings import Json, Malformed, read_settings, split_address, write_class
-from lanelift.units import Duration, PerSecond, Size, convert, repeated
+from lanelift.units import Duration, PerSecond, Size, convert, read_toml, repeated
 
 MS = 1_000_000
 LEAST_MEMORY = 32 << 20
@@ -124,18 +123,22 @@
 
 def read_file(path: Path) -> Config:
     """The configuration from the operators' file. Raises Malformed with one line."""
+    return read_raw(read_table(path), str(path))
+
+
+def read_table(path: Path) -> Json:
+    """The file as parsed TOML. Raises Malformed with one line."""
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, ValueError) as error:
-        raise Malformed(f"{path}: {getattr(error, 'strerror', None) or error}") from None
-    return read_text(text, str(path))
+        return read_toml(path)
+    except ValueError as error:
+        raise Malformed(f"{path}: {error}") from None
 
 
-def read_text(text: str, where: str) -> Config:
-    """The configuration from the operators' settings; `where` they stand is told in errors. Raises
-    Malformed."""
+def read_raw(raw: Json, where: str) -> Config:
+    """The configuration from the operators' settings, parsed TOML; `where` they stand is told in errors.
+    Raises Malformed."""
     try:
-        file = convert(tomllib.loads(text), File)
+        file = convert(raw, File)
         wrong = contradictions(file)
         if wrong:
             raise Malformed(wrong)
--- a/lanelift/lab/balancer.py
+++ b/lanelift/lab/balancer.py
@@ -1,15 +1,24 @@
-"""How the lab starts a real balancer: the platform's way, by a file and the environment."""
+"""How the lab starts a real balancer: the platform's way, by a file and the environment; and where."""
 
 from __future__ import annotations
 
 import json
 import os
+import socket
 from pathlib import Path
 from typing import Any
 
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 
 
+def free_port() -> int:
+    """Of loopback, drawn by the kernel and let go of again."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        port: int = taken.getsockname()[1]
+        return port
+
+
 def prepare(config: Path, **told: Any) -> None:
     """Write the configuration that a balancer is started with: the platform's keys, and the usual limits."""
     config.write_text(json.dumps({"limits": LIMITS, **told}))
--- a/lanelift/lab/capacity/measure.py
+++ b/lanelift/lab/capacity/measure.py
@@ -18,7 +18,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from lanelift.lab.balancer import environment, prepare
+from lanelift.lab.balancer import environment, free_port, prepare
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Json
 
@@ -104,12 +104,8 @@
         return process, int(self._line(process))
 
     def balancer(self, ports: Sequence[int]) -> tuple[subprocess.Popen[str], int]:
-        with socket.socket() as taken:
-            taken.bind(("127.0.0.1", 0))
-            port: int = taken.getsockname()[1]
-        with socket.socket() as nobody:  # an address where no discovery is: the list as known stands
-            nobody.bind(("127.0.0.1", 0))
-            discovery = nobody.getsockname()[1]
+        port = free_port()
+        discovery = free_port()  # an address where no discovery is: the list as known stands
         known = {"version": 1, "full": True, "servers": [
             {"id": f"s-{i}", "addr": f"127.0.0.1:{p}", "state": "Ready"} for i, p in enumerate(ports)]}
         config = Path(self.folder.name) / "config.json"
--- a/lanelift/lab/cluster/bench.py
+++ b/lanelift/lab/cluster/bench.py
@@ -5,13 +5,13 @@
 
 import asyncio
 import os
-import statistics
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
 
+from lanelift.lab import results
 from lanelift.lab.cluster.real import RealCluster
+from lanelift.lab.topology import Unusable
 from lanelift.settings import Json
 from lanelift.store.client import Client, StoreError
 
@@ -93,13 +93,12 @@
     entries = after["entries"] - before["entries"]
     batch = entries / batches
     syncs = await asyncio.to_thread(bare_syncs, folder, min(2.0, seconds), max(64, int(batch * 300)))
-    ordered = sorted(times)
+    middle, late, _ = results.spread(times)
     per_s = len(times) / took
     # With one sync for each batch, and the next filling meanwhile, so many would be committed.
-    return {"writers": writers, "per_s": per_s, "p50_ms": 1000 * statistics.median(ordered),
-            "p99_ms": 1000 * ordered[int(0.99 * (len(ordered) - 1))], "batch": batch, "syncs_per_s": syncs,
-            "part": per_s / (syncs * batch), "batches_per_s": batches / took, "bytes": size / len(times),
-            "cpu_us": 1e6 * cpu / len(times)}
+    return {"writers": writers, "per_s": per_s, "p50_ms": 1000 * middle, "p99_ms": 1000 * late,
+            "batch": batch, "syncs_per_s": syncs, "part": per_s / (syncs * batch),
+            "batches_per_s": batches / took, "bytes": size / len(times), "cpu_us": 1e6 * cpu / len(times)}
 
 
 async def fill(cluster: RealCluster, megabytes: int) -> None:
@@ -111,6 +110,11 @@
         await client.close()
 
 
+async def _levelled(cluster: RealCluster) -> None:
+    if not await cluster.level():
+        raise Unusable("the nodes did not catch up with each other")
+
+
 async def _elections(cluster: RealCluster, count: int, heard: Callable[[str], None]) -> list[float]:
     found = []
     for _ in range(count):
@@ -132,28 +136,10 @@
             await client.close()
         await cluster.begin(leader)
         heard(f"leader killed to first commit: {found[-1]:.0f} ms")
-        await _level(cluster)
+        await _levelled(cluster)
     return found
 
 
-async def _level(cluster: RealCluster) -> None:
-    """Wait until all nodes have applied all."""
-    while True:
-        seen = set()
-        for member in cluster.members:
-            one = Client([member.address], deadline_s=2.0)
-            try:
-                status: dict[str, Any] = await one.status()
-                seen.add((status["applied"], status["last"], status["leader"]))
-            except StoreError:
-                seen.add((-1, member.place, ""))
-            finally:
-                await one.close()
-        if len(seen) == 1:
-            return
-        await asyncio.sleep(0.05)
-
-
 async def bench(folder: Path, nodes: int, writers: list[int], seconds: float, fill_mb: int, elections: int,
                 heard: Callable[[str], None]) -> Json:
     cluster = RealCluster(folder, nodes)
@@ -161,7 +147,7 @@
         await cluster.start()
         if fill_mb:
             await fill(cluster, fill_mb)
-            await _level(cluster)
+            await _levelled(cluster)
         turns = []
         for count in writers:
             turns.append(await _turn(cluster, count, seconds, folder))
--- a/lanelift/lab/cluster/campaign.py
+++ b/lanelift/lab/cluster/campaign.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from lanelift.lab.cluster.plans import Outcome, disturbed, early_read, figure_8, play, two_majorities
-from lanelift.lab.cluster.planted import PLANTS, played
+from lanelift.lab.cluster.planted import played
 from lanelift.lab.experiments import processes
 
 EVERY_STEERED = 10  # one seed of so many plays a returning node or a steered run, no storm
@@ -66,6 +66,3 @@
     """The first seed, of those played until one was found, that shows this planted bug."""
     found = run(range(1, most + 1), workers, plant, 1).broken
     return found[0] if found else None
-
-
-__all__ = ["PLANTS", "Campaign", "catch", "one", "run"]
--- a/lanelift/lab/cluster/churn.py
+++ b/lanelift/lab/cluster/churn.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from lanelift.lab import results
 from lanelift.lab.cluster.real import Member, RealCluster
 from lanelift.store.client import Client, Conflict, StoreError, Undecided
 from lanelift.store.commands import Op
@@ -34,7 +35,6 @@
     last: dict[str, tuple[int, str]] = field(default_factory=dict)  # version and value as last answered
     maybe: dict[str, set[str]] = field(default_factory=dict)  # values that may stand since
     wrong: list[str] = field(default_factory=list)
-    slowest_s: float = 0.0
     latencies: list[float] = field(default_factory=list)
     seen: dict[str, int] = field(default_factory=dict)  # by the watch: the last version of each key
     changes: int = 0
@@ -78,9 +78,7 @@
                 await self._add()
             else:
                 await self._pair()
-            took = time.monotonic() - began
-            self.ledger.latencies.append(took)
-            self.ledger.slowest_s = max(self.ledger.slowest_s, took)
+            self.ledger.latencies.append(time.monotonic() - began)
             await asyncio.sleep(0)
 
     async def _pair(self) -> None:
@@ -216,10 +214,9 @@
             await one.close()
         await cluster.stop()
         cluster.end()
-    ordered = sorted(ledger.latencies) or [0.0]
+    middle, late, most = results.spread(ledger.latencies)
     return Report(took, counts["kills"], counts["lost"], ledger.acknowledged.total(),
-                  ledger.undecided.total(), ledger.changes, ledger.pairs, ledger.slowest_s,
-                  1000 * ordered[len(ordered) // 2], 1000 * ordered[int(0.99 * (len(ordered) - 1))],
+                  ledger.undecided.total(), ledger.changes, ledger.pairs, most, 1000 * middle, 1000 * late,
                   ledger.wrong)
 
 
@@ -259,18 +256,7 @@
 
 async def level(cluster: RealCluster, ledger: Ledger) -> None:
     """All nodes hold the same, entry for entry, once they are stopped."""
-    until = time.monotonic() + CALM_S
-    while time.monotonic() < until:
-        applied = set()
-        for member in cluster.members:
-            one = Client([member.address], deadline_s=2.0)
-            with suppress(StoreError):
-                status = await one.status()
-                applied.add((status["applied"], status["last"]))
-            await one.close()
-        if len(applied) == 1 and len(set(next(iter(applied)))) == 1:
-            break
-        await asyncio.sleep(0.1)
+    await cluster.level(CALM_S)
     await cluster.stop()
     digests = {member.place: digest(member) for member in cluster.members}
     if len(set(digests.values())) > 1:
--- a/lanelift/lab/cluster/linear.py
+++ b/lanelift/lab/cluster/linear.py
@@ -62,7 +62,6 @@
     """`stuck`: operations of which one must come next, and none can."""
 
     linearizable: bool
-    looked_at: int
     stuck: list[Operation] = field(default_factory=list)
 
 
@@ -76,7 +75,7 @@
     while stack:
         done, state = stack.pop()
         if done & must == must:
-            return Verdict(True, len(seen))
+            return Verdict(True)
         first_return = min(op.returned for i, op in enumerate(ops) if not done >> i & 1)
         open_ = []
         for i, op in enumerate(ops):
@@ -98,4 +97,4 @@
         # What was answered first is the likeliest to have come first.
         following.sort(key=lambda n: ops[(n[0] ^ done).bit_length() - 1].returned, reverse=True)
         stack.extend(following)
-    return Verdict(not must, len(seen), stuck)
+    return Verdict(not must, stuck)
--- a/lanelift/lab/cluster/real.py
+++ b/lanelift/lab/cluster/real.py
@@ -6,13 +6,13 @@
 import os
 import shutil
 import signal
-import socket
 import sys
 import time
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 
+from lanelift.lab.balancer import free_port
 from lanelift.lab.topology import Unusable
 from lanelift.store import run as running
 from lanelift.store.client import Client, StoreError
@@ -21,13 +21,6 @@
 READY_S = 15.0
 
 
-def free_port() -> int:
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        port: int = taken.getsockname()[1]
-        return port
-
-
 @dataclass(eq=False)
 class Member:
     """A process and its folder; a new number after the folder was lost."""
@@ -151,6 +144,25 @@
             await client.close()
         raise Unusable("the cluster has no leader")
 
+    async def level(self, within_s: float = 60.0) -> bool:
+        """Wait until all nodes that there are have applied the same, and all of it; False: they have not."""
+        until = time.monotonic() + within_s
+        while time.monotonic() < until:
+            seen = set()
+            for member in self.members:
+                one = Client([member.address], deadline_s=2.0)
+                try:
+                    status = await one.status()
+                    seen.add((status["applied"], status["last"], status["leader"]))
+                except StoreError:
+                    seen.add((-1, member.place, ""))
+                finally:
+                    await one.close()
+            if len(seen) == 1 and all(applied == last for applied, last, _ in seen):
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
     async def stop(self) -> None:
         for member in self.members:
             if member.up:
--- a/lanelift/lab/cluster/restart.py
+++ b/lanelift/lab/cluster/restart.py
@@ -13,8 +13,9 @@
 from contextlib import suppress
 from pathlib import Path
 
+from lanelift.lab.balancer import free_port
 from lanelift.lab.cluster.bench import fill
-from lanelift.lab.cluster.real import Member, RealCluster, free_port
+from lanelift.lab.cluster.real import Member, RealCluster
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Json
 from lanelift.store import documents
--- a/lanelift/lab/cluster/sim.py
+++ b/lanelift/lab/cluster/sim.py
@@ -14,7 +14,7 @@
 from lanelift.lab.cluster.checks import Broken, Checks
 from lanelift.lab.cluster.disk import Disk, MemoryVault, PowerLost
 from lanelift.store import commands, replica
-from lanelift.store.commands import AnyCommand, Result
+from lanelift.store.commands import AnyCommand
 from lanelift.store.durable import journal as journals
 from lanelift.store.durable.journal import Damaged, Full, Journal
 from lanelift.store.raft.core import Batch, Busy, Config, Core, NotLeader, Role
@@ -390,6 +390,3 @@
         digests.setdefault((state.applied, state.digest()), []).append(node.id)
     if len({applied for applied, _ in digests}) < len(digests):
         raise Broken("state machine safety", f"states differ after the same entries: {digests}")
-
-
-__all__ = ["Cluster", "Node", "Network", "Result", "agreed"]
--- a/lanelift/lab/results.py
+++ b/lanelift/lab/results.py
@@ -11,6 +11,7 @@
 import os
 import platform
 import tempfile
+from collections.abc import Sequence
 from importlib import metadata, resources
 from pathlib import Path
 from typing import Any
@@ -72,6 +73,12 @@
     return round(value, 6)
 
 
+def spread(values: Sequence[float]) -> tuple[float, float, float]:
+    """The middle one, the one that 1% are above, and the largest; zeros where there are none."""
+    ordered = sorted(values) or [0.0]
+    return ordered[len(ordered) // 2], ordered[int(0.99 * (len(ordered) - 1))], ordered[-1]
+
+
 def encoded(found: Json) -> bytes:
     return json.dumps(found, sort_keys=True, indent=1).encode() + b"\n"
 
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -17,21 +17,20 @@
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
-from typing import Any, cast
+from typing import Any
 
 import msgspec
 
 from lanelift.settings import split_address
 from lanelift.store import commands
 from lanelift.store.commands import ANY, CloseSession, Code, Op, OpenSession, Result, Write
+from lanelift.store.dial import Dial
 from lanelift.store.wire import protocol
-from lanelift.store.wire.frames import Receiver, Refused, Sender
 from lanelift.store.wire.protocol import (
     AnyReply,
     AnyRequest,
     Changes,
     Copy,
-    Declined,
     Done,
     Failed,
     Get,
@@ -48,7 +47,6 @@
     Trouble,
     Unwatch,
     Watch,
-    Welcome,
 )
 
 log = logging.getLogger(__name__)
@@ -100,52 +98,16 @@
     behind_ms: int = 0
 
 
-@dataclass(slots=True, eq=False)
-class Wait:
-    future: asyncio.Future[AnyReply]
-
-
-class Wire(asyncio.Protocol):
-    """One connection."""
+class Wire(Dial):
+    """A client's connection."""
 
     def __init__(self, hello: Hello) -> None:
-        self.hello = hello
-        self.sender, self.receiver = Sender(), Receiver()
-        self.transport: asyncio.Transport | None = None
-        loop = asyncio.get_running_loop()
-        self.welcomed: asyncio.Future[Welcome] = loop.create_future()
+        super().__init__(hello)
         self.waiting: dict[int, asyncio.Future[AnyReply]] = {}
         self.watches: dict[int, asyncio.Queue[Changes | Failed | None]] = {}
-        self.why = "the connection was closed"
-
-    @property
-    def closed(self) -> bool:
-        return self.transport is None or self.transport.is_closing()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.transport.write(self.sender.frame(protocol.pack(self.hello)))
-
-    def data_received(self, data: bytes) -> None:
-        self.receiver.feed(data)
-        try:
-            for payload in self.receiver.payloads():
-                if self.welcomed.done():
-                    self._reply(protocol.unpack_reply(payload))
-                else:
-                    self._greeted(payload)
-        except (Refused, ValueError) as error:
-            self._end(" ".join(str(error).split()))
-
-    def _greeted(self, payload: bytes) -> None:
-        greeting = protocol.unpack_greeting(payload)
-        if isinstance(greeting, Welcome):
-            self.sender.bind(greeting.nonce)
-            self.receiver.bind(greeting.nonce)
-            self.receiver.most = protocol.MOST_MESSAGE
-            self.welcomed.set_result(greeting)
-        else:
-            self._end(greeting.text if isinstance(greeting, Declined) else "it speaks out of turn")
+
+    def heard(self, payload: bytes) -> None:
+        self._reply(protocol.unpack_reply(payload))
 
     def _reply(self, reply: AnyReply) -> None:
         queue = self.watches.get(reply.id)
@@ -156,15 +118,8 @@
         if future is not None and not future.done():
             future.set_result(reply)
 
-    def _end(self, why: str) -> None:
-        self.why = why
-        if self.transport is not None:
-            self.transport.abort()
-
     def connection_lost(self, error: Exception | None) -> None:
-        if not self.welcomed.done():
-            self.welcomed.set_exception(ConnectionError(self.why))
-            self.welcomed.exception()  # whoever waits hears of it; nobody may
+        super().connection_lost(error)
         for future in self.waiting.values():
             if not future.done():
                 future.set_exception(ConnectionError(self.why))
@@ -186,10 +141,6 @@
         if not self.closed and self.transport is not None:
             self.transport.write(self.sender.frame(protocol.pack(request)))
 
-    def abort(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
 
 @dataclass
 class Client:
@@ -212,7 +163,6 @@
     connecting: asyncio.Lock = field(default_factory=asyncio.Lock)
     opening: asyncio.Lock = field(default_factory=asyncio.Lock)
     window: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(WINDOW))
-    welcome: Welcome | None = None
     rng: random.Random = field(default_factory=lambda: random.Random(os.urandom(8)))
 
     # ---- reading -----------------------------------------------------------------------------------------
@@ -462,7 +412,7 @@
             try:
                 async with asyncio.timeout(max(0.01, min(CONNECT_S, until - time.monotonic()))):
                     await loop.create_connection(lambda: wire, host, port, ssl=self.tls())
-                    self.welcome = await wire.welcomed
+                    await wire.welcomed
             except (TimeoutError, OSError) as error:
                 wire.abort()
                 raise OSError(f"{address}: {error or 'no connection in time'}") from None
--- a/lanelift/store/commands.py
+++ b/lanelift/store/commands.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lanelift.store.raft.messages import Array
+from lanelift.store.raft.messages import pack as pack
 
 KEY = re.compile(r"[a-z0-9][A-Za-z0-9._:@-]*(/[A-Za-z0-9][A-Za-z0-9._:@-]*)*\Z")
 MOST_KEY = 512  # characters
@@ -78,15 +79,10 @@
     text: str = ""
 
 
-_encoder = msgspec.msgpack.Encoder()
 _commands = msgspec.msgpack.Decoder(AnyCommand)
 _results = msgspec.msgpack.Decoder(Result)
 
 
-def pack(what: msgspec.Struct) -> bytes:
-    return _encoder.encode(what)
-
-
 def unpack_command(data: bytes) -> AnyCommand:
     """Raises ValueError."""
     return _commands.decode(data)
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -356,17 +356,16 @@
         return str(error)
 
 
-def rename(path: Path, cluster: str, members: Members) -> None:
-    """Make a copy the state of another cluster, whose only member is new. Raises Damaged."""
-    state = open_state(path)
-    try:
-        state.db.execute("BEGIN IMMEDIATE")
-        state._set(members=pack(members))
-        state.db.execute("UPDATE meta SET value = ? WHERE name = 'cluster'", (cluster,))
-        state.db.execute("COMMIT")
-        flush(state)
-    finally:
-        state.close()
+def adopt(path: Path, cluster: str, members: Members) -> State:
+    """Make a copy the state of another cluster, with these members. Raises Damaged."""
+    db = open_state(path).db
+    db.execute("BEGIN IMMEDIATE")
+    db.executemany("UPDATE meta SET value = ? WHERE name = ?",
+                   [(pack(members), "members"), (cluster, "cluster")])
+    db.execute("COMMIT")
+    state = State(db)
+    flush(state)
+    return state
 
 
 def export(source: Path, target: Path) -> SnapshotMeta:
--- a/lanelift/store/link.py
+++ b/lanelift/store/link.py
@@ -12,10 +12,9 @@
 from typing import cast
 
 from lanelift.settings import Malformed, split_address
+from lanelift.store.dial import Dial
 from lanelift.store.raft.messages import AnyMessage, pack
-from lanelift.store.wire import protocol
-from lanelift.store.wire.frames import Receiver, Refused, Sender
-from lanelift.store.wire.protocol import Declined, Hello, Welcome, unpack_greeting
+from lanelift.store.wire.protocol import Hello, Welcome
 
 log = logging.getLogger(__name__)
 
@@ -25,53 +24,21 @@
 STUCK_S = 5.0  # nothing was read for so long, though there was something: the connection is dead
 
 
-class Dialing(asyncio.Protocol):
-    """One connection, until it ends."""
+class Dialing(Dial):
+    """A connection to a member, which sends nothing back on it."""
 
     def __init__(self, hello: Hello, expected: int) -> None:
-        self.hello = hello
+        super().__init__(hello)
         self.expected = expected
-        self.sender = Sender()
-        self.receiver = Receiver()
-        self.transport: asyncio.Transport | None = None
-        loop = asyncio.get_running_loop()
-        self.welcomed: asyncio.Future[str] = loop.create_future()  # empty, or why not
-        self.closed: asyncio.Future[None] = loop.create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(MOST_WAITING)
-        self.transport.write(self.sender.frame(protocol.pack(self.hello)))
+        cast(asyncio.Transport, transport).set_write_buffer_limits(MOST_WAITING)
+        super().connection_made(transport)
 
-    def data_received(self, data: bytes) -> None:
-        self.receiver.feed(data)
-        try:
-            for payload in self.receiver.payloads():
-                self._greeted(unpack_greeting(payload))
-        except (Refused, ValueError) as error:
-            self._end(str(error))
-
-    def _greeted(self, greeting: Hello | Welcome | Declined) -> None:
-        if isinstance(greeting, Declined):
-            self._end(greeting.text)
-        elif isinstance(greeting, Hello) or self.welcomed.done():
-            self._end("it speaks out of turn")
-        elif greeting.node != self.expected or greeting.cluster != self.hello.cluster:
-            self._end(f"node {greeting.node:x} of cluster {greeting.cluster} answers there")
-        else:
-            self.sender.bind(greeting.nonce)
-            self.welcomed.set_result("")
-
-    def _end(self, why: str) -> None:
-        if not self.welcomed.done():
-            self.welcomed.set_result(why)
-        if self.transport is not None:
-            self.transport.abort()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self._end("the connection was closed")
-        if not self.closed.done():
-            self.closed.set_result(None)
+    def wrong(self, welcome: Welcome) -> str:
+        if welcome.node != self.expected or welcome.cluster != self.hello.cluster:
+            return f"node {welcome.node:x} of cluster {welcome.cluster} answers there"
+        return ""
 
 
 class Link:
@@ -92,7 +59,7 @@
 
     def send(self, messages: Sequence[AnyMessage]) -> None:
         dialing = self.now
-        if dialing is None or dialing.transport is None or dialing.transport.is_closing():
+        if dialing is None or dialing.transport is None or dialing.closed:
             self.dropped += len(messages)
             return
         waiting = dialing.transport.get_write_buffer_size()
@@ -134,18 +101,15 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: dialing, host, port, ssl=self.tls())
-                why = await dialing.welcomed
-            if why:
-                raise ConnectionError(why)
+                await dialing.welcomed
             self.now, self.read_s, self.unread = dialing, time.monotonic(), 0
             log.info("node %x at %s: connected", self.node, self.address)
-            await dialing.closed
+            await dialing.ended
         finally:
-            if dialing.transport is not None:
-                dialing.transport.abort()
+            dialing.abort()
         return "the connection was closed"
 
     def close(self) -> None:
         self.task.cancel()
-        if self.now is not None and self.now.transport is not None:
-            self.now.transport.abort()
+        if self.now is not None:
+            self.now.abort()
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -21,7 +21,6 @@
 from typing import Any, TypeVar
 
 from lanelift.settings import Malformed
-from lanelift.store import replica as replicas
 from lanelift.store.commands import Result
 from lanelift.store.durable import state as states
 from lanelift.store.durable.files import Folder
@@ -556,6 +555,3 @@
         os.close(number)
         raise Malformed(f"{settings.folder}: another process uses it") from None
     return number
-
-
-__all__ = ["Node", "NotLeader", "Unknown", "Late", "locked", "replicas"]
--- a/lanelift/store/raft/core.py
+++ b/lanelift/store/raft/core.py
@@ -19,7 +19,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -494,10 +494,10 @@
 
     def _vote(self, sender: int, m: Vote) -> None:
         if m.pre:
-            if self.role is Role.PRE_CANDIDATE and (not m.granted or m.term == self.term + 1):
-                self.votes[sender] = m.granted
-                self._count()
-        elif self.role is Role.CANDIDATE:
+            counts = self.role is Role.PRE_CANDIDATE and (not m.granted or m.term == self.term + 1)
+        else:
+            counts = self.role is Role.CANDIDATE
+        if counts:
             self.votes[sender] = m.granted
             self._count()
 
@@ -841,10 +841,3 @@
             p.taken, p.moved_ns = m.offset, self.clock
             p.sent = m.offset if m.offset > p.sent or m.offset == 0 else p.sent
         self._pieces(sender, p)
-
-
-def step_all(core: Core, messages: Iterable[tuple[int, AnyMessage]], heard: Callable[[int], None]) -> None:
-    """Hand over messages in their order, telling of each sender."""
-    for sender, message in messages:
-        heard(sender)
-        core.step(sender, message)
--- a/lanelift/store/run.py
+++ b/lanelift/store/run.py
@@ -19,6 +19,7 @@
 from lanelift.store.durable import vault
 from lanelift.store.durable.files import Folder
 from lanelift.store.durable.journal import Damaged, Journal
+from lanelift.store.durable.state import State
 from lanelift.store.node import Node, locked
 from lanelift.store.raft.messages import Members
 from lanelift.store.replica import Identity, members_of, read_identity, write_identity
@@ -51,32 +52,15 @@
 
 def init(settings: StoreSettings, cluster: str = "", name: str = "") -> Identity:
     """A new cluster of this one node. Raises Malformed."""
-    number = new_number()
-    return _fill(settings, Identity(replicas.FORMAT, cluster or new_cluster(), number, name),
-                 members_of(number, settings.advertise))
+    identity = Identity(replicas.FORMAT, cluster or new_cluster(), new_number(), name)
+    members = members_of(identity.node, settings.advertise)
+    return _fill(settings, identity, lambda path: states.create(path, identity.cluster, members))
 
 
 def prepare(settings: StoreSettings, cluster: str, name: str = "") -> Identity:
     """A folder for a node that will join. Raises Malformed."""
-    return _fill(settings, Identity(replicas.FORMAT, cluster, new_number(), name), Members())
-
-
-def _fill(settings: StoreSettings, identity: Identity, members: Members) -> Identity:
-    make_folder(settings)
-    lock = locked(settings)
-    try:
-        files = Folder(settings.folder)
-        states.create(settings.folder / vault.STATE, identity.cluster, members).close()
-        journal = Journal(files, identity.cluster, identity.node)
-        journal.create()
-        journal.close()
-        files.sync_folder()
-        write_identity(files, identity)  # last: without it the folder belongs to nobody
-    except OSError as error:
-        raise Malformed(f"{settings.folder}: {error.strerror}") from None
-    finally:
-        os.close(lock)
-    return identity
+    identity = Identity(replicas.FORMAT, cluster, new_number(), name)
+    return _fill(settings, identity, lambda path: states.create(path, cluster, Members()))
 
 
 def restore(settings: StoreSettings, copy: Path, cluster: str = "", name: str = "") -> Identity:
@@ -85,24 +69,31 @@
     why = states.verify(copy)
     if why:
         raise Damaged(f"{copy}: {why}")
-    meta = states.describe(copy)
+    identity = Identity(replicas.FORMAT, cluster or new_cluster(), new_number(), name)
+
+    def copied(path: Path) -> State:
+        shutil.copyfile(copy, path)
+        wal = Path(f"{copy}-wal")  # of a node that was killed: its last entries
+        if wal.exists():
+            shutil.copyfile(wal, f"{path}-wal")
+        return states.adopt(path, identity.cluster, members_of(identity.node, settings.advertise))
+
+    return _fill(settings, identity, copied)
+
+
+def _fill(settings: StoreSettings, identity: Identity, make: Callable[[Path], State]) -> Identity:
+    """A node's folder, with a log that begins where the state ends."""
     make_folder(settings)
-    number = new_number()
-    identity = Identity(replicas.FORMAT, cluster or new_cluster(), number, name)
     lock = locked(settings)
     try:
         files = Folder(settings.folder)
-        target = settings.folder / vault.STATE
-        shutil.copyfile(copy, target)
-        for beside in ("-wal",):
-            if Path(str(copy) + beside).exists():
-                shutil.copyfile(str(copy) + beside, str(target) + beside)
-        states.rename(target, identity.cluster, members_of(number, settings.advertise))
+        state = make(settings.folder / vault.STATE)
+        state.close()
         journal = Journal(files, identity.cluster, identity.node)
-        journal.create(meta.index, meta.term)
+        journal.create(state.applied, state.term)
         journal.close()
         files.sync_folder()
-        write_identity(files, identity)
+        write_identity(files, identity)  # last: without it the folder belongs to nobody
     except OSError as error:
         raise Malformed(f"{settings.folder}: {error.strerror}") from None
     finally:
--- a/lanelift/store/settings.py
+++ b/lanelift/store/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import ipaddress
-import tomllib
 from pathlib import Path
 
 import msgspec
@@ -12,7 +11,7 @@
 from lanelift.store.raft.core import Config
 from lanelift.store.replica import Boundaries
 from lanelift.store.security import Tls
-from lanelift.units import Duration, Size, convert
+from lanelift.units import Duration, Size, convert, read_toml
 
 MS = 1_000_000
 
@@ -28,6 +27,10 @@
     key: str
     authority: str
 
+    def beside(self, folder: Path) -> Tls:
+        """Relative paths count from this folder."""
+        return Tls(folder / self.certificate, folder / self.key, folder / self.authority)
+
 
 class Timing(Part, frozen=True):
     heartbeat: Duration = Duration(100 * MS)
@@ -77,11 +80,7 @@
 def read_store(path: Path) -> StoreSettings:
     """Raises Malformed with one line."""
     try:
-        raw = tomllib.loads(path.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        raise Malformed(f"{path}: {getattr(error, 'strerror', None) or error}") from None
-    try:
-        return settled(convert(raw, StoreFile), path.parent)
+        return settled(convert(read_toml(path), StoreFile), path.parent)
     except (ValueError, Malformed) as error:
         raise Malformed(f"{path}: {error}") from None
 
@@ -101,7 +100,7 @@
         raise Malformed("limits.uncommitted: must be 2MiB at least")
     config = Config(heartbeat_ns=int(f.timing.heartbeat), election_ns=int(f.timing.election),
                     slow_disk_ns=int(f.timing.slow_disk), uncommitted_bytes=int(f.limits.uncommitted))
-    tls = Tls(beside / f.tls.certificate, beside / f.tls.key, beside / f.tls.authority) if f.tls else None
+    tls = f.tls.beside(beside) if f.tls else None
     return StoreSettings(beside / f.folder, listen, f.advertise or f.listen,
                          split_address(f.metrics) if f.metrics else None, tls, config,
                          Boundaries(f.limits.keep, 5 * f.limits.keep + 1000, int(f.limits.log)),
--- a/lanelift/store/wire/protocol.py
+++ b/lanelift/store/wire/protocol.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from lanelift.store.raft.messages import pack as pack
+
 FORMAT = 1
 MOST_REQUEST = 3 << 20  # bytes: a write with a value of the largest size, twice over
 MOST_MESSAGE = 8 << 20  # between nodes
@@ -190,17 +192,12 @@
 
 AnyReply = Done | Rows | Changes | Failed | Info | Part
 
-_encoder = msgspec.msgpack.Encoder()
 AnyGreeting = Hello | Welcome | Declined
 _greetings = msgspec.msgpack.Decoder(AnyGreeting)
 _requests = msgspec.msgpack.Decoder(AnyRequest)
 _replies = msgspec.msgpack.Decoder(AnyReply)
 
 
-def pack(what: msgspec.Struct) -> bytes:
-    return _encoder.encode(what)
-
-
 def unpack_greeting(data: bytes) -> AnyGreeting:
     """Raises ValueError."""
     found: AnyGreeting = _greetings.decode(data)
--- a/lanelift/units.py
+++ b/lanelift/units.py
@@ -4,7 +4,9 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any, Generic, TypeVar
 
 import msgspec
@@ -130,6 +132,14 @@
     return found
 
 
+def read_toml(path: Path) -> dict[str, Any]:
+    """A file of the operators'. Raises ValueError, in one line, where it can't be read."""
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ValueError(error.strerror) from None
+
+
 def repeated(names: Iterable[str]) -> str:
     """The first name that stands there twice; empty if none does."""
     seen: set[str] = set()
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -12,7 +12,6 @@
 import pytest
 
 from lanelift.lab.cluster.churn import churn
-from lanelift.lab.cluster.real import free_port
 from lanelift.store import run as running
 from lanelift.store.client import Client, Compacted, Conflict, Rejected, StoreError, Unavailable, Wire
 from lanelift.store.commands import Op, OpenSession, Result, Write, pack
@@ -28,6 +27,7 @@
 from lanelift.store.wire import frames, protocol
 from lanelift.store.wire.protocol import Hello, Put
 from tests.certificates import Authority
+from tests.fakes import free_port
 
 
 class Cluster:
@@ -337,9 +337,8 @@
             # All get new ones, of another authority; nodes take them without a restart.
             fresh = Authority(tmp_path, "fresh")
             for role in ("node", "admin"):
-                made = fresh.issue(role)
+                fresh.issue(role)
             authority.path.write_bytes(fresh.path.read_bytes())
-            del made
             for running_ in c.nodes.values():
                 await running_.server.look_at_keys()
                 assert running_.server.stamp == c.settings[0].tls.stamp()  # type: ignore[union-attr]
@@ -442,6 +441,3 @@
     assert report.wrong == [], "lanelift lab store-churn --seed 3"
     assert report.kills >= 3 and report.lost >= 1 and report.acknowledged > 300
     assert report.pairs > 50 and report.changes >= report.acknowledged
-
-
-
