Test that a killed node's state, its write-ahead file included, can be restored

Need: restore is for the loss of a majority, where nodes were killed; it read the index from the main file alone, and the new node refused to start.

--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -12,6 +12,7 @@
 import pytest
 
 from lanelift.lab.cluster.churn import churn
+from lanelift.lab.cluster.real import RealCluster
 from lanelift.store import run as running
 from lanelift.store.client import Client, Compacted, Conflict, Rejected, StoreError, Unavailable, Wire
 from lanelift.store.commands import Op, OpenSession, Result, Write, pack
@@ -372,6 +373,29 @@
     run(test)
 
 
+def test_what_a_killed_node_leaves_becomes_a_new_cluster(tmp_path: Path) -> None:
+    async def test() -> None:
+        old = RealCluster(tmp_path, 1)
+        try:
+            await old.start()
+            client = old.client()
+            for i in range(1, 31):
+                await client.put("a", b"%d" % i)
+            await client.close()
+            await old.kill(old.members[0])
+        finally:
+            old.end()
+        left = old.members[0].settings.folder / "state.db"
+        assert Path(f"{left}-wal").stat().st_size > 0  # what was applied last is nowhere else
+        c = Cluster(tmp_path)
+        running.restore(c.read(1), left, "d")
+        await c.begin(1)
+        row = (await c.client(only=1).get("a")).rows[0]
+        assert (row.value, row.version) == (b"30", 30)
+        await c.close()
+    run(test)
+
+
 def test_a_full_disk_stops_writes_and_not_reads(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
                                                  caplog: pytest.LogCaptureFixture) -> None:
     full = {"log": False, "state": False}
