Believe an upstream's errors after a few, and weigh it by them

Ruled out: full answers (8 to 28 in 5 s), time-outs (0.3%), discovery (no 503 mattered there). Wrong: Fleet.judge moved s.errors by 0.05 an answer and left alone above 0.95, that is after 58 errors, where one balancer meets an upstream twice a second; weight() knew nothing of errors, so that what fails at once was the lightest of all drawn.

An error now counts 0.3, an answer 0.1, the belief fades by half in 7 s unmet, and weight() grows with it.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -51,9 +51,11 @@
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 EACH_PART = 0.08  # of the aim: what each request that an upstream holds is thought to take at first, at most
 # Part of errors above which an upstream is left alone, where no more than the second part of those within
-# reach are as bad; above the third, what may not be repeated goes elsewhere; so much each answer counts. One
-# that fails in part still does its share of the work: left alone sooner, it crowds the rest on a full day.
-FAULTY, ERROR_FELT = (0.95, 0.5, 0.1), 0.05
+# reach are as bad; above the third, what may not be repeated goes elsewhere. One that fails in part still
+# does its share of the work: left alone sooner, it crowds the rest on a full day. A proxy among many meets
+# each upstream a few times a second: an error, of which a healthy one gives three in a thousand, counts for
+# more than the answers after it, or the trouble is over before it is believed. Unmet, a belief halves in 7 s.
+FAULTY, ERROR_FELT, ERROR_FADE = (0.9, 0.5, 0.1), (0.3, 0.1), 0.95
 ACROSS = 1.4  # an upstream in another zone seems so much heavier, where crossing has a price
 BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
 LATE_LOOK_NS = SECOND // 50  # between two looks whether others wait for the place of a late attempt
@@ -330,7 +332,8 @@
 
 def weight(s: Server) -> float:
     """How busy an upstream seems, by own requests there or its report, and by what it learned of it."""
-    return (max(s.inflight, s.load) + 1) * s.pace * s.way
+    # One that fails is free at once, and would seem the lightest of all.
+    return (max(s.inflight, s.load) + 1) * s.pace * s.way / (1.0 - 0.9 * s.errors)
 
 
 class Pool:
@@ -554,7 +557,7 @@
         """Note an answer. Is it one error too many? An upstream that fails, and at once, seems the lightest
         of all, and draws what may not be repeated. Where many fail alike, for a fault of the requests or on
         the way, none is left alone for it."""
-        s.errors += ERROR_FELT * (error - s.errors)
+        s.errors += ERROR_FELT[not error] * (error - s.errors)
         if not error or s.errors <= FAULTY[0]:
             return False
         reach = self.main.order[:min(self.main.width, SCAN)]
@@ -1140,6 +1143,8 @@
                 pool.width += 1
             elif (not pool.blocked_ns or self.guest > 1.5) and pool.width > pool.home:
                 pool.width -= 1
+        for s in fleet.main.order[:min(fleet.main.width, SCAN)]:
+            s.errors *= ERROR_FADE
         self.rate.adjust(now, self.crowding.stress - self.crowding.ease)
         fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.main.width) - fleet.borne)
         for t in self.throttles.values():
