Ask discovery for changes, less often the more balancers there are

Ruled out: the module's back-off alone (a first call is spread over 2.5 s already). Wrong: Discovery._watch asked for the whole list at every start and after every 503, though `known` and its version would do; HOLD_MS of 4 s made 40 balancers call 10 times a second with nothing to hear; PACE_S of 20 ms had all of them call again between changes that come 200 ms apart.

A watch goes on from the known version, also after a 503; the whole list comes first only after a break, a silence or a move. A hold is 250 ms for each balancer (4 to 20 s), the pause 4 ms (20 to 150, of which 70 to 100%).

--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -20,12 +20,16 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 4_000
+# Each call is work for the one service of all balancers, whether it tells something or not: the more of them
+# there are, the longer each lets a call wait, and the longer it leaves changes to come together before the
+# next one. One of a few balancers keeps to the first figure of each.
+HOLD_MS, HOLD_EACH_MS, HOLD_MOST_MS = 4_000, 250, 20_000
 # What discovery has to tell counts as told 6 s later, or 2 s after a call's hold is over: a call that is
 # silent for so long is given up before that, and the whole list asked for. A connection that died without a
-# word hides the hold's length of changes: it is no longer than those 6 s allow.
+# word hides the hold's length of changes: of a few balancers it is no longer than those 6 s allow.
 CALL_S, AFTER_HOLD_S = 2.5, 1.5
-PACE_S = 0.02  # between two calls at the least, whatever comes back: well within what a watch may pause
+# Between two calls at the least, whatever comes back; a watch may pause for 200 ms.
+PACE_S, PACE_EACH_S, PACE_MOST_S = 0.02, 0.004, 0.15
 BACKOFF_S = (0.05, 1.0)
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
@@ -39,6 +43,10 @@
     """A call failed: discovery is down, or said what can't be read."""
 
 
+class Busy(Unanswered):
+    """It turned the call away: it is there, and knows what it knew."""
+
+
 def read_endpoint(row: Any) -> Endpoint:
     row = typed(row, "server", dict)
     state = word(row, "state", STATES, "Ready")
@@ -76,7 +84,11 @@
         self.address = address
         self.rng = random.Random(seed)
         self.push = driver.settings.discovery_push
+        balancers = driver.settings.replicas_of_me
+        self.hold_ms = min(HOLD_MOST_MS, max(HOLD_MS, HOLD_EACH_MS * balancers))
+        self.pace_s = min(PACE_MOST_S, max(PACE_S, PACE_EACH_S * balancers))
         self.version = -1
+        self.whole = True  # the next watch begins with the whole list
         self.connection: Connection | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
@@ -86,6 +98,7 @@
         """Begin from the list as last known, and watch at once where changes are pushed."""
         if known is not None:
             self.version, _, endpoints = read_list(known)
+            self.whole = False
             self.driver.learn(api.ListKind.CACHED, endpoints)
         if self.push:
             self.subscribe(True)
@@ -100,6 +113,7 @@
         not hold up the new one. That one counts its versions for itself: its first whole list stands."""
         self.address = address
         self.version = -1
+        self.whole = True
         if self.connection is not None:
             self.connection.abort()
         if self.watching is not None and not self.watching.done():
@@ -121,17 +135,24 @@
             self.connection.abort()
 
     async def _watch(self) -> None:
-        """Without a gap: each call follows on the answer before it. After one, the whole list comes first."""
+        """Without a gap: each call follows on the answer before it. The first asks for what changed since the
+        list that is known, or was before discovery turned a call away: the whole list, line by line for each
+        of forty balancers, would leave it no time for the changes. After any other failure the whole one
+        comes first."""
         wait = BACKOFF_S[0]
         while True:
             try:
-                await self._call(b"/v1/endpoints", CALL_S)
-                wait = BACKOFF_S[0]
-                while True:
+                if self.whole:
+                    await self._call(b"/v1/endpoints", CALL_S)
+                    self.whole = False
                     await asyncio.sleep(PACE_S)
-                    await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, HOLD_MS),
-                                     HOLD_MS / 1000 + AFTER_HOLD_S)
+                while True:
+                    await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, self.hold_ms),
+                                     self.hold_ms / 1000 + AFTER_HOLD_S)
+                    wait = BACKOFF_S[0]
+                    await asyncio.sleep(self.pace_s * self.rng.uniform(0.7, 1.0))
             except Exception as error:
+                self.whole = self.whole or not isinstance(error, Busy)
                 # The old list stands. Balancers must not all come back together.
                 self._failed(error)
                 if not self.push:
@@ -155,6 +176,8 @@
     async def _call(self, target: bytes, wait_s: float) -> None:
         async with self.lock:  # one connection, and one call at a time on it
             response = await self._get(target, wait_s)
+        if response.status == 503:
+            raise Busy("answered 503")
         if response.status != 200:
             raise Unanswered(f"answered {response.status}")
         try:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -163,19 +163,21 @@
 
 
 class FakeDiscovery(Server):
-    """Tells a list and its changes; `down` makes it break every call, `silent` leave it open."""
+    """Tells a list and its changes; `down` makes it break every call, `silent` leave it open, `busy` turn it
+    away."""
 
     def __init__(self, rows: Iterable[Json]) -> None:
         super().__init__(self._tell)
         self.rows = list(rows)
         self.version = 1
-        self.changes: list[Json] = []
+        self.changes: list[tuple[int, Json]] = []
         self.down = False
         self.silent = False
+        self.busy = False  # it turns calls away
 
     def change(self, *rows: Json) -> None:
         self.version += 1
-        self.changes = list(rows)
+        self.changes += [(self.version, row) for row in rows]
         names = {row["id"] for row in rows}
         self.rows = [r for r in self.rows if r["id"] not in names] + [r for r in rows if r["state"] != "Gone"]
         self.poke()
@@ -188,11 +190,14 @@
             return None
         if self.silent:
             return await never()
+        if self.busy:
+            return answer(503)
         if "from=" not in message.start[1]:
             return answer(200, json.dumps(self.whole()).encode())
         known = int(message.start[1].partition("from=")[2].partition("&")[0])
         await self.until(lambda: self.version > known)
-        change = {"version": self.version, "full": False, "servers": self.changes}
+        news = [row for version, row in self.changes if version > known]
+        change = {"version": self.version, "full": False, "servers": news}
         return answer(200, json.dumps(change).encode())
 
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -105,6 +105,39 @@
     run(test())
 
 
+def test_a_list_that_is_known_is_brought_up_to_date_by_its_changes_also_after_calls_were_turned_away(
+        heard: Heard) -> None:
+    """Forty balancers that each ask for sixty lines at a start, and again after each 503, leave discovery no
+    time: seen in a release, where none of them heard of a change for ten seconds."""
+    async def test() -> None:
+        async with world(2) as w:
+            await w.watching()
+            w.discovery.busy = True
+            gone, stays = w.upstreams
+            w.discovery.change(stays.row())  # ends the call that waits
+            calls = len(w.discovery.seen)
+            await w.discovery.until(lambda: len(w.discovery.seen) > calls + 1)
+            w.discovery.busy = False
+            await w.tell(gone.row("Gone"))
+            assert all("from=" in m.start[1] for m in w.discovery.seen)
+            assert [e.kind for e in heard.of(api.ListUpdate) if e.kind is api.ListKind.FULL] == []
+            assert (await w.ask("r1")).body == stays.name.encode()
+
+    run(test())
+
+
+def test_the_calls_of_a_large_fleet_are_fewer(heard: Heard) -> None:
+    async def test() -> None:
+        for balancers, calls_s in ((1, 0.3), (4, 1.1), (40, 4.1), (400, 21.0)):
+            driver = Driver(replace(SETTINGS, replicas_of_me=balancers), 1, Upstreams(
+                SETTINGS.limits, 4, (), Store(1)))
+            watch = discovery.Discovery(driver, ("127.0.0.1", 1), 1)
+            assert balancers / (watch.hold_ms / 1000) < calls_s
+            assert watch.pace_s < 0.2  # a watch that pauses longer has ended
+
+    run(test())
+
+
 def test_where_discovery_is_asked_a_failed_call_is_told_and_the_module_asks_again(heard: Heard) -> None:
     async def test() -> None:
         settings = replace(SETTINGS, discovery_push=False, rules=api.Rules(ask_within_ns=SECOND // 2))
