Count a cold upstream that holds a request of ours for the window

Ruled out: full answers (1/s), connects, the cold ones' budget (they are sent 8 a second, and could take 16), R (three ways to make it quicker, docs/measurements.md). Wrong: Pool.able took every upstream that is left alone out of the window, also a cold one that is only given its next request in a while and whose last one fills the window.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -422,11 +422,13 @@
             self.favours = near <= ACROSS * far
 
     def able(self, now: int) -> int:
-        """How many within reach are not left alone: what the dead had must not all move to the rest."""
+        """How many within reach are not left alone: what the dead had must not all move to the rest. A cold
+        one that has a request of ours, and is given the next one in a while, has its part."""
         places, width, alone = self.places, self.width, self.fleet.alone
         for s in [s for s in alone.values() if s.barred_ns <= now]:
             del alone[s.id]
-        return width - sum(places.get(number, width) < width for number in alone)
+        return width - sum(places.get(number, width) < width and not (s.inflight and self.fleet.cold(s, now))
+                           for number, s in alone.items())
 
     def pick(self, now: int, allowed: Iterable[Server] | None = None, once: bool = False) -> Server | None:
         """The lightest, by own in flight and learned speed, of two draws and the previous winner. `once`: for
