--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -157,3 +157,19 @@
     resting = [s for s in pool.order[:pool.width] if s.barred_ns > proxy.now]
     assert any(s.inflight for s in resting)
     assert pool.able(proxy.now) == pool.width - sum(not s.inflight for s in resting)
+
+
+def test_odd_lists_neither_crash_nor_empty_the_routing() -> None:
+    """Ids twice, a zone that nobody else is in, a start in the future, thousands at once, and partial lists
+    that name what was never listed as gone."""
+    odd = [api.Upstream(1, zone="a"), api.Upstream(1, zone="b"), api.Upstream(2, zone="nowhere"),
+           api.Upstream(3, zone="a", started_ns=3600 * SECOND)]
+    for fleet in (odd, odd + [api.Upstream(n, zone="abc"[n % 3]) for n in range(10, 5000)]):
+        proxy = Proxy(fleet, lambda upstream, now: (api.Result.OK, 50 * MS), proxies=40, me=39, zone="a")
+        proxy.load(1, 20)
+        proxy.post(proxy.now, api.ListUpdate(api.ListKind.DELTA, [
+            api.Upstream(7000, api.State.GONE), api.Upstream(7001, api.State.DRAINING), odd[0], odd[0]]))
+        before = proxy.ended["served"]
+        proxy.load(1, 20)
+        assert proxy.ended["served"] - before >= 10
+        assert {to for _, to in proxy.sent} <= {u.id for u in fleet}
