Send each key to the same few upstreams at all balancers, from larger homes

Two lines are at fault: Pool.arrange gave a home of 4, and draw knew nothing of keys, so each key went to all upstreams, which do less work for a key they lately met and remember few.

Change: each key has two upstreams of the home by rendezvous hashing, the same at all balancers; they are drawn beside the random ones and seem 0.6 as heavy, so a crowded one loses. Homes are a quarter of the fleet at least.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+import zlib
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -20,6 +21,11 @@
 BY_SPOT, BY_TURN, BY_WAY = attrgetter("spot"), attrgetter("turn"), attrgetter("way")
 SCAN = 64  # upstreams that are looked through at most, where chance finds none that is fit
 DRAWS = 2  # random draws beside the previous winner
+# An upstream that lately met a key may do less work for it, and remembers few. So each key has some
+# upstreams of a home that are drawn for it and seem so much lighter. A home is such a part of the fleet at
+# least, or what all proxies send of one key falls on too many. So many keys are kept together with their
+# upstreams.
+KEYED, KEYED_SEEMS, KEY_PART, KEYS = 2, 0.6, 4, 4096
 HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
 BANK_S = 0.5  # C_T in seconds of tokens
 HOLD_PART = 0.2  # C_J as a part of C_T
@@ -113,6 +119,7 @@
     place: str = ""  # waiting for its "turn", "held" by its throttle, in the "line", or ""
     turn_ns: int = 0  # its key rests until then
     give_up_ns: int = 0  # waiting longer than this is of no use
+    key: str = ""
     asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
     asked_ns: int = 0
 
@@ -349,6 +356,7 @@
         self.near: list[Server] = []  # those at home in its own zone, where that matters
         self.favours = True  # one draw is among them
         self.places: dict[int, int] = {}  # where each stands in `order`
+        self.by_key: dict[str, list[Server]] = {}
         self.line: deque[Request] = deque()
         self.blocked_ns = 0  # the line found no upstream since
         self.jammed = False  # nor has room for more: its head waits for that, not for an answer about load
@@ -362,7 +370,7 @@
         n, me = len(ready), self.fleet.settings.me
         first = me * n // proxies
         stretch = (me + 1) * n // proxies - first
-        least = max(HOME[0], min(HOME[1], SHARED * n // proxies))
+        least = max(HOME[0], min(HOME[1], SHARED * n // proxies), n // KEY_PART)
         self.home = n if self.fleet.looks else min(n, max(least, stretch))
         ring = ready[first:] + ready[:first]
         # First the ring as it stands, for half of the home, or some upstream is in nobody's; then its own
@@ -383,9 +391,21 @@
         if len(self.near) == len(home):
             self.near = []  # no choice between them
         self.width = min(n, max(self.width, self.home))
+        self.by_key.clear()
         for s in home:
             s.own = True
 
+    def keyed(self, key: str) -> list[Server]:
+        """Extension: those of the home that all proxies would send this key to, by rendezvous hashing."""
+        found = self.by_key.get(key)
+        if found is None:
+            if len(self.by_key) >= KEYS:
+                self.by_key.clear()
+            salt = zlib.crc32(key.encode())
+            ranked = sorted([(mixed(s.id, salt), i) for i, s in enumerate(self.order[:self.home])])
+            found = self.by_key[key] = [self.order[i] for _, i in ranked[:KEYED]]
+        return found
+
     def draw(self, count: int, now: int) -> list[Server]:
         """So many random draws from those that are fit, and the previous winner. Looks at the upstreams
         within reach at most, never at the fleet."""
@@ -430,16 +450,26 @@
         return width - sum(places.get(number, width) < width and not (s.inflight and self.fleet.cold(s, now))
                            for number, s in alone.items())
 
-    def pick(self, now: int, allowed: Iterable[Server] | None = None, once: bool = False) -> Server | None:
+    def pick(self, now: int, allowed: Iterable[Server] | None = None, once: bool = False,
+             key: str = "") -> Server | None:
         """The lightest, by own in flight and learned speed, of two draws and the previous winner. `once`: for
         what may not be repeated, so not to one that lately failed, if another is drawn."""
         drawn = self.draw(DRAWS, now) if allowed is None else [s for s in allowed if self.fleet.fit(s, now)]
+        known: list[Server] = []
+        if key and allowed is None:
+            known = [s for s in self.keyed(key) if self.fleet.fit(s, now)]
+            drawn += known
         if not drawn:
             return None
         if once:
             drawn = [s for s in drawn if s.errors < FAULTY[2]] or drawn
-        self.last = min(drawn, key=weight)
-        return self.last
+        best, least = drawn[0], math.inf
+        for s in drawn:
+            seems = weight(s) * (KEYED_SEEMS if s in known else 1.0)
+            if seems < least:
+                best, least = s, seems
+        self.last = best
+        return best
 
 
 class Fleet:
@@ -808,7 +838,7 @@
         aim = min(asked + cls.aim_ns, e.deadline_ns)
         pool = self.fleet.pool(cls)
         hint = min(e.cost_hint_ns, cls.deadline_ns)  # a wild guess must not keep its timers for years
-        r = Request(e.request, cls, throttle, pool, e.deadline_ns, aim, hint, e.retry, e.whole)
+        r = Request(e.request, cls, throttle, pool, e.deadline_ns, aim, hint, e.retry, e.whole, key=e.key)
         self.requests[r.id] = r
         expected = self.crowding.expected(r)
         waited = now - asked
@@ -1099,7 +1129,7 @@
             failed = {a.server for a in r.attempts}  # it may fail there again: elsewhere, where that can be
             fresh = [s for s in fresh if s not in failed] or fresh
             r.asked = []
-            server = pool.pick(now, fresh or choices, r.cls.effect is not api.Effect.SAFE)
+            server = pool.pick(now, fresh or choices, r.cls.effect is not api.Effect.SAFE, r.key)
             left = (r.aim_ns - now) / self.crowding.each
             full = fresh and server and server.load >= 1 and (server.load + 1.5) * server.pace > left
             if full or (server is None and choices is not None):
