Take only a run's own processes for what it left behind

Cause: children() in tests/test_lab_sockets.py took every process of the machine with `lanelift` in its command line for its own, so the tests failed whenever a balancer or a bench ran beside them. Change: the module's runs carry a mark of their own in the environment, which all that descends from them inherits, orphans too; only processes with it count.

--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -23,26 +24,39 @@
           "{kind='list_down', at='4s', lasts='1s'}]")
 
 
-def children() -> set[str]:
-    """Processes that a run has left behind."""
+MARK = "LANELIFT_TEST_RUN"
+
+
+@pytest.fixture(scope="module")
+def mark() -> Iterator[str]:
+    """What only the runs of this module find in their environment. By its name alone, a balancer that runs
+    beside the tests would be taken for what a run left behind."""
+    with pytest.MonkeyPatch.context() as patch:
+        name = f"{os.getpid()}-{os.urandom(8).hex()}"
+        patch.setenv(MARK, name)
+        yield name
+
+
+def children(mark: str) -> set[str]:
+    """Processes of this module's runs. What descends from a run bears its mark, orphans too."""
     found = set()
     for entry in Path("/proc").iterdir():
         try:
             words = (entry / "cmdline").read_bytes().split(b"\0")
+            given = (entry / "environ").read_bytes().split(b"\0")
         except OSError:
             continue
-        if any(word.startswith(b"lanelift") for word in words) and str(os.getpid()) != entry.name:
+        if f"{MARK}={mark}".encode() in given and any(word.startswith(b"lanelift") for word in words):
             found.add(entry.name)
     return found
 
 
 @pytest.fixture(scope="module")
-def found() -> Json:
-    before = children()
+def found(mark: str) -> Json:
     t = topology.load("brief", ["length='6s'", "balancers.count=2", "fleet.boxes=6", "clients.rate='100/s'",
                                 "network.zones=['a', 'b']", "discovery.notice='500ms'", FAULTS])
     result = run(t, 3)
-    assert children() <= before
+    assert not children(mark)
     return result
 
 
@@ -90,15 +104,14 @@
         "t1 was served with the answer of t0", "balancer 0 closed on t1"]
 
 
-def test_an_interrupted_run_leaves_no_process_and_no_file(tmp_path: Path) -> None:
-    before = children()
+def test_an_interrupted_run_leaves_no_process_and_no_file(tmp_path: Path, mark: str) -> None:
     result = tmp_path / "r.json"
     words = [sys.executable, "-m", "lanelift.cli.main", "lab", "run", "brief", "--sockets", "--out",
              str(result), "--set", "length='60s'", "--set", "fault=[]"]
     with subprocess.Popen(words, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
                           env={**os.environ, "TMPDIR": str(tmp_path)}) as run_:
         assert run_.stdout is not None and "asked" in run_.stdout.readline()  # it is under way
-        assert len(children() - before) >= 6
+        assert len(children(mark)) >= 6
         run_.send_signal(signal.SIGTERM)
         assert run_.wait(timeout=30) == 130
-    assert children() <= before and not list(tmp_path.iterdir())
+    assert not children(mark) and not list(tmp_path.iterdir())
