--- a/lanelift/lab/topology.py
+++ b/lanelift/lab/topology.py
@@ -89,6 +89,7 @@
     tick: Duration = Duration(2 * MS)  # virtual time: events are handed over together so often
     notice: Times = Times(800 * MS, 3700 * MS)  # the front goes on sending to a dead one for this long
     restart: Times = Times(300 * MS, 1400 * MS)  # a killed one comes back after this
+    unequal: float = 1.0  # virtual time: what the busiest gets, against the least busy
 
 
 class Class(Part, frozen=True):
@@ -210,6 +211,8 @@
             return f"{what}: {twice} stands there twice"
         if listed and sum(entry.share for entry in listed) <= 0:
             return f"{what}: the shares add up to nothing"
+    if t.balancers.unequal < 1:
+        return "balancers.unequal: must be 1 at least"
     for c in t.classes:
         if c.aim > c.deadline:
             return f"class {c.name}: aim is longer than deadline"
--- a/lanelift/lab/virtual.py
+++ b/lanelift/lab/virtual.py
@@ -83,6 +83,7 @@
 
     number: int
     zone: str
+    draw: float = 1.0  # its part of the traffic, against the busiest's
     up: bool = False
     life: int = 0
     front_sees: bool = False  # the front sends to it
@@ -150,7 +151,9 @@
         self.quotas = quotas(t, self.capacity)
         self.workload = Workload(t, f"{seed}/clients/0", self.capacity, START_NS)
         self.arrivals: Iterator[Want] = iter(())
-        self.lives = [Life(n, topo.zone_of(t, n)) for n in range(t.balancers.count)]
+        unequal, shares = t.balancers.unequal, self._chance("shares")
+        self.lives = [Life(n, topo.zone_of(t, n), unequal ** -shares.random())
+                      for n in range(t.balancers.count)]
         self.front = {z: [b for b in self.lives if b.zone == z] for z in t.network.zones}
         self.waiting: dict[int, list[api.Event]] = {}
         self.flush_at = -1
@@ -252,7 +255,11 @@
         """The plain front of a site: any balancer there that it believes in, else one of another site."""
         name = self.t.network.zones[zone]
         near = [b for b in self.front[name] if b.front_sees] or [b for b in self.lives if b.front_sees]
-        return near[int(self.rng.random() * len(near))] if near else None
+        while near:
+            life = near[int(self.rng.random() * len(near))]
+            if life.draw >= 1.0 or self.rng.random() < life.draw:
+                return life
+        return None
 
     def _reach(self, what: tuple[Life, Want, Try]) -> None:
         life, want, asked = what
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import multiprocessing
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -129,3 +130,16 @@
     assert experiments.differences(a, jumbled)[0].noise
     score = experiments.differences(a, better)[0]
     assert not score.noise and score.low == pytest.approx(0.02) == score.high
+
+
+def test_balancers_get_unequal_parts_of_the_traffic_where_the_file_says_so() -> None:
+    """In a large fleet some see several times what others do; their own counts tell them that much more."""
+    parts = {}
+    for unequal in (1, 6):
+        world = World(small("length='6s'", "balancers.count=8", f"balancers.unequal={unequal}"), 5)
+        world.run()
+        got = Counter(asked.balancer for asked in world.ledger.tries.values())
+        parts[unequal] = max(got.values()) / min(got.values())
+    assert parts[1] < 1.7 and parts[6] > 2.2, parts
+    with pytest.raises(topology.Unusable, match="unequal"):
+        small("balancers.unequal=0.5")
