Look through 64 upstreams at most for a key's own, without a call for each

Change: a home grows to SCAN (64) upstreams at most for keys, and the rank is reckoned from the spot on the ring. Fleets of up to 256 upstreams have the same homes as before.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -26,6 +26,7 @@
 # least, or what all proxies send of one key falls on too many. So many keys are kept together with their
 # upstreams.
 KEYED, KEYED_SEEMS, KEY_PART, KEYS = 2, 0.6, 4, 4096
+SPREAD = 0xD1342543DE82EF95  # odd: it carries a difference of any bit to the top
 HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
 BANK_S = 0.5  # C_T in seconds of tokens
 HOLD_PART = 0.2  # C_J as a part of C_T
@@ -370,7 +371,7 @@
         n, me = len(ready), self.fleet.settings.me
         first = me * n // proxies
         stretch = (me + 1) * n // proxies - first
-        least = max(HOME[0], min(HOME[1], SHARED * n // proxies), n // KEY_PART)
+        least = max(HOME[0], min(HOME[1], SHARED * n // proxies), min(SCAN, n // KEY_PART))
         self.home = n if self.fleet.looks else min(n, max(least, stretch))
         ring = ready[first:] + ready[:first]
         # First the ring as it stands, for half of the home, or some upstream is in nobody's; then its own
@@ -401,9 +402,11 @@
         if found is None:
             if len(self.by_key) >= KEYS:
                 self.by_key.clear()
-            salt = zlib.crc32(key.encode())
-            ranked = sorted([(mixed(s.id, salt), i) for i, s in enumerate(self.order[:self.home])])
-            found = self.by_key[key] = [self.order[i] for _, i in ranked[:KEYED]]
+            salt = mixed(zlib.crc32(key.encode()), 0)
+            home = self.order[:self.home]
+            ranked = sorted([((s.spot[0] ^ salt) * SPREAD & 0xFFFFFFFFFFFFFFFF, i)
+                             for i, s in enumerate(home)])
+            found = self.by_key[key] = [home[i] for _, i in ranked[:KEYED]]
         return found
 
     def draw(self, count: int, now: int) -> list[Server]:
