Keep a key's upstreams by its checksum, and bear keys that are no text

Change: places are kept by the key's CRC-32, from bytes that any text has. Measured: a test sends a lone surrogate, 60,000 letters and 12,288 new keys; it fails without this (UnicodeEncodeError).

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -357,7 +357,7 @@
         self.near: list[Server] = []  # those at home in its own zone, where that matters
         self.favours = True  # one draw is among them
         self.places: dict[int, int] = {}  # where each stands in `order`
-        self.by_key: dict[str, list[Server]] = {}
+        self.by_key: dict[int, list[Server]] = {}  # by checksum: a key may be long
         self.line: deque[Request] = deque()
         self.blocked_ns = 0  # the line found no upstream since
         self.jammed = False  # nor has room for more: its head waits for that, not for an answer about load
@@ -398,15 +398,16 @@
 
     def keyed(self, key: str) -> list[Server]:
         """Extension: those of the home that all proxies would send this key to, by rendezvous hashing."""
-        found = self.by_key.get(key)
+        number = zlib.crc32(key.encode(errors="surrogatepass"))
+        found = self.by_key.get(number)
         if found is None:
             if len(self.by_key) >= KEYS:
                 self.by_key.clear()
-            salt = mixed(zlib.crc32(key.encode()), 0)
+            salt = mixed(number, 0)
             home = self.order[:self.home]
             ranked = sorted([((s.spot[0] ^ salt) * SPREAD & 0xFFFFFFFFFFFFFFFF, i)
                              for i, s in enumerate(home)])
-            found = self.by_key[key] = [home[i] for _, i in ranked[:KEYED]]
+            found = self.by_key[number] = [home[i] for _, i in ranked[:KEYED]]
         return found
 
     def draw(self, count: int, now: int) -> list[Server]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Sequence
 
 from lanelift import interface as api
-from lanelift.decide import Balancer
+from lanelift.decide import KEYS, Balancer
 from tests.fakes import MS, SECOND
 
 CLASSES = {
@@ -211,3 +211,14 @@
     to = Counter(upstream for _, upstream in proxy.sent)
     assert max(to.values()) < 0.3 * len(proxy.sent), to
     assert proxy.ended["served"] > 0.95 * proxy.ended.total()
+
+
+def test_keys_without_end_take_bounded_memory_and_odd_ones_are_served() -> None:
+    """On a long day keys are ever new, and bad clients send what is no text or very long."""
+    proxy = Proxy([api.Upstream(n) for n in range(1, 13)], lambda upstream, now: (api.Result.OK, MS))
+    proxy.load(5, 40, ["\ud800", "x" * 60_000, "\x00", " ", "é" * 300])
+    assert proxy.ended["served"] == proxy.ended.total() > 100
+    pool = proxy.balancer.fleet.main
+    for n in range(3 * KEYS):
+        pool.keyed(f"{n}" * 100)
+    assert len(pool.by_key) <= KEYS and all(isinstance(kept, int) for kept in pool.by_key)
