Leases with fencing tokens in the store, judged over simulated clusters

Need: nobody owned work on behalf of the fleet. Seen as the issue tells it: an owner stopped and woken late puts its older list over the newer one, because Keeper.save puts without any check.

Change: lanelift/leases (pure): table, expiry, holder, fence. The state takes Claim, Release, Lapse and writes that bear tokens, as format 2, which a leader proposes once all members told that their program knows it; a node does not speak to one that knows less. A restored cluster begins a new epoch of tokens. A folder of format 1, made by the program before this change, is kept as bytes and must read. lab/cluster/owners drives owners that are stopped, restarted, cut off and deaf, with clocks that jump or run at half and twice the rate, over the simulated cluster.

--- a/lanelift/lab/cluster/plans.py
+++ b/lanelift/lab/cluster/plans.py
@@ -344,8 +344,8 @@
     return outcome
 
 
-def _calm(cluster: Cluster, clients: list[Client]) -> None:
-    """All that broke is mended, but for what is lost for good; then every client is served again."""
+def mend(cluster: Cluster) -> None:
+    """All that broke, but for what is lost for good."""
     net = cluster.network
     cluster.run(cluster.now + 2 * SECOND)  # what was to be undone is undone
     net.cut.clear()
@@ -354,18 +354,23 @@
     for node in cluster.nodes.values():
         node.disk.full, node.disk_ns, node.rate, node.fuse = False, (MS // 2, 4 * MS), 1.0, -1
         cluster.start(node)
+
+
+def _calm(cluster: Cluster, clients: list[Client]) -> None:
+    """All that broke is mended; then every client is served again."""
+    mend(cluster)
     began = [c.done for c in clients]
     cluster.run(cluster.now + CALM, lambda: all(c.done >= b + 3 for c, b in zip(clients, began, strict=True)))
     if any(c.done < b + 3 for c, b in zip(clients, began, strict=True)):
         raise Broken("progress", f"no service {CALM // SECOND} s after all was mended: {describe(cluster)}")
     for c in clients:
         c.stopped = True
-    cluster.run(cluster.now + CALM, lambda: all(c.idle for c in clients) and _level(cluster))
-    if not _level(cluster):
+    cluster.run(cluster.now + CALM, lambda: all(c.idle for c in clients) and level(cluster))
+    if not level(cluster):
         raise Broken("progress", f"members did not catch up in {CALM // SECOND} s: {describe(cluster)}")
 
 
-def _level(cluster: Cluster) -> bool:
+def level(cluster: Cluster) -> bool:
     """Every member that runs has applied all."""
     leader = cluster.leader()
     if leader is None or leader.replica is None:
@@ -512,7 +517,7 @@
     for node in s.nodes.values():
         s.cluster.start(node)
     s.only(tuple(s.nodes))
-    s.wait(lambda: _level(s.cluster), 20)
+    s.wait(lambda: level(s.cluster), 20)
     agreed(s.cluster)
 
 
--- a/lanelift/lab/cluster/sim.py
+++ b/lanelift/lab/cluster/sim.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -21,6 +22,7 @@
 from lanelift.store.raft.members import Change, Refused
 from lanelift.store.raft.messages import AnyMessage, Members, Piece, pack, unpack_message
 from lanelift.store.replica import Boundaries, Identity, Replica
+from lanelift.store.steward import Steward
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -60,6 +62,8 @@
     waiting: dict[int, tuple[int, Answer]] = field(default_factory=dict)  # index: term, whom to answer
     reads: dict[int, tuple[int, Callable[[], Any], Answer]] = field(default_factory=dict)
     tickets: int = 0
+    steward: Steward = field(default_factory=Steward)
+    format: int = commands.FORMAT  # the newest that its program knows
     dead: str = ""  # why it will not come back
     fuse: int = -1  # boundaries until its power goes
 
@@ -73,6 +77,7 @@
         self.heap: list[tuple[int, int, Callable[[], None]]] = []
         self.order = 0
         self.network = Network()
+        self.leases = False  # a leader proposes what it does by itself: the state's next format, and lapses
         self.checks = Checks()
         self.nodes: dict[int, Node] = {}
         self.make = make
@@ -125,6 +130,7 @@
         if node.replica is not None or node.dead:
             return
         node.epoch += 1
+        node.steward = Steward()
         node.disk.trip = lambda: None
         node.fuse = -1
         try:
@@ -211,14 +217,30 @@
                 self.at(self.between((MS // 10, MS)), self.guarded(
                     node, lambda r: self._apply(node, r, entries)))
         self._reads(node, core)
+        self._lead(node, r)
         if core.wants_snapshot and not node.exporting:
             node.exporting = True
             self.at(self.between((MS, 30 * MS)), self.guarded(node, lambda r: self._export(node, r)))
-        wake = self.now + max(MS, core.wake_ns - self.clock(node))
+        wake_ns = min(core.wake_ns, node.steward.wake_ns or core.wake_ns)
+        wake = self.now + max(MS, wake_ns - self.clock(node))
         if not self.now < node.due <= wake:
             node.due = wake
             self.at(wake - self.now, self.guarded(node, lambda r: self._tick(node, r, wake)))
 
+    def _lead(self, node: Node, r: Replica) -> None:
+        if not self.leases or r.core.role is not Role.LEADER or node.applying:
+            if r.core.role is not Role.LEADER:
+                node.steward.follows()
+            return
+        node.steward.leads(r.core.term, r.state, self.clock(node))
+        formats = {n: self.nodes[n].format if n in self.nodes else 0 for n in r.core.members.all}
+        due = node.steward.proposals(r.state.format, formats, self.clock(node))
+        if due:
+            with suppress(Busy, NotLeader):
+                r.core.propose([commands.pack(command) for command in due])
+                self.counts["lapses"] += sum(isinstance(c, commands.Lapse) for c in due)
+                self.turn(node)
+
     def _tick(self, node: Node, r: Replica, due: int) -> None:
         if due != node.due:
             return  # an earlier one took its place
@@ -257,6 +279,7 @@
                 else:
                     answer("unknown", None)
         r.core.applied_to(entries[-1].index)
+        node.steward.applied(r.state.take_claimed(), self.clock(node))
         node.applying = False
         if r.wants_cut:
             try:
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -23,7 +23,18 @@
 
 from lanelift.settings import split_address
 from lanelift.store import commands
-from lanelift.store.commands import ANY, CloseSession, Code, Op, OpenSession, Result, Write
+from lanelift.store.commands import (
+    ANY,
+    AnyCommand,
+    Claim,
+    CloseSession,
+    Code,
+    Op,
+    OpenSession,
+    Release,
+    Result,
+    Write,
+)
 from lanelift.store.dial import Dial
 from lanelift.store.wire import protocol
 from lanelift.store.wire.protocol import (
@@ -84,6 +95,10 @@
     """The store will not do it, however often it is asked."""
 
 
+class Fenced(Rejected):
+    """It was written under a token that does not hold: another is the owner, or nobody is."""
+
+
 class Compacted(StoreError):
     """Changes before this are gone: read anew, and watch from there."""
 
@@ -250,15 +265,17 @@
         await self.write([Op(key, None, version)], (), note, author, within_s)
 
     async def write(self, ops: Sequence[Op], checks: Sequence[tuple[str, int]] = (), note: str = "",
-                    author: str = "", within_s: float = 0.0) -> Result:
-        """All of it or nothing, once. Raises Conflict, Rejected, Unavailable, Undecided."""
+                    author: str = "", within_s: float = 0.0,
+                    fences: Sequence[tuple[str, int]] = ()) -> Result:
+        """All of it or nothing, once. `fences`: leases, and the tokens that this is written under. Raises
+        Conflict, Fenced, Rejected, Unavailable, Undecided."""
         until = time.monotonic() + (within_s or self.deadline_s)
         async with self.window:
             await self._open_session(until)
             self.number += 1
             number, session = self.number, self.session
             command = Write(session, number, self.done, tuple(ops), tuple(checks), author, note,
-                            int(time.time() * 1000))
+                            int(time.time() * 1000), tuple(fences))
             packed = commands.pack(command)
             result = self._result(await self._call(lambda i, ms: Put(i, ms, packed), 0.0, True, until))
             if session == self.session:
@@ -270,10 +287,29 @@
                 if session == self.session:
                     self.session = 0
                 raise Undecided(result.text)
+            case Code.FENCED:
+                raise Fenced(result.text)
             case Code.REFUSED:
                 raise Rejected(result.text)
         return result
 
+    async def claim(self, claim: Claim, within_s: float) -> Result:
+        """Ask for a lease, or renew; `versions` of the answer are the token, 0 while it waits, and the place
+        among the candidates. Raises Rejected, Unavailable, Undecided."""
+        return await self._ask(claim, within_s)
+
+    async def release(self, release: Release, within_s: float) -> Result:
+        """Raises Rejected, Unavailable, Undecided."""
+        return await self._ask(release, within_s)
+
+    async def _ask(self, command: AnyCommand, within_s: float) -> Result:
+        """A command that does no harm when it comes twice."""
+        packed = commands.pack(command)
+        result = self._result(await self._call(lambda i, ms: Put(i, ms, packed), within_s, True))
+        if result.code == Code.REFUSED:
+            raise Rejected(result.text)
+        return result
+
     def _answered(self, number: int) -> None:
         self.answered.add(number)
         while self.done + 1 in self.answered:
--- a/lanelift/store/commands.py
+++ b/lanelift/store/commands.py
@@ -15,7 +15,9 @@
 MOST_KEY = 512  # characters
 MOST_VALUE = 1 << 20  # bytes
 MOST_OPS = 256
+MOST_FENCES = 8
 MOST_TEXT = 1024  # of an author or a note
+FORMAT = 2  # the newest format of a state that this program knows; 2: leases, and tokens on writes
 ANY = -1  # a check or op that does not care about the version
 
 
@@ -44,6 +46,7 @@
     author: str = ""
     note: str = ""
     time_ms: int = 0  # the proposer's clock: shown, never decided by
+    fences: tuple[tuple[str, int], ...] = ()  # leases and the tokens under which this is written; format 2
 
 
 class OpenSession(Command, frozen=True, tag=2):
@@ -57,7 +60,45 @@
     session: int
 
 
-AnyCommand = Write | OpenSession | CloseSession
+class Upgrade(Command, frozen=True, tag=4):
+    """From here on the state has this format. Proposed by a leader that met all members at it."""
+
+    format: int
+
+
+class Claim(Command, frozen=True, tag=5):
+    """Ask for a lease, or show that one is still there, as owner or candidate. May be repeated: it needs no
+    session. Answered with the token, 0 while it waits, and the place among the candidates."""
+
+    lease: str
+    holder: str
+    claim: int
+    ttl_ms: int
+    rank: int = 0
+    note: str = ""
+    time_ms: int = 0
+
+
+class Release(Command, frozen=True, tag=6):
+    """Give a lease back. `token`: only if it is held under this one; 0: whatever the claim has."""
+
+    lease: str
+    claim: int
+    token: int = 0
+    time_ms: int = 0
+
+
+class Lapse(Command, frozen=True, tag=7):
+    """The time of a claim is over, if it was not renewed since `round`. Proposed by leaders alone."""
+
+    lease: str
+    claim: int
+    round: int
+    time_ms: int = 0
+
+
+AnyCommand = Write | OpenSession | CloseSession | Upgrade | Claim | Release | Lapse
+LEASES = "lease/"  # a lease stands under this key; writes to it are refused from format 2 on
 
 
 class Code(IntEnum):
@@ -67,6 +108,7 @@
     CONFLICT = 1  # a key is at another version
     EXPIRED = 2  # the session is not known any more: whether the write was made before can't be told
     REFUSED = 3  # it breaks a limit: every node says so alike
+    FENCED = 4  # it was written under a token that does not hold
 
 
 class Result(Array, frozen=True):
@@ -93,6 +135,18 @@
     return _results.decode(data)
 
 
+def format_of(command: AnyCommand) -> int:
+    """The least format of the state that takes it."""
+    if isinstance(command, Write):
+        return 2 if command.fences else 1
+    return 1 if isinstance(command, OpenSession | CloseSession) else 2
+
+
+def client_may(command: AnyCommand) -> bool:
+    """May a client propose it? The rest is for leaders."""
+    return not isinstance(command, Upgrade | Lapse)
+
+
 def wrong(command: Write) -> str:
     """The first thing about a write that no state takes, whatever it holds; empty: none. Part of the
     format."""
@@ -104,6 +158,8 @@
             return f"{key[:60]!r} is no key"
     if len(set(keys)) < len(keys):
         return "a key stands there twice"
+    if len(command.fences) > MOST_FENCES:
+        return f"a write bears {MOST_FENCES} tokens at most"
     if any(op.value is not None and len(op.value) > MOST_VALUE for op in command.ops):
         return f"a value has {MOST_VALUE} bytes at most"
     if len(command.author) > MOST_TEXT or len(command.note) > MOST_TEXT:
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -19,18 +19,38 @@
 
 import google_crc32c
 
+from lanelift.leases import table
+from lanelift.leases.expiry import Running
+from lanelift.leases.table import Claimant, Lease
 from lanelift.store import commands
-from lanelift.store.commands import ANY, CloseSession, Code, Op, OpenSession, Result, Write, unpack_command
+from lanelift.store.commands import (
+    ANY,
+    FORMAT,
+    LEASES,
+    Claim,
+    CloseSession,
+    Code,
+    Lapse,
+    Op,
+    OpenSession,
+    Release,
+    Result,
+    Upgrade,
+    Write,
+    unpack_command,
+)
 from lanelift.store.durable.journal import Damaged
 from lanelift.store.raft.messages import Entry, Kind, Members, SnapshotMeta, pack, unpack_members
 
-FORMAT = 1
-HISTORY = 100  # versions of a key under `config/` that are kept
-HISTORY_OF = "config/"
+HISTORY = 100  # versions of a key that are kept, where they are
+HISTORY_OF = "config/", LEASES
+MOST_LEASES = 5_000
 EVENTS, EVENTS_BYTES = 10_000, 16 << 20  # changes that are kept for watchers
 SESSIONS = 2_000  # the least lately used goes
 WINDOW = 256  # answers that are kept of one session
 CHUNK = 1 << 20
+CANDIDATE_TIMES = 2  # a candidate that shows nothing for so many times its lease's time is gone
+NOT_YET = "not all nodes of the store know leases yet"
 
 TABLES = """
 CREATE TABLE meta (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
@@ -49,6 +69,12 @@
 CREATE TABLE answers (session INTEGER, number INTEGER, result BLOB NOT NULL,
     PRIMARY KEY (session, number)) WITHOUT ROWID;
 """
+# `rounds`: how often each claim was renewed. Beside the lease, which stays as it is: whoever watches it is
+# not woken by each renewal.
+TABLES_2 = """
+CREATE TABLE rounds (lease TEXT, claim INTEGER, round INTEGER NOT NULL, PRIMARY KEY (lease, claim)) WITHOUT
+    ROWID;
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +124,9 @@
         self.kept_events = int(self._meta("events"))
         self.kept_bytes = int(self._meta("events_bytes"))
         self.sessions = int(db.execute("SELECT count(*) FROM sessions").fetchone()[0])
+        self.format = int(self._meta("format"))
+        self.tokens = int(self._meta("tokens")) if self.format >= 2 else 0
+        self.claimed: list[Running] = []  # what was claimed, renewed or ended since last taken
 
     def _meta(self, name: str) -> Any:
         row = self.db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
@@ -113,7 +142,9 @@
     def apply(self, entries: Sequence[Entry]) -> list[Result]:
         """The entries follow on what was applied; all of them or, where this raises, none."""
         assert entries[0].index == self.applied + 1, "a gap between state and log"
-        kept = self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions
+        kept = (self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions, self.format,
+                self.tokens)
+        claimed = len(self.claimed)
         self.db.execute("BEGIN IMMEDIATE")
         try:
             results = [self._apply(entry) for entry in entries]
@@ -124,7 +155,9 @@
         except BaseException:
             if self.db.in_transaction:
                 self.db.execute("ROLLBACK")
-            self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions = kept
+            (self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions, self.format,
+             self.tokens) = kept
+            del self.claimed[claimed:]
             raise
         self.applied, self.term = entries[-1].index, entries[-1].term
         return results
@@ -151,6 +184,10 @@
                 return Result(Code.DONE, entry.index)
             case Write():
                 return self._once(command, entry.index)
+            case Upgrade():
+                return self._upgrade(command, entry.index)
+            case Claim() | Release() | Lapse():
+                return self._lease(command, entry.index)
 
     def _open(self, command: OpenSession, index: int) -> Result:
         fresh = self.db.execute("INSERT INTO sessions VALUES (?, ?, 0, ?) ON CONFLICT (id) DO NOTHING",
@@ -189,8 +226,19 @@
 
     def _write(self, command: Write, index: int) -> Result:
         why = commands.wrong(command)
+        if not why and self.format >= 2 and any(op.key.startswith(LEASES) for op in command.ops):
+            why = f"what stands under {LEASES} is changed by claims alone"
+        if not why and command.fences and self.format < 2:
+            why = NOT_YET
         if why:
             return Result(Code.REFUSED, index, (), why)
+        for name, token in command.fences:
+            lease = self._found(name)
+            if not lease.guards(token):
+                if lease.token:
+                    self._put_lease(table.refused(lease), index, 0)
+                return Result(Code.FENCED, index, (lease.token,), f"{name} is not held under token"
+                              f" {table.written(token)}")
         checks = [*command.checks, *((op.key, op.version) for op in command.ops if op.version != ANY)]
         for key, version in checks:
             now = self._version(key)
@@ -215,7 +263,7 @@
             self.db.execute("INSERT OR REPLACE INTO items VALUES (?, ?, ?, ?, ?, ?, ?)",
                             (op.key, op.value, version, index, command.time_ms, command.author, command.note))
         self.db.execute("INSERT OR REPLACE INTO versions VALUES (?, ?)", (op.key, version))
-        if op.key.startswith(HISTORY_OF):
+        if op.key.startswith(HISTORY_OF if self.format >= 2 else HISTORY_OF[0]):
             self.db.execute("INSERT INTO history VALUES (?, ?, ?, ?, ?, ?, ?)",
                             (op.key, version, op.value, index, command.time_ms, command.author, command.note))
             self.db.execute("DELETE FROM history WHERE key = ? AND version <= ?", (op.key, version - HISTORY))
@@ -225,6 +273,98 @@
         self.kept_bytes += len(op.value or b"") + len(op.key.encode())
         return 0 if op.value is None else version
 
+    # ---- leases ------------------------------------------------------------------------------------------
+
+    def _upgrade(self, command: Upgrade, index: int) -> Result:
+        if command.format == 2 and self.format == 1:
+            for statement in TABLES_2.split(";"):
+                self.db.execute(statement)
+            # What anybody wrote there before is no lease.
+            for row in self.db.execute("SELECT key FROM items WHERE key >= ? AND key < ?",
+                                       (LEASES, LEASES + "\U0010ffff")).fetchall():
+                self._op(Op(row[0], None), Write(0, 0, 0, ()), index, 0)
+            self.db.execute("INSERT INTO meta VALUES ('tokens', 0)")
+            self._set(format=2)
+            self.format = 2
+        return Result(Code.DONE, index, (self.format,))
+
+    def _found(self, name: str) -> Lease:
+        row = self.db.execute("SELECT value FROM items WHERE key = ?", (LEASES + name,)).fetchone()
+        return table.unpack(row[0]) if row else Lease(name)
+
+    def _lease(self, command: Claim | Release | Lapse, index: int) -> Result:
+        if self.format < 2:
+            return Result(Code.REFUSED, index, (), NOT_YET)
+        why = ""
+        if isinstance(command, Claim):
+            why = table.wrong(command.lease, command.holder, command.claim, command.ttl_ms, command.note)
+        elif len(command.lease) > table.MOST_NAME or not table.NAME.match(command.lease):
+            why = "it is no name"
+        if why:
+            return Result(Code.REFUSED, index, (), why)
+        lease, token = self._found(command.lease), self.tokens + 1
+        match command:
+            case Claim():
+                if not lease.token and not self._room():
+                    return Result(Code.REFUSED, index, (), f"there are {MOST_LEASES} leases already")
+                who = Claimant(command.holder, command.claim, command.rank, command.ttl_ms, command.note)
+                made = table.claim(lease, who, token, command.time_ms)
+            case Release():
+                made = table.release(lease, command.claim, command.token, token, command.time_ms)
+            case Lapse():
+                if self._round(command.lease, command.claim) != command.round:
+                    return Result(Code.DONE, index, (), "it was renewed since")
+                made = table.lapse(lease, command.claim, token, command.time_ms)
+        if made.granted:
+            self.tokens = token
+            self._set(tokens=token)
+        if made.lease != lease and (lease.token or made.granted):
+            self._put_lease(made.lease, index, command.time_ms)
+        self._note_rounds(lease, made.lease, command)
+        return Result(Code.DONE, index, (made.token, made.place), made.why)
+
+    def _room(self) -> bool:
+        return int(self.db.execute("SELECT count(*) FROM items WHERE key >= ? AND key < ?",
+                                   (LEASES, LEASES + "\U0010ffff")).fetchone()[0]) < MOST_LEASES
+
+    def _put_lease(self, lease: Lease, index: int, time_ms: int) -> None:
+        command = Write(0, 0, 0, (), time_ms=time_ms, author=lease.holder)
+        self._op(Op(LEASES + lease.name, table.pack(lease)), command, index, 0)
+
+    def _round(self, lease: str, claim: int) -> int:
+        row = self.db.execute("SELECT round FROM rounds WHERE lease = ? AND claim = ?",
+                              (lease, claim)).fetchone()
+        return int(row[0]) if row else 0
+
+    def _note_rounds(self, was: Lease, lease: Lease, command: Claim | Release | Lapse) -> None:
+        """Who is gone has no round; who claimed, or was offered it, begins its time anew."""
+        old, new = _times(was), _times(lease)
+        for claim in old.keys() - new.keys():
+            self.db.execute("DELETE FROM rounds WHERE lease = ? AND claim = ?", (lease.name, claim))
+            self.claimed.append(Running(lease.name, claim, 0, 0))
+        for claim, ttl_ms in new.items():
+            if old.get(claim) == ttl_ms and not (isinstance(command, Claim) and command.claim == claim):
+                continue
+            count = self._round(lease.name, claim) + 1
+            self.db.execute("INSERT OR REPLACE INTO rounds VALUES (?, ?, ?)", (lease.name, claim, count))
+            self.claimed.append(Running(lease.name, claim, count, ttl_ms))
+
+    def running(self) -> list[Running]:
+        """Every claim that there is, with its time."""
+        if self.format < 2:
+            return []
+        found = []
+        for row in self.db.execute("SELECT value FROM items WHERE key >= ? AND key < ? ORDER BY key",
+                                   (LEASES, LEASES + "\U0010ffff")).fetchall():
+            lease = table.unpack(row[0])
+            found += [Running(lease.name, claim, self._round(lease.name, claim), ttl_ms)
+                      for claim, ttl_ms in _times(lease).items()]
+        return found
+
+    def take_claimed(self) -> list[Running]:
+        taken, self.claimed = self.claimed, []
+        return taken
+
     def _forget_events(self) -> None:
         """Whole revisions, oldest first, until what is left is within bounds."""
         while self.kept_events > EVENTS or self.kept_bytes > EVENTS_BYTES:
@@ -275,14 +415,23 @@
     def digest(self) -> int:
         """A checksum of all that the log decides: the same on every node that applied as much."""
         total = 0
-        for table, order in (("items", "key"), ("versions", "key"), ("history", "key, version"),
-                             ("events", "revision, place"), ("sessions", "id"),
-                             ("answers", "session, number"), ("meta", "name")):
-            for row in self.db.execute(f"SELECT * FROM {table} ORDER BY {order}"):
+        tables = [("items", "key"), ("versions", "key"), ("history", "key, version"),
+                  ("events", "revision, place"), ("sessions", "id"), ("answers", "session, number"),
+                  ("meta", "name"), *([("rounds", "lease, claim")] if self.format >= 2 else [])]
+        for name, order in tables:
+            for row in self.db.execute(f"SELECT * FROM {name} ORDER BY {order}"):
                 total = google_crc32c.extend(total, repr(row).encode())
         return int(total)
 
 
+def _times(lease: Lease) -> dict[int, int]:
+    """The claims of a lease, and how long each lasts unrenewed, in ms."""
+    found = {c.claim: CANDIDATE_TIMES * c.ttl_ms for c in lease.waiting}
+    if lease.holder:
+        found[lease.claim] = int(lease.ttl_ms * table.OFFER_PART) if lease.offered else lease.ttl_ms
+    return found
+
+
 # ---- files -----------------------------------------------------------------------------------------------
 
 
@@ -300,7 +449,7 @@
     """A new, empty state."""
     db.executescript("BEGIN;" + TABLES + "COMMIT;")
     db.executemany("INSERT INTO meta VALUES (?, ?)", [
-        ("format", FORMAT), ("cluster", cluster), ("applied", 0), ("term", 0), ("members", pack(members)),
+        ("format", 1), ("cluster", cluster), ("applied", 0), ("term", 0), ("members", pack(members)),
         ("forgotten", 0), ("events", 0), ("events_bytes", 0)])
 
 
@@ -356,10 +505,15 @@
         return str(error)
 
 
-def adopt(path: Path, cluster: str, members: Members) -> State:
-    """Make a copy the state of another cluster, with these members. Raises Damaged."""
-    db = open_state(path).db
+def adopt(path: Path, cluster: str, members: Members, unix_s: int) -> State:
+    """Make a copy the state of another cluster, with these members. `unix_s`: the operator's clock, for the
+    epoch of its tokens. Raises Damaged."""
+    old = open_state(path)
+    db = old.db
     db.execute("BEGIN IMMEDIATE")
+    if old.format >= 2:
+        db.execute("UPDATE meta SET value = ? WHERE name = 'tokens'",
+                   (table.next_epoch(old.tokens, unix_s),))
     db.executemany("UPDATE meta SET value = ? WHERE name = ?",
                    [(pack(members), "members"), (cluster, "cluster")])
     db.execute("COMMIT")
--- a/lanelift/store/link.py
+++ b/lanelift/store/link.py
@@ -27,9 +27,11 @@
 class Dialing(Dial):
     """A connection to a member, which sends nothing back on it."""
 
-    def __init__(self, hello: Hello, expected: int) -> None:
+    def __init__(self, hello: Hello, expected: int, least: int) -> None:
         super().__init__(hello)
         self.expected = expected
+        self.least = least
+        self.format = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         cast(asyncio.Transport, transport).set_write_buffer_limits(MOST_WAITING)
@@ -38,6 +40,10 @@
     def wrong(self, welcome: Welcome) -> str:
         if welcome.node != self.expected or welcome.cluster != self.hello.cluster:
             return f"node {welcome.node:x} of cluster {welcome.cluster} answers there"
+        if welcome.format < self.least:
+            # It would take entries that it can't read for nothing, and part from the others.
+            return f"its program knows format {welcome.format}, and the state is at {self.least}"
+        self.format = welcome.format
         return ""
 
 
@@ -45,10 +51,13 @@
     """The way to one member."""
 
     def __init__(self, node: int, address: str, hello: Callable[[], Hello],
-                 tls: Callable[[], ssl.SSLContext | None]) -> None:
+                 tls: Callable[[], ssl.SSLContext | None], least: Callable[[], int] = lambda: 1) -> None:
+        """`least`: format that the member's program must know by now."""
         self.node = node
         self.address = address
         self.hello = hello
+        self.least = least
+        self.format = 0  # the newest that it knows, as last met
         self.tls = tls
         self.now: Dialing | None = None  # greeted, and open
         self.dropped = 0
@@ -95,7 +104,7 @@
 
     async def _once(self) -> str:
         """One connection's life; why it ended."""
-        dialing = Dialing(self.hello(), self.node)
+        dialing = Dialing(self.hello(), self.node, self.least())
         loop = asyncio.get_running_loop()
         host, port = split_address(self.address)
         try:
@@ -103,6 +112,7 @@
                 await loop.create_connection(lambda: dialing, host, port, ssl=self.tls())
                 await dialing.welcomed
             self.now, self.read_s, self.unread = dialing, time.monotonic(), 0
+            self.format = dialing.format
             log.info("node %x at %s: connected", self.node, self.address)
             await dialing.ended
         finally:
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -21,7 +21,7 @@
 from typing import Any, TypeVar
 
 from lanelift.settings import Malformed
-from lanelift.store.commands import Result
+from lanelift.store.commands import FORMAT, Result, pack
 from lanelift.store.durable import state as states
 from lanelift.store.durable.files import Folder
 from lanelift.store.durable.journal import Broken, Damaged, Full, Journal
@@ -33,6 +33,7 @@
 from lanelift.store.raft.messages import AnyMessage, Entry, Piece
 from lanelift.store.replica import Identity, Replica, read_identity
 from lanelift.store.settings import StoreSettings
+from lanelift.store.steward import Steward
 from lanelift.store.wire import protocol
 from lanelift.store.wire.protocol import Hello
 
@@ -112,6 +113,7 @@
         self.watchers: dict[object, Callable[[], None]] = {}
         self.failed: asyncio.Future[str] = self.loop.create_future()  # why the node can't go on
         self.figures = Figures()
+        self.steward = Steward()
         self.tls: ssl.SSLContext | None = settings.tls.context(False) if settings.tls else None
         self.heard_leader_s = time.monotonic()
         self.was = (0, 0)  # term and leader, as last told
@@ -179,6 +181,7 @@
                 self._task(self._apply(entries))
         self._answer_reads()
         self._note_leader()
+        self._lead()
         if core.wants_snapshot and not self.exporting:
             self.exporting = True
             self._task(self._export())
@@ -187,7 +190,7 @@
                                                or time.monotonic() - self.flushed_s > FLUSH_S):
             self.flushing = True
             self._task(self._flush())
-        wake_ns = core.wake_ns
+        wake_ns = min(core.wake_ns, self.steward.wake_ns or core.wake_ns)
         if self.timer is None or wake_ns < self.timer_ns:
             if self.timer is not None:
                 self.timer.cancel()
@@ -235,6 +238,33 @@
             self._drop_waiting(core.term if core.role is not Role.LEADER else core.term - 1)
             self._keep_links()
 
+    def _lead(self) -> None:
+        """Propose what a leader proposes by itself."""
+        core, state, now = self.core, self.replica.state, time.monotonic_ns()
+        if core.role is not Role.LEADER:
+            self.steward.follows()
+            return
+        if self.steward.term != core.term:
+            if self.state_turn.locked():
+                return  # its user wakes this again
+            self.steward.leads(core.term, state, now)
+        due = self.steward.proposals(state.format, self.formats(), now)
+        if due:
+            try:
+                core.propose([pack(command) for command in due])
+            except (Busy, NotLeader):
+                return  # they come again
+            self.wake()
+
+    def formats(self) -> dict[int, int]:
+        """The newest format of the state that each member's program knows; 0: not met yet."""
+        return {n: FORMAT if n == self.identity.node else self.links[n].format if n in self.links else 0
+                for n in self.core.members.all}
+
+    def not_yet(self) -> str:
+        behind = ", ".join(f"{n:x}" for n in self.steward.behind(self.formats(), FORMAT))
+        return f"not all nodes know leases yet: {behind}" if behind else "the state is being upgraded"
+
     def _drop_waiting(self, term: int) -> None:
         """Writes and reads of a leadership that is over, up to this term."""
         for index, waiting in list(self.waiting.items()):
@@ -275,7 +305,8 @@
                 del self.links[node]
         for node, address in wanted.items():
             if address and node not in self.links:
-                self.links[node] = Link(node, address, self.hello, lambda: self.tls)
+                self.links[node] = Link(node, address, self.hello, lambda: self.tls,
+                                         lambda: self.replica.state.format)
 
     def _send(self, messages: Sequence[tuple[int, AnyMessage]]) -> None:
         if not messages:
@@ -381,6 +412,7 @@
                 else:
                     waiting.future.set_exception(Unknown("another entry took its place"))
         self.core.applied_to(entries[-1].index)
+        self.steward.applied(self.replica.state.take_claimed(), time.monotonic_ns())
         self.poke()
 
     def poke(self) -> None:
@@ -524,7 +556,8 @@
             "elections": core.elections, "batches": f.batches, "entries": f.entries,
             "sync_p50_ms": round(f.quantile(0.5) * 1000, 3), "sync_p99_ms": round(f.quantile(0.99) * 1000, 3),
             "disk_full_s": round(time.monotonic() - min(f.full.values()), 1) if f.full else 0,
-            "late_turns": f.late_turns, "removed": core.removed, "failed": self.failed.done()}
+            "late_turns": f.late_turns, "removed": core.removed, "failed": self.failed.done(),
+            "format": self.replica.state.format}
 
     async def close(self) -> None:
         """Stop: what was promised is on disk."""
--- a/lanelift/store/run.py
+++ b/lanelift/store/run.py
@@ -8,6 +8,7 @@
 import random
 import shutil
 import signal
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -76,7 +77,8 @@
         wal = Path(f"{copy}-wal")  # of a node that was killed: its last entries
         if wal.exists():
             shutil.copyfile(wal, f"{path}-wal")
-        return states.adopt(path, identity.cluster, members_of(identity.node, settings.advertise))
+        return states.adopt(path, identity.cluster, members_of(identity.node, settings.advertise),
+                            int(time.time()))
 
     return _fill(settings, identity, copied)
 
--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -19,7 +19,7 @@
 from lanelift.store.durable.journal import Full
 from lanelift.store.durable.state import Compacted, Item, State
 from lanelift.store.node import Late, Node, Unknown
-from lanelift.store.raft.core import Busy, NotLeader
+from lanelift.store.raft.core import Busy, NotLeader, Role
 from lanelift.store.raft.members import Refused as ChangeRefused
 from lanelift.store.raft.messages import SnapshotMeta, unpack_message
 from lanelift.store.security import may, role_of
@@ -209,7 +209,7 @@
         if hello.node == identity.node:
             return self._decline("it has this node's own number")
         nonce = os.urandom(NONCE)
-        self._send_raw(Welcome(protocol.FORMAT, identity.cluster, identity.node, nonce, role))
+        self._send_raw(Welcome(commands.FORMAT, identity.cluster, identity.node, nonce, role))
         self.sender.bind(nonce)
         self.receiver.bind(nonce)
         self.receiver.most = protocol.MOST_MESSAGE if hello.node else protocol.MOST_REQUEST
@@ -283,6 +283,13 @@
             why = commands.wrong(command)
             if why:  # a log need not hold what every state refuses
                 return self.fail(r.id, Trouble.REFUSED, why)
+        if not commands.client_may(command):
+            return self.fail(r.id, Trouble.REFUSED, "leaders alone propose that")
+        if commands.format_of(command) > self.node.replica.state.format:
+            if self.node.core.role is not Role.LEADER:
+                return self.fail(r.id, Trouble.NOT_LEADER, str(NotLeader(self.node.core.leader)),
+                                 self.node.core.leader)
+            return self.fail(r.id, Trouble.BUSY, self.node.not_yet())
         try:
             future = self.node.put(r.command)
         except NotLeader as error:
--- a/lanelift/store/wire/protocol.py
+++ b/lanelift/store/wire/protocol.py
@@ -31,6 +31,9 @@
 
 
 class Welcome(Greeting, frozen=True, tag=2):
+    """`format`: the newest of the state that this node's program knows (`commands.FORMAT`). A hello says only
+    what the other side must know to understand it."""
+
     format: int
     cluster: str
     node: int
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,254 @@
+"""Leases: who has it and who is next; when an owner's time is over; what a state of an older format does."""
+
+from __future__ import annotations
+
+import random
+import tarfile
+from pathlib import Path
+
+import pytest
+
+from lanelift.lab.cluster import owners
+from lanelift.lab.cluster.planted_owners import PLANTS, played
+from lanelift.leases import table
+from lanelift.leases.expiry import STEP_NS, Expiry, Running
+from lanelift.leases.fence import Receiver, Word
+from lanelift.leases.holder import DRIFT, Holder, Phase
+from lanelift.leases.table import Claimant, Lease
+from lanelift.store import commands
+from lanelift.store.commands import Claim, Code, Lapse, Op, OpenSession, Release, Result, Upgrade, Write
+from lanelift.store.durable import state as states
+from lanelift.store.durable.state import State
+from lanelift.store.raft.messages import Entry, Kind, Members
+
+MEMBERS = Members((1,), (), {1: "a"})
+MS = 1_000_000
+TTL = 900 * MS
+KEPT = Path(__file__).parent / "kept/store-format-1.tar.xz"
+# The first seed by which each planted bug was found.
+CAUGHT = {"no-token-check": 4, "time-from-answer": 105, "hasty-leader": 3, "token-from-clock": 1,
+          "forgets-highest": 56, "no-look-after-pause": 4, "released-by-anybody": 10}
+
+
+class Log:
+    """Commands applied to a state, one after the other."""
+
+    def __init__(self, state: State) -> None:
+        self.state = state
+
+    def do(self, command: commands.AnyCommand) -> Result:
+        entry = Entry(1, self.state.applied + 1, Kind.COMMAND, commands.pack(command))
+        return self.state.apply([entry])[0]
+
+    def claim(self, holder: str, number: int, rank: int = 0) -> tuple[int, ...]:
+        return self.do(Claim("work", holder, number, 1000, rank)).versions
+
+    def write(self, key: str, token: int) -> Result:
+        return self.do(Write(7, self.state.applied, 0, (Op(key, b"v"),), fences=(("work", token),)))
+
+    def lease(self) -> Lease:
+        item = self.state.get("lease/work")
+        return table.unpack(item.value or b"") if item else Lease("work")
+
+
+@pytest.fixture
+def log(tmp_path: Path) -> Log:
+    log = Log(states.create(tmp_path / "state.db", "c", MEMBERS))
+    log.do(Upgrade(2))
+    log.do(OpenSession(7))
+    return log
+
+
+def test_one_owner_and_candidates_by_rank_then_by_arrival(log: Log) -> None:
+    assert log.claim("a", 11) == (1, 0)
+    assert log.claim("b", 12, 5) == (0, 1)
+    assert log.claim("c", 13, 5) == (0, 2)
+    assert log.claim("d", 14, 0) == (0, 1)
+    assert log.claim("a", 11) == (1, 0)  # a renewal keeps its token
+    log.do(Release("work", 11, 1))
+    lease = log.lease()
+    assert (lease.holder, lease.token, lease.offered) == ("d", 2, True)
+    assert log.write("k", 2).code == Code.FENCED  # offered is not yet held
+    assert log.claim("d", 14) == (2, 0)
+    assert log.write("k", 2).code == Code.DONE
+    assert log.write("k", 1).code == Code.FENCED
+    assert log.lease().refused == 2
+
+
+def test_a_claim_that_was_given_back_does_not_come_to_life_by_a_late_message(log: Log) -> None:
+    log.claim("a", 11)
+    log.do(Release("work", 11))
+    assert log.do(Claim("work", "a", 11, 1000)).text == "this claim was given back"
+    assert log.lease().holder == ""
+
+
+def test_a_process_that_began_anew_waits_out_its_own_earlier_life_under_a_new_token(log: Log) -> None:
+    log.claim("a", 11)
+    assert log.claim("a", 21) == (0, 1)
+    assert log.do(Lapse("work", 11, 1)).text == ""
+    assert log.claim("a", 21) == (2, 0)
+
+
+def test_a_lapse_counts_only_for_the_round_it_was_meant_for(log: Log) -> None:
+    log.claim("a", 11)
+    log.claim("a", 11)
+    assert log.do(Lapse("work", 11, 1)).text == "it was renewed since"
+    assert log.lease().holder == "a"
+    assert log.do(Lapse("work", 11, 2)).text == ""
+    assert log.lease().holder == ""
+
+
+def test_candidates_are_bounded_and_what_stands_under_lease_is_no_plain_key(log: Log) -> None:
+    for number in range(table.MOST_WAITING + 1):
+        log.claim(f"p{number}", 11 + number)
+    assert log.do(Claim("work", "late", 99, 1000)).text == "there is no room among the candidates"
+    made = log.do(Write(7, 1000, 0, (Op("lease/work", b"mine"),)))
+    assert made.code == Code.REFUSED
+
+
+def test_tokens_grow_over_deletion_snapshot_and_restore(log: Log, tmp_path: Path) -> None:
+    log.claim("a", 11)
+    log.do(Release("work", 11))
+    before = log.claim("b", 12)[0]
+    states.flush(log.state)
+    copy = tmp_path / "copy.db"
+    states.export(tmp_path / "state.db", copy)
+    restored = Log(states.adopt(copy, "other", MEMBERS, 5_000))
+    assert restored.lease().token == before  # who held it then may go on, or be waited out
+    restored.do(Lapse("work", 12, restored.state.running()[0].round))
+    after = restored.claim("c", 13)[0]
+    assert after > before and table.written(after) == "5000.1"
+    again = states.adopt(copy, "third", MEMBERS, 6_000)
+    assert again.tokens > after, "two clusters restored from one copy must not grant the same tokens"
+
+
+def test_a_folder_of_format_1_is_read_and_upgraded_in_its_place(tmp_path: Path) -> None:
+    with tarfile.open(KEPT) as kept:
+        kept.extractall(tmp_path, filter="data")
+    log = Log(states.open_state(tmp_path / "state.db"))
+    assert log.state.format == 1
+    assert [i.note for i in log.state.history("config/balancer/orders")] == ["second", "first"]
+    assert log.do(Claim("work", "a", 11, 1000)).code == Code.REFUSED
+    was = log.state.digest()
+    log.do(Upgrade(2))
+    assert log.state.get("lease/mine") is None, "a plain key of before is no lease"
+    assert (log.state.get("list/orders") or pytest.fail()).value == b"[1,2]"
+    assert log.claim("a", 11) == (1, 0)
+    assert log.state.digest() != was
+    log.state.close()
+    assert states.open_state(tmp_path / "state.db").format == 2
+
+
+def test_a_run_of_entries_that_fails_leaves_no_token_and_no_format_behind(tmp_path: Path) -> None:
+    state = states.create(tmp_path / "state.db", "c", MEMBERS)
+    entries = [Entry(1, 1, Kind.COMMAND, commands.pack(Upgrade(2))),
+               Entry(1, 2, Kind.COMMAND, commands.pack(Claim("work", "a", 11, 1000))),
+               Entry(1, 3, Kind.MEMBERS, b"\xc1")]
+    with pytest.raises(ValueError):
+        state.apply(entries)
+    assert (state.format, state.tokens, state.claimed, state.applied) == (1, 0, [], 0)
+    assert [r.code for r in state.apply(entries[:2])] == [Code.DONE, Code.DONE]
+
+
+# ---- the owner's time --------------------------------------------------------------------------------------
+
+
+def held(now: int = 1000 * MS) -> Holder:
+    holder = Holder("a", 11, TTL, random.Random(1), 0)
+    holder.seen(None, now - 500 * MS)
+    asked = holder.take(now)
+    assert asked is not None and asked.what == "claim"
+    holder.answered(asked.number, 5, 0, "", now + 300 * MS)
+    return holder
+
+
+def test_time_counts_from_before_the_claim_was_sent_less_the_drift() -> None:
+    holder = held()
+    end = 1000 * MS + int(TTL * (1 - DRIFT))
+    assert holder.token(end - 1) == 5
+    assert holder.token(end) == 0
+    assert holder.phase is Phase.ASKING
+
+
+def test_an_answer_that_comes_when_all_is_over_makes_no_owner() -> None:
+    holder = Holder("a", 11, TTL, random.Random(1), 0)
+    holder.seen(None, 0)
+    asked = holder.take(TTL)
+    assert asked is not None
+    holder.answered(asked.number, 5, 0, "", TTL + TTL)
+    assert holder.token(2 * TTL) == 0
+
+
+def test_an_owner_whose_renewals_fail_goes_on_to_its_own_end_and_no_further() -> None:
+    holder, now, failed = held(), 1300 * MS, 0
+    while holder.token(now):
+        asked = holder.take(now)
+        if asked is not None:
+            holder.failed(asked.number, "no answer", now)
+            failed += 1
+        now += MS
+    assert now == 1000 * MS + int(TTL * (1 - DRIFT))
+    assert 2 <= failed <= 12, "it asks again, and not in a storm"
+
+
+def test_leaving_takes_one_message_and_no_effect_follows() -> None:
+    holder = held()
+    holder.leave(1400 * MS)
+    assert holder.token(1400 * MS) == 0
+    asked = holder.take(1400 * MS)
+    assert asked is not None and (asked.what, asked.token) == ("release", 5)
+    holder.answered(asked.number, 0, 0, "", 1401 * MS)
+    assert holder.phase is Phase.LEFT and holder.take(9000 * MS) is None
+
+
+def test_an_owner_that_sees_a_later_token_stops_at_once() -> None:
+    holder = held()
+    holder.seen(Lease("work", token=6, holder="b", claim=12), 1350 * MS)
+    assert holder.token(1350 * MS) == 0
+    holder = held()
+    holder.seen(Lease("work", token=4, holder="b", claim=12), 1350 * MS)  # a follower that lags
+    assert holder.token(1350 * MS) == 5
+
+
+def test_two_hundred_who_look_on_do_not_ask_when_there_is_no_room() -> None:
+    waiting = tuple(Claimant(f"p{i}", 50 + i) for i in range(table.MOST_WAITING))
+    full = Lease("work", token=3, holder="b", claim=12, waiting=waiting)
+    asked = 0
+    for number in range(200):
+        holder = Holder(f"x{number}", 1000 + number, TTL, random.Random(number), 0)
+        holder.seen(None, 0)  # it was free a moment ago
+        holder.seen(full, MS)
+        asked += any(holder.take(at * MS, full) is not None for at in range(2, 5000, 7))
+    assert asked == 0
+
+
+def test_a_leader_lets_time_run_in_full_and_does_not_count_a_stop_of_its_own() -> None:
+    expiry = Expiry([Running("work", 11, 3, 1000)], 0)
+    for at in range(0, 1000, 100):
+        assert expiry.lapsed(at * MS) == []
+    assert expiry.lapsed(1000 * MS) == [Running("work", 11, 3, 1000)]
+    assert expiry.lapsed(1001 * MS) == [], "said once a time, not at each look"
+    stopped = Expiry([Running("work", 11, 3, 1000)], 0)
+    assert stopped.lapsed(60_000 * MS) == [], "renewals of a minute lie unread"
+    assert stopped.lapsed(60_000 * MS + STEP_NS) != []
+
+
+def test_nothing_older_is_heeded_and_nothing_at_all_before_it_learnt() -> None:
+    receiver = Receiver(Word())
+    assert not receiver.heed(Word(9, 1))
+    receiver.learn(Word(7, 4))
+    assert not receiver.heed(Word(7, 3)) and not receiver.heed(Word(6, 99))
+    assert receiver.heed(Word(7, 4)) and receiver.heed(Word(8, 0)) and not receiver.heed(Word(7, 5))
+
+
+# ---- many owners over a simulated cluster ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(1, 41))
+def test_whatever_fails_no_old_owner_does_harm_and_there_is_one_in_time(seed: int) -> None:
+    assert not owners.play(seed).broken, f"seed {seed}"
+
+
+@pytest.mark.parametrize("name", sorted(PLANTS))
+def test_a_planted_bug_of_owners_is_caught(name: str) -> None:
+    assert played(name, CAUGHT[name]).broken
