--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -31,8 +31,9 @@
     app.add_typer(store.app, name="store")
     app.add_typer(config.app, name="config")
     if not words or words[0] not in DAEMONS:
-        from lanelift.cli import clusters, lab
+        from lanelift.cli import clusters, lab, rig
         clusters.add_to(lab.app)
+        rig.add_to(lab.app)
         app.add_typer(lab.app, name="lab")
     app.command()(version)
     return app
--- /dev/null
+++ b/lanelift/cli/rig.py
@@ -0,0 +1,108 @@
+"""`lanelift lab rig ...`: real processes of the program with faults between them."""
+
+from __future__ import annotations
+
+import dataclasses
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from rich.table import Table
+
+from lanelift.cli.console import out
+from lanelift.lab import experiments, results
+from lanelift.lab.rig import scenario as scenarios
+from lanelift.lab.rig.run import Result, play
+from lanelift.lab.topology import Unusable
+
+app = typer.Typer(no_args_is_help=True, help="Real processes of the program, and faults between them.")
+Name = Annotated[str, typer.Argument(help="A scenario of the package, or a TOML file.")]
+Out = Annotated[Path | None, typer.Option("--out", help="Where the result goes, JSON.")]
+
+
+def written(result: Result) -> dict[str, Any]:
+    return {"format": results.FORMAT, "rig": True, **dataclasses.asdict(result)}
+
+
+def told(result: Result, where: Path | None) -> None:
+    for at, what in result.events:
+        out.print(f"[dim]{at:8.3f}  {what}[/dim]", soft_wrap=True, highlight=False)
+    out.print(", ".join(f"{what} {value:g}" for what, value in result.figures.items()), soft_wrap=True)
+    for line in result.wrong:
+        out.print(f"[red]{line}[/red]", soft_wrap=True)
+    if where is not None:
+        results.write(where, results.encoded(written(result)))
+    out.print(f"{result.name}, seed {result.seed}: {'wrong' if result.wrong else 'all held'}, "
+              f"{result.seconds:.0f} s")
+    if result.wrong:
+        raise typer.Exit(1)
+
+
+@app.command()
+def run(name: Name, seed: int = 1, where: Out = None) -> None:
+    """Play a scenario; exit status 1 where something did not hold."""
+    told(play(scenarios.read(scenarios.builtin(name)), seed), where)
+
+
+@app.command()
+def replay(result: Annotated[Path, typer.Argument(help="A result of `run` or `hunt`.")],
+           where: Out = None) -> None:
+    """Play the schedule of a result again."""
+    found = _read(result)
+    try:
+        scenario = scenarios.parsed({**found["scenario"], "chance": 0, "fault": found["faults"]})
+    except (ValueError, KeyError) as error:
+        raise Unusable(f"{result}: {error}") from None
+    told(play(scenario, int(found["seed"])), where)
+
+
+@app.command()
+def report(result: Path, where: Annotated[Path, typer.Option("--out", help="The page.")]) -> None:
+    """A page with the timeline of a result."""
+    from lanelift.lab.rig.page import page
+    results.write(where, page(_read(result)))
+
+
+@app.command()
+def hunt(name: Name = "storm", minutes: float = 10.0, first: int = 1,
+         workers: Annotated[int, typer.Option(help="Runs side by side; 0: a third of the cores.")] = 0,
+         keep: Annotated[Path | None, typer.Option(help="A folder for what is found.")] = None) -> None:
+    """Draw schedules by seed and shrink what fails; exit status 1 where something was found."""
+    from lanelift.lab.rig.hunt import Hunted, hunt
+    scenario = scenarios.read(scenarios.builtin(name))
+    if not scenario.chance:
+        raise Unusable(f"{name}: nothing is left to chance in it")
+
+    def heard(hunted: Hunted) -> None:
+        out.print(f"[dim]{hunted.played} played, {len(hunted.found)} found[/dim]")
+
+    found = hunt(scenario, 60 * minutes, first, workers or max(1, experiments.cores() // 3), heard=heard)
+    table = Table(title=f"{found.played} schedules of {name}")
+    for column in ("figure", "median", "99%", "most"):
+        table.add_column(column, justify="right")
+    for figure in sorted({key for row in found.figures for key in row}):
+        values = results.spread([row[figure] for row in found.figures if figure in row])
+        table.add_row(figure, *(f"{value:g}" for value in values))
+    out.print(table)
+    if found.unusable:
+        out.print(f"{found.unusable} could not begin: the machine was too busy")
+    for result in found.found:
+        out.print(f"[red]seed {result.seed}: {result.wrong[0]}[/red]", soft_wrap=True)
+        if keep is not None:
+            path = keep / f"{result.name}-{result.seed}.json"
+            results.write(path, results.encoded(written(result)))
+            out.print(f"play it again: lanelift lab rig replay {path}", soft_wrap=True)
+    if found.found:
+        raise typer.Exit(1)
+
+
+def _read(path: Path) -> dict[str, Any]:
+    """Raises Unusable."""
+    found = results.read(path)
+    if not found.get("rig"):
+        raise Unusable(f"{path}: no result of the rig")
+    return found
+
+
+def add_to(lab: typer.Typer) -> None:
+    lab.add_typer(app, name="rig")
--- a/lanelift/daemon/boot.py
+++ b/lanelift/daemon/boot.py
@@ -6,6 +6,8 @@
     balancer = "accra-1"
     document = "balancer/orders"     # without it, the rest of the settings stands in this file
     folder = "state"                 # for a copy of the document
+    lease = "10s"                    # work of the fleet passes on after an owner's silence of so long
+    # reach = {"10.0.0.1:7101" = "127.0.0.1:9001"}   # behind address translation
 """
 
 from __future__ import annotations
@@ -19,16 +21,19 @@
 
 from lanelift.__main__ import Config, Parts
 from lanelift.daemon import documents
-from lanelift.daemon.keeper import Keeper, write_cache
+from lanelift.daemon.keeper import LEASE_S, Keeper, write_cache
 from lanelift.daemon.settings import read_raw, read_table
+from lanelift.leases.table import NAME
 from lanelift.settings import Json, Malformed, split_address
 from lanelift.store.client import Client
 from lanelift.store.documents import key
 from lanelift.store.settings import Keys
-from lanelift.units import convert
+from lanelift.units import Duration, convert
 
 log = logging.getLogger(__name__)
 
+MOST_NAME = 80  # of a service and of a balancer
+LEAST_LEASE, MOST_LEASE = 500_000_000, 600_000_000_000
 ASK_S, FIRST_S = 0.4, 3.0  # a start waits so long for the store: with a copy of its settings, and without one
 
 
@@ -38,6 +43,9 @@
     balancer: str = "balancer"
     document: str = ""
     folder: str = ""
+    lease: Duration = Duration(int(LEASE_S * 1e9))  # work of the fleet passes on after an owner's silence
+    rank: int = 0  # the lower, the sooner this one owns it
+    reach: dict[str, str] = {}  # where a node that advertises one address is reached at another
     tls: Keys | None = None
 
 
@@ -50,8 +58,16 @@
         self.table = table
         if not table.addresses:
             raise Malformed(f"{path}: store.addresses: at least one is needed")
-        for address in table.addresses:
+        for address in (*table.addresses, *table.reach, *table.reach.values()):
             split_address(address)
+        for what, name in (("service", table.service), ("balancer", table.balancer)):
+            if len(name) > MOST_NAME or not NAME.match(name):
+                raise Malformed(f"{path}: store.{what}: {name[:60]!r} is no name: a letter or digit, then"
+                                f" letters, digits and ._:@-, {MOST_NAME} characters at most")
+        if not LEAST_LEASE <= table.lease <= MOST_LEASE:
+            raise Malformed(f"{path}: store.lease: must be 500ms to 10m")
+        if not 0 <= table.rank < 1000:
+            raise Malformed(f"{path}: store.rank: must be 0 to 999")
         if table.document and rest:
             raise Malformed(f"{path}: {sorted(rest)[0]}: the rest of the settings stands in the document"
                             f" {table.document}")
@@ -70,7 +86,7 @@
     def client(self) -> Client:
         def context() -> ssl.SSLContext | None:
             return self.tls.context(False) if self.tls else None
-        return Client(self.table.addresses, context, self.table.balancer)
+        return Client(self.table.addresses, context, self.table.balancer, reach=self.table.reach)
 
     def read(self) -> Config:
         """The configuration; from the store the first time, then from the copy that the keeper replaces.
@@ -109,7 +125,7 @@
 
     def companion(self, parts: Parts) -> Keeper:
         return Keeper(self.client(), self.table.service, self.table.balancer, self.table.document, self.cache,
-                      parts)
+                      parts, self.table.lease / 1e9, self.table.rank)
 
 
 def read_boot(path: Path) -> Boot | None:
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -4,8 +4,8 @@
 
     config/DOCUMENT            the operators' settings, TOML
     disabled/SERVICE           names, JSON
-    list/SERVICE               the last box list
-    learnt/SERVICE/BALANCER    what its module learnt
+    list/SERVICE               the last box list; its one owner puts it
+    learnt/SERVICE/BALANCER    what its module learnt; the one process of that name puts it
 """
 
 from __future__ import annotations
@@ -16,16 +16,28 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from lanelift import interface as api
 from lanelift.__main__ import Parts
-from lanelift.net.upstream import Endpoint
+from lanelift.daemon.listing import FleetList
+from lanelift.daemon.owner import NotOwner, Owner
+from lanelift.daemon.saved import (
+    SavedEndpoint,
+    SavedLearnt,
+    SavedList,
+    decoded,
+    load_learnt,
+    load_list,
+    save_learnt,
+    save_list,
+)
+from lanelift.leases.table import Lease
+from lanelift.net.discovery import Discovery
 from lanelift.store.client import Client, Compacted, Conflict, StoreError
+from lanelift.store.commands import Op
 from lanelift.store.documents import PREFIX
-from lanelift.store.wire.protocol import Row
 
 log = logging.getLogger(__name__)
 
@@ -33,102 +45,56 @@
 ASK_S = 1.0  # a start waits no longer for the store
 RETRY_S = 0.5
 OLDEST_LIST_S = 24 * 3600.0
-
-
-class SavedEndpoint(msgspec.Struct, frozen=True):
-    """An entry of a list, with clock time in place of this process's."""
-
-    id: int
-    host: str
-    port: int
-    zone: str
-    kind: str
-    cell: int
-    weight: float
-    started: float  # Unix time; 0: long ago
-    draining: bool
-
-
-class SavedList(msgspec.Struct, frozen=True):
-    at: float
-    servers: list[SavedEndpoint]
-
-
-class SavedLearnt(msgspec.Struct, frozen=True):
-    """`paces`: by upstream, its pace and Unix time of the start that it was learnt of."""
-
-    at: float
-    rate: float
-    demands: dict[str, float]
-    taken: dict[str, float]
-    each_ns: float
-    calm: float
-    window: float
-    paces: dict[int, tuple[float, float]]
-
-
-def _wall(started_ns: int) -> float:
-    """Monotonic nanoseconds as Unix time, to the millisecond."""
-    if not started_ns:
-        return 0.0
-    return round(time.time() - (time.monotonic_ns() - started_ns) / 1e9, 3)
-
-
-def _mono(wall: float) -> int:
-    return 0 if not wall else time.monotonic_ns() - int((time.time() - wall) * 1e9)
-
-
-def save_list(endpoints: list[Endpoint]) -> list[SavedEndpoint]:
-    """In a fixed order, so that equal lists are equal bytes."""
-    return sorted((SavedEndpoint(e.entry.id, e.host, e.port, e.entry.zone, e.entry.kind, e.entry.cell,
-                                 e.entry.weight, round(_wall(e.entry.started_ns), 1),
-                                 e.entry.state is api.State.DRAINING) for e in endpoints), key=lambda s: s.id)
-
-
-def load_list(saved: SavedList) -> list[Endpoint]:
-    return [Endpoint(api.Upstream(s.id, api.State.DRAINING if s.draining else api.State.READY, s.zone, s.cell,
-                                  s.weight, _mono(s.started), s.kind), s.host, s.port) for s in saved.servers]
-
-
-def save_learnt(learnt: api.Learnt) -> SavedLearnt:
-    return SavedLearnt(time.time(), learnt.rate, dict(learnt.demands), dict(learnt.taken), learnt.each_ns,
-                       learnt.calm, learnt.window,
-                       {n: (round(pace, 4), _wall(started)) for n, (pace, started) in learnt.paces.items()})
-
-
-def load_learnt(saved: SavedLearnt, listed: dict[int, int]) -> api.Learnt:
-    """`listed`: upstreams and the starts that they are listed with; clocks are only so exact."""
-    paces = {}
-    for number, (pace, started) in saved.paces.items():
-        now = listed.get(number, 0)
-        if bool(now) == bool(started) and abs(_wall(now) - started) < 1.0:
-            paces[number] = pace, now
-    age = int(max(0.0, time.time() - saved.at) * 1e9)
-    return api.Learnt(age, saved.rate, saved.demands, saved.taken, saved.each_ns, saved.calm, saved.window,
-                      paces)
+LEASE_S = 10.0
+SILENT = 2  # claims in a row that failed: the store does not answer
 
 
 class Keeper:
     def __init__(self, client: Client, service: str, balancer: str, document: str, cache: Path | None,
-                 parts: Parts) -> None:
+                 parts: Parts, lease_s: float = LEASE_S, rank: int = 0) -> None:
         self.client = client
+        self.balancer = balancer
         self.document = document
         self.cache = cache
         self.parts = parts
         self.keys = f"disabled/{service}", f"list/{service}", f"learnt/{service}/{balancer}"
         self.asked: list[tuple[str, bool]] = []  # what operators changed here and the store has not yet
         self.more = asyncio.Event()
-        self.saved: list[SavedEndpoint] = []  # as the store has it
+        self.saved: list[SavedEndpoint] = []  # as this owner put it, where the list is a fixed one
         self.lost_s = 0.0  # since when the store does not answer
         self.tasks: list[asyncio.Task[None]] = []
         parts.disabled.heard.append(self._heard)
+        # Of one name, what is learnt has one writer; a name that two processes were given is told.
+        self.name = Owner(client, f"name/{service}/{balancer}", balancer, lease_s, seen=self._named)
+        self.named_s = 0.0
+        self.list: FleetList | None = None
+        self.lister = Owner(client, f"work/list/{service}", balancer, lease_s, rank)
+        discovery = parts.driver.discovery
+        if isinstance(discovery, Discovery):
+            self.list = FleetList(parts.driver, discovery, client, self.lister, service)
+            self.lister.began, self.lister.ended = self.list.began, self.list.ended
+            discovery.subscribe(False)
+            parts.driver.discovery = self.list
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.tasks = [loop.create_task(self._kept(work)) for work in (
-            self._begin, self._watch_disabled, self._tell_disabled, self._save)]
+        works = [self._begin, self._watch_disabled, self._tell_disabled, self._save]
+        if self.list is not None:
+            works += [self.list.follow, self.list.look]
         if self.document:
-            self.tasks.append(loop.create_task(self._kept(self._watch_document)))
+            works.append(self._watch_document)
+        self.tasks = [loop.create_task(self._kept(work)) for work in works]
+        self.name.start()
+        self.lister.start()
+
+    def _named(self, lease: Lease) -> None:
+        """Another process has this name, and none of the two is taking over from the other."""
+        if not lease.held or lease.claim == self.name.holder.claim or self.named_s:
+            return
+        if self.parts.disabled.siblings.alone:
+            self.named_s = time.monotonic()
+            log.warning("the name %s belongs to %s: what is learnt here is not kept while it does",
+                        self.balancer, lease.note)
 
     async def _kept(self, work: Callable[[], Awaitable[None]]) -> None:
         """Whatever goes wrong here is told, tried again, and does the balancer no harm."""
@@ -175,15 +141,14 @@
         found = await self.client.get(*self.keys, stale=True, within_s=ASK_S)
         self._found()
         _, listed, learnt = found.rows
-        saved = _decoded(listed, SavedList)
+        saved = decoded(listed, SavedList)
         if saved is not None:
-            self.saved = saved.servers
             age = time.time() - saved.at
             if not driver.told.is_set() and not driver.upstreams.targets and age < OLDEST_LIST_S:
                 endpoints = load_list(saved)
                 driver.learn(api.ListKind.CACHED, endpoints)
                 log.info("store: %d upstreams from a list %.0f s old", len(endpoints), age)
-        past = _decoded(learnt, SavedLearnt)
+        past = decoded(learnt, SavedLearnt)
         if past is not None:
             starts = {n: t.endpoint.entry.started_ns for n, t in driver.upstreams.targets.items()}
             driver.post(load_learnt(past, starts))
@@ -251,24 +216,33 @@
             await self.save()
 
     async def save(self, within_s: float = 0.0) -> None:
-        """Raises StoreError."""
+        """What this process owns. Raises StoreError."""
         driver = self.parts.driver
         _, listed, learnt = self.keys
         servers = save_list([t.endpoint for t in driver.upstreams.targets.values()])
-        if servers and servers != self.saved:
-            await self.client.put(listed, msgspec.json.encode(SavedList(time.time(), servers)),
-                                  within_s=within_s)
-            self.saved = servers
+        if self.list is None and servers and servers != self.saved and self.lister.token():
+            saved = SavedList(time.time(), servers, self.lister.token())
+            with suppress(NotOwner):
+                await self.lister.write([Op(listed, msgspec.json.encode(saved))], within_s=within_s)
+                self.saved = servers
         known = driver.balancer.learnt()
-        if known.taken:
-            await self.client.put(learnt, msgspec.json.encode(save_learnt(known)), within_s=within_s)
-        self._found()
+        if known.taken and self.name.token():
+            with suppress(NotOwner):
+                await self.name.write([Op(learnt, msgspec.json.encode(save_learnt(known)))],
+                                      within_s=within_s)
+        if self.name.holder.failures >= SILENT:
+            self._lost(self.name.holder.why)
+        else:
+            self._found()
 
     async def close(self) -> None:
         for task in self.tasks:
             task.cancel()
+        if self.list is not None:
+            self.list.close()
         with suppress(StoreError):
             await self.save(0.5)
+        await asyncio.gather(self.name.close(), self.lister.close())
         await self.client.close()
 
 
@@ -280,17 +254,6 @@
         return frozenset()
 
 
-def _decoded(row: Row, kind: type[Any]) -> Any:
-    """None where there is none, or it does not read: another version of the program may have written it."""
-    if row.value is None:
-        return None
-    try:
-        return msgspec.json.decode(row.value, type=kind)
-    except ValueError as error:
-        log.warning("store: %s is left aside: %s", row.key, error)
-        return None
-
-
 def write_cache(path: Path, value: bytes) -> None:
     """Replaced as a whole; it spares a start the store, so a loss of it is borne."""
     fresh = path.with_name(path.name + ".new")
--- a/lanelift/lab/experiments.py
+++ b/lanelift/lab/experiments.py
@@ -20,6 +20,7 @@
 from lanelift.lab.model.faults import schedule
 from lanelift.lab.model.series import SERIES_NS, share
 from lanelift.lab.policies import ByName, policy
+from lanelift.lab.shrinking import shrink
 from lanelift.lab.topology import Fault, Topology, read, source
 from lanelift.lab.virtual import Outcome, World
 from lanelift.settings import Json
@@ -193,26 +194,12 @@
     return "collapse" if one.collapsed else ""
 
 
-def shrink(t: Topology, seed: int, faults: list[Fault], what: str,
-           is_bad: Callable[[list[Fault]], str]) -> list[Fault]:
-    """The smallest schedule that still does it: faults dropped one by one, then made shorter and milder."""
-    kept = list(faults)
-    for fault in list(kept):
-        fewer = [f for f in kept if f is not fault]
-        if fewer and is_bad(fewer) == what:
-            kept = fewer
-    for i, fault in enumerate(kept):
-        for _ in range(3):
-            milder = msgspec.structs.replace(fault, lasts=Duration(max(SECOND, fault.lasts // 2)))
-            if milder == fault or is_bad([*kept[:i], milder, *kept[i + 1:]]) != what:
-                break
-            kept[i] = fault = milder
-        for _ in range(3):
-            milder = msgspec.structs.replace(fault, part=round(max(0.01, fault.part / 2), 4))
-            if milder == fault or is_bad([*kept[:i], milder, *kept[i + 1:]]) != what:
-                break
-            kept[i] = fault = milder
-    return kept
+def shorter(fault: Fault) -> Fault:
+    return msgspec.structs.replace(fault, lasts=Duration(max(SECOND, fault.lasts // 2)))
+
+
+def smaller(fault: Fault) -> Fault:
+    return msgspec.structs.replace(fault, part=round(max(0.01, fault.part / 2), 4))
 
 
 def hunt(t: Topology, name: str, seconds: float, first_seed: int, workers: int, most: int = 5,
@@ -234,8 +221,9 @@
                 if not what or what in seen:
                     continue
                 seen.add(what)
-                small = shrink(t, batch[at], schedule(t, batch[at]), what,
-                               lambda fewer, s=batch[at]: bad(played(t, s, maker, fewer)))  # type: ignore[misc]
+                small = shrink(schedule(t, batch[at]), what,
+                               lambda fewer, s=batch[at]: bad(played(t, s, maker, fewer)),  # type: ignore[misc]
+                               (shorter, smaller))
                 finds.append(Find(batch[at], what, play(t, batch[at], maker, small)))
             heard(done, finds)
     return finds
--- a/lanelift/lab/report.py
+++ b/lanelift/lab/report.py
@@ -26,7 +26,7 @@
 .good{color:#2e7d32;font-weight:600}h2{margin-top:1.6em}"""
 
 
-def _image(figure: Figure) -> str:
+def image(figure: Figure) -> str:
     out = io.BytesIO()
     figure.savefig(out, format="png", dpi=110)
     plt.close(figure)
@@ -57,7 +57,7 @@
     axes.margins(x=0)
     _faults(axes, found)
     axes.legend(loc="lower right", fontsize=8, ncols=3)
-    return _image(figure)
+    return image(figure)
 
 
 def _slowest(found: Json) -> str:
@@ -70,7 +70,7 @@
     axes.set_ylabel("slowest answer, ms")
     axes.margins(x=0)
     _faults(axes, found)
-    return _image(figure)
+    return image(figure)
 
 
 def _boxes(found: Json) -> str:
@@ -86,7 +86,7 @@
     if len(boxes) <= MOST_LABELLED:
         axes.set_xticks(range(len(boxes)))
     axes.legend(fontsize=8)
-    return _image(figure)
+    return image(figure)
 
 
 def _curve(found: Json) -> str:
@@ -103,10 +103,10 @@
     axes.minorticks_off()
     axes.set_ylabel("ms, from when it was wanted")
     axes.legend(fontsize=8)
-    return _image(figure)
+    return image(figure)
 
 
-def _table(rows: list[tuple[str, Any]]) -> str:
+def table(rows: list[tuple[str, Any]]) -> str:
     cells = "".join(f"<tr><td>{html.escape(name)}</td><td class=n>{html.escape(str(value))}</td></tr>"
                     for name, value in rows)
     return f"<table>{cells}</table>"
@@ -123,12 +123,12 @@
     void = f"<p class=bad>Void: {html.escape(found['void'])}</p>" if found.get("void") else ""
     counts = found["counts"]
     title = f"{found['topology']['name']}, seed {found['seed']}, {found['drive']}"
-    figures = _table([
+    figures = table([
         ("score", f"{found['score']:.4f}"), ("worth served", f"{found['whole']:.4f}"),
         ("worst window", f"{found['worst_window']:.4f}"),
         *((f"class {k}", f"{v:.4f}") for k, v in found["by_class"].items()),
         *((f"member {k}", f"{v:.4f}") for k, v in found["by_tenant"].items())])
-    more = _table([
+    more = table([
         *((name, counts[name]) for name in counts),
         ("attempts a first try", found["attempts_per_first_try"]),
         ("tries a first try", found["tries_per_first_try"]),
--- /dev/null
+++ b/lanelift/lab/rig/books.py
@@ -0,0 +1,126 @@
+"""What a run is judged by. Nothing here is taken from the program's own account of itself but where the
+timeline says so: the store's changes are read past all relays, boxes write down what they begin, clients what
+they were told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lanelift.leases import table
+from lanelift.leases.table import Lease
+from lanelift.store.client import Client, StoreError
+from lanelift.store.commands import LEASES
+from lanelift.store.wire.protocol import Change
+
+WORKS = {"list/": "work/list/", "listed/": "work/list/"}  # what stands there is put by who owns that
+
+
+@dataclass(slots=True)
+class Owned:
+    """A lease's owner over time, as the log has it."""
+
+    lease: str
+    token: int
+    holder: str
+    begin: float
+    end: float = 0.0
+
+
+@dataclass(eq=False)
+class Books:
+    wrong: list[str] = field(default_factory=list)
+    owned: list[Owned] = field(default_factory=list)
+    leases: dict[str, Lease] = field(default_factory=dict)
+    granted: dict[int, str] = field(default_factory=dict)  # token: which lease and claim
+    newest: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # key: token, number, version
+    lists: list[tuple[float, int, int]] = field(default_factory=list)  # when, token, discovery's version
+    learnt: dict[str, tuple[str, int]] = field(default_factory=dict)
+    revision: int = 0
+    seen: dict[str, int] = field(default_factory=dict)  # key: its version
+    counts: Counter[str] = field(default_factory=Counter)
+    poked: Callable[[], None] = lambda: None
+
+    def say(self, what: str) -> None:
+        if len(self.wrong) < 20:
+            self.wrong.append(what)
+
+    def owner(self, lease: str) -> str:
+        """The process that holds a lease now; empty: nobody."""
+        found = self.leases.get(lease)
+        return found.holder.split("@")[0] if found is not None and found.held else ""
+
+    async def watch(self, client: Client) -> None:
+        """Each change of the store, once and in order, from the first on."""
+        while True:
+            with suppress(StoreError):
+                async for told in client.watch("", self.revision):
+                    for change in told.changes:
+                        self.note(change)
+                    self.revision = told.revision
+            await asyncio.sleep(0.05)
+
+    def note(self, change: Change) -> None:
+        self.counts["changes"] += 1
+        before = self.seen.get(change.key, 0)
+        if change.version != before + 1:
+            self.say(f"store: version {change.version} of {change.key} was told after {before}")
+        self.seen[change.key] = change.version
+        if change.value is None:
+            return
+        if change.key.startswith(LEASES):
+            self._lease(change.value)
+        elif change.key.startswith("learnt/"):
+            self.counts["learnt"] += 1
+        else:
+            for prefix, work in WORKS.items():
+                if change.key.startswith(prefix):
+                    self._word(change.key, work + change.key.removeprefix(prefix), change.value)
+        self.poked()
+
+    def _lease(self, value: bytes) -> None:
+        lease, now = table.unpack(value), time.monotonic()
+        was = self.leases.get(lease.name)
+        self.leases[lease.name] = lease
+        mine = f"{lease.name} {lease.claim}"
+        if lease.holder and self.granted.setdefault(lease.token, mine) != mine:
+            self.say(f"token {lease.token} stands for {self.granted[lease.token]} and for {mine}")
+        if was is not None and lease.token < was.token:
+            self.say(f"{lease.name}: token {lease.token} came after {was.token}")
+        before = (was.token, was.held) if was is not None else (0, False)
+        if before == (lease.token, lease.held):
+            return
+        if before[1]:
+            for one in reversed(self.owned):
+                if one.lease == lease.name and not one.end:
+                    one.end = now
+                    break
+        if lease.held:
+            self.owned.append(Owned(lease.name, lease.token, lease.holder, now))
+            self.counts["owners"] += 1
+
+    def _word(self, key: str, lease: str, value: bytes) -> None:
+        """An owner's word: by who owns it at that point of the log, and never older than one before it."""
+        raw = msgspec.json.decode(value)
+        token, number = int(raw.get("token", 0)), int(raw.get("number", 0))
+        holds = self.leases.get(lease)
+        self.counts["owners' words"] += 1
+        if holds is None or not holds.held or holds.token != token:
+            self.say(f"{key} was put under token {token}, and {lease} is held under"
+                     f" {holds.token if holds is not None and holds.held else 'none'}")
+        version = int(raw.get("version", -1))
+        old = self.newest.get(key, (0, 0, -1))
+        if (token, number) < old[:2]:
+            self.say(f"{key}: the word ({token}, {number}) came after {old[:2]}")
+        if key.startswith("list/"):
+            if version < old[2]:
+                self.say(f"{key}: discovery's version {version} was put over {old[2]}")
+            self.lists.append((time.monotonic(), token, version))
+        self.newest[key] = token, number, version
--- /dev/null
+++ b/lanelift/lab/rig/launcher.py
@@ -0,0 +1,99 @@
+"""Starts the program with a clock or a disk that is not well: `python -m lanelift.lab.rig.launcher WORDS...`.
+
+The lab's doing and no switch of the product: the standard library's clocks and writes are replaced before the
+program is imported. LANELIFT_LAB_RATE: clocks run so many times as fast. SIGUSR1 turns a full disk on and
+off, SIGUSR2 makes clocks jump on by an hour. LANELIFT_LAB_SYNC_MS: each sync takes so much longer.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import runpy
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+HOUR_NS = 3_600_000_000_000
+
+
+class Clocks:
+    """All of this process's, at one rate."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.jumped = 0
+        self.real = {name: getattr(time, name) for name in (
+            "monotonic_ns", "time_ns", "clock_gettime_ns", "sleep")}
+        self.begin = {"monotonic_ns": self.real["monotonic_ns"](), "time_ns": self.real["time_ns"]()}
+        self.boot = self.real["clock_gettime_ns"](time.CLOCK_BOOTTIME)
+
+    def _moved(self, now: int, begin: int) -> int:
+        return begin + int((now - begin) * self.rate) + self.jumped
+
+    def install(self) -> None:
+        def monotonic_ns() -> int:
+            return self._moved(self.real["monotonic_ns"](), self.begin["monotonic_ns"])
+
+        def time_ns() -> int:
+            return self._moved(self.real["time_ns"](), self.begin["time_ns"])
+
+        def clock_gettime_ns(clock: int) -> int:
+            now: int = self.real["clock_gettime_ns"](clock)
+            return self._moved(now, self.boot) if clock == time.CLOCK_BOOTTIME else now
+
+        changed: dict[str, Callable[..., Any]] = {
+            "monotonic_ns": monotonic_ns, "time_ns": time_ns, "clock_gettime_ns": clock_gettime_ns,
+            "monotonic": lambda: monotonic_ns() / 1e9, "time": lambda: time_ns() / 1e9}
+        for name, clock in changed.items():
+            setattr(time, name, clock)
+
+    def jump(self, *_: object) -> None:
+        self.jumped += HOUR_NS
+
+
+class Disk:
+    """What this process writes to files."""
+
+    def __init__(self, sync_ms: float) -> None:
+        self.sync_s = sync_ms / 1000
+        self.full = False
+
+    def install(self) -> None:
+        def guarded(real: Callable[..., Any]) -> Callable[..., Any]:
+            def write(number: int, *rest: Any) -> Any:
+                if self.full:
+                    raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+                return real(number, *rest)
+            return write
+
+        def slow(real: Callable[..., Any]) -> Callable[..., Any]:
+            def sync(number: int) -> Any:
+                time.sleep(self.sync_s)
+                return real(number)
+            return sync
+
+        os.pwrite = guarded(os.pwrite)
+        if self.sync_s:
+            os.fsync, os.fdatasync = slow(os.fsync), slow(os.fdatasync)
+
+    def turn(self, *_: object) -> None:
+        self.full = not self.full
+
+
+def main() -> None:
+    clocks = Clocks(float(os.environ.pop("LANELIFT_LAB_RATE", "1")))
+    disk = Disk(float(os.environ.pop("LANELIFT_LAB_SYNC_MS", "0")))
+    clocks.install()
+    disk.install()
+    signal.signal(signal.SIGUSR1, disk.turn)
+    signal.signal(signal.SIGUSR2, clocks.jump)
+    sys.argv[0] = "lanelift"
+    # Only now is it imported: it takes its clocks as it finds them.
+    runpy.run_module("lanelift.cli.main", run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lanelift/lab/rig/run.py
@@ -0,0 +1,337 @@
+"""One run of a scenario: start, faults at times and moments, an end in which all must be well, and the
+verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from lanelift.lab.rig.books import Books
+from lanelift.lab.rig.processes import Process
+from lanelift.lab.rig.relay import TO, Relay
+from lanelift.lab.rig.scenario import LINKS, Fault, Scenario, drawn, quiet, source
+from lanelift.lab.rig.world import SERVICE, World
+from lanelift.lab.topology import Unusable
+from lanelift.settings import Json
+from lanelift.store.client import Client
+
+LEASE = f"work/list/{SERVICE}"
+STATUS_S = 0.1
+CALM_S = 1.5  # at the end, in which every request is served
+GAP_MOST = 8  # of the lease's time that the work may be without an owner once all is mended
+
+
+@dataclass(eq=False)
+class Armed:
+    """A fault that waits for its moment."""
+
+    fault: Fault
+    count: int = 0
+    done: bool = False
+
+
+@dataclass(eq=False)
+class Result:
+    """`wrong`: empty where all held. `events`: seconds from the start, and what happened."""
+
+    name: str
+    seed: int
+    faults: list[Json]
+    wrong: list[str] = field(default_factory=list)
+    events: list[tuple[float, str]] = field(default_factory=list)
+    owners: list[tuple[str, int, str, float, float]] = field(default_factory=list)
+    service: list[tuple[float, int, int]] = field(default_factory=list)  # each half second: asked, served
+    figures: dict[str, float] = field(default_factory=dict)
+    down: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    seconds: float = 0.0
+    scenario: Json = field(default_factory=dict)
+    tails: dict[str, list[str]] = field(default_factory=dict)
+
+
+class Run:
+    def __init__(self, scenario: Scenario, seed: int, folder: Path,
+                 faults: Sequence[Fault] | None = None) -> None:
+        self.s = scenario
+        self.faults = list(drawn(scenario, seed) if faults is None else faults)
+        self.books = Books()
+        self.world = World(scenario, folder, seed, self._heard, self._said)
+        self.world.owner = self._owner
+        self.loop = asyncio.get_running_loop()
+        self.began = 0.0
+        self.armed = [Armed(f) for f in self.faults if f.when is not None]
+        self.leader = ""
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.undo: dict[int, Callable[[], None]] = {}
+        self.pending = 0  # faults that are not over
+        self.calm = asyncio.Event()
+        self.result = Result(scenario.name, seed, source(quiet(scenario, self.faults))["fault"],
+                             scenario=source(scenario))
+        self.over = self.running = False
+        self.last_s = 0.0  # when the last fault ended
+        self.listed = 0
+
+    @property
+    def now(self) -> float:
+        return time.monotonic() - self.began
+
+    def event(self, what: str) -> None:
+        if len(self.result.events) < 2000:
+            self.result.events.append((round(self.now, 3), what))
+
+    def _owner(self, lease: str) -> str:
+        return self.leader if lease == "@leader" else self.books.owner(lease)
+
+    def _task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(self._kept(work))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _kept(self, work: Coroutine[Any, Any, None]) -> None:
+        try:
+            await work
+        except Unusable as error:
+            self.books.say(str(error))
+        except Exception as error:
+            self.books.say(f"the rig itself: {type(error).__name__}: {error}")
+            raise
+
+    # ---- what is heard -----------------------------------------------------------------------------------
+
+    def _heard(self, relay: Relay, way: int, kind: str) -> None:
+        who = relay.dialler if way == TO else relay.listener
+        whom = relay.listener if way == TO else relay.dialler
+        self.books.counts[f"message {kind}"] += 1
+        for armed in self.armed:
+            m = armed.fault.when
+            if not self.running or armed.done or m is None or m.says != kind or self.now * 1e9 < m.after:
+                continue
+            if self.world.matches(m.process, who) and self.world.matches(m.to, whom):
+                armed.count += 1
+                if armed.count >= m.nth:
+                    armed.done = True
+                    self.event(f"{who} said {kind} to {whom}")
+                    self._strike(armed.fault)
+
+    def _said(self, process: Process, line: str) -> None:
+        if "owned under token" in line or "refused" in line or "belongs to" in line or "rests" in line:
+            self.event(f"{process.name}: {line.split(' ', 1)[-1]}")
+
+    # ---- faults ------------------------------------------------------------------------------------------
+
+    def _strike(self, fault: Fault) -> None:
+        """Begin a fault, in the same turn in which its moment came."""
+        if self.over:
+            return
+        self.pending += 1
+        ends: list[Callable[[], None]] = []
+        world = self.world
+        if fault.do in LINKS:
+            hit = world.links(fault.link)
+            ends = [relay.set(fault.do, fault.size, fault.way) for relay in hit]
+            names = f"{fault.link} ({len(hit)}, {fault.way})"
+        elif fault.do == "boxes":
+            boxes = sorted(world.boxes)
+            self.listed += 1
+            kept = [boxes[(self.listed + i) % len(boxes)] for i in range(max(1, int(fault.size)))]
+            world.discovery.change(sorted(set(kept)))
+            names = f"{len(set(kept))} listed, version {world.discovery.version}"
+        elif fault.do == "discovery-down":
+            world.discovery.fail(True)
+            ends, names = [lambda: world.discovery.fail(False)], "discovery"
+        else:
+            some = world.named(fault.on)
+            for process in some:
+                ends.append(self._hit(process, fault))
+            names = ", ".join(p.name for p in some) or f"{fault.on}: nobody"
+        self.event(f"{fault.do} {names}")
+
+        def end() -> None:
+            self.undo.pop(key, None)
+            for one in ends:
+                one()
+            self.event(f"{fault.do} {names}: over")
+            self.pending -= 1
+            self.last_s = self.now
+        key = id(end)
+        self.undo[key] = end
+        if fault.lasts or fault.do in ("kill", "lose", "leave", "restart", "reset", "boxes", "jump"):
+            self.loop.call_later(fault.lasts / 1e9, lambda: self.undo.get(key, lambda: None)())
+
+    def _hit(self, process: Process, fault: Fault) -> Callable[[], None]:
+        match fault.do:
+            case "stop":
+                process.stop()
+                return process.go_on
+            case "kill" | "lose":
+                process.kill()
+                lost = fault.do == "lose"
+                return lambda: self._task(self.world.again(process.name, lost))
+            case "leave" | "restart":
+                process.kill(signal.SIGTERM)
+                return lambda: self._task(self.world.again(process.name))
+            case "fast" | "slow":
+                process.rate = 2.0 if fault.do == "fast" else 0.5
+                process.kill()
+                self._task(self.world.again(process.name))
+            case "slowdisk":
+                process.sync_ms = fault.size or 200.0
+                process.kill()
+                self._task(self.world.again(process.name))
+            case "jump":
+                process.send(signal.SIGUSR2)
+            case "full":
+                process.send(signal.SIGUSR1)
+                return lambda: process.send(signal.SIGUSR1)
+        return lambda: None
+
+    async def _follow_leader(self) -> None:
+        client = self.world.client("leader")
+        numbers = {f"{number:x}": name for name, number in self.world.numbers.items()}
+        while True:
+            with suppress(Exception):
+                self.leader = numbers.get((await client.status(0.5))["leader"], self.leader)
+            await asyncio.sleep(STATUS_S)
+
+    # ---- the run -----------------------------------------------------------------------------------------
+
+    async def play(self) -> Result:
+        world, books = self.world, self.books
+        client: Client | None = None
+        watching: asyncio.Task[None] | None = None
+        asking: asyncio.Task[None] | None = None
+        began = time.monotonic()
+        try:
+            world.discovery.boxes = sorted(world.boxes)
+            self.began = began
+            await world.start()
+            client = world.client("books")
+            watching = self.loop.create_task(self._kept(books.watch(client)))
+            self._task(self._follow_leader())
+            await self._until(lambda: bool(books.owner(LEASE)) and bool(books.lists), "the list has an owner")
+            self.began = time.monotonic()
+            self.running = True
+            self.result.events.clear()
+            asking = self.loop.create_task(world.clients.run())
+            for fault in self.faults:
+                if fault.when is None:
+                    self.loop.call_later(fault.at / 1e9, self._strike, fault)
+            await asyncio.sleep(self.s.lasts / 1e9)
+            self.over = True
+            for end in list(self.undo.values()):
+                end()
+            self.last_s = self.now
+            await self._settle()
+        except TimeoutError as error:
+            books.say(str(error))
+        finally:
+            world.clients.over.set()
+            if asking is not None:
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(asking, 5.0)
+            for task in (*self.tasks, *([watching] if watching else [])):
+                task.cancel()
+            if client is not None:
+                with suppress(Exception):
+                    await client.close()
+            await world.close()
+        self._judge()
+        self.result.seconds = round(time.monotonic() - began, 1)
+        return self.result
+
+    async def _until(self, holds: Callable[[], bool], what: str, seconds: float = 0.0) -> None:
+        changed = asyncio.Event()
+        self.books.poked = changed.set
+        try:
+            async with asyncio.timeout(seconds or self.s.settle / 1e9):
+                while not holds():
+                    changed.clear()
+                    with suppress(TimeoutError):
+                        await asyncio.wait_for(changed.wait(), 0.2)
+        except TimeoutError:
+            raise TimeoutError(f"{what}: not within {seconds or self.s.settle / 1e9:.0f} s") from None
+
+    async def _settle(self) -> None:
+        """All faults are over: an owner, discovery's list in the store, and every request served."""
+        world, books = self.world, self.books
+        await self._until(lambda: all(p.up for p in world.processes.values()), "all processes are up again")
+        await self._until(lambda: bool(books.owner(LEASE)), "the list has an owner again")
+        self.result.figures["owner again s"] = round(self.now - self.last_s, 3)
+        await self._until(lambda: bool(books.lists) and books.lists[-1][2] == world.discovery.version,
+                          "the store holds discovery's list")
+        self.result.figures["list again s"] = round(self.now - self.last_s, 3)
+        settled = time.monotonic() + CALM_S
+        await self._until(lambda: self._served(time.monotonic() - CALM_S) if time.monotonic() > settled
+                          else False, "every request is served")
+        self.result.figures["well again s"] = round(self.now - self.last_s, 3)
+
+    def _served(self, since: float) -> bool:
+        done = [t for t in self.world.clients.tries.values() if t.at >= since and t.took]
+        return len(done) > self.s.rate * CALM_S / 2 and all(t.status == 200 for t in done)
+
+    # ---- the verdict -------------------------------------------------------------------------------------
+
+    def _judge(self) -> None:
+        r, books, world = self.result, self.books, self.world
+        tries = list(world.clients.tries.values())
+        for one in tries:
+            if one.answers > 1:
+                books.say(f"request {one.id} was answered {one.answers} times")
+            if one.status == -2:
+                books.say(f"request {one.id} was given the answer of another")
+            if one.unsafe and len(one.ran) > 1:
+                books.say(f"{one.id} may not be repeated, and ran at {', '.join(one.ran)}")
+            if one.status == 200 and not one.ran:
+                books.say(f"request {one.id} was served, and no box ran it")
+            if not one.answers and not self._excused(one.balancer, one.at):
+                books.say(f"request {one.id} of {one.balancer} had no answer, and nothing was wrong there")
+        for name, process in world.processes.items():
+            if process.ended:
+                books.say(f"{name} {process.ended}")
+            for _, line in process.lines:
+                if "Traceback" in line or "the store's keeper" in line or "decision module failed" in line:
+                    books.say(f"{name}: {line}")
+        r.wrong = books.wrong
+        served = Counter(int((t.at - self.began) * 2) for t in tries if t.status == 200)
+        asked = Counter(int((t.at - self.began) * 2) for t in tries)
+        r.service = [(i / 2, asked[i], served[i]) for i in range(max(asked, default=0) + 1)]
+        r.owners = [(o.lease, o.token, o.holder, round(o.begin - self.began, 3),
+                     round((o.end or time.monotonic()) - self.began, 3)) for o in books.owned
+                    if not o.lease.startswith("name/")]
+        gaps = [b - a for a, b in zip([e for *_, e in r.owners], [x[3] for x in r.owners[1:]], strict=False)]
+        r.down = {n: [(round(a - self.began, 3), round((b or time.monotonic()) - self.began, 3))
+                      for a, b in p.stops] for n, p in world.processes.items() if p.stops}
+        r.figures |= {
+            "requests": len(tries), "served": sum(t.status == 200 for t in tries),
+            "served part": round(sum(t.status == 200 for t in tries) / max(1, len(tries)), 4),
+            "discovery calls": len(world.discovery.calls), "owners": books.counts["owners"],
+            "owners' words": books.counts["owners' words"], "store changes": books.counts["changes"],
+            "fenced": sum(lease.refused for lease in books.leases.values()),
+            "longest gap s": round(max(gaps, default=0.0), 3),
+            "slowest leave s": round(max((p.leave_s for p in world.processes.values()), default=0.0), 2)}
+        r.tails = {n: [line for _, line in p.lines[-40:]] for n, p in world.processes.items()}
+
+    def _excused(self, balancer: str, at: float) -> bool:
+        """Was something wrong with this balancer, or with its clients' way, around then?"""
+        process = self.world.processes[balancer]
+        if any(a - 3.0 <= at <= (b or at) + 1.0 for a, b in process.stops):
+            return True
+        return any(f.do in LINKS and (f.link.startswith(("clients", "*")) or f.link.endswith(f">{balancer}")
+                                      or "@" in f.link) for f in self.faults)
+
+
+async def _played(scenario: Scenario, seed: int, folder: Path, faults: Sequence[Fault] | None) -> Result:
+    return await Run(scenario, seed, folder, faults).play()
+
+
+def play(scenario: Scenario, seed: int, faults: Sequence[Fault] | None = None) -> Result:
+    """Raises Unusable where the run could not begin."""
+    with tempfile.TemporaryDirectory(prefix="lanelift-rig-") as folder, asyncio.Runner() as runner:
+        return runner.run(_played(scenario, seed, Path(folder), faults))
--- /dev/null
+++ b/lanelift/lab/rig/taps.py
@@ -0,0 +1,73 @@
+"""What passes a relay, read in the program's own frames: so that a fault can be set at a message. Nothing is
+checked here: whoever the frames are for does that."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+
+from lanelift.store import commands
+from lanelift.store.commands import Claim, CloseSession, Lapse, OpenSession, Release, Upgrade, Write
+from lanelift.store.raft.messages import unpack_message
+from lanelift.store.wire import protocol
+from lanelift.store.wire.frames import HEAD
+from lanelift.store.wire.protocol import Put
+
+MOST = 16 << 20
+HTTP = re.compile(rb"(?:GET|POST|HEAD|PUT) [^ ]+ HTTP/1\.1\r\n")
+WORDS = {Write: "write", OpenSession: "session", CloseSession: "session", Claim: "claim",
+         Release: "release", Lapse: "lapse", Upgrade: "upgrade"}
+
+
+class Tap:
+    """One direction of one connection. `heard` gives the kinds of the messages that are complete now."""
+
+    def heard(self, data: bytes) -> Iterator[str]:
+        yield from ()
+
+
+class HttpTap(Tap):
+    def heard(self, data: bytes) -> Iterator[str]:
+        for _ in HTTP.finditer(data):
+            yield "request"
+
+
+class StoreTap(Tap):
+    """`member`: of nodes among each other; else of a client and a node."""
+
+    def __init__(self, asks: bool) -> None:
+        self.asks = asks
+        self.buffer = bytearray()
+        self.first = True
+        self.member = False
+
+    def heard(self, data: bytes) -> Iterator[str]:
+        self.buffer += data
+        while len(self.buffer) >= HEAD.size:
+            length = HEAD.unpack_from(self.buffer)[0]
+            if length > MOST:
+                self.buffer.clear()  # these are no frames
+                return
+            if len(self.buffer) < HEAD.size + length:
+                return
+            payload = bytes(self.buffer[HEAD.size:HEAD.size + length])
+            del self.buffer[:HEAD.size + length]
+            yield self._kind(payload)
+
+    def _kind(self, payload: bytes) -> str:
+        try:
+            if self.first:
+                self.first = False
+                hello = protocol.unpack_greeting(payload)
+                self.member = isinstance(hello, protocol.Hello) and bool(hello.node)
+                return type(hello).__name__.lower()
+            if not self.asks:
+                return type(protocol.unpack_reply(payload)).__name__.lower()
+            if self.member:
+                return type(unpack_message(payload)).__name__.lower()
+            request = protocol.unpack_request(payload)
+            if isinstance(request, Put):
+                return WORDS[type(commands.unpack_command(request.command))]
+            return type(request).__name__.lower()
+        except ValueError:
+            return "?"
--- /dev/null
+++ b/lanelift/lab/rig/world.py
@@ -0,0 +1,220 @@
+"""Puts a run together: settings files, processes, stand-ins and a relay for each directed pair."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from fnmatch import fnmatchcase
+from pathlib import Path
+
+from lanelift.lab.balancer import free_port
+from lanelift.lab.rig.processes import Process
+from lanelift.lab.rig.relay import Relay
+from lanelift.lab.rig.scenario import Scenario
+from lanelift.lab.rig.standins import Box, Clients, Discovery
+from lanelift.lab.rig.taps import HttpTap, StoreTap, Tap
+from lanelift.lab.topology import Unusable
+from lanelift.store import run as running
+from lanelift.store.client import Client, StoreError
+from lanelift.store.settings import read_store
+
+SERVICE = "orders"
+READY_S = 20.0
+POLL_S = 0.01
+
+
+class World:
+    """`heard`: each message that a relay read, as (relay, direction, kind); `said`: each line of a log."""
+
+    def __init__(self, scenario: Scenario, folder: Path, seed: int, heard: Callable[[Relay, int, str], None],
+                 said: Callable[[Process, str], None]) -> None:
+        self.s = scenario
+        self.folder = folder
+        self.rng = random.Random(f"{seed}/world")
+        self.heard = heard
+        self.said = said
+        self.relays: dict[str, Relay] = {}
+        self.processes: dict[str, Process] = {}
+        self.ports: dict[str, int] = {}
+        self.numbers: dict[str, int] = {}  # of nodes, in the store
+        self.sites = {site: tuple(members) for site, members in scenario.sites.items()}
+        self.doors = {f"balancer-{i}": self._door(f"balancer-{i}") for i in range(scenario.balancers)}
+        self.clients = Clients(self.doors, scenario.rate, random.Random(f"{seed}/clients"))
+        self.boxes = {f"box-{i}": Box(f"box-{i}", self.clients.tries) for i in range(scenario.boxes)}
+        self.discovery = Discovery(self._row)
+        self.owner: Callable[[str], str] = lambda lease: ""  # who holds a lease, by the books
+
+    def _door(self, balancer: str) -> Callable[[], tuple[str, int]]:
+        return lambda: ("127.0.0.1", self.relays[f"clients>{balancer}"].port)
+
+    def _row(self, balancer: str, box: str) -> dict[str, object]:
+        relay = self.relays[f"{balancer}>{box}"]
+        return {"id": box, "addr": relay.address, "zone": self.site_of(box), "kind": "m", "cell": 0,
+                "state": "Ready", "weight": 1.0, "started_ms": self.boxes[box].started_ms}
+
+    def site_of(self, name: str) -> str:
+        return next((site for site, members in self.sites.items() if name in members), "")
+
+    # ---- names -------------------------------------------------------------------------------------------
+
+    def matches(self, pattern: str, name: str) -> bool:
+        """Does a pattern of a scenario mean this one, now?"""
+        if pattern in ("@list", "@roll"):
+            return bool(name) and self.owner(f"work/{pattern[1:]}/{SERVICE}") == name
+        if pattern == "@leader":
+            return self.owner("@leader") == name
+        if pattern.startswith("@"):
+            return name in self.sites.get(pattern[1:], ())
+        return fnmatchcase(name, pattern)
+
+    def named(self, pattern: str) -> list[Process]:
+        return [p for name, p in self.processes.items() if self.matches(pattern, name)]
+
+    def links(self, pattern: str) -> list[Relay]:
+        dialler, listener = pattern.split(">")
+        return [r for r in self.relays.values()
+                if self.matches(dialler, r.dialler) and self.matches(listener, r.listener)]
+
+    def _relay(self, dialler: str, listener: str, target: Callable[[], tuple[str, int]],
+               taps: Callable[[], tuple[Tap, Tap]]) -> Relay:
+        name = f"{dialler}>{listener}"
+        rng = random.Random(f"{name}/{self.rng.random()}")
+        relay = self.relays[name] = Relay(dialler, listener, target, rng, taps, self.heard)
+        return relay
+
+    # ---- the start ---------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Raises Unusable."""
+        for box in self.boxes.values():
+            await box.listen()
+        nodes = [f"node-{i}" for i in range(self.s.nodes)]
+        for name in nodes:
+            self.ports[name] = free_port()
+        try:
+            await self._store(nodes)
+        except StoreError as error:
+            raise Unusable(f"the store did not start: {error}") from None
+        await asyncio.gather(*(self._balancer(f"balancer-{i}", nodes) for i in range(self.s.balancers)))
+
+    def _port(self, name: str) -> Callable[[], tuple[str, int]]:
+        return lambda: ("127.0.0.1", self.ports[name])
+
+    async def _store(self, nodes: list[str]) -> None:
+        ms = int(self.s.election) // 1_000_000
+        for i, name in enumerate(nodes):
+            reach = ""
+            for other in nodes:
+                if other != name:
+                    relay = self._relay(name, other, self._port(other),
+                                        lambda: (StoreTap(True), StoreTap(False)))
+                    reach += f'"127.0.0.1:{self.ports[other]}" = "{relay.address}"\n'
+            path = self.folder / f"{name}.toml"
+            path.write_text(f'folder = "{name}"\nlisten = "127.0.0.1:{self.ports[name]}"\n[reach]\n{reach}'
+                            f'[timing]\nelection = "{ms}ms"\nheartbeat = "{ms // 5}ms"\n')
+            settings = read_store(path)
+            words = ["store", "run", "--settings", str(path)]
+            process = self.processes[name] = Process(name, words, "listening", self.folder / name,
+                                                     heard=self.said)
+            if i == 0:
+                self.numbers[name] = running.init(settings, name=name).node
+                await process.start()
+                continue
+            client = self.client("join")
+            try:
+                status = await client.status()
+                self.numbers[name] = running.prepare(settings, status["cluster"], name).node
+                await self._insist(client, "learn", self.numbers[name], f"127.0.0.1:{self.ports[name]}")
+                await process.start()
+                await self._insist(client, "promote", self.numbers[name], "")
+            finally:
+                await client.close()
+
+    @staticmethod
+    async def _insist(client: Client, what: str, number: int, address: str) -> None:
+        until = time.monotonic() + READY_S
+        while True:
+            try:
+                await client.manage(what, number, address, 3.0)
+                return
+            except StoreError as error:
+                if "is no member" in str(error):
+                    return
+                if time.monotonic() > until:
+                    raise
+                await asyncio.sleep(POLL_S)
+
+    def client(self, name: str) -> Client:
+        """Past all relays."""
+        return Client([f"127.0.0.1:{port}" for node, port in self.ports.items() if node.startswith("node")],
+                      name=name, deadline_s=5.0)
+
+    async def _balancer(self, name: str, nodes: list[str]) -> None:
+        self.ports[name] = free_port()
+        self._relay("clients", name, self._port(name), lambda: (HttpTap(), Tap()))
+        port = await self.discovery.listen(name)
+        discovery = self._relay(name, "discovery", lambda: ("127.0.0.1", port), lambda: (HttpTap(), Tap()))
+        for box in self.boxes.values():
+            self._relay(name, box.name, lambda box=box: ("127.0.0.1", box.port),  # type: ignore[misc]
+                        lambda: (HttpTap(), Tap()))
+        addresses, reach = [], ""
+        for node in nodes:
+            relay = self._relay(name, node, self._port(node), lambda: (StoreTap(True), StoreTap(False)))
+            addresses.append(f'"{relay.address}"')
+            reach += f'"127.0.0.1:{self.ports[node]}" = "{relay.address}"\n'
+        path = self.folder / f"{name}.toml"
+        number = int(name.split("-")[1])
+        path.write_text(
+            f'listen = "127.0.0.1:{self.ports[name]}"\ndiscovery = "{discovery.address}"\nname = "{name}"\n'
+            f'number = {number}\nof = {self.s.balancers}\nzone = "{self.site_of(name)}"\n'
+            + "".join(f'[[class]]\nname = "{kind}"\neffect = "{effect}"\naim = "1s"\ndeadline = "2s"\n'
+                      for kind, effect in (("lookup", "safe"), ("book-delivery", "unsafe")))
+            + f'[store]\naddresses = [{", ".join(addresses)}]\nservice = "{SERVICE}"\nbalancer = "{name}"\n'
+            f'lease = "{int(self.s.lease)}ns"\n[store.reach]\n{reach}')
+        process = self.processes[name] = Process(name, ["serve", "--settings", str(path)], "\0",
+                                                 heard=self.said)
+        await process.start(wait=False)
+        await self.answers(name)
+
+    async def answers(self, balancer: str) -> None:
+        """Wait until a balancer takes connections. Raises Unusable."""
+        until = time.monotonic() + READY_S
+        while time.monotonic() < until:
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.ports[balancer])
+                writer.close()
+                return
+            if not self.processes[balancer].up:
+                break
+            await asyncio.sleep(POLL_S)
+        last = self.processes[balancer].lines[-1:]
+        raise Unusable(f"{balancer} did not start; it said last: {last[0][1] if last else 'nothing'}")
+
+    async def again(self, name: str, lost: bool = False) -> None:
+        """Begin a process anew. Raises Unusable."""
+        process = self.processes[name]
+        process.ready = "listening" if name.startswith("node") else ""
+        await process.begun(lost)
+
+    # ---- the end -----------------------------------------------------------------------------------------
+
+    async def close(self) -> None:
+        """Whatever happened: nothing is left behind."""
+        try:
+            ending: list[Awaitable[None]] = [p.end() for n, p in self.processes.items()
+                                             if n.startswith("balancer")]
+            await asyncio.gather(*ending)
+            await asyncio.gather(*(p.end() for n, p in self.processes.items() if n.startswith("node")))
+        finally:
+            for process in self.processes.values():
+                process.end_now()
+            for relay in self.relays.values():
+                relay.close()
+            for box in self.boxes.values():
+                if box.server is not None:
+                    box.server.close()
+            for server in self.discovery.servers:
+                server.close()
--- a/lanelift/lab/sockets/conductor.py
+++ b/lanelift/lab/sockets/conductor.py
@@ -46,7 +46,7 @@
 Look = Callable[[Json], None]
 
 
-def _die_with_parent() -> None:
+def die_with_parent() -> None:
     with suppress(OSError, AttributeError):
         ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
@@ -128,7 +128,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", f"lanelift.lab.sockets.{kind}", stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE, limit=1 << 24, start_new_session=True,
-            preexec_fn=_die_with_parent)
+            preexec_fn=die_with_parent)
         child = Child(name, process, self.loop.create_future(), self.loop.create_future())
         child.reader = self.loop.create_task(self._hear(child))
         self.parties.append(child)
@@ -175,7 +175,7 @@
 
     async def _start(self, real: Real) -> None:
         def settle() -> None:
-            _die_with_parent()
+            die_with_parent()
             if real.core is not None:
                 os.sched_setaffinity(0, {real.core})
 
--- a/lanelift/leases/table.py
+++ b/lanelift/leases/table.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-NAME = re.compile(r"[a-z0-9][A-Za-z0-9._:@-]*(/[A-Za-z0-9][A-Za-z0-9._:@-]*)*\Z")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@-]*(/[A-Za-z0-9][A-Za-z0-9._:@-]*)*\Z")
 MOST_NAME = 200  # characters, of a lease and of who asks for it
 MOST_WAITING = 5  # candidates that one lease keeps; the others look on and come when there is room
 MOST_LEFT = 8  # claims that were given back, and that a message which comes late must not bring to life
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -80,7 +80,7 @@
 
 class Discovery:
     def __init__(self, driver: Driver, address: tuple[str, int], seed: int) -> None:
-        self.driver = driver
+        self.tell = driver.learn  # who is told what comes
         self.address = address
         self.rng = random.Random(seed)
         self.push = driver.settings.discovery_push
@@ -99,7 +99,7 @@
         if known is not None:
             self.version, _, endpoints = read_list(known)
             self.whole = False
-            self.driver.learn(api.ListKind.CACHED, endpoints)
+            self.tell(api.ListKind.CACHED, endpoints)
         if self.push:
             self.subscribe(True)
 
@@ -156,7 +156,7 @@
                 # The old list stands. Balancers must not all come back together.
                 self._failed(error)
                 if not self.push:
-                    self.driver.learn(api.ListKind.FAILED, [])  # the module says when to ask again
+                    self.tell(api.ListKind.FAILED, [])  # the module says when to ask again
                     return
                 await asyncio.sleep(wait * self.rng.uniform(0.5, 1.0))
                 wait = min(2 * wait, BACKOFF_S[1])
@@ -171,7 +171,7 @@
             await self._call(b"/v1/endpoints", CALL_S)
         except Exception as error:
             self._failed(error)
-            self.driver.learn(api.ListKind.FAILED, [])
+            self.tell(api.ListKind.FAILED, [])
 
     async def _call(self, target: bytes, wait_s: float) -> None:
         async with self.lock:  # one connection, and one call at a time on it
@@ -190,7 +190,7 @@
             endpoints, full = [], False
         self.version = max(self.version, version)
         if endpoints or full or not self.push:
-            self.driver.learn(api.ListKind.FULL if full else api.ListKind.DELTA, endpoints)
+            self.tell(api.ListKind.FULL if full else api.ListKind.DELTA, endpoints)
 
     async def _get(self, target: bytes, wait_s: float) -> Response:
         loop = asyncio.get_running_loop()
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -14,7 +14,7 @@
 import random
 import ssl
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -178,6 +178,7 @@
     connecting: asyncio.Lock = field(default_factory=asyncio.Lock)
     opening: asyncio.Lock = field(default_factory=asyncio.Lock)
     window: asyncio.Semaphore = field(default_factory=lambda: asyncio.Semaphore(WINDOW))
+    reach: Mapping[str, str] = field(default_factory=dict)  # where an address that is told is reached
     rng: random.Random = field(default_factory=lambda: random.Random(os.urandom(8)))
 
     # ---- reading -----------------------------------------------------------------------------------------
@@ -442,7 +443,7 @@
             if not address:
                 address = self.addresses[self.turn % len(self.addresses)]
                 self.turn += 1
-            host, port = split_address(address)
+            host, port = split_address(self.reach.get(address, address))
             wire = Wire(Hello(protocol.FORMAT, self.cluster, 0, "", self.name))
             loop = asyncio.get_running_loop()
             try:
--- a/lanelift/store/link.py
+++ b/lanelift/store/link.py
@@ -50,11 +50,13 @@
 class Link:
     """The way to one member."""
 
-    def __init__(self, node: int, address: str, hello: Callable[[], Hello],
+    def __init__(self, node: int, address: str, reach: str, hello: Callable[[], Hello],
                  tls: Callable[[], ssl.SSLContext | None], least: Callable[[], int] = lambda: 1) -> None:
-        """`least`: format that the member's program must know by now."""
+        """`address` as it is advertised, `reach` as it is dialled from here; `least`: the format that the
+        member's program must know by now."""
         self.node = node
         self.address = address
+        self.reach = reach
         self.hello = hello
         self.least = least
         self.format = 0  # the newest that it knows, as last met
@@ -106,7 +108,7 @@
         """One connection's life; why it ended."""
         dialing = Dialing(self.hello(), self.node, self.least())
         loop = asyncio.get_running_loop()
-        host, port = split_address(self.address)
+        host, port = split_address(self.reach)
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: dialing, host, port, ssl=self.tls())
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -305,7 +305,8 @@
                 del self.links[node]
         for node, address in wanted.items():
             if address and node not in self.links:
-                self.links[node] = Link(node, address, self.hello, lambda: self.tls,
+                reach = self.settings.reach.get(address, address)
+                self.links[node] = Link(node, address, reach, self.hello, lambda: self.tls,
                                          lambda: self.replica.state.format)
 
     def _send(self, messages: Sequence[tuple[int, AnyMessage]]) -> None:
--- a/lanelift/store/settings.py
+++ b/lanelift/store/settings.py
@@ -51,6 +51,7 @@
     folder: str
     listen: str
     advertise: str = ""  # what others connect to, where it is not `listen`
+    reach: dict[str, str] = {}  # where a member that advertises one address is reached at another
     metrics: str = ""  # an address of its own for them, plain HTTP
     tls: Keys | None = None
     timing: Timing = Timing()
@@ -63,6 +64,7 @@
     folder: Path
     listen: tuple[str, int]
     advertise: str
+    reach: dict[str, str]
     metrics: tuple[str, int] | None
     tls: Tls | None
     config: Config
@@ -90,8 +92,8 @@
     listen = split_address(f.listen)
     if f.tls is None and not is_loopback(listen[0]):
         raise Malformed("tls: without it the store listens on loopback only")
-    if f.advertise:
-        split_address(f.advertise)
+    for address in (*([f.advertise] if f.advertise else []), *f.reach, *f.reach.values()):
+        split_address(address)
     if not 0 < 2 * f.timing.heartbeat <= f.timing.election:
         raise Malformed("timing: an election time-out is at least two heartbeats")
     if f.limits.keep < 0 or f.limits.connections < 8:
@@ -101,7 +103,7 @@
     config = Config(heartbeat_ns=int(f.timing.heartbeat), election_ns=int(f.timing.election),
                     slow_disk_ns=int(f.timing.slow_disk), uncommitted_bytes=int(f.limits.uncommitted))
     tls = f.tls.beside(beside) if f.tls else None
-    return StoreSettings(beside / f.folder, listen, f.advertise or f.listen,
+    return StoreSettings(beside / f.folder, listen, f.advertise or f.listen, f.reach,
                          split_address(f.metrics) if f.metrics else None, tls, config,
                          Boundaries(f.limits.keep, 5 * f.limits.keep + 1000, int(f.limits.log)),
                          f.limits.connections)
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -13,6 +13,7 @@
 from lanelift.lab.hosts import Host, SpreadHost
 from lanelift.lab.ledger import Answer, Ledger, Rule
 from lanelift.lab.policies import policy
+from lanelift.lab.shrinking import shrink
 from lanelift.lab.topology import Fault, Topology
 from lanelift.lab.virtual import World
 from lanelift.units import Duration, duration
@@ -108,7 +109,6 @@
 
 
 def test_shrinking_keeps_what_matters_and_nothing_else() -> None:
-    t = small()
     faults = [Fault(kind="slow", at=Duration(SECOND), lasts=duration("8s"), part=0.2, size=3.0),
               Fault(kind="drain", at=Duration(SECOND), lasts=duration("8s"), part=0.2),
               Fault(kind="errors", at=Duration(SECOND), lasts=duration("8s"), part=0.2, size=0.5)]
@@ -116,7 +116,7 @@
     def is_bad(some: list[Fault]) -> str:
         return "careful drain" if any(f.kind == "drain" and f.lasts >= 2 * SECOND for f in some) else ""
 
-    [left] = experiments.shrink(t, 1, faults, "careful drain", is_bad)
+    [left] = shrink(faults, "careful drain", is_bad, (experiments.shorter, experiments.smaller))
     assert (left.kind, left.lasts, left.part) == ("drain", 2 * SECOND, 0.025)
 
 
--- a/tests/test_store_daemon.py
+++ b/tests/test_store_daemon.py
@@ -17,7 +17,8 @@
 from lanelift import interface as api
 from lanelift.__main__ import Parts
 from lanelift.daemon.documents import check
-from lanelift.daemon.keeper import Keeper, SavedLearnt, load_learnt, save_learnt
+from lanelift.daemon.keeper import Keeper
+from lanelift.daemon.saved import SavedLearnt, load_learnt, save_learnt
 from lanelift.decide import Balancer
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.net.disabled import DisabledUpstreams
@@ -116,6 +117,7 @@
 
     def __init__(self) -> None:
         self.told = asyncio.Event()
+        self.discovery = None
         self.upstreams = SimpleNamespace(targets={})
         self.lists: list[tuple[api.ListKind, list[Endpoint]]] = []
         self.posted: list[api.Event] = []
@@ -200,6 +202,7 @@
             one.driver.module.handle(now, [api.ListUpdate(api.ListKind.FULL, [e.entry for e in old])])
             one.driver.module.crowding.taken["q"] = 5e6
             one.driver.module.fleet.servers[2].pace = 3.0
+            await until(lambda: bool(one.keeper.lister.token() and one.keeper.name.token()))
             await one.keeper.save()
             await one.keeper.close()
             two = Beside(c, "one")
