A process that leaves ends, and an owner that finds its token again counts on

Its tasks' stacks, which the rig now has it write down, show Client.watch in `wait_for(queue.get(), ...)`: the connection is closed in the turn in which the task is cancelled, the future is done, and Python 3.11's wait_for returns it as if nobody had cancelled.

Change: asyncio.timeout in place of wait_for in the client and the daemon's loops; the count belongs to the token, and discovery's version to what was put; query says Late once the node stops.

--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -60,7 +60,8 @@
         self.follower = Follower(driver.settings.replicas_of_me, random.Random(os.urandom(8)), clock_ns())
         self.changed = asyncio.Event()
         self.number = self.beat = 0  # of this owner's lists, and of its words that they stand
-        self.put: tuple[int, list[object]] = (0, [])  # what was last put, and under which token
+        # What was put last: the token, discovery's version, the list.
+        self.put: tuple[int, int, list[object]] = (0, -1, [])
         self.put_s = 0.0
         self.heard_s = 0.0  # discovery's last word here
         self.floor = -1  # a version that the next list must reach
@@ -102,7 +103,8 @@
         self.follower.owns(True, clock_ns())
         # One caller in place of all: it need not spare discovery as one of many would.
         self.discovery.hold_ms, self.discovery.pace_s = HOLD_MS, PACE_S
-        self.number = self.beat = 0
+        if token != self.put[0]:  # one that is lost and found again goes on counting
+            self.number = self.beat = 0
         self.discovery.whole = True  # what was heard of the other owner is not counted there
         self.working = asyncio.get_running_loop().create_task(self._work())
         self.discovery.subscribe(True)
@@ -120,7 +122,8 @@
         await self._until_done(self._floor)
         while True:
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), BEAT_S)
+                async with asyncio.timeout(BEAT_S):
+                    await self.changed.wait()
             await asyncio.sleep(TOGETHER_S)
             self.changed.clear()
             try:
@@ -166,11 +169,11 @@
         token = self.owner.token()
         if not servers or not token:
             return
-        if self.put != (token, servers):
+        if self.put != (token, self.discovery.version, servers):
             number = self.number + 1
             saved = SavedList(time.time(), servers, token, number, self.discovery.version, self.source)
             await self.owner.write([Op(self.keys[0], msgspec.json.encode(saved))])
-            self.number, self.put, self.put_s = number, (token, list(servers)), heard
+            self.number, self.put, self.put_s = number, (token, saved.version, list(servers)), heard
         elif time.monotonic() - self.put_s >= BEAT_S:
             self.beat += 1
             standing = Standing(token, self.number, self.beat)
--- a/lanelift/daemon/owner.py
+++ b/lanelift/daemon/owner.py
@@ -124,7 +124,8 @@
             wait = max(0.001, (wake - clock_ns()) / 1e9) if wake else RESTS_S
             self.woken.clear()
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.woken.wait(), min(wait, RESTS_S))
+                async with asyncio.timeout(min(wait, RESTS_S)):
+                    await self.woken.wait()
 
     def _note_rest(self) -> None:
         """Tell once that nobody owns it, and when that is over."""
--- a/lanelift/lab/rig/hunt.py
+++ b/lanelift/lab/rig/hunt.py
@@ -42,9 +42,10 @@
     return play(parsed(scenario), seed)
 
 
-def hunt(s: Scenario, seconds: float, first: int, workers: int, most: int = 3,
+def hunt(s: Scenario, seconds: float, first: int, workers: int, most: int = 3, shrink_s: float = 300.0,
          heard: Callable[[Hunted], None] = lambda hunted: None) -> Hunted:
-    """Until the time is over, or so many ways to fail were found."""
+    """Until the time is over, or so many ways to fail were found; then each is made smaller, for so long at
+    the most."""
     ends = time.monotonic() + seconds
     hunted, seed, seen = Hunted(), first, set[str]()
     raw = source(s)
@@ -58,7 +59,7 @@
                 break
             done, _ = wait(running, return_when=FIRST_COMPLETED)
             for future in done:
-                number = running.pop(future)
+                running.pop(future)
                 if future.exception() is not None:  # the machine was too busy for a start
                     hunted.unusable += 1
                     continue
@@ -68,20 +69,25 @@
                 what = bad(result)
                 if what and what not in seen:
                     seen.add(what)
-                    hunted.found.append(smallest(s, number, result, what))
+                    hunted.found.append(result)
             heard(hunted)
+    for place, result in enumerate(hunted.found):
+        hunted.found[place] = smallest(s, result, time.monotonic() + shrink_s)
+        heard(hunted)
     return hunted
 
 
-def smallest(s: Scenario, seed: int, result: Result, what: str) -> Result:
+def smallest(s: Scenario, result: Result, until: float) -> Result:
     """Played again and again with less; the last that was bad in the same way."""
-    best = result
+    best, what = result, bad(result)
 
     def is_bad(fewer: list[Fault]) -> str:
         nonlocal best
-        tried = play(s, seed, fewer)
+        if time.monotonic() > until:
+            return ""
+        tried = play(s, result.seed, fewer)
         if bad(tried) == what:
             best = tried
         return bad(tried)
-    shrink(drawn(s, seed), what, is_bad, (shorter,))
+    shrink(drawn(s, result.seed), what, is_bad, (shorter,))
     return best
--- a/lanelift/lab/rig/launcher.py
+++ b/lanelift/lab/rig/launcher.py
@@ -2,11 +2,13 @@
 
 The lab's doing and no switch of the product: the standard library's clocks and writes are replaced before the
 program is imported. LANELIFT_LAB_RATE: clocks run so many times as fast. SIGUSR1 turns a full disk on and
-off, SIGUSR2 makes clocks jump on by an hour. LANELIFT_LAB_SYNC_MS: each sync takes so much longer.
+off, SIGUSR2 makes clocks jump on by an hour, SIGQUIT writes down where each task stands.
+LANELIFT_LAB_SYNC_MS: each sync takes so much longer.
 """
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import os
 import runpy
@@ -83,6 +85,15 @@
         self.full = not self.full
 
 
+def tell_tasks(*_: object) -> None:
+    """Where each task stands, for the log: of a process that does not leave."""
+    for task in list(asyncio.tasks._all_tasks):  # type: ignore[attr-defined]
+        if not task.done():
+            print("task", task.get_coro().__qualname__, file=sys.stderr)
+            task.print_stack(limit=4)
+    sys.stderr.flush()
+
+
 def main() -> None:
     clocks = Clocks(float(os.environ.pop("LANELIFT_LAB_RATE", "1")))
     disk = Disk(float(os.environ.pop("LANELIFT_LAB_SYNC_MS", "0")))
@@ -90,6 +101,7 @@
     disk.install()
     signal.signal(signal.SIGUSR1, disk.turn)
     signal.signal(signal.SIGUSR2, clocks.jump)
+    signal.signal(signal.SIGQUIT, tell_tasks)
     sys.argv[0] = "lanelift"
     # Only now is it imported: it takes its clocks as it finds them.
     runpy.run_module("lanelift.cli.main", run_name="__main__", alter_sys=True)
--- a/lanelift/lab/rig/processes.py
+++ b/lanelift/lab/rig/processes.py
@@ -39,6 +39,7 @@
     stopped: bool = False
     meant_down: bool = True
     starts: int = 0
+    hung: bool = False  # it was asked to leave and did not
     leave_s: float = 0.0  # that it took to leave when it was asked to, at the end
     ended: str = ""  # how it ended, where nobody meant it to
     stops: list[tuple[float, float]] = field(default_factory=list)  # when it was down or stood still
@@ -52,7 +53,8 @@
         self.starts += 1
         self.meant_down = self.stopped = False
         self.is_ready.clear()
-        env = {**os.environ, "LANELIFT_LAB_RATE": str(self.rate), "LANELIFT_LAB_SYNC_MS": str(self.sync_ms)}
+        env = {**os.environ, "PYTHONFAULTHANDLER": "1", "LANELIFT_LAB_RATE": str(self.rate),
+               "LANELIFT_LAB_SYNC_MS": str(self.sync_ms)}
         self.child = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lanelift.lab.rig.launcher", *self.words, stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT, env=env,
@@ -113,17 +115,25 @@
 
     async def begun(self, lost: bool = False) -> None:
         """Start it anew, once the one before has ended."""
-        if self.child is not None:
-            with suppress(TimeoutError):
-                async with asyncio.timeout(LEAVE_S):
-                    await self.child.wait()
-            self.send(signal.SIGKILL)
-            await self.child.wait()
+        await self._gone()
         if lost and self.folder is not None:
             shutil.rmtree(self.folder, ignore_errors=True)
         await self.start()
         self._back()
 
+    async def _gone(self) -> None:
+        """Wait until it has left; one that does not is asked where it hangs, for its log, and killed."""
+        if self.child is None:
+            return
+        for wait_s, then in ((LEAVE_S, signal.SIGQUIT), (1.0, signal.SIGABRT), (1.0, signal.SIGKILL)):
+            with suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self.child.wait()
+                    return
+            self.hung = True
+            self.send(then)
+        await self.child.wait()
+
     async def end(self) -> None:
         """For good; asked first, so that it may leave as it should."""
         if self.up and self.child is not None:
@@ -131,9 +141,7 @@
             self.send(signal.SIGCONT)
             self.send(signal.SIGTERM)
             began = time.monotonic()
-            with suppress(TimeoutError):
-                async with asyncio.timeout(LEAVE_S):
-                    await self.child.wait()
+            await self._gone()
             self.leave_s = time.monotonic() - began
         self.end_now()
         for reader in self.readers:
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -232,7 +232,11 @@
             try:
                 while True:
                     try:
-                        got = await asyncio.wait_for(queue.get(), SILENT_S)
+                        # Not `wait_for`: where its future is done in the turn in which its task is
+                        # cancelled, as by a connection that is closed on leaving, it goes on as if
+                        # nobody had cancelled (Python 3.11, gh-86296).
+                        async with asyncio.timeout(SILENT_S):
+                            got = await queue.get()
                     except TimeoutError:
                         self._leave(wire)
                         break
@@ -370,7 +374,8 @@
         if self.session and self.wire is not None and not self.wire.closed:
             packed = commands.pack(CloseSession(self.session))
             with suppress(OSError, TimeoutError):
-                await asyncio.wait_for(self.wire.ask(Put(self._next(), 500, packed)), 0.5)
+                async with asyncio.timeout(0.5):
+                    await self.wire.ask(Put(self._next(), 500, packed))
         if self.wire is not None:
             self.wire.abort()
             self.wire = None
@@ -396,7 +401,8 @@
                 request = make(self._next(), int(left * 1000))
                 changes = isinstance(request, Put | Manage)
                 try:
-                    reply = await asyncio.wait_for(wire.ask(request), min(TRY_S, left))
+                    async with asyncio.timeout(min(TRY_S, left)):
+                        reply = await wire.ask(request)
                 except (OSError, TimeoutError) as error:
                     why = str(error) or f"{self.at} did not answer in time"
                     maybe = maybe or changes
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -450,8 +450,10 @@
             self.flushing = False
 
     async def query(self, look: Callable[[State], T]) -> T:
-        """Read from the state as applied here."""
+        """Read from the state as applied here. Raises Late where the node stops."""
         async with self.state_turn:
+            if self.failed.done():
+                raise Late("the node stops")
             return await self.loop.run_in_executor(self.state, look, self.replica.state)
 
     # ---- what is asked of it -----------------------------------------------------------------------------
--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -432,6 +432,8 @@
             self.again = False
             try:
                 events, applied = await node.query(lambda s: (s.events(self.prefix, self.after), s.applied))
+            except Late:
+                return  # its connection closes
             except Compacted as error:
                 self.connection.fail(self.id, Trouble.COMPACTED, str(error))
                 self.connection.watches.pop(self.id, None)
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -20,6 +20,7 @@
 from lanelift.store.durable.files import RealFile
 from lanelift.store.durable.journal import Damaged
 from lanelift.store.durable.state import State
+from lanelift.store.node import Late
 from lanelift.store.raft.messages import Entry, VoteAsk
 from lanelift.store.raft.messages import pack as pack_message
 from lanelift.store.run import Running
@@ -465,3 +466,39 @@
     assert report.wrong == [], "lanelift lab store-churn --seed 3"
     assert report.kills >= 3 and report.lost >= 1 and report.acknowledged > 300
     assert report.pairs > 50 and report.changes >= report.acknowledged
+
+
+@pytest.mark.parametrize("turns", [0, 1, 2])
+def test_a_watch_ends_when_it_is_left_as_its_connection_closes(tmp_path: Path, turns: int) -> None:
+    """Else a process that leaves, and closes its connections first, never ends."""
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client, told = c.client(), asyncio.Event()
+            await client.put("k", b"1")
+
+            async def watch() -> None:
+                async for _ in client.watch("k", 0):
+                    told.set()
+            task = asyncio.ensure_future(watch())
+            await told.wait()
+            assert client.wire is not None
+            for queue in client.wire.watches.values():
+                queue.put_nowait(None)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.wait({task}, timeout=5)
+            assert task.cancelled()
+    run(test)
+
+
+def test_a_watch_that_looks_while_its_node_stops_says_nothing(tmp_path: Path,
+                                                              caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            node = c.nodes[0].node
+            await c.stop(0)
+            with pytest.raises(Late):
+                await node.query(lambda state: state.applied)
+    run(test)
+    assert "never retrieved" not in caplog.text
