Roll boxes a few at a time under one owner, and show who owns what

Need: a restart of the boxes was a hand's work at each balancer, which nobody owned: two operators could take out too many, and one who was called away left boxes out.

Change: daemon/rolling (pure) decides each step from the roll's document, the set of disabled boxes, the balancers' reports and the list; daemon/roller is its shell and the reports'. A step is one write under the owner's token at the versions that were read, so an owner may die before, during or after it. It stops by itself when service falls, when too many are out for any reason, when a balancer is silent or the list is old. lanelift roll start, status, pause, resume, abort, restarted; lanelift lease list, show, release, history. The rig plays operators, and its books hold document, set, phases and restarts against each other.

--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -14,7 +14,7 @@
 from lanelift.store.client import StoreError
 from lanelift.store.durable.journal import Damaged, Full
 
-DAEMONS = ("serve", "store", "config", "version")  # these start without the lab's libraries
+DAEMONS = ("serve", "store", "config", "lease", "roll", "version")  # these start without the lab's libraries
 
 
 def version() -> None:
@@ -24,12 +24,14 @@
 
 def application(words: Sequence[str]) -> typer.Typer:
     """The commands; the lab, whose libraries take half a second to load, only where it may be meant."""
-    from lanelift.cli import config, serve, store
+    from lanelift.cli import config, lease, roll, serve, store
     app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                       help="A load balancer that keeps its rules, and the lab that shows it under failure.")
     app.command("serve")(serve.serve)
     app.add_typer(store.app, name="store")
     app.add_typer(config.app, name="config")
+    app.add_typer(lease.app, name="lease")
+    app.add_typer(roll.app, name="roll")
     if not words or words[0] not in DAEMONS:
         from lanelift.cli import clusters, lab, rig
         clusters.add_to(lab.app)
--- a/lanelift/cli/rig.py
+++ b/lanelift/cli/rig.py
@@ -75,6 +75,15 @@
 
     def heard(hunted: Hunted) -> None:
         out.print(f"[dim]{hunted.played} played, {len(hunted.found)} found[/dim]")
+        for result in hunted.found:  # as it is, should the run be interrupted before it is made smaller
+            keep_one(result)
+
+    def keep_one(result: Result) -> Path | None:
+        if keep is None:
+            return None
+        path = keep / f"{result.name}-{result.seed}.json"
+        results.write(path, results.encoded(written(result)))
+        return path
 
     found = hunt(scenario, 60 * minutes, first, workers or max(1, experiments.cores() // 3), heard=heard)
     table = Table(title=f"{found.played} schedules of {name}")
@@ -88,9 +97,8 @@
         out.print(f"{found.unusable} could not begin: the machine was too busy")
     for result in found.found:
         out.print(f"[red]seed {result.seed}: {result.wrong[0]}[/red]", soft_wrap=True)
-        if keep is not None:
-            path = keep / f"{result.name}-{result.seed}.json"
-            results.write(path, results.encoded(written(result)))
+        path = keep_one(result)
+        if path is not None:
             out.print(f"play it again: lanelift lab rig replay {path}", soft_wrap=True)
     if found.found:
         raise typer.Exit(1)
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -23,6 +23,7 @@
 from lanelift.__main__ import Parts
 from lanelift.daemon.listing import FleetList
 from lanelift.daemon.owner import NotOwner, Owner
+from lanelift.daemon.roller import Reporter, Roller
 from lanelift.daemon.saved import (
     SavedEndpoint,
     SavedLearnt,
@@ -69,6 +70,9 @@
         self.named_s = 0.0
         self.list: FleetList | None = None
         self.lister = Owner(client, f"work/list/{service}", balancer, lease_s, rank)
+        self.reporter = Reporter(parts.driver, parts.disabled, client, self.name, service, balancer)
+        self.roller = Owner(client, f"work/roll/{service}", balancer, lease_s, rank)
+        Roller(client, self.roller, service)
         discovery = parts.driver.discovery
         if isinstance(discovery, Discovery):
             self.list = FleetList(parts.driver, discovery, client, self.lister, service)
@@ -78,14 +82,15 @@
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
-        works = [self._begin, self._watch_disabled, self._tell_disabled, self._save]
+        works = [self._begin, self._watch_disabled, self._tell_disabled, self._save, self.reporter.run,
+                 self._watch_roll]
         if self.list is not None:
             works += [self.list.follow, self.list.look]
         if self.document:
             works.append(self._watch_document)
         self.tasks = [loop.create_task(self._kept(work)) for work in works]
-        self.name.start()
-        self.lister.start()
+        for owner in (self.name, self.lister, self.roller):
+            owner.start()
 
     def _named(self, lease: Lease) -> None:
         """Another process has this name, and none of the two is taking over from the other."""
@@ -171,6 +176,7 @@
     async def _take_disabled(self, value: bytes | None, version: int) -> None:
         if value is not None or version:
             await self.parts.disabled.adopt(self._with_asked(_names(value or b"[]")))
+            self.reporter.took(version)
         elif self.parts.disabled.names and not self.asked:
             # The store never heard of a set: it begins with this one.
             self.asked = [(name, True) for name in sorted(self.parts.disabled.names)]
@@ -196,6 +202,9 @@
                     continue
                 del self.asked[:done]
 
+    async def _watch_roll(self) -> None:
+        await self._follow(self.reporter.keys.roll, self.reporter.rolled)
+
     # ---- settings ----------------------------------------------------------------------------------------
 
     async def _watch_document(self) -> None:
@@ -242,7 +251,8 @@
             self.list.close()
         with suppress(StoreError):
             await self.save(0.5)
-        await asyncio.gather(self.name.close(), self.lister.close())
+            await self.reporter.leave()
+        await asyncio.gather(self.name.close(), self.lister.close(), self.roller.close())
         await self.client.close()
 
 
--- /dev/null
+++ b/lanelift/daemon/roller.py
@@ -0,0 +1,226 @@
+"""A roll as a work of the fleet: its owner reads, decides with `rolling` and writes, one step at a time;
+every balancer reports what it has under way while there is a roll.
+
+    roll/SERVICE               the roll's document; operators begin, pause and abort it, its owner goes on
+    report/SERVICE/BALANCER    what a balancer has under way; gone when it leaves as it should
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from contextlib import suppress
+
+import msgspec
+
+from lanelift.daemon.owner import NotOwner, Owner
+from lanelift.daemon.rolling import (
+    Listed,
+    Report,
+    Roll,
+    Seen,
+    State,
+    Step,
+    View,
+    blind,
+    decide,
+)
+from lanelift.daemon.saved import SavedList, decoded
+from lanelift.leases import table
+from lanelift.net.disabled import DisabledUpstreams
+from lanelift.net.driver import Driver
+from lanelift.net.upstream import number_of
+from lanelift.store.client import Client, Conflict, StoreError
+from lanelift.store.commands import LEASES, Op
+from lanelift.store.wire.protocol import Row
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.5  # between two looks of the owner, and two reports of a balancer that changed nothing
+IDLE_S = 2.0  # while there is no roll
+REPORT_S, REPORT_EACH_S, REPORT_MOST_S = 2.0, 0.025, 5.0  # of one among many, longer: half of what is old
+
+
+class Ages:
+    """For how long each thing has stood as it is, by this process's own clock: no other clock is believed."""
+
+    def __init__(self) -> None:
+        self.seen: dict[str, tuple[int, float]] = {}
+
+    def age_s(self, key: str, version: int) -> float:
+        """Since the key was first seen at this version."""
+        now = time.monotonic()
+        if self.seen.get(key, (-1, 0.0))[0] != version:
+            self.seen[key] = version, now
+        return now - self.seen[key][1]
+
+    def keep(self, keys: set[str]) -> None:
+        for gone in self.seen.keys() - keys:
+            del self.seen[gone]
+
+
+class Keys:
+    def __init__(self, service: str) -> None:
+        self.roll = f"roll/{service}"
+        self.disabled = f"disabled/{service}"
+        self.list = f"list/{service}"
+        self.standing = f"listed/{service}"
+        self.reports = f"report/{service}/"
+        self.names = f"{LEASES}name/{service}/"
+
+
+async def look(client: Client, keys: Keys, ages: Ages,
+               linear: bool = True) -> tuple[Row, Row, Roll | None, View]:
+    """The roll's row, the set's, the roll and what is seen. Raises StoreError."""
+    stale = not linear
+    found = await client.get(keys.roll, keys.disabled, keys.list, keys.standing, stale=stale)
+    roll_row, disabled_row, list_row, standing = found.rows
+    roll = decoded(roll_row, Roll)
+    reports = await client.scan(keys.reports, stale=stale)
+    names = await client.scan(keys.names, stale=stale)
+    live = set()
+    for row in names.rows:
+        if row.value is not None and table.unpack(row.value).held:
+            live.add(row.key.removeprefix(keys.names))
+    seen: dict[str, Seen] = {}
+    for row in reports.rows:
+        report = decoded(row, Report)
+        name = row.key.removeprefix(keys.reports)
+        if report is not None:
+            seen[name] = Seen(report, ages.age_s(row.key, row.version), name in live)
+    for name in live - seen.keys():  # it holds its name and says nothing yet
+        seen[name] = Seen(Report(0, (), 0.0, 0.0, 0), ages.age_s(keys.reports + name, 0), True)
+    saved = decoded(list_row, SavedList)
+    boxes = {s.id: Listed(s.zone, s.started, not s.draining) for s in saved.servers} if saved else {}
+    # A list is as old as the last word that it stands; one without an owner's word never is.
+    list_age = ages.age_s(keys.standing, standing.version + list_row.version) if saved else 1e9
+    names_out = frozenset(msgspec.json.decode(disabled_row.value, type=list[str])
+                          if disabled_row.value is not None else [])
+    ages.keep({keys.standing, *(keys.reports + n for n in seen), *(r.key for r in reports.rows)})
+    return roll_row, disabled_row, roll, View(int(time.time() * 1000), names_out, disabled_row.version, seen,
+                                             boxes, list_age)
+
+
+class Roller:
+    def __init__(self, client: Client, owner: Owner, service: str) -> None:
+        self.client = client
+        self.owner = owner
+        self.keys = Keys(service)
+        self.ages = Ages()
+        self.working: asyncio.Task[None] | None = None
+        self.blind_s = 0.0  # since when nothing could be seen
+        owner.began, owner.ended = self.began, self.ended
+
+    def began(self, token: int) -> None:
+        self.ages, self.blind_s = Ages(), 0.0  # what this process saw as an owner of before is old
+        self.working = asyncio.get_running_loop().create_task(self._work())
+
+    def ended(self) -> None:
+        if self.working is not None:
+            self.working.cancel()
+            self.working = None
+
+    async def _work(self) -> None:
+        while True:
+            wait = LOOK_S
+            try:
+                wait = await self.turn()
+            except NotOwner:
+                return
+            except Conflict:
+                wait = 0.0  # somebody changed the roll or the set meanwhile
+            except StoreError as error:
+                log.warning("roll: %s", error)
+            except Exception:
+                log.exception("roll")
+            await asyncio.sleep(max(0.01, wait))
+
+    async def turn(self) -> float:
+        """One look and at most one step; seconds until the next. Raises StoreError."""
+        roll_row, disabled_row, roll, view = await look(self.client, self.keys, self.ages)
+        if roll is None or roll.state is State.ENDED:
+            return IDLE_S
+        if blind(view):
+            self.blind_s = self.blind_s or time.monotonic()
+        else:
+            self.blind_s = 0.0
+        step = decide(roll, view, time.monotonic() - self.blind_s if self.blind_s else 0.0)
+        if step is None:
+            return LOOK_S
+        await self._write(step, roll_row, disabled_row)
+        log.info("roll %s: %s", roll.id, step.say)
+        return 0.0
+
+    async def _write(self, step: Step, roll_row: Row, disabled_row: Row) -> None:
+        ops = [Op(self.keys.roll, msgspec.json.encode(step.roll), roll_row.version)]
+        checks = []
+        if step.disabled is not None:
+            names = msgspec.json.encode(sorted(step.disabled))
+            ops.append(Op(self.keys.disabled, names, disabled_row.version))
+        else:
+            checks.append((self.keys.disabled, disabled_row.version))
+        await self.owner.write(ops, checks, note=step.say[:200])
+
+
+class Reporter:
+    """A balancer's reports, while there is a roll that is not over."""
+
+    def __init__(self, driver: Driver, disabled: DisabledUpstreams, client: Client, name: Owner, service: str,
+                 balancer: str) -> None:
+        self.driver = driver
+        self.disabled = disabled
+        self.client = client
+        self.name = name
+        self.keys = Keys(service)
+        self.key = self.keys.reports + balancer
+        self.version = 0  # of the set that this balancer goes by
+        self.active = False
+        self.count = 0
+        self.more = asyncio.Event()
+        self.there = False  # a report of this process stands in the store
+        balancers = driver.settings.replicas_of_me
+        self.every_s = min(REPORT_MOST_S, max(REPORT_S, REPORT_EACH_S * balancers))
+
+    def took(self, version: int) -> None:
+        """The set of this version holds here."""
+        self.version = version
+        self.more.set()
+
+    async def rolled(self, value: bytes | None, version: int) -> None:
+        """The roll's document changed."""
+        roll = decoded(Row(self.keys.roll, value, version, 0), Roll)
+        self.active = roll is not None and roll.state is not State.ENDED
+        self.more.set()
+
+    def busy(self) -> tuple[str, ...]:
+        """Disabled upstreams that still have attempts of this balancer."""
+        numbers = {number_of(name): name for name in self.disabled.names}
+        found = {numbers[a.server.id] for r in self.driver.balancer.requests.values() for a in r.attempts
+                 if a.result is None and a.server.id in numbers}
+        return tuple(sorted(found))
+
+    async def run(self) -> None:
+        """Raises StoreError."""
+        said: tuple[int, tuple[str, ...]] = -1, ()
+        at = 0.0
+        while True:
+            now = self.version, self.busy()
+            due = now != said or time.monotonic() - at >= self.every_s
+            if self.active and due and self.name.token():
+                self.count += 1
+                rate = self.driver.balancer.rate
+                report = Report(*now, round(rate.sent, 2), round(min(rate.served, rate.sent), 2), self.count)
+                with suppress(NotOwner):
+                    await self.name.write([Op(self.key, msgspec.json.encode(report))])
+                    said, at, self.there = now, time.monotonic(), True
+            self.more.clear()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(LOOK_S if self.active else IDLE_S):
+                    await self.more.wait()
+
+    async def leave(self) -> None:
+        """Nothing is under way here any more. Raises StoreError."""
+        if self.there and self.name.token():
+            with suppress(NotOwner):
+                await self.name.write([Op(self.key, None)], within_s=0.3)
--- a/lanelift/lab/rig/books.py
+++ b/lanelift/lab/rig/books.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
@@ -21,6 +22,8 @@
 from lanelift.store.wire.protocol import Change
 
 WORKS = {"list/": "work/list/", "listed/": "work/list/"}  # what stands there is put by who owns that
+ROLL, DISABLED = "roll/orders", "disabled/orders"
+ORDER = ("waiting", "out", "quiet", "back", "done")
 
 
 @dataclass(slots=True)
@@ -43,6 +46,11 @@
     newest: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # key: token, number, version
     lists: list[tuple[float, int, int]] = field(default_factory=list)  # when, token, discovery's version
     learnt: dict[str, tuple[str, int]] = field(default_factory=dict)
+    phases: dict[str, str] = field(default_factory=dict)  # boxes of the roll, as its document has them
+    roll: dict[str, Any] = field(default_factory=dict)
+    out: set[str] = field(default_factory=set)  # the set of disabled names
+    turned: Callable[[str, str], None] = lambda box, phase: None
+    most_out: int = 0
     revision: int = 0
     seen: dict[str, int] = field(default_factory=dict)  # key: its version
     counts: Counter[str] = field(default_factory=Counter)
@@ -64,6 +72,7 @@
                 async for told in client.watch("", self.revision):
                     for change in told.changes:
                         self.note(change)
+                    self.whole()
                     self.revision = told.revision
             await asyncio.sleep(0.05)
 
@@ -79,12 +88,40 @@
             self._lease(change.value)
         elif change.key.startswith("learnt/"):
             self.counts["learnt"] += 1
+        elif change.key == ROLL:
+            self._roll(msgspec.json.decode(change.value))
+        elif change.key == DISABLED:
+            self.out = set(msgspec.json.decode(change.value))
         else:
             for prefix, work in WORKS.items():
                 if change.key.startswith(prefix):
                     self._word(change.key, work + change.key.removeprefix(prefix), change.value)
         self.poked()
 
+    def _roll(self, roll: dict[str, Any]) -> None:
+        """Each box goes once through all phases, in their order."""
+        self.roll = roll
+        self.counts["roll's steps"] += 1
+        for box in roll["boxes"]:
+            name, now = box["name"], box["phase"]
+            was = self.phases.get(name, "waiting")
+            if now != was and ORDER.index(now) != ORDER.index(was) + 1:
+                self.say(f"the roll took {name} from {was} to {now}")
+            self.phases[name] = now
+            if now != was:
+                self.turned(name, now)
+
+    def whole(self) -> None:
+        """After all changes of a write: the set and the document say the same, and no more are out."""
+        if not self.roll:
+            return
+        out = {name for name, phase in self.phases.items() if phase in ("out", "quiet")}
+        if out != self.out & set(self.phases):
+            self.say(f"the roll says that {sorted(out)} are out, and the set has {sorted(self.out)}")
+        self.most_out = max(self.most_out, len(out))
+        if len(out) > self.roll["at_once"]:
+            self.say(f"{len(out)} boxes are out at once, and {self.roll['at_once']} may be")
+
     def _lease(self, value: bytes) -> None:
         lease, now = table.unpack(value), time.monotonic()
         was = self.leases.get(lease.name)
--- a/lanelift/lab/rig/run.py
+++ b/lanelift/lab/rig/run.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import signal
+import sys
 import tempfile
 import time
 from collections import Counter
@@ -25,6 +26,7 @@
 
 LEASE = f"work/list/{SERVICE}"
 STATUS_S = 0.1
+RESTART_S = 0.3  # that operators take to restart a box
 CALM_S = 1.5  # at the end, in which every request is served
 GAP_MOST = 8  # of the lease's time that the work may be without an owner once all is mended
 
@@ -62,6 +64,7 @@
         self.s = scenario
         self.faults = list(drawn(scenario, seed) if faults is None else faults)
         self.books = Books()
+        self.books.turned = self._turned
         self.world = World(scenario, folder, seed, self._heard, self._said)
         self.world.owner = self._owner
         self.loop = asyncio.get_running_loop()
@@ -192,6 +195,45 @@
                 return lambda: process.send(signal.SIGUSR1)
         return lambda: None
 
+    # ---- operators ---------------------------------------------------------------------------------------
+
+    async def _begin_roll(self) -> None:
+        """By the command that operators use."""
+        roll = self.s.roll
+        assert roll is not None
+        nodes = ",".join(f"127.0.0.1:{p}" for n, p in self.world.ports.items() if n.startswith("node"))
+        names = ",".join(sorted(self.world.boxes)[:roll.boxes])
+        words = ["roll", "start", "--service", SERVICE, "--at", nodes, "--pick", names, "--at-once",
+                 str(roll.at_once), "--per-site", str(roll.per_site), "--least", "0.1", "--warm",
+                 str(roll.warm / 1e9)]
+        command = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanelift.cli.main", *words, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT)
+        said, _ = await command.communicate()
+        self.event(f"operators: {said.decode().strip()}")
+        if command.returncode:
+            raise Unusable(f"the roll did not begin: {said.decode().strip()}")
+
+    def _turned(self, name: str, phase: str) -> None:
+        """The roll's document says something else of a box."""
+        self.event(f"roll: {name} is {phase}")
+        box = self.world.boxes[name]
+        if phase == "quiet":
+            if box.inside:
+                self.books.say(f"{name} was said to be quiet, and {box.inside} requests are under way there")
+            box.closed = True
+            self.loop.call_later(RESTART_S, self._restart, name)
+        elif phase == "back" and not box.restarts:
+            self.books.say(f"{name} was put back before it was restarted")
+
+    def _restart(self, name: str) -> None:
+        box = self.world.boxes[name]
+        box.closed = False
+        box.restarts += 1
+        box.started_ms = int(time.time() * 1000)
+        self.world.discovery.change(list(self.world.discovery.boxes))
+        self.event(f"operators restarted {name}")
+
     async def _follow_leader(self) -> None:
         client = self.world.client("leader")
         numbers = {f"{number:x}": name for name, number in self.world.numbers.items()}
@@ -220,6 +262,8 @@
             self.running = True
             self.result.events.clear()
             asking = self.loop.create_task(world.clients.run())
+            if self.s.roll is not None:
+                self._task(self._begin_roll())
             for fault in self.faults:
                 if fault.when is None:
                     self.loop.call_later(fault.at / 1e9, self._strike, fault)
@@ -267,6 +311,10 @@
         await self._until(lambda: bool(books.lists) and books.lists[-1][2] == world.discovery.version,
                           "the store holds discovery's list")
         self.result.figures["list again s"] = round(self.now - self.last_s, 3)
+        if self.s.roll is not None:
+            await self._until(lambda: books.roll.get("state") == "ended" and not books.out,
+                              "the roll is at its end, and all boxes in use")
+            self.result.figures["roll at its end s"] = round(self.now - self.last_s, 3)
         settled = time.monotonic() + CALM_S
         await self._until(lambda: self._served(time.monotonic() - CALM_S) if time.monotonic() > settled
                           else False, "every request is served")
@@ -292,8 +340,18 @@
                 books.say(f"request {one.id} was served, and no box ran it")
             if not one.answers and not self._excused(one.balancer, one.at):
                 books.say(f"request {one.id} of {one.balancer} had no answer, and nothing was wrong there")
+        if not any(f.do in LINKS for f in self.faults):  # else what was sent before may arrive late
+            for box in world.boxes.values():
+                if box.late:
+                    books.say(f"{len(box.late)} requests began at {box.name} while it was quiet")
+        if self.s.roll is not None:
+            for name, phase in books.phases.items():
+                if phase != "done" or world.boxes[name].restarts != 1:
+                    books.say(f"{name} is {phase}, and was restarted {world.boxes[name].restarts} times")
         for name, process in world.processes.items():
-            if process.ended:
+            if process.hung:
+                books.say(f"{name} was asked to leave and did not")
+            elif process.ended:
                 books.say(f"{name} {process.ended}")
             for _, line in process.lines:
                 if "Traceback" in line or "the store's keeper" in line or "decision module failed" in line:
--- a/lanelift/lab/rig/scenario.py
+++ b/lanelift/lab/rig/scenario.py
@@ -68,6 +68,15 @@
     size: float = 0.0
 
 
+class Rolled(Part, frozen=True):
+    """A roll that operators begin at the start; they restart each box once it is quiet."""
+
+    boxes: int
+    at_once: int = 1
+    per_site: int = 0
+    warm: Duration = Duration(SECOND)
+
+
 class Scenario(Part, frozen=True):
     name: str
     lasts: Duration = Duration(12 * SECOND)
@@ -79,6 +88,7 @@
     boxes: int = 4
     rate: float = 40.0  # clients' requests a second, all together
     sites: dict[str, list[str]] = {}
+    roll: Rolled | None = None
     chance: int = 0  # faults drawn by seed on top
     faults: tuple[Fault, ...] = msgspec.field(name="fault", default=())
 
@@ -87,6 +97,8 @@
     """The first thing that can't be, in one line; empty: nothing."""
     if not (1 <= s.nodes <= 7 and 1 <= s.balancers <= 32 and 1 <= s.boxes <= 64):
         return "nodes must be 1 to 7, balancers 1 to 32, boxes 1 to 64"
+    if s.roll is not None and not 1 <= s.roll.boxes <= s.boxes:
+        return "roll.boxes must be 1 to boxes"
     for number, f in enumerate(s.faults, 1):
         where = f"fault {number} ({f.do})"
         if (f.when is None) is (f.at == 0):
@@ -156,7 +168,8 @@
 
 def _draw(s: Scenario, rng: random.Random) -> Fault:
     processes = [f"node-{i}" for i in range(s.nodes)] + [f"balancer-{i}" for i in range(s.balancers)]
-    who = rng.choice([*processes, "@list", "@list", "@list", "@leader"])
+    owner = "@roll" if s.roll is not None else "@list"
+    who = rng.choice([*processes, owner, owner, owner, "@leader"])
     lasts = Duration(int(rng.uniform(0.2, 2.5) * s.lease))
     at = Duration(int(rng.uniform(0.15, 0.8) * s.lasts))
     when = None
--- a/lanelift/lab/rig/standins.py
+++ b/lanelift/lab/rig/standins.py
@@ -47,7 +47,9 @@
         self.server: asyncio.Server | None = None
         self.port = 0
         self.started_ms = 0
+        self.restarts = 0
         self.inside = 0
+        self.closed = False  # it was said to be quiet, and is not restarted yet
         self.late: list[str] = []
         self.served = 0
         self.last_s = 0.0
@@ -70,6 +72,8 @@
             self.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
             return
         known.ran.append(self.box.name)
+        if self.box.closed:
+            self.box.late.append(name)
         self.box.inside += 1
         self.box.last_s = time.monotonic()
         asyncio.get_running_loop().call_later(WORK_S, self._done, name)
--- a/lanelift/lab/rig/world.py
+++ b/lanelift/lab/rig/world.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from fnmatch import fnmatchcase
 from pathlib import Path
 
-from lanelift.lab.balancer import free_port
 from lanelift.lab.rig.processes import Process
 from lanelift.lab.rig.relay import Relay
 from lanelift.lab.rig.scenario import Scenario
@@ -39,6 +39,7 @@
         self.relays: dict[str, Relay] = {}
         self.processes: dict[str, Process] = {}
         self.ports: dict[str, int] = {}
+        self.held: list[socket.socket] = []
         self.numbers: dict[str, int] = {}  # of nodes, in the store
         self.sites = {site: tuple(members) for site, members in scenario.sites.items()}
         self.doors = {f"balancer-{i}": self._door(f"balancer-{i}") for i in range(scenario.balancers)}
@@ -93,13 +94,24 @@
             await box.listen()
         nodes = [f"node-{i}" for i in range(self.s.nodes)]
         for name in nodes:
-            self.ports[name] = free_port()
+            self.ports[name] = self._kept_port()
         try:
             await self._store(nodes)
         except StoreError as error:
             raise Unusable(f"the store did not start: {error}") from None
         await asyncio.gather(*(self._balancer(f"balancer-{i}", nodes) for i in range(self.s.balancers)))
 
+    def _kept_port(self) -> int:
+        """Of loopback, drawn by the kernel. It stays bound here, without a listener, so that nobody else is
+        given it while its process is down; the program's own listeners share it."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        held.bind(("127.0.0.1", 0))
+        self.held.append(held)
+        port: int = held.getsockname()[1]
+        return port
+
     def _port(self, name: str) -> Callable[[], tuple[str, int]]:
         return lambda: ("127.0.0.1", self.ports[name])
 
@@ -153,7 +165,7 @@
                       name=name, deadline_s=5.0)
 
     async def _balancer(self, name: str, nodes: list[str]) -> None:
-        self.ports[name] = free_port()
+        self.ports[name] = self._kept_port()
         self._relay("clients", name, self._port(name), lambda: (HttpTap(), Tap()))
         port = await self.discovery.listen(name)
         discovery = self._relay(name, "discovery", lambda: ("127.0.0.1", port), lambda: (HttpTap(), Tap()))
@@ -218,3 +230,5 @@
                     box.server.close()
             for server in self.discovery.servers:
                 server.close()
+            for held in self.held:
+                held.close()
--- /dev/null
+++ b/tests/test_roll.py
@@ -0,0 +1,227 @@
+"""The roll's decisions, over owners that die anywhere and whatever is seen; and who asks discovery."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from lanelift.daemon.follow import CALLS_S, OLD_NS, Follower
+from lanelift.daemon.rolling import (
+    PATIENCE_S,
+    Box,
+    Listed,
+    Phase,
+    Report,
+    Roll,
+    Seen,
+    State,
+    View,
+    decide,
+    held_up,
+    wrong,
+)
+from lanelift.leases.fence import Word
+
+SECOND = 1_000_000_000
+
+
+def roll(count: int, at_once: int = 1, **more: object) -> Roll:
+    boxes = tuple(Box(f"box-{i}", i) for i in range(count))
+    return msgspec.structs.replace(Roll("r", boxes, at_once, warm_s=2.0, least=0.5), **more)
+
+
+def view(r: Roll, disabled: frozenset[str] = frozenset(), version: int = 1, **more: object) -> View:
+    boxes = {i: Listed("a" if i % 2 else "b", 100.0, True) for i in range(8)}
+    seen = {"one": Seen(Report(version, (), 50.0, 49.0, 1), 0.5, True)}
+    return replace(View(1_000_000, disabled, version, seen, boxes, 1.0), **more)  # type: ignore[arg-type]
+
+
+class Fleet:
+    """Balancers, boxes, operators and the store's two rows, in virtual time, with owners that die."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.roll = roll(self.rng.randint(1, 6), self.rng.randint(1, 3), per_site=self.rng.randint(0, 2))
+        self.disabled: frozenset[str] = frozenset()
+        self.roll_version = self.version = 1
+        self.now = 1_000.0
+        self.started = {i: 100.0 for i in range(8)}
+        self.down: set[int] = set()
+        self.heard = dict.fromkeys(("one", "two", "three"), 1)  # the set's version that each goes by
+        self.known: dict[str, frozenset[str]] = dict.fromkeys(self.heard, frozenset())
+        self.busy: dict[str, set[str]] = {name: set() for name in self.heard}
+        self.reports = {name: Report(1, (), 50.0, 49.0, 1) for name in self.heard}
+        self.ages = dict.fromkeys(self.heard, 0.0)
+        self.restarts = {b.name: 0 for b in self.roll.boxes}
+        self.was = {b.name: Phase.WAITING for b in self.roll.boxes}
+
+    def view(self) -> View:
+        seen = {n: Seen(self.reports[n], self.ages[n], True) for n in self.heard}
+        boxes = {i: Listed("ab"[i % 2], s, True) for i, s in self.started.items() if i not in self.down}
+        return View(int(self.now * 1000), self.disabled, self.version, seen, boxes, 1.0)
+
+    def write(self, read: tuple[int, int], new: Roll, disabled: frozenset[str] | None) -> None:
+        """One write, at the versions that were read, or nothing."""
+        if read != (self.roll_version, self.version):
+            return
+        self.roll, self.roll_version = new, self.roll_version + 1
+        if disabled is not None:
+            self.disabled, self.version = disabled, self.version + 1
+        self.judge()
+
+    def judge(self) -> None:
+        out = {b.name for b in self.roll.boxes if b.phase in (Phase.OUT, Phase.QUIET)}
+        assert out == self.disabled, "the set and the document say the same"
+        assert len(out) <= self.roll.at_once
+        for b in self.roll.boxes:
+            order = list(Phase)
+            was, self.was[b.name] = self.was[b.name], b.phase
+            assert order.index(b.phase) - order.index(was) in (0, 1), f"{b.name}: {was} to {b.phase}"
+            if b.phase is Phase.QUIET and was is Phase.OUT:
+                assert not any(b.name in busy for busy in self.busy.values()), f"{b.name} is not quiet"
+            if b.phase is Phase.BACK and was is Phase.QUIET:
+                assert self.restarts[b.name] == 1, f"{b.name} came back before it was restarted"
+
+    def happen(self) -> None:
+        """Balancers hear, send, finish and report; operators restart what is quiet."""
+        rng, self.now = self.rng, self.now + 0.5
+        for name in self.heard:
+            self.ages[name] += 0.5
+            if rng.random() < 0.5:
+                self.heard[name], self.known[name] = self.version, self.disabled
+            if rng.random() < 0.6:
+                self.busy[name] = {b for b in self.busy[name] if rng.random() < 0.5}
+            for b in self.was:
+                if b not in self.known[name] and rng.random() < 0.2:
+                    self.busy[name].add(b)
+            if rng.random() < 0.7:
+                quiet = tuple(sorted(self.busy[name] & self.known[name]))
+                count = self.reports[name].count + 1
+                self.reports[name] = Report(self.heard[name], quiet, 50.0, 49.0, count)
+                self.ages[name] = 0.0
+        for box in self.roll.boxes:
+            if box.phase is Phase.QUIET and not self.restarts[box.name] and rng.random() < 0.3:
+                self.down.add(box.number)
+                self.restarts[box.name] = 1
+            elif box.number in self.down and rng.random() < 0.5:
+                self.down.discard(box.number)
+                self.started[box.number] = self.now
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_whatever_dies_and_when_no_box_is_out_twice_none_forgotten_and_never_too_many(seed: int) -> None:
+    fleet = Fleet(seed)
+    late: list[tuple[tuple[int, int], Roll, frozenset[str] | None]] = []
+    for _ in range(2000):
+        fleet.happen()
+        for owner in range(fleet.rng.choice([1, 1, 1, 2])):  # two believe that they own it, now and then
+            read = fleet.roll_version, fleet.version
+            step = decide(fleet.roll, fleet.view())
+            if step is None:
+                continue
+            chance = fleet.rng.random()
+            if owner or chance < 0.15:
+                late.append((read, step.roll, step.disabled))  # it stops ahead of its write, and wakes late
+            elif chance < 0.9:
+                fleet.write(read, step.roll, step.disabled)
+        if late and fleet.rng.random() < 0.2:
+            fleet.write(*late.pop(0))
+        if fleet.roll.state is State.ENDED:
+            break
+    assert fleet.roll.state is State.ENDED and not fleet.disabled, held_up(fleet.roll, fleet.view())
+    assert all(b.phase is Phase.DONE for b in fleet.roll.boxes)
+
+
+def test_a_silent_balancer_holds_it_up_and_in_time_stops_it() -> None:
+    r = roll(2)
+    silent = view(r, balancers={"one": Seen(Report(1, (), 50.0, 49.0, 1), 0.5, True),
+                                "two": Seen(Report(1, (), 50.0, 49.0, 1), 0.5, False)})
+    assert decide(r, silent) is None and "balancer two is silent" in held_up(r, silent)
+    step = decide(r, silent, PATIENCE_S + 1)
+    assert step is not None and step.roll.state is State.PAUSED and step.disabled is None
+    old = view(r, balancers={"one": Seen(Report(1, (), 50.0, 49.0, 1), 11.0, True)})
+    assert decide(r, old) is None
+    assert decide(r, view(r, list_age_s=11.0)) is None
+
+
+def test_it_stops_by_itself_when_service_falls_and_goes_on_with_what_is_out() -> None:
+    r = roll(3, served=0.98)
+    fallen = view(r, balancers={"one": Seen(Report(1, (), 50.0, 40.0, 1), 0.5, True)})
+    step = decide(r, fallen)
+    assert step is not None and step.roll.state is State.PAUSED and "80.0% of attempts" in step.roll.why
+    box = msgspec.structs.replace(r.boxes[0], phase=Phase.QUIET, since_ms=999_000, before=100.0)
+    paused = msgspec.structs.replace(r, state=State.PAUSED, boxes=(box, *r.boxes[1:]))
+    boxes = {**fallen.boxes, 0: Listed("b", 500.0, True)}
+    step = decide(paused, replace(fallen, disabled=frozenset({"box-0"}), boxes=boxes))
+    assert step is not None and step.disabled == frozenset() and step.roll.boxes[0].phase is Phase.BACK
+
+
+def test_what_is_out_for_any_reason_counts() -> None:
+    r = roll(3, served=0.98)
+    drained = {**view(r).boxes, 7: Listed("a", 100.0, False)}
+    assert decide(r, view(r, boxes=drained)) is None
+    assert decide(r, view(r, disabled=frozenset({"another"}))) is None
+    assert "1 of 8 boxes are out of use" in held_up(r, view(r, boxes=drained))
+    most = msgspec.structs.replace(r, at_once=8, least=0.95)
+    assert decide(most, view(most)) is None and "95% must stay" in held_up(most, view(most))
+
+
+def test_an_abort_puts_back_what_the_roll_took_and_nothing_else() -> None:
+    r = roll(2, state=State.ABORTING)
+    box = msgspec.structs.replace(r.boxes[0], phase=Phase.OUT)
+    r = msgspec.structs.replace(r, boxes=(box, r.boxes[1]))
+    step = decide(r, view(r, disabled=frozenset({"box-0", "by-hand"})))
+    assert step is not None and step.disabled == frozenset({"by-hand"}) and step.roll.state is State.ENDED
+
+
+def test_a_box_that_an_operator_put_back_meanwhile_stops_the_roll() -> None:
+    box = msgspec.structs.replace(roll(1).boxes[0], phase=Phase.OUT, since_ms=999_500)
+    r = roll(1, served=0.98, boxes=(box,))
+    busy = view(r, balancers={"one": Seen(Report(1, ("box-0",), 50.0, 49.0, 1), 0.5, True)})
+    step = decide(r, busy)
+    assert step is not None and step.roll.state is State.PAUSED and "put box-0 back" in step.roll.why
+
+
+@pytest.mark.parametrize(("r", "why"), [(roll(0), "1 to 1000 boxes"), (roll(2, at_once=0), "at least one"),
+                                        (roll(1, boxes=(Box("a", 1), Box("a", 1))), "a stands there twice")])
+def test_a_roll_that_cant_be_is_told_in_one_line(r: Roll, why: str) -> None:
+    assert why in wrong(r)
+
+
+# ---- who asks discovery ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("count", [8, 40, 200])
+def test_where_the_owner_is_silent_all_together_ask_no_more_than_is_allowed(count: int) -> None:
+    followers = [Follower(count, random.Random(i), 0) for i in range(count)]
+    for follower in followers:
+        follower.learn(Word(1, 1), 0)
+        assert follower.listed(Word(1, 1), 0)
+    calls = [0] * 60
+    for ms in range(0, 60_000, 50):
+        for follower in followers:
+            calls[ms // 1000] += follower.asks(ms * SECOND // 1000)
+    assert sum(calls[:OLD_NS // SECOND]) == 0, "nobody asks while the owner's word is fresh"
+    assert max(calls) <= 2.5 * max(CALLS_S, count / 10 if count < 10 else 0) + 3
+    assert sum(calls[30:]) / 30 <= 1.3 * CALLS_S, "in the long run"
+    assert sum(calls[30:]) > 0, "and they do ask"
+    for follower in followers:
+        follower.stands(Word(1, 1), 1, 60 * SECOND)
+    assert not any(f.asks(61 * SECOND) for f in followers)
+
+
+def test_an_older_word_or_one_before_the_majority_was_heard_is_not_gone_by() -> None:
+    follower = Follower(8, random.Random(1), 0)
+    assert not follower.listed(Word(3, 1), 0)
+    follower.learn(Word(5, 2), 0)
+    assert not follower.listed(Word(4, 9), 0) and not follower.listed(Word(5, 1), 0)
+    assert follower.listed(Word(5, 2), 0) and follower.listed(Word(6, 1), 0)
+
+
+def test_a_balancer_that_knows_of_no_box_does_not_wait_long() -> None:
+    follower = Follower(8, random.Random(1), 0)
+    first = next(ms for ms in range(0, 20_000, 10) if follower.asks(ms * 1_000_000))
+    assert first <= 2_100
