Keep homes small while much of the fleet is new, and heed rare answers more

Change: while one upstream in five started within three times the cold time, homes are as small as before the keys (Fleet.arrange); the rarer an upstream is met, the more an answer moves its pace (Crowding.note).

Both tests fail without the change.

--- a/lanelift/cli/rig.py
+++ b/lanelift/cli/rig.py
@@ -7,6 +7,7 @@
 from typing import Annotated, Any
 
 import typer
+import uvloop
 from rich.table import Table
 
 from lanelift.cli.console import out
@@ -104,6 +105,37 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def cost(leases: Annotated[str, typer.Option(help="With commas between.")] = "1,10,100", holders: int = 200,
+         seconds: float = 20.0,
+         ttl: Annotated[float, typer.Option(help="Of a lease, seconds.")] = 10.0) -> None:
+    """Commits, bytes and CPU a minute of so many leases over so many holders."""
+    from lanelift.cli.clusters import folder
+    from lanelift.lab.rig.cost import lease_cost
+    table = Table(title=f"{holders} holders, leases of {ttl:g} s, a minute")
+    for column in ("leases", "owned", "commits", "bytes written", "CPU s of 3 nodes", "CPU ms of a holder"):
+        table.add_column(column, justify="right")
+    for count in leases.split(","):
+        with folder(None) as where:
+            found = uvloop.run(lease_cost(where, int(count), holders, seconds, ttl))
+        table.add_row(count, str(found["owned"]), f"{found['commits']:,}", f"{found['bytes']:,}",
+                      f"{found['node_cpu_s']}", f"{found['holder_cpu_ms']}")
+    out.print(table)
+
+
+@app.command()
+def gaps(times: int = 5, lease: Annotated[float, typer.Option(help="Its time in seconds.")] = 2.0) -> None:
+    """How long a work is without an owner, by how the owner went."""
+    from lanelift.lab.rig.cost import without_owner
+    found = without_owner(times, lease, lambda line: out.print(f"[dim]{line}[/dim]"))
+    table = Table(title=f"seconds without an owner, lease of {lease:g} s, {times} times")
+    for column in ("how it went", "median", "99%", "most"):
+        table.add_column(column)
+    for how, row in found.items():
+        table.add_row(how, *(f"{value:g}" for value in row))
+    out.print(table)
+
+
 def _read(path: Path) -> dict[str, Any]:
     """Raises Unusable."""
     found = results.read(path)
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -24,7 +24,9 @@
 # An upstream that lately met a key may do less work for it, and remembers few. So each key has some
 # upstreams of a home that are drawn for it and seem so much lighter. A home is such a part of the fleet at
 # least, or what all proxies send of one key falls on too many. So many keys are kept together with their
-# upstreams.
+# upstreams. While one upstream in so many is new, that is, started within so many times what it is cold, most
+# keys are met by nobody, and large homes only make each known the later: then homes are small.
+NEW = 5, 3
 KEYED, KEYED_SEEMS, KEY_PART, KEYS = 2, 0.6, 4, 4096
 SPREAD = 0xD1342543DE82EF95  # odd: it carries a difference of any bit to the top
 HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
@@ -63,6 +65,9 @@
 # each upstream a few times a second: an error, of which a healthy one gives three in a thousand, counts for
 # more than the answers after it, or the trouble is over before it is believed. Unmet, a belief halves in 7 s.
 FAULTY, ERROR_FELT, ERROR_FADE = (0.9, 0.5, 0.1), (0.3, 0.1), 0.95
+# Of an upstream that is met each second or so an answer moves the belief by the first part; the rarer it is
+# met, the more, to the second: in a large home one that turned slow must not take ten answers to be found.
+PACE_FELT, PACE_FELT_NS = (0.2, 0.5), 4 * SECOND
 ACROSS = 1.4  # an upstream in another zone seems so much heavier, where crossing has a price
 BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
 LATE_LOOK_NS = SECOND // 50  # between two looks whether others wait for the place of a late attempt
@@ -322,6 +327,7 @@
     unseen: int = 0  # sent to it since: its answer may not count them
     errors: float = 0.0  # the part of its answers that were errors lately
     breaks: int = 0  # of connections to it, in a row
+    met_ns: int = 0  # its last good answer
     banned: bool = False  # operators took it out
     back_ns: int = 0  # they put it back then
     spot: tuple[int, int] = (0, 0)  # on the ring that all proxies compute alike
@@ -371,7 +377,7 @@
         n, me = len(ready), self.fleet.settings.me
         first = me * n // proxies
         stretch = (me + 1) * n // proxies - first
-        least = max(HOME[0], min(HOME[1], SHARED * n // proxies), min(SCAN, n // KEY_PART))
+        least = max(HOME[0], min(HOME[1], SHARED * n // proxies), self.fleet.keyed * min(SCAN, n // KEY_PART))
         self.home = n if self.fleet.looks else min(n, max(least, stretch))
         ring = ready[first:] + ready[:first]
         # First the ring as it stands, for half of the home, or some upstream is in nobody's; then its own
@@ -489,6 +495,7 @@
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
         self.breaks = 0.0  # the part of all attempts whose connections broke lately
+        self.keyed = True  # homes are large, for the keys that upstreams remember
         self.sharers = 1.0  # proxies that have an upstream in their home
         self.banned: set[int] = set()  # by operators, listed or not
         self.back: dict[int, int] = {}  # put back by them, and when
@@ -523,7 +530,7 @@
                 self.leave(s, now + int(self.rng.random() * self.cold_gap_ns(s, now)))
             self.place(s)
             self.forget(s)
-        self.arrange()
+        self.arrange(now)
 
     def met(self, entry: api.Upstream) -> Server:
         """An upstream that was not known."""
@@ -581,11 +588,13 @@
         if s is not None:
             s.banned = e.on
             self.place(s)
-        self.arrange()
+        self.arrange(now)
 
-    def arrange(self) -> None:
+    def arrange(self, now: int) -> None:
         """Which upstreams each pool draws from."""
         ready, proxies = self.ready, max(1, self.settings.replicas_of_me)
+        lately = now - NEW[1] * self.settings.rules.cold_ns
+        self.keyed = NEW[0] * sum(s.started_ns > lately for s in ready if s.started_ns) <= len(ready)
         for pool in self.pools.values():
             for s in pool.order[:pool.home]:
                 s.own = False
@@ -699,7 +708,10 @@
         self.crowd(a, took)
         ratio = took / max(1.0, self.expected(r))
         self.spread += 0.05 * (min(3.0, abs(ratio / server.pace - 1)) - self.spread)
-        server.pace += 0.2 * (min(10.0, max(0.1, ratio)) - server.pace)
+        now = a.sent_ns + took
+        felt = min(PACE_FELT[1], max(PACE_FELT[0], (now - server.met_ns) / PACE_FELT_NS))
+        server.met_ns = now
+        server.pace += felt * (min(10.0, max(0.1, ratio)) - server.pace)
 
     def crowd(self, a: Attempt, took: int) -> None:
         if a.opens:
--- a/lanelift/leases/holder.py
+++ b/lanelift/leases/holder.py
@@ -16,6 +16,7 @@
 MS = 1_000_000
 DRIFT = 0.1  # a clock that runs slow by less than this leaves no gap; beyond it only the token protects
 RENEW_PART = 1 / 3  # of the time, between two renewals
+WAIT_PART = 1.0  # of it, between two words of a candidate, which is gone after twice its time
 AGAIN_PART = 1 / 12  # of the time, before what failed is asked again; it doubles up to a renewal's distance
 BEGIN_NS = 200 * MS  # first claims of a lease that is free are spread over this, by the share of the time
 
@@ -148,7 +149,7 @@
             self.token(now)  # an answer may come when all is over
         elif place:
             self.phase, self._token, self.place = Phase.WAITING, 0, place
-            self.due_ns = now + self._spread(RENEW_PART)
+            self.due_ns = now + self._spread(WAIT_PART)
         else:
             # No room, or the claim was given back: word from the watch brings it on again.
             self.phase, self._token, self.place = Phase.OUT, 0, 0
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -126,6 +126,7 @@
         self.sessions = int(db.execute("SELECT count(*) FROM sessions").fetchone()[0])
         self.format = int(self._meta("format"))
         self.tokens = int(self._meta("tokens")) if self.format >= 2 else 0
+        self.touched: set[str] = set()  # keys that changed since last taken
         self.claimed: list[Running] = []  # what was claimed, renewed or ended since last taken
 
     def _meta(self, name: str) -> Any:
@@ -267,6 +268,7 @@
             self.db.execute("INSERT INTO history VALUES (?, ?, ?, ?, ?, ?, ?)",
                             (op.key, version, op.value, index, command.time_ms, command.author, command.note))
             self.db.execute("DELETE FROM history WHERE key = ? AND version <= ?", (op.key, version - HISTORY))
+        self.touched.add(op.key)
         self.db.execute("INSERT INTO events VALUES (?, ?, ?, ?, ?)",
                         (index, place, op.key, version, op.value))
         self.kept_events += 1
@@ -365,6 +367,11 @@
         taken, self.claimed = self.claimed, []
         return taken
 
+    def take_touched(self) -> set[str]:
+        """With those of a run of entries that was not made after all, it may be."""
+        taken, self.touched = self.touched, set()
+        return taken
+
     def _forget_events(self) -> None:
         """Whole revisions, oldest first, until what is left is within bounds."""
         while self.kept_events > EVENTS or self.kept_bytes > EVENTS_BYTES:
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -15,7 +15,7 @@
 import ssl
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -110,7 +110,7 @@
         self.timer_ns = 0
         self.flushed_s = time.monotonic()
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.watchers: dict[object, Callable[[], None]] = {}
+        self.watchers: dict[object, tuple[str, Callable[[], None]]] = {}  # by prefix
         self.failed: asyncio.Future[str] = self.loop.create_future()  # why the node can't go on
         self.figures = Figures()
         self.steward = Steward()
@@ -414,12 +414,16 @@
                     waiting.future.set_exception(Unknown("another entry took its place"))
         self.core.applied_to(entries[-1].index)
         self.steward.applied(self.replica.state.take_claimed(), time.monotonic_ns())
-        self.poke()
+        self.poke(self.replica.state.take_touched())
 
-    def poke(self) -> None:
-        """Something was applied: watchers look."""
-        for look in list(self.watchers.values()):
-            look()
+    def poke(self, keys: Collection[str] | None = None) -> None:
+        """These keys changed, or nobody knows which: whoever watches one of them looks. A renewal of a lease
+        changes none."""
+        if keys is not None and not keys:
+            return
+        for prefix, look in list(self.watchers.values()):
+            if keys is None or any(key.startswith(prefix) for key in keys):
+                look()
 
     async def _export(self) -> None:
         try:
--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -408,7 +408,7 @@
         self.paused = self.stopped = False
         self.looking: asyncio.Task[None] | None = None
         self.again = False
-        connection.node.watchers[self] = self.poke
+        connection.node.watchers[self] = self.prefix, self.poke
         self.timer = connection.node.loop.call_later(PROGRESS_S, self._progress)
         self.poke()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -222,3 +222,35 @@
     for n in range(3 * KEYS):
         pool.keyed(f"{n}" * 100)
     assert len(pool.by_key) <= KEYS and all(isinstance(kept, int) for kept in pool.by_key)
+
+
+def test_homes_are_small_while_much_of_the_fleet_is_new_and_large_again_after_it() -> None:
+    """A replaced fleet has met no key, and each of many upstreams is known the later the more there are."""
+    proxy = Proxy([api.Upstream(n) for n in range(1, 121)], lambda upstream, now: (api.Result.OK, 80 * MS),
+                  proxies=180)
+    proxy.play(2 * SECOND)
+    large = proxy.balancer.fleet.main.home
+    fresh = [api.Upstream(n, started_ns=2 * SECOND) for n in range(200, 240)]
+    proxy.post(2 * SECOND, api.ListUpdate(api.ListKind.DELTA, fresh))
+    proxy.play(3 * SECOND)
+    small = proxy.balancer.fleet.main.home
+    proxy.post(40 * SECOND, api.ListUpdate(api.ListKind.DELTA, []))
+    proxy.play(41 * SECOND)
+    assert (large, small, proxy.balancer.fleet.main.home) == (30, 5, 40)
+
+
+def test_the_rarer_an_upstream_is_met_the_more_an_answer_tells_of_its_pace() -> None:
+    """In a home of thirty each is met once in seconds: one that turned slow must not take ten answers."""
+    def after(pause: int) -> float:
+        slow = [False]
+        proxy = Proxy([api.Upstream(1)], lambda upstream, now: (api.Result.OK, (250 if slow[0] else 50) * MS))
+        proxy.load(10, 5)
+        slow[0] = True
+        at = proxy.now + pause
+        proxy.post(at, api.Arrival("last", "look", "t0", at + 900 * MS))
+        proxy.key_of["last"] = ""
+        proxy.play(at + SECOND)
+        return proxy.balancer.fleet.servers[1].pace
+
+    often, seldom = after(0), after(4 * SECOND)
+    assert often < 2.2 and seldom > 2.4, (often, seldom)
