Keep a lease's shell beside the store's client, where lab and daemon may both use it

The owner needs the leases and the store's client only, so it moves to store/owner. A list that operators wrote down is never too old for a roll.

--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -22,7 +22,6 @@
 from lanelift import interface as api
 from lanelift.__main__ import Parts
 from lanelift.daemon.listing import FleetList
-from lanelift.daemon.owner import NotOwner, Owner
 from lanelift.daemon.roller import Reporter, Roller
 from lanelift.daemon.saved import (
     SavedEndpoint,
@@ -39,6 +38,7 @@
 from lanelift.store.client import Client, Compacted, Conflict, StoreError
 from lanelift.store.commands import Op
 from lanelift.store.documents import PREFIX
+from lanelift.store.owner import NotOwner, Owner
 
 log = logging.getLogger(__name__)
 
--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -19,7 +19,6 @@
 
 from lanelift import interface as api
 from lanelift.daemon.follow import Follower
-from lanelift.daemon.owner import NotOwner, Owner, clock_ns
 from lanelift.daemon.saved import SavedList, decoded, load_list, save_list
 from lanelift.leases.fence import Word
 from lanelift.leases.table import written
@@ -28,6 +27,7 @@
 from lanelift.net.upstream import Endpoint
 from lanelift.store.client import Client, StoreError
 from lanelift.store.commands import Op
+from lanelift.store.owner import NotOwner, Owner, clock_ns
 from lanelift.store.wire.protocol import Row
 
 log = logging.getLogger(__name__)
--- a/lanelift/daemon/roller.py
+++ b/lanelift/daemon/roller.py
@@ -14,7 +14,6 @@
 
 import msgspec
 
-from lanelift.daemon.owner import NotOwner, Owner
 from lanelift.daemon.rolling import (
     Listed,
     Report,
@@ -33,6 +32,7 @@
 from lanelift.net.upstream import number_of
 from lanelift.store.client import Client, Conflict, StoreError
 from lanelift.store.commands import LEASES, Op
+from lanelift.store.owner import NotOwner, Owner
 from lanelift.store.wire.protocol import Row
 
 log = logging.getLogger(__name__)
@@ -93,8 +93,10 @@
         seen[name] = Seen(Report(0, (), 0.0, 0.0, 0), ages.age_s(keys.reports + name, 0), True)
     saved = decoded(list_row, SavedList)
     boxes = {s.id: Listed(s.zone, s.started, not s.draining) for s in saved.servers} if saved else {}
-    # A list is as old as the last word that it stands; one without an owner's word never is.
+    # A list is as old as the last word that it stands; one that operators wrote down stands by itself.
+    fixed = saved is not None and not saved.source
     list_age = ages.age_s(keys.standing, standing.version + list_row.version) if saved else 1e9
+    list_age = 0.0 if fixed else list_age
     names_out = frozenset(msgspec.json.decode(disabled_row.value, type=list[str])
                           if disabled_row.value is not None else [])
     ages.keep({keys.standing, *(keys.reports + n for n in seen), *(r.key for r in reports.rows)})
--- a/lanelift/lab/rig/cost.py
+++ b/lanelift/lab/rig/cost.py
@@ -10,7 +10,6 @@
 from contextlib import suppress
 from pathlib import Path
 
-from lanelift.daemon.owner import Owner
 from lanelift.lab.cluster.bench import cpu_s, written
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.lab.results import spread
@@ -18,6 +17,7 @@
 from lanelift.lab.rig.scenario import SECOND, Fault, Moment, Scenario
 from lanelift.settings import Json
 from lanelift.store.client import Client, StoreError
+from lanelift.store.owner import Owner
 from lanelift.units import Duration
 
 SETTLE_S = 3.0
--- a/lanelift/lab/rig/processes.py
+++ b/lanelift/lab/rig/processes.py
@@ -51,7 +51,7 @@
     async def start(self, wait: bool = True) -> None:
         """Raises Unusable where it is not ready in time."""
         self.starts += 1
-        self.meant_down = self.stopped = False
+        self.stopped = False
         self.is_ready.clear()
         env = {**os.environ, "PYTHONFAULTHANDLER": "1", "LANELIFT_LAB_RATE": str(self.rate),
                "LANELIFT_LAB_SYNC_MS": str(self.sync_ms)}
@@ -59,6 +59,7 @@
             sys.executable, "-m", "lanelift.lab.rig.launcher", *self.words, stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT, env=env,
             start_new_session=True, preexec_fn=die_with_parent)
+        self.meant_down = False  # only now: until here the end of the one before it is meant
         reader = asyncio.get_running_loop().create_task(self._read(self.child))
         self.readers.append(reader)
         if wait:
