Give the keeper's test driver the settings that reports need

Cause: daemon/roller reads how many balancers there are from the driver's settings, which the fake driver of tests/test_store_daemon.py had not; seen in a full run of ./test, three failures. Change: it has them.

--- a/tests/test_store_daemon.py
+++ b/tests/test_store_daemon.py
@@ -117,6 +117,7 @@
 
     def __init__(self) -> None:
         self.told = asyncio.Event()
+        self.settings = api.Settings()
         self.discovery = None
         self.upstreams = SimpleNamespace(targets={})
         self.lists: list[tuple[api.ListKind, list[Endpoint]]] = []
