Keep a plain write byte for byte what an older program of the store reads

Not the checks: every Write had grown by the empty list of its tokens, so other entries shared a message. The same byte is worse among real nodes: a program of format 1 refuses a write with one field more, so a new leader's plain writes would have been refused by old followers and made by new ones. tests/test_upstreams.py: Discovery took the driver's method at its making, which the test replaces later.

Change: FencedWrite is a command of its own; Write is as it was. Discovery tells through a method of its own.

--- a/lanelift/lab/cluster/owners.py
+++ b/lanelift/lab/cluster/owners.py
@@ -30,13 +30,13 @@
     LEASES,
     Claim,
     Code,
+    FencedWrite,
     Lapse,
     Op,
     OpenSession,
     Release,
     Result,
     Upgrade,
-    Write,
 )
 from lanelift.store.raft.messages import Kind
 
@@ -267,9 +267,9 @@
             self.fleet.books.touched(word.token, self.cluster.now)
         self.cluster.at(self.rng.randint(MS // 2, 3 * MS), lambda: self.fleet.books.box.order(word))
         self.writes += 1
-        write = Write(self.session, self.writes, max(0, self.writes - 20),
-                      (Op(KEY, f"{word.token}.{self.number}.{word.number}".encode()),),
-                      fences=((LEASE, word.token),))
+        write = FencedWrite(self.session, self.writes, max(0, self.writes - 20),
+                            (Op(KEY, f"{word.token}.{self.number}.{word.number}".encode()),),
+                            fences=((LEASE, word.token),))
         self.ask(write, lambda result: None)
 
     # ---- what happens to it ------------------------------------------------------------------------------
@@ -417,7 +417,7 @@
             owner = command.claim
         if isinstance(command, Release | Lapse) and command.claim == owner and not result.text:
             owner = 0
-        if isinstance(command, Write) and command.fences:
+        if isinstance(command, FencedWrite):
             if result.code == Code.FENCED:
                 refused += 1
             elif result.code == Code.DONE and result.versions != ():
--- a/lanelift/lab/rig/taps.py
+++ b/lanelift/lab/rig/taps.py
@@ -7,7 +7,16 @@
 from collections.abc import Iterator
 
 from lanelift.store import commands
-from lanelift.store.commands import Claim, CloseSession, Lapse, OpenSession, Release, Upgrade, Write
+from lanelift.store.commands import (
+    Claim,
+    CloseSession,
+    FencedWrite,
+    Lapse,
+    OpenSession,
+    Release,
+    Upgrade,
+    Write,
+)
 from lanelift.store.raft.messages import unpack_message
 from lanelift.store.wire import protocol
 from lanelift.store.wire.frames import HEAD
@@ -15,8 +24,8 @@
 
 MOST = 16 << 20
 HTTP = re.compile(rb"(?:GET|POST|HEAD|PUT) [^ ]+ HTTP/1\.1\r\n")
-WORDS = {Write: "write", OpenSession: "session", CloseSession: "session", Claim: "claim",
-         Release: "release", Lapse: "lapse", Upgrade: "upgrade"}
+WORDS = {Write: "write", FencedWrite: "write", OpenSession: "session", CloseSession: "session",
+         Claim: "claim", Release: "release", Lapse: "lapse", Upgrade: "upgrade"}
 
 
 class Tap:
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -80,7 +80,8 @@
 
 class Discovery:
     def __init__(self, driver: Driver, address: tuple[str, int], seed: int) -> None:
-        self.tell = driver.learn  # who is told what comes
+        self.driver = driver
+        self.tell = self._tell  # who is told what comes
         self.address = address
         self.rng = random.Random(seed)
         self.push = driver.settings.discovery_push
@@ -103,6 +104,9 @@
         if self.push:
             self.subscribe(True)
 
+    def _tell(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
+        self.driver.learn(kind, endpoints)
+
     def subscribe(self, on: bool) -> None:
         if self.watching is not None:
             self.watching.cancel()
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -29,6 +29,7 @@
     Claim,
     CloseSession,
     Code,
+    FencedWrite,
     Op,
     OpenSession,
     Release,
@@ -279,8 +280,9 @@
             await self._open_session(until)
             self.number += 1
             number, session = self.number, self.session
-            command = Write(session, number, self.done, tuple(ops), tuple(checks), author, note,
-                            int(time.time() * 1000), tuple(fences))
+            what = (session, number, self.done, tuple(ops), tuple(checks), author, note,
+                    int(time.time() * 1000))
+            command = FencedWrite(*what, tuple(fences)) if fences else Write(*what)
             packed = commands.pack(command)
             result = self._result(await self._call(lambda i, ms: Put(i, ms, packed), 0.0, True, until))
             if session == self.session:
--- a/lanelift/store/commands.py
+++ b/lanelift/store/commands.py
@@ -46,7 +46,13 @@
     author: str = ""
     note: str = ""
     time_ms: int = 0  # the proposer's clock: shown, never decided by
-    fences: tuple[tuple[str, int], ...] = ()  # leases and the tokens under which this is written; format 2
+
+
+class FencedWrite(Write, frozen=True, tag=8):
+    """A write under leases, with their tokens; format 2. A kind of its own: a plain write stays, byte for
+    byte, what a program of format 1 reads."""
+
+    fences: tuple[tuple[str, int], ...] = ()
 
 
 class OpenSession(Command, frozen=True, tag=2):
@@ -97,7 +103,7 @@
     time_ms: int = 0
 
 
-AnyCommand = Write | OpenSession | CloseSession | Upgrade | Claim | Release | Lapse
+AnyCommand = Write | FencedWrite | OpenSession | CloseSession | Upgrade | Claim | Release | Lapse
 LEASES = "lease/"  # a lease stands under this key; writes to it are refused from format 2 on
 
 
@@ -137,9 +143,14 @@
 
 def format_of(command: AnyCommand) -> int:
     """The least format of the state that takes it."""
-    if isinstance(command, Write):
-        return 2 if command.fences else 1
-    return 1 if isinstance(command, OpenSession | CloseSession) else 2
+    if isinstance(command, FencedWrite):
+        return 2
+    return 1 if isinstance(command, Write | OpenSession | CloseSession) else 2
+
+
+def fences_of(command: Write) -> tuple[tuple[str, int], ...]:
+    """The leases and tokens that it is written under."""
+    return command.fences if isinstance(command, FencedWrite) else ()
 
 
 def client_may(command: AnyCommand) -> bool:
@@ -158,7 +169,7 @@
             return f"{key[:60]!r} is no key"
     if len(set(keys)) < len(keys):
         return "a key stands there twice"
-    if len(command.fences) > MOST_FENCES:
+    if len(fences_of(command)) > MOST_FENCES:
         return f"a write bears {MOST_FENCES} tokens at most"
     if any(op.value is not None and len(op.value) > MOST_VALUE for op in command.ops):
         return f"a value has {MOST_VALUE} bytes at most"
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -231,11 +231,12 @@
         why = commands.wrong(command)
         if not why and self.format >= 2 and any(op.key.startswith(LEASES) for op in command.ops):
             why = f"what stands under {LEASES} is changed by claims alone"
-        if not why and command.fences and self.format < 2:
+        fences = commands.fences_of(command)
+        if not why and fences and self.format < 2:
             why = NOT_YET
         if why:
             return Result(Code.REFUSED, index, (), why)
-        for name, token in command.fences:
+        for name, token in fences:
             lease = self._found(name)
             if not lease.guards(token):
                 if lease.token:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -16,7 +16,18 @@
 from lanelift.leases.holder import DRIFT, Holder, Phase
 from lanelift.leases.table import Claimant, Lease
 from lanelift.store import commands
-from lanelift.store.commands import Claim, Code, Lapse, Op, OpenSession, Release, Result, Upgrade, Write
+from lanelift.store.commands import (
+    Claim,
+    Code,
+    FencedWrite,
+    Lapse,
+    Op,
+    OpenSession,
+    Release,
+    Result,
+    Upgrade,
+    Write,
+)
 from lanelift.store.durable import state as states
 from lanelift.store.durable.state import State
 from lanelift.store.raft.messages import Entry, Kind, Members
@@ -44,7 +55,7 @@
         return self.do(Claim("work", holder, number, 1000, rank)).versions
 
     def write(self, key: str, token: int) -> Result:
-        return self.do(Write(7, self.state.applied, 0, (Op(key, b"v"),), fences=(("work", token),)))
+        return self.do(FencedWrite(7, self.state.applied, 0, (Op(key, b"v"),), fences=(("work", token),)))
 
     def lease(self) -> Lease:
         item = self.state.get("lease/work")
@@ -252,3 +263,11 @@
 @pytest.mark.parametrize("name", sorted(PLANTS))
 def test_a_planted_bug_of_owners_is_caught(name: str) -> None:
     assert played(name, CAUGHT[name]).broken
+
+
+def test_a_plain_write_is_what_a_program_of_format_1_reads() -> None:
+    """Bytes as they were before there were leases: among its nodes may be old ones."""
+    write = Write(5, 1, 0, (Op("k", b"v"),), (), "me", "why", 7)
+    assert commands.pack(write).hex() == "99010501009193a16bc40176ff90a26d65a377687907"
+    assert commands.format_of(write) == 1
+    assert commands.format_of(FencedWrite(5, 1, 0, (Op("k", b"v"),), fences=(("work", 1),))) == 2
