--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -77,6 +77,7 @@
         # Of these, whose request is not whole: who has been silent longest comes first.
         self.unfinished: dict[ClientConnection, float] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = 0.0  # when it is due
         self.opening: set[asyncio.Task[None]] = set()  # kept, or they may be collected
         self.drained = asyncio.Event()  # SIGTERM has come
         self.drained_ns = 0  # and when
@@ -214,10 +215,11 @@
             client.phase = None
 
     def _sweep_at(self, when: float) -> None:
-        if self.timer is None or when < self.timer.when():
+        # Of a call that is due within the same millisecond uvloop's handle does not know when.
+        if self.timer is None or when < self.timer_at:
             if self.timer is not None:
                 self.timer.cancel()
-            self.timer = self.loop.call_at(when, self._sweep)
+            self.timer, self.timer_at = self.loop.call_at(when, self._sweep), when
 
     def _sweep(self) -> None:
         """End what has waited too long, and look again when the next one will have."""
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -360,3 +360,17 @@
             assert (await w.ask("last")).status == 200
 
     run(test())
+
+
+def test_a_sweep_that_is_due_at_once_does_not_break_the_next() -> None:
+    """uvloop gives a handle without a time where the delay rounds to nothing."""
+    async def test() -> None:
+        front = frontend.Frontend.__new__(frontend.Frontend)
+        front.loop, front.timer, front.timer_at = asyncio.get_running_loop(), None, 0.0
+        now = front.loop.time()
+        front._sweep_at(now)
+        front._sweep_at(now - 1.0)
+        assert front.timer is not None
+        front.timer.cancel()
+
+    run(test())
