Name the list's lease in the rig's tests by the store's own prefix

Need: the test wrote the prefix of leases again, which also reads like a path. Change: commands.LEASES.

--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -23,12 +23,14 @@
 from lanelift.leases import table
 from lanelift.leases.table import Lease
 from lanelift.store import commands
-from lanelift.store.commands import Claim
+from lanelift.store.commands import LEASES, Claim
 from lanelift.store.wire import protocol
 from lanelift.store.wire.frames import Sender
 from lanelift.store.wire.protocol import Change, Hello, Put
 from tests.fakes import run
 
+LEASE = f"{LEASES}work/list/orders"  # of the list
+
 
 def played(name: str) -> Result:
     result = play(read(scenarios.builtin(name)), 1)
@@ -188,9 +190,9 @@
             books.note(Change(1, key, seen[key], value))
         return books.wrong
 
-    owner, other = ("lease/work/list/orders", lease(1, "a", 5)), ("lease/work/list/orders", lease(2, "b", 6))
+    owner, other = (LEASE, lease(1, "a", 5)), (LEASE, lease(2, "b", 6))
     key = "list/orders"
     assert told(owner, (key, word(1, 1, 4)), (key, word(1, 2, 5)), other, (key, word(2, 1, 5))) == []
     assert "is held under 2" in told(owner, other, (key, word(1, 1, 4)))[0]
     assert "put over 5" in told(owner, (key, word(1, 1, 5)), other, (key, word(2, 1, 4)))[0]
-    assert "stands for" in told(owner, ("lease/work/list/orders", lease(1, "b", 6)))[0]
+    assert "stands for" in told(owner, (LEASE, lease(1, "b", 6)))[0]
