Drop counts and events of the rig and the list that nobody reads

Need: read once more, the change held fields that are only written (calls, starts, served, pending, accepted, learnt) and a method that used nothing of its object. Change: they are gone; Steward.behind is a function.

--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -66,7 +66,6 @@
         self.heard_s = 0.0  # discovery's last word here
         self.floor = -1  # a version that the next list must reach
         self.floor_s = 0.0
-        self.calls = 0
         self.working: asyncio.Task[None] | None = None
         self.holds = discovery.hold_ms, discovery.pace_s
         discovery.tell = self._told
@@ -219,7 +218,6 @@
         while True:
             now = clock_ns()
             if self.follower.asks(now):
-                self.calls += 1
                 self.discovery.fetch()
             if self.follower.alone is not said:
                 said = self.follower.alone
--- a/lanelift/lab/rig/books.py
+++ b/lanelift/lab/rig/books.py
@@ -45,7 +45,6 @@
     granted: dict[int, str] = field(default_factory=dict)  # token: which lease and claim
     newest: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # key: token, number, version
     lists: list[tuple[float, int, int]] = field(default_factory=list)  # when, token, discovery's version
-    learnt: dict[str, tuple[str, int]] = field(default_factory=dict)
     phases: dict[str, str] = field(default_factory=dict)  # boxes of the roll, as its document has them
     roll: dict[str, Any] = field(default_factory=dict)
     out: set[str] = field(default_factory=set)  # the set of disabled names
--- a/lanelift/lab/rig/processes.py
+++ b/lanelift/lab/rig/processes.py
@@ -38,7 +38,6 @@
     readers: list[asyncio.Task[None]] = field(default_factory=list)
     stopped: bool = False
     meant_down: bool = True
-    starts: int = 0
     hung: bool = False  # it was asked to leave and did not
     leave_s: float = 0.0  # that it took to leave when it was asked to, at the end
     ended: str = ""  # how it ended, where nobody meant it to
@@ -50,7 +49,6 @@
 
     async def start(self, wait: bool = True) -> None:
         """Raises Unusable where it is not ready in time."""
-        self.starts += 1
         self.stopped = False
         self.is_ready.clear()
         env = {**os.environ, "PYTHONFAULTHANDLER": "1", "LANELIFT_LAB_RATE": str(self.rate),
--- a/lanelift/lab/rig/relay.py
+++ b/lanelift/lab/rig/relay.py
@@ -178,7 +178,6 @@
         self.pairs: set[Pair] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.stuffing: list[socket.socket] = []
-        self.accepted = 0
         self.port = 0
         self.socket: socket.socket | None = None
         self.closed = False
@@ -212,7 +211,6 @@
                 return
             link.setblocking(False)
             link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.accepted += 1
             task = asyncio.get_running_loop().create_task(self._connect(link))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
--- a/lanelift/lab/rig/run.py
+++ b/lanelift/lab/rig/run.py
@@ -76,8 +76,6 @@
         self.leader = ""
         self.tasks: set[asyncio.Task[None]] = set()
         self.undo: dict[int, Callable[[], None]] = {}
-        self.pending = 0  # faults that are not over
-        self.calm = asyncio.Event()
         self.result = Result(scenario.name, seed, source(quiet(scenario, self.faults))["fault"],
                              scenario=source(scenario))
         self.over = self.running = False
@@ -145,7 +143,6 @@
             # A second loss ahead of the first one's replacement would be that of a majority, for good.
             self.event(f"{fault.do} {fault.on}: not while a node is being replaced")
             return
-        self.pending += 1
         ends: list[Callable[[], None]] = []
         world = self.world
         if fault.do in LINKS:
@@ -173,7 +170,6 @@
             for one in ends:
                 one()
             self.event(f"{fault.do} {names}: over")
-            self.pending -= 1
             self.last_s = self.now
         key = id(end)
         self.undo[key] = end
--- a/lanelift/lab/rig/standins.py
+++ b/lanelift/lab/rig/standins.py
@@ -51,8 +51,6 @@
         self.inside = 0
         self.closed = False  # it was said to be quiet, and is not restarted yet
         self.late: list[str] = []
-        self.served = 0
-        self.last_s = 0.0
 
     async def listen(self) -> None:
         loop = asyncio.get_running_loop()
@@ -75,12 +73,10 @@
         if self.box.closed:
             self.box.late.append(name)
         self.box.inside += 1
-        self.box.last_s = time.monotonic()
         asyncio.get_running_loop().call_later(WORK_S, self._done, name)
 
     def _done(self, name: str) -> None:
         self.box.inside -= 1
-        self.box.served += 1
         body = f"{name} by {self.box.name}".encode()
         self.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -33,7 +33,7 @@
 from lanelift.store.raft.messages import AnyMessage, Entry, Piece
 from lanelift.store.replica import Identity, Replica, read_identity
 from lanelift.store.settings import StoreSettings
-from lanelift.store.steward import Steward
+from lanelift.store.steward import Steward, behind
 from lanelift.store.wire import protocol
 from lanelift.store.wire.protocol import Hello
 
@@ -262,8 +262,8 @@
                 for n in self.core.members.all}
 
     def not_yet(self) -> str:
-        behind = ", ".join(f"{n:x}" for n in self.steward.behind(self.formats(), FORMAT))
-        return f"not all nodes know leases yet: {behind}" if behind else "the state is being upgraded"
+        old = ", ".join(f"{n:x}" for n in behind(self.formats(), FORMAT))
+        return f"not all nodes know leases yet: {old}" if old else "the state is being upgraded"
 
     def _drop_waiting(self, term: int) -> None:
         """Writes and reads of a leadership that is over, up to this term."""
--- a/lanelift/store/steward.py
+++ b/lanelift/store/steward.py
@@ -12,6 +12,11 @@
 AGAIN_NS = 1_000_000_000  # between two proposals of a format
 
 
+def behind(formats: Mapping[int, int], at: int) -> list[int]:
+    """Members that are not known to take what a state of format `at` holds."""
+    return [node for node, known in formats.items() if known < at]
+
+
 class Steward:
     def __init__(self) -> None:
         self.term = 0  # of the leadership that it counts for; 0: none
@@ -32,16 +37,12 @@
             for one in claimed:
                 self.expiry.note(one, now)
 
-    def behind(self, formats: Mapping[int, int], at: int) -> list[int]:
-        """Members that are not known to take what a state of format `at` holds."""
-        return [node for node, known in formats.items() if known < at]
-
     def proposals(self, format_now: int, formats: Mapping[int, int], now: int) -> list[AnyCommand]:
         """`formats`: by member, this one included, the newest that its program knows; 0: not met yet."""
         found: list[AnyCommand] = []
         if self.expiry is None:
             return found
-        if format_now < FORMAT and not self.behind(formats, FORMAT) and now >= self.asked_ns:
+        if format_now < FORMAT and not behind(formats, FORMAT) and now >= self.asked_ns:
             self.asked_ns = now + AGAIN_NS
             found.append(Upgrade(FORMAT))
         found += [Lapse(one.lease, one.claim, one.round) for one in self.expiry.lapsed(now)]
