Do not end a connection at rest over a request that lies unread

At fault: Frontend._close_idle, _sweep and _room end connections at rest by what was read of them. Timers run ahead of the sockets, so where a loop is late (a crowded core, 20 balancers that drain together) a request that came meanwhile lies in the kernel's buffer, and closing over it leaves its client without an answer. Ruled out: an answer on its way (Connection: close goes out first), the listener's queue (it is emptied before it is closed). The sockets are looked at once more before any at rest is ended, and then the kernel is asked when data last came; for 20 ms at most, where a kernel does not tell. Measured: tests/test_frontend.py, three cases: connection reset without the change, answered with it.

--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from enum import Enum
 from http import HTTPStatus
 from typing import cast
@@ -60,6 +60,10 @@
 # nothing for so long though its request is not whole, one that has been idle for the 2 s that clients count
 # on. At last it is whoever has been silent longest, but for the time in which an honest client begins.
 LEFT_S, SILENT_S, KEPT_S, BEGIN_S = 0.1, 0.5, 2.0, 0.05
+# A connection at rest is not ended while something that it sent may lie unread, but no longer than the first:
+# where a kernel does not tell, that is always so. A look at the socket comes in between.
+AT_REST = (Phase.NEW, Phase.IDLE)
+UNREAD_S, LOOK_AGAIN_S, TICK_NS = 0.02, 0.004, 8_000_000
 
 
 class Frontend:
@@ -175,10 +179,10 @@
             client = next(iter(table), None)
             if client is not None:
                 due = table[client] + seconds
-                if due <= now:
+                if due <= now and not client.unheard:
                     client.abort()
                     return
-                heads.append(due)
+                heads.append(max(due, now + LOOK_AGAIN_S))
         self._pause(min(heads) - now if heads else None)
 
     async def _open(self, client: ClientConnection, sock: socket.socket) -> None:
@@ -232,8 +236,31 @@
                     self._sweep_at(since + LIMIT_S[phase])
                     break
                 late.append(client)
-            for client in late:
+            if phase in AT_REST:
+                self._end_at_rest(late, phase)
+            else:
+                for client in late:
+                    client.too_late()
+
+    def _end_at_rest(self, clients: Sequence[ClientConnection], phase: Phase) -> None:
+        """End these, unless a request has come that is not read yet: a timer runs ahead of the sockets, and
+        where the loop is late, as on a crowded core, what came meanwhile lies there unseen. Closed with that,
+        its client would be left without an answer. So the sockets are looked at first, and then the kernel
+        is asked of each."""
+        when = self.loop.time()
+        self.loop.call_soon(self.loop.call_soon, self._end_unread, clients, phase, when)
+
+    def _end_unread(self, clients: Sequence[ClientConnection], phase: Phase, when: float) -> None:
+        again = []
+        for client in clients:
+            if self.waiting[phase].get(client, when + 1.0) > when:
+                continue  # it was heard of since
+            if client.unheard and self.loop.time() < when + UNREAD_S:
+                again.append(client)
+            else:
                 client.too_late()
+        if again:
+            self.loop.call_later(LOOK_AGAIN_S, self._end_unread, again, phase, when)
 
     def lost(self, client: ClientConnection) -> None:
         self.clients.discard(client)
@@ -268,9 +295,8 @@
 
     def _close_idle(self) -> None:
         """A new connection is left its time all the same: its client has no reason yet to send elsewhere."""
-        for client in list(self.waiting[Phase.IDLE]):
-            if not client.has_data:
-                client.abort()
+        idle = [client for client in self.waiting[Phase.IDLE] if not client.has_data]
+        self._end_at_rest(idle, Phase.IDLE)
         self.check_left()
 
     def close(self) -> None:
@@ -304,6 +330,7 @@
         self.last = False  # the connection ends behind it
         self.wait_ns = 0  # how long its client waits once the body is whole
         self.asked_ns = 0  # when what is being parsed came
+        self.made_ns = 0  # when the connection was taken
         self.phase: Phase | None = None  # the table of the frontend that it stands in
         self.lingering = False  # its last answer is given: what it sends is not read any more
         self.blocked = False  # it does not read its answers
@@ -311,6 +338,14 @@
         self.is_head = False
         self.latest = True  # the client speaks HTTP/1.1
 
+    @property
+    def unheard(self) -> bool:
+        """Did something come since it was last read from? The kernel's count is in ticks."""
+        if self.lingering or self.transport is None or self.transport.is_closing():
+            return False
+        _, ago_ns = received(self.transport.get_extra_info("socket"))
+        return time.monotonic_ns() - ago_ns > max(self.asked_ns, self.made_ns) + TICK_NS
+
     @property
     def has_data(self) -> bool:
         """Part of a request has come."""
@@ -318,6 +353,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.made_ns = time.monotonic_ns()
         self.frontend.wait(self, Phase.NEW)
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -11,10 +11,12 @@
 
 import pytest
 
+from lanelift import __main__ as program
 from lanelift import interface as api
 from lanelift.net import frontend, parse
 from lanelift.net.budget import RESERVE
 from lanelift.net.frontend import Phase
+from lanelift.net.kernel import received
 from tests.fakes import (
     CLASSES,
     SECOND,
@@ -374,3 +376,52 @@
         front.timer.cancel()
 
     run(test())
+
+
+@pytest.mark.skipif(sys.platform != "linux", reason="other kernels do not tell")
+@pytest.mark.parametrize("end", ["drained", "swept", "made room"])
+def test_a_connection_at_rest_is_not_closed_over_a_request_that_lies_unread(
+        end: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A timer runs ahead of the sockets: with both due in one turn the request was lost, unanswered."""
+    made: list[frontend.Frontend] = []
+
+    class Kept(frontend.Frontend):
+        def start(self) -> None:
+            made.append(self)
+            super().start()
+
+    monkeypatch.setattr(program, "Frontend", Kept)
+
+    async def test() -> None:
+        async with world() as w:
+            loop = asyncio.get_running_loop()
+            used, silent = socket.socket(), socket.socket()
+            for sock in (used, silent):
+                sock.setblocking(False)
+                await loop.sock_connect(sock, w.address)
+            with used, silent:
+                used.send(raw_request(start="GET /quote HTTP/1.1").replace(b"pay", b"quote"))
+                assert (await loop.sock_recv(used, 4096)).startswith(b"HTTP/1.1 200 ")
+                [front] = made
+                table = front.waiting[Phase.IDLE]
+                [kept] = table
+                assert kept.transport is not None
+                sock = kept.transport.get_extra_info("socket")
+                while received(sock)[1] < 30_000_000:  # the kernel counts in ticks
+                    await asyncio.sleep(0)
+                for client in table:
+                    table[client] -= 60.0
+                used.send(raw_request(start="GET /quote HTTP/1.1").replace(b"pay", b"quote"))
+                if end == "drained":
+                    front._close_idle()
+                elif end == "swept":
+                    front._sweep()
+                else:
+                    front._room()
+                assert (await loop.sock_recv(used, 4096)).startswith(b"HTTP/1.1 200 ")
+                for client in table:
+                    table[client] -= 60.0
+                front._sweep()
+                assert await loop.sock_recv(used, 4096) == b""  # with nothing unread it ends
+
+    run(test())
