--- a/lanelift/cli/clusters.py
+++ b/lanelift/cli/clusters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 import tempfile
 import time
 from collections.abc import Iterator
@@ -133,15 +134,27 @@
 
 
 def store_restart(boxes: int = 1000, fill_mb: Annotated[int, typer.Option(help="Of state.")] = 100,
-                  times: int = 5, keep: Keep = None) -> None:
+                  times: int = 5) -> None:
     """From a start to the first routed request, with a store, without one, and all at once."""
-    from lanelift.lab.cluster.restart import restart
-    with folder(keep) as where:
-        found = uvloop.run(restart(where, boxes, fill_mb, times,
-                                   lambda line: out.print(f"[dim]{line}[/dim]")))
-    for what, ms in found["times"].items():
-        out.print(f"{what}: median {ms['median_ms']:.0f} ms, at most {ms['most_ms']:.0f} ms")
-    out.print(f"{boxes} upstreams, {found['state_mb']:.0f} MB of state, {times} times")
+    from lanelift.lab.rig import scenario as scenarios
+    from lanelift.lab.rig.run import play
+    plan = scenarios.read(scenarios.builtin("restart"))
+    plan = msgspec.structs.replace(plan, listed=max(0, boxes - plan.boxes), fill_mb=fill_mb)
+    why = scenarios.contradiction(plan)
+    if why:
+        raise Unusable(why)
+    found: dict[str, list[float]] = {}
+    for seed in range(1, times + 1):
+        result = play(plan, seed)
+        for line in result.wrong:
+            raise Unusable(f"seed {seed}: {line}")
+        for what, value in result.figures.items():
+            if " to first " in what and "at most" not in what:
+                found.setdefault(what, []).append(value)
+        out.print(f"[dim]{seed} of {times}[/dim]")
+    for what, values in found.items():
+        out.print(f"{what}: median {statistics.median(values):.0f}, at most {max(values):.0f}")
+    out.print(f"{boxes} upstreams, {fill_mb} MB of state, {times} times")
 
 
 def add_to(app: typer.Typer) -> None:
--- a/lanelift/cli/roll.py
+++ b/lanelift/cli/roll.py
@@ -35,6 +35,8 @@
           least: Annotated[float, typer.Option(help="Part of all boxes that stays in use.")] = 0.7,
           warm: Annotated[float, typer.Option(help="Seconds until a box that is back is warm.")] = 30.0,
           wait: Annotated[float, typer.Option(help="Seconds that a restart may take.")] = 900.0,
+          door: Annotated[str, typer.Option(help="Path at which a quiet box is asked to restart; empty:"
+                                                 " operators restart it.")] = "",
           certificate: Cert = None, key: Key = None, authority: Authority = None) -> None:
     """Begin a roll; it goes on whatever becomes of this command."""
     names = [name.strip() for part in pick for name in part.split(",") if name.strip()]
@@ -43,7 +45,7 @@
     with suppress(KeyError, OSError):
         by = getpass.getuser()
     roll = Roll(uuid.uuid4().hex[:8], boxes, at_once, per_site, least, warm, wait, by=by,
-                began_ms=int(time.time() * 1000))
+                began_ms=int(time.time() * 1000), door=door)
     why = wrong(roll)
     if why:
         raise Malformed(why)
--- a/lanelift/daemon/boot.py
+++ b/lanelift/daemon/boot.py
@@ -45,7 +45,7 @@
     folder: str = ""
     lease: Duration = Duration(int(LEASE_S * 1e9))  # work of the fleet passes on after an owner's silence
     rank: int = 0  # the lower, the sooner this one owns it
-    reach: dict[str, str] = {}  # where a node that advertises one address is reached at another
+    reach: dict[str, str] = {}  # where a node or an upstream that is known at one address is dialled instead
     tls: Keys | None = None
 
 
@@ -125,7 +125,7 @@
 
     def companion(self, parts: Parts) -> Keeper:
         return Keeper(self.client(), self.table.service, self.table.balancer, self.table.document, self.cache,
-                      parts, self.table.lease / 1e9, self.table.rank)
+                      parts, self.table.lease / 1e9, self.table.rank, self.table.reach)
 
 
 def read_boot(path: Path) -> Boot | None:
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -13,7 +13,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from pathlib import Path
 
@@ -22,6 +22,7 @@
 from lanelift import interface as api
 from lanelift.__main__ import Parts
 from lanelift.daemon.listing import FleetList
+from lanelift.daemon.reach import Reach
 from lanelift.daemon.roller import Reporter, Roller
 from lanelift.daemon.saved import (
     SavedEndpoint,
@@ -52,11 +53,13 @@
 
 class Keeper:
     def __init__(self, client: Client, service: str, balancer: str, document: str, cache: Path | None,
-                 parts: Parts, lease_s: float = LEASE_S, rank: int = 0) -> None:
+                 parts: Parts, lease_s: float = LEASE_S, rank: int = 0,
+                 reach: Mapping[str, str] | None = None) -> None:
         self.client = client
         self.balancer = balancer
         self.document = document
         self.cache = cache
+        self.reach = Reach(reach or {})
         self.parts = parts
         self.keys = f"disabled/{service}", f"list/{service}", f"learnt/{service}/{balancer}"
         self.asked: list[tuple[str, bool]] = []  # what operators changed here and the store has not yet
@@ -72,10 +75,10 @@
         self.lister = Owner(client, f"work/list/{service}", balancer, lease_s, rank)
         self.reporter = Reporter(parts.driver, parts.disabled, client, self.name, service, balancer)
         self.roller = Owner(client, f"work/roll/{service}", balancer, lease_s, rank)
-        Roller(client, self.roller, service)
+        Roller(client, self.roller, service, self.reach)
         discovery = parts.driver.discovery
         if isinstance(discovery, Discovery):
-            self.list = FleetList(parts.driver, discovery, client, self.lister, service)
+            self.list = FleetList(parts.driver, discovery, client, self.lister, service, self.reach)
             self.lister.began, self.lister.ended = self.list.began, self.list.ended
             discovery.subscribe(False)
             parts.driver.discovery = self.list
@@ -150,7 +153,7 @@
         if saved is not None:
             age = time.time() - saved.at
             if not driver.told.is_set() and not driver.upstreams.targets and age < OLDEST_LIST_S:
-                endpoints = load_list(saved)
+                endpoints = self.reach.from_here(load_list(saved))
                 driver.learn(api.ListKind.CACHED, endpoints)
                 log.info("store: %d upstreams from a list %.0f s old", len(endpoints), age)
         past = decoded(learnt, SavedLearnt)
@@ -228,7 +231,7 @@
         """What this process owns. Raises StoreError."""
         driver = self.parts.driver
         _, listed, learnt = self.keys
-        servers = save_list([t.endpoint for t in driver.upstreams.targets.values()])
+        servers = save_list(self.reach.as_known(t.endpoint for t in driver.upstreams.targets.values()))
         if self.list is None and servers and servers != self.saved and self.lister.token():
             saved = SavedList(time.time(), servers, self.lister.token())
             with suppress(NotOwner):
--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -19,6 +19,7 @@
 
 from lanelift import interface as api
 from lanelift.daemon.follow import Follower
+from lanelift.daemon.reach import Reach
 from lanelift.daemon.saved import SavedList, decoded, load_list, save_list
 from lanelift.leases.fence import Word
 from lanelift.leases.table import written
@@ -51,11 +52,12 @@
     """Takes the place of discovery beside a driver."""
 
     def __init__(self, driver: Driver, discovery: Discovery, client: Client, owner: Owner,
-                 service: str) -> None:
+                 service: str, reach: Reach) -> None:
         self.driver = driver
         self.discovery = discovery
         self.client = client
         self.owner = owner
+        self.reach = reach
         self.keys = f"list/{service}", f"listed/{service}"
         self.follower = Follower(driver.settings.replicas_of_me, random.Random(os.urandom(8)), clock_ns())
         self.changed = asyncio.Event()
@@ -63,6 +65,7 @@
         # What was put last: the token, discovery's version, the list.
         self.put: tuple[int, int, list[object]] = (0, -1, [])
         self.put_s = 0.0
+        self.overwritten = False  # by a program that knows no owners
         self.heard_s = 0.0  # discovery's last word here
         self.floor = -1  # a version that the next list must reach
         self.floor_s = 0.0
@@ -93,7 +96,7 @@
             return  # asked by this process itself, and it asks again: the module need not
         if self._older():
             return
-        self.driver.learn(kind, endpoints)
+        self.driver.learn(kind, self.reach.from_here(endpoints))
         self.changed.set()
 
     # ---- as the owner ------------------------------------------------------------------------------------
@@ -155,7 +158,7 @@
                 and time.monotonic() - self.floor_s < ANEW_S)
 
     async def _say(self) -> None:
-        if self.heard_s <= self.put_s or self.discovery.version < 0:
+        if self.discovery.version < 0 or (self.heard_s <= self.put_s and not self.overwritten):
             return  # discovery said nothing since
         heard = self.heard_s
         if self._older():
@@ -164,11 +167,12 @@
             log.warning("discovery tells version %d, and version %d is stored: it began anew",
                         self.discovery.version, self.floor)
             self.floor = -1
-        servers = save_list([t.endpoint for t in self.driver.upstreams.targets.values()])
+        servers = save_list(self.reach.as_known(t.endpoint for t in self.driver.upstreams.targets.values()))
         token = self.owner.token()
         if not servers or not token:
             return
-        if self.put != (token, self.discovery.version, servers):
+        if self.overwritten or self.put != (token, self.discovery.version, servers):
+            self.overwritten = False
             number = self.number + 1
             saved = SavedList(time.time(), servers, token, number, self.discovery.version, self.source)
             await self.owner.write([Op(self.keys[0], msgspec.json.encode(saved))])
@@ -199,13 +203,20 @@
 
     def _list(self, row: Row) -> None:
         saved = decoded(row, SavedList)
-        if saved is None or not saved.token or self.owner.working:
-            return  # of a program without owners, or this process's own
+        if self.owner.working:
+            if (saved is None or not saved.token) and row.version:
+                # A program without owners put its list over this one's, and who starts now would find no
+                # owner's word: it is said again.
+                self.overwritten = True
+                self.changed.set()
+            return
+        if saved is None or not saved.token:
+            return  # of a program without owners
         if not self.follower.listed(Word(saved.token, saved.number), clock_ns()):
             log.info("%s: the word of token %s is not heeded: token %s was heard", row.key,
                      written(saved.token), written(self.follower.receiver.highest.token))
             return
-        self.driver.learn(api.ListKind.FULL, load_list(saved))
+        self.driver.learn(api.ListKind.FULL, self.reach.from_here(load_list(saved)))
 
     def _stands(self, row: Row) -> None:
         standing = decoded(row, Standing)
--- a/lanelift/daemon/roller.py
+++ b/lanelift/daemon/roller.py
@@ -14,7 +14,10 @@
 
 import msgspec
 
+from lanelift.daemon import doors
+from lanelift.daemon.reach import Reach
 from lanelift.daemon.rolling import (
+    Box,
     Listed,
     Report,
     Roll,
@@ -24,6 +27,9 @@
     View,
     blind,
     decide,
+    meant,
+    name_of,
+    to_ask,
 )
 from lanelift.daemon.saved import SavedList, decoded
 from lanelift.leases import table
@@ -38,6 +44,7 @@
 log = logging.getLogger(__name__)
 
 LOOK_S = 0.5  # between two looks of the owner, and two reports of a balancer that changed nothing
+ASK_AGAIN_S = 5.0  # a box that was asked to restart and is not seen to
 IDLE_S = 2.0  # while there is no roll
 REPORT_S, REPORT_EACH_S, REPORT_MOST_S = 2.0, 0.025, 5.0  # of one among many, longer: half of what is old
 
@@ -92,7 +99,8 @@
     for name in live - seen.keys():  # it holds its name and says nothing yet
         seen[name] = Seen(Report(0, (), 0.0, 0.0, 0), ages.age_s(keys.reports + name, 0), True)
     saved = decoded(list_row, SavedList)
-    boxes = {s.id: Listed(s.zone, s.started, not s.draining) for s in saved.servers} if saved else {}
+    boxes = {s.id: Listed(s.zone, s.started, not s.draining, (s.host, s.port))
+             for s in saved.servers} if saved else {}
     # A list is as old as the last word that it stands; one that operators wrote down stands by itself.
     fixed = saved is not None and not saved.source
     list_age = ages.age_s(keys.standing, standing.version + list_row.version) if saved else 1e9
@@ -105,17 +113,21 @@
 
 
 class Roller:
-    def __init__(self, client: Client, owner: Owner, service: str) -> None:
+    def __init__(self, client: Client, owner: Owner, service: str, reach: Reach) -> None:
         self.client = client
         self.owner = owner
+        self.reach = reach
         self.keys = Keys(service)
         self.ages = Ages()
+        self.owned_s = 0.0  # since when
+        self.asked: dict[str, float] = {}  # restarts by name, and when this owner last asked for them
         self.working: asyncio.Task[None] | None = None
         self.blind_s = 0.0  # since when nothing could be seen
         owner.began, owner.ended = self.began, self.ended
 
     def began(self, token: int) -> None:
         self.ages, self.blind_s = Ages(), 0.0  # what this process saw as an owner of before is old
+        self.owned_s, self.asked = time.monotonic(), {}
         self.working = asyncio.get_running_loop().create_task(self._work())
 
     def ended(self) -> None:
@@ -148,12 +160,35 @@
         else:
             self.blind_s = 0.0
         step = decide(roll, view, time.monotonic() - self.blind_s if self.blind_s else 0.0)
+        token = self.owner.token()
         if step is None:
+            step = meant(roll, token, time.monotonic() - self.owned_s, self.owner.ttl_s)
+        if step is None:
+            for box in to_ask(roll, token):
+                await self._ask(roll, box, view)
             return LOOK_S
         await self._write(step, roll_row, disabled_row)
         log.info("roll %s: %s", roll.id, step.say)
         return 0.0
 
+    async def _ask(self, roll: Roll, box: Box, view: View) -> None:
+        """Its own door, which checks no token: at once after a look at the clock, and under a name that makes
+        a second time the same as the first."""
+        name, listed = name_of(roll, box), view.boxes.get(box.number)
+        now = time.monotonic()
+        if listed is None or now - self.asked.get(name, -ASK_AGAIN_S) < ASK_AGAIN_S:
+            return
+        self.asked[name] = now
+        try:
+            said = await doors.ask(self.reach.dialled(listed.address), roll.door, name,
+                                   lambda: self.owner.token() == box.asked)
+        except (OSError, TimeoutError) as error:
+            log.warning("roll %s: %s was not reached at its door: %s", roll.id, box.name,
+                        error or "no answer in time")
+            return
+        if said:
+            log.warning("roll %s: %s was asked to restart: %s", roll.id, box.name, said)
+
     async def _write(self, step: Step, roll_row: Row, disabled_row: Row) -> None:
         ops = [Op(self.keys.roll, msgspec.json.encode(step.roll), roll_row.version)]
         checks = []
--- a/lanelift/daemon/rolling.py
+++ b/lanelift/daemon/rolling.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -25,6 +26,7 @@
 PATIENCE_S = 60.0  # what is old for so long stops the roll
 SERVICE_PART = 0.9  # of the part that was served when the roll began; below it the roll stops
 APART_S = 1.0  # two starts of a box are further apart: clocks are only so exact
+DOOR = re.compile(r"/[A-Za-z0-9._~/-]{0,199}\Z")
 FEW = 5.0  # attempts a second, below which a part tells nothing
 
 
@@ -45,7 +47,8 @@
 
 class Box(msgspec.Struct, frozen=True):
     """`since_ms`: when it came into this phase; `before`: its start as listed when it was taken out, Unix
-    time; `word`: an operator said that it is restarted."""
+    time; `word`: an operator said that it is restarted; `asked`: the owner's token under which it was last
+    meant to be asked to restart, 0: never."""
 
     name: str
     number: int
@@ -53,11 +56,12 @@
     since_ms: int = 0
     before: float = 0.0
     word: bool = False
+    asked: int = 0
 
 
 class Roll(msgspec.Struct, frozen=True):
     """The document. `least`: part of the listed boxes that stays in use; `served`: what part of the attempts
-    was served when it began."""
+    was served when it began; `door`: the path at which a box is asked to restart, empty: operators do it."""
 
     id: str
     boxes: tuple[Box, ...]
@@ -72,6 +76,7 @@
     began_ms: int = 0
     served: float = -1.0
     steps: int = 0
+    door: str = ""
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -99,6 +104,7 @@
     site: str
     started: float  # Unix time; 0: long ago
     ready: bool
+    address: tuple[str, int] = ("", 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +149,8 @@
         return f"{next(n for n in names if names.count(n) > 1)} stands there twice"
     if roll.at_once < 1 or roll.per_site < 0:
         return "at least one box at once"
+    if roll.door and not DOOR.match(roll.door):
+        return f"{roll.door!r} is no path of a box's door"
     if not 0 <= roll.least <= 1:
         return "the part that stays in use is 0 to 1"
     if roll.warm_s < 0 or roll.wait_s <= 0:
@@ -291,6 +299,31 @@
     return "no box that waits is listed as ready, enabled, and free by its site"
 
 
+def meant(roll: Roll, token: int, owned_s: float, lease_s: float) -> Step | None:
+    """The write that says which boxes are about to be asked to restart, and by whom: it stands before the
+    act, so that whoever comes next knows that one may be on its way. A box that an owner of before meant to
+    ask is asked again only when a lease's time has gone by since: what that one still sends is late."""
+    draft = Draft(roll)
+    for box in roll.boxes if roll.door and roll.state is not State.ABORTING else ():
+        if box.phase is Phase.QUIET and box.asked != token and (not box.asked or owned_s >= lease_s):
+            draft.set(box, Phase.QUIET, box.since_ms, asked=token)
+            draft.say[-1] = f"{box.name} is to be asked to restart"
+    return Step(_counted(draft.roll), None, "; ".join(draft.say)) if draft.say else None
+
+
+def to_ask(roll: Roll, token: int) -> list[Box]:
+    """Boxes that this owner said it would ask to restart, and that are not seen to have done so. Asked under
+    one name however often, so that a box does it once."""
+    if not roll.door or roll.state in (State.ABORTING, State.ENDED):
+        return []
+    return [b for b in roll.boxes if b.phase is Phase.QUIET and b.asked == token]
+
+
+def name_of(roll: Roll, box: Box) -> str:
+    """Of the one restart of a box in a roll, whoever asks for it."""
+    return f"{roll.id}/{box.name}"
+
+
 def _counted(roll: Roll) -> Roll:
     return msgspec.structs.replace(roll, steps=roll.steps + 1)
 
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -195,6 +195,8 @@
         self.waking = False  # a timer for the next token is set
         self.over = False
         self.short = False  # a request found no token since R was last set
+        self.share = 0.0  # requests a second within its share here, where the fleet's plan tells; else 0
+        self.share_left, self.share_ns = 0.0, now  # of a second's worth
 
     def set_rate(self, rate: float, now: int) -> None:
         """Change the rate and with it the capacities; tokens in the bank and requests held stay."""
@@ -205,6 +207,15 @@
         self.hold = max(1, round(self.bank * HOLD_PART), len(self.held))
         self.u = max(0, min(self.bank + self.hold, balance + self.hold))
 
+    def beyond(self, now: int) -> bool:
+        """Is this request more than its share, where that is told?"""
+        self.share_left = min(self.share, self.share_left + self.share * (now - self.share_ns) / SECOND)
+        self.share_ns = now
+        if self.share_left < 1.0:
+            return self.share > 0
+        self.share_left -= 1.0
+        return False
+
     def accrue(self, now: int) -> None:
         self.credit += self.rate * (now - self.at) / SECOND
         ticks = int(self.credit)
@@ -329,6 +340,7 @@
     breaks: int = 0  # of connections to it, in a row
     met_ns: int = 0  # its last good answer
     banned: bool = False  # operators took it out
+    part: float = 1.0  # of its draws that may be used, by the fleet's plan for its zone
     back_ns: int = 0  # they put it back then
     spot: tuple[int, int] = (0, 0)  # on the ring that all proxies compute alike
     turn: tuple[int, int] = (0, 0)  # in this proxy's own order
@@ -336,7 +348,7 @@
 
     @property
     def usable(self) -> bool:
-        return self.entry.state is api.State.READY and not self.banned
+        return self.entry.state is api.State.READY and not self.banned and self.part > 0
 
     @property
     def started_ns(self) -> int:
@@ -499,6 +511,7 @@
         self.sharers = 1.0  # proxies that have an upstream in their home
         self.banned: set[int] = set()  # by operators, listed or not
         self.back: dict[int, int] = {}  # put back by them, and when
+        self.plan = api.Plan()
         self.alone: dict[int, Server] = {}  # those left alone for now
         self.ready: list[Server] = []  # usable ones, by their spot on the ring
         self.mine: list[Server] = []  # the same in this proxy's own order
@@ -521,6 +534,7 @@
         for entry in update.upstreams:
             s = self.servers.get(entry.id) or self.met(entry)
             s.way = ACROSS if here and entry.zone != here else 1.0
+            s.part = self.plan.zones.get(entry.zone, 1.0)
             s.banned, s.back_ns = entry.id in self.banned, self.back.get(entry.id, 0)
             was, s.entry = s.entry, entry
             if entry.started_ns != was.started_ns:
@@ -590,6 +604,16 @@
             self.place(s)
         self.arrange(now)
 
+    def follow(self, plan: api.Plan, now: int) -> None:
+        """The fleet's plan: what each zone may be given, and who sends to what is cold."""
+        was, self.plan = self.plan.cold, plan
+        for s in self.servers.values():
+            s.part = plan.zones.get(s.entry.zone, 1.0)
+            if self.cold(s, now) and plan.cold.get(s.id) != was.get(s.id):
+                self.leave(s, now + int(self.rng.random() * self.cold_gap_ns(s, now)))
+            self.place(s)
+        self.arrange(now)
+
     def arrange(self, now: int) -> None:
         """Which upstreams each pool draws from."""
         ready, proxies = self.ready, max(1, self.settings.replicas_of_me)
@@ -641,13 +665,16 @@
         """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
         together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
         rules = self.settings.rules
+        dealt = self.plan.cold.get(s.id)
+        if dealt is not None:
+            return int(SECOND / dealt) if dealt > 0 else rules.cold_ns
         age = max(0, now - s.started_ns)  # clocks differ: it may have started in the future
         part = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_ns
         bears = max(self.borne, SECOND / self.crowding.each / self.sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def fit(self, s: Server, now: int) -> bool:
-        if not s.usable or now < s.barred_ns:
+        if not s.usable or now < s.barred_ns or s.part < 1.0 and self.rng.random() >= s.part:
             return False
         # One that failed or is still cold is tried with one request at a time.
         # Where upstreams are asked for their load before each send, own counts add nothing to it.
@@ -763,6 +790,7 @@
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
         self.actions: list[api.Action] = []
         self.checked_ns = now
+        self.plan = self.fleet.plan
         self.guest = 1.0  # how much slower upstreams beyond the home answer
         self.out = self.stuck = 0  # own attempts in flight, and those of them that are overdue
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
@@ -797,6 +825,11 @@
                 self.fleet.ban(e, now)
             elif type(e) is api.Learnt:
                 self._recall(e, now)
+            elif type(e) is api.Plan:
+                self.plan = e
+                for name, t in self.throttles.items():
+                    t.share = e.shares.get(name, 0.0)
+                self.fleet.follow(e, now)
             elif type(e) is api.Wake and e.name == str(self.timer):
                 self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
         while self.due and self.due[0][0] <= now:
@@ -858,6 +891,9 @@
         self.requests[r.id] = r
         expected = self.crowding.expected(r)
         waited = now - asked
+        if self._turned_away(r, now):
+            self._refuse(r, now)
+            return
         if expected < cls.aim_ns < waited + expected and not (cls.late_worth or cls.stream):
             # It waited unseen for so long, the proxy being late itself, that its answer would come too late.
             # Served in turn, all would: work on those makes the ones behind them late as well. This covers
@@ -876,6 +912,13 @@
             r.place = "turn"  # it holds no token meanwhile, and nobody waits behind it but its own key
             self._later(r.turn_ns, "turn", r.turn)
 
+    def _turned_away(self, r: Request, now: int) -> bool:
+        """Is it what the fleet refuses first while it has too little? Nothing that has begun is touched."""
+        plan, draw = self.plan, self.rng.random
+        beyond = r.tenant.beyond(now) if plan.excess else False
+        return bool(beyond and draw() < plan.excess or r.retry and draw() < plan.repeats
+                    or plan.classes and draw() < plan.classes.get(r.cls.name, 0.0))
+
     def _set_give_up(self, r: Request, expected: float, now: int) -> None:
         need = expected * (1 + self.crowding.spread)
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
@@ -1034,8 +1077,10 @@
     def _refuse(self, r: Request, now: int) -> None:
         """The final answer of a request that is not served: refused if that is true, else failed."""
         if r.may_refuse():
-            limits = self.settings.limits
+            limits, (first, last) = self.settings.limits, self.plan.back_ns
             back = self.rng.uniform(0.25, 1.0) * min(limits.max_retry_after_ns, SECOND)
+            if last:
+                back = min(limits.max_retry_after_ns, first + self.rng.random() * (last - first))
             self.actions.append(api.Refuse(r.id, int(back) if limits.retry_after else 0))
         else:
             self.actions.append(api.Fail(r.id))
@@ -1099,7 +1144,7 @@
         self.stuck += 1
         self.fleet.bar(a, now, a.expected)
         self._later(a.server.barred_ns, "pump", None)
-        if r.pool.line or now + a.expected > r.aim_ns or a.server.strikes < 2:
+        if r.pool.line or now + a.expected > r.aim_ns or a.server.strikes < 2 or not self.plan.copies:
             return  # one late answer tells of long work, which a copy doubles; two in a row, of the upstream
         server = r.pool.pick(now, self._choices(r))
         if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
@@ -1112,7 +1157,7 @@
         if a.result is not None or r.over:
             return
         a.late = True
-        if r.pool.line or self.crowding.crowded():
+        if r.pool.line or self.crowding.crowded() or not self.plan.copies:
             self.actions.append(api.Cancel(r.id, number))
         else:
             self._later(now + LATE_LOOK_NS, "late", r, number)
--- a/lanelift/interface.py
+++ b/lanelift/interface.py
@@ -242,8 +242,23 @@
     paces: Mapping[int, tuple[float, int]] = {}
 
 
+class Plan(NamedTuple):
+    """What the fleet does while a site is lost, emptied or coming back; it stands until the next one. The
+    empty one is that of a fleet that is well."""
+
+    # part of what its upstreams would be given; 0: none; not named: all of it
+    zones: Mapping[str, float] = {}
+    excess: float = 0.0  # part refused of what is beyond a tenant's share
+    shares: Mapping[str, float] = {}  # tenant -> requests a second within its share at this proxy
+    repeats: float = 0.0  # part refused of clients' repeats
+    copies: bool = True  # second copies and late looks
+    classes: Mapping[str, float] = {}  # class -> part refused of it, evenly over tenants
+    back_ns: tuple[int, int] = (0, 0)  # from when to when the refused shall try again; (0, 0): as usual
+    cold: Mapping[int, float] = {}  # cold upstream -> requests a second that this proxy may send it
+
+
 Event = (ListUpdate | Arrival | BodyWhole | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage
-         | Wake | Ban | Learnt)
+         | Wake | Ban | Learnt | Plan)
 
 # ---- actions -------------------------------------------------------------------------------------------
 
--- a/lanelift/lab/cluster/bench.py
+++ b/lanelift/lab/cluster/bench.py
@@ -101,13 +101,9 @@
             "batches_per_s": batches / took, "bytes": size / len(times), "cpu_us": 1e6 * cpu / len(times)}
 
 
-async def fill(cluster: RealCluster, megabytes: int) -> None:
-    client = cluster.client("fill", 30.0)
-    try:
-        for i in range(megabytes * (1 << 20) // FILL_BYTES):
-            await client.put(f"bench/fill/{i:06d}", os.urandom(FILL_BYTES))
-    finally:
-        await client.close()
+async def fill(client: Client, megabytes: int) -> None:
+    for i in range(megabytes * (1 << 20) // FILL_BYTES):
+        await client.put(f"bench/fill/{i:06d}", os.urandom(FILL_BYTES))
 
 
 async def _levelled(cluster: RealCluster) -> None:
@@ -146,7 +142,11 @@
     try:
         await cluster.start()
         if fill_mb:
-            await fill(cluster, fill_mb)
+            filling = cluster.client("fill", 30.0)
+            try:
+                await fill(filling, fill_mb)
+            finally:
+                await filling.close()
             await _levelled(cluster)
         turns = []
         for count in writers:
--- a/lanelift/lab/rig/books.py
+++ b/lanelift/lab/rig/books.py
@@ -53,6 +53,8 @@
     revision: int = 0
     seen: dict[str, int] = field(default_factory=dict)  # key: its version
     counts: Counter[str] = field(default_factory=Counter)
+    older: bool = False  # an older program puts words without a token, which nobody heeds
+    overwritten: set[str] = field(default_factory=set)  # keys where such a word stands
     poked: Callable[[], None] = lambda: None
 
     def say(self, what: str) -> None:
@@ -147,6 +149,11 @@
         raw = msgspec.json.decode(value)
         token, number = int(raw.get("token", 0)), int(raw.get("number", 0))
         holds = self.leases.get(lease)
+        if self.older and not token:
+            self.counts["older words"] += 1
+            self.overwritten.add(key)
+            return
+        self.overwritten.discard(key)
         self.counts["owners' words"] += 1
         if holds is None or not holds.held or holds.token != token:
             self.say(f"{key} was put under token {token}, and {lease} is held under"
--- a/lanelift/lab/rig/launcher.py
+++ b/lanelift/lab/rig/launcher.py
@@ -3,7 +3,8 @@
 The lab's doing and no switch of the product: the standard library's clocks and writes are replaced before the
 program is imported. LANELIFT_LAB_RATE: clocks run so many times as fast. SIGUSR1 turns a full disk on and
 off, SIGUSR2 makes clocks jump on by an hour, SIGQUIT writes down where each task stands.
-LANELIFT_LAB_SYNC_MS: each sync takes so much longer.
+LANELIFT_LAB_SYNC_MS: each sync takes so much longer. LANELIFT_LAB_OLD=1: it knows the first format of the
+store's state only, as a program from before there were leases.
 """
 
 from __future__ import annotations
@@ -94,6 +95,16 @@
     sys.stderr.flush()
 
 
+def grow_old() -> None:
+    """What a program of format 1 said of itself, and could read."""
+    import msgspec
+
+    from lanelift.store import commands
+    commands.FORMAT = 1
+    known = commands.Write | commands.OpenSession | commands.CloseSession
+    commands._commands = msgspec.msgpack.Decoder(known)
+
+
 def main() -> None:
     clocks = Clocks(float(os.environ.pop("LANELIFT_LAB_RATE", "1")))
     disk = Disk(float(os.environ.pop("LANELIFT_LAB_SYNC_MS", "0")))
@@ -102,6 +113,8 @@
     signal.signal(signal.SIGUSR1, disk.turn)
     signal.signal(signal.SIGUSR2, clocks.jump)
     signal.signal(signal.SIGQUIT, tell_tasks)
+    if os.environ.pop("LANELIFT_LAB_OLD", "0") == "1":
+        grow_old()
     sys.argv[0] = "lanelift"
     # Only now is it imported: it takes its clocks as it finds them.
     runpy.run_module("lanelift.cli.main", run_name="__main__", alter_sys=True)
--- a/lanelift/lab/rig/processes.py
+++ b/lanelift/lab/rig/processes.py
@@ -17,6 +17,7 @@
 
 READY_S = 20.0
 LEAVE_S = 6.0
+TOO_NEW = "is newer than 1, which this program knows"  # what an older program says of a newer state
 LINES_MOST = 4000  # of one process's log that are kept
 
 
@@ -30,6 +31,8 @@
     folder: Path | None = None  # what it may lose
     rate: float = 1.0
     sync_ms: float = 0.0
+    old: bool = False  # it runs an older program, which knows no leases
+    began: float = 0.0
     heard: Callable[[Process, str], None] = lambda process, line: None
     child: asyncio.subprocess.Process | None = None
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)  # of beginning it anew
@@ -52,7 +55,8 @@
         self.stopped = False
         self.is_ready.clear()
         env = {**os.environ, "PYTHONFAULTHANDLER": "1", "LANELIFT_LAB_RATE": str(self.rate),
-               "LANELIFT_LAB_SYNC_MS": str(self.sync_ms)}
+               "LANELIFT_LAB_SYNC_MS": str(self.sync_ms), "LANELIFT_LAB_OLD": str(int(self.old))}
+        self.began = time.monotonic()
         self.child = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lanelift.lab.rig.launcher", *self.words, stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT, env=env,
@@ -81,6 +85,8 @@
         if child is not self.child:
             return
         self.is_ready.set()  # nobody need wait for it any more
+        if self.old and status == 1 and self.lines and TOO_NEW in self.lines[-1][1]:
+            self.meant_down = True  # as it should: it would not understand what stands there
         if not self.meant_down:
             self.ended = f"ended with status {status}" + (f": {self.lines[-1][1]}" if self.lines else "")
 
@@ -105,7 +111,7 @@
             self.stops[-1] = self.stops[-1][0], time.monotonic()
 
     def kill(self, how: signal.Signals = signal.SIGKILL) -> None:
-        """Returns at once; `begun` waits."""
+        """Returns at once; `gone` waits."""
         if self.up:
             self.meant_down = True
             if not self.stops or self.stops[-1][1]:
@@ -114,12 +120,6 @@
                 self.send(signal.SIGCONT)
             self.send(how)
 
-    async def begun(self) -> None:
-        """Start it anew, once the one before has ended."""
-        await self.gone()
-        await self.start()
-        self.back()
-
     async def gone(self) -> None:
         """Wait until it has left; one that does not is asked where it hangs, for its log, and killed."""
         if self.child is None:
--- a/lanelift/lab/rig/run.py
+++ b/lanelift/lab/rig/run.py
@@ -15,11 +15,15 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from lanelift.lab.results import spread
 from lanelift.lab.rig.books import Books
+from lanelift.lab.rig.firsts import Firsts
 from lanelift.lab.rig.processes import Process
 from lanelift.lab.rig.relay import TO, Relay
 from lanelift.lab.rig.scenario import LINKS, Fault, Scenario, drawn, quiet, source
+from lanelift.lab.rig.standins import DOOR
 from lanelift.lab.rig.world import SERVICE, World
 from lanelift.lab.rig.writers import CALM_S, Ledger, Writer, digest, judge, look
 from lanelift.lab.topology import Unusable
@@ -29,7 +33,9 @@
 LEASE = f"work/list/{SERVICE}"
 STATUS_S = 0.1
 RESTART_S = 0.3  # that operators take to restart a box
+OLDER_S = 1.0  # between two lists of an older program
 SERVED_S = 1.5  # at the end, in which every request is served
+ENDS_AT_ONCE = ("kill", "lose", "leave", "restart", "reset", "boxes", "jump", "upgrade")
 GAP_MOST = 8  # of the lease's time that the work may be without an owner once all is mended
 
 
@@ -67,9 +73,14 @@
         self.faults = list(drawn(scenario, seed) if faults is None else faults)
         self.books = Books()
         self.books.turned = self._turned
+        self.books.older = scenario.older_lists
         self.ledger = Ledger()
         self.world = World(scenario, folder, seed, self._heard, self._said)
         self.world.owner = self._owner
+        self.firsts = Firsts(self.world)
+        self.world.begun = self._begun
+        for name, box in self.world.boxes.items():
+            box.door = lambda name=name: self._asked_at_door(name)  # type: ignore[misc]
         self.loop = asyncio.get_running_loop()
         self.began = 0.0
         self.armed = [Armed(f) for f in self.faults if f.when is not None]
@@ -133,6 +144,10 @@
         if "owned under token" in line or "refused" in line or "belongs to" in line or "rests" in line:
             self.event(f"{process.name}: {line.split(' ', 1)[-1]}")
 
+    def _begun(self, name: str) -> None:
+        if self.running:
+            self._task(self.firsts.watch(name))
+
     # ---- faults ------------------------------------------------------------------------------------------
 
     def _strike(self, fault: Fault) -> None:
@@ -173,7 +188,7 @@
             self.last_s = self.now
         key = id(end)
         self.undo[key] = end
-        if fault.lasts or fault.do in ("kill", "lose", "leave", "restart", "reset", "boxes", "jump"):
+        if fault.lasts or fault.do in ENDS_AT_ONCE:
             self.loop.call_later(fault.lasts / 1e9, lambda: self.undo.get(key, lambda: None)())
 
     async def _writers(self) -> None:
@@ -229,6 +244,13 @@
                 process.sync_ms = fault.size or 200.0
                 process.kill()
                 self._task(world.again(process.name))
+            case "old":
+                process.old = True
+                process.kill(signal.SIGTERM)
+                self._task(world.again(process.name))
+                return lambda: self._renewed(process)
+            case "upgrade":
+                self._renewed(process)
             case "jump":
                 process.send(signal.SIGUSR2)
             case "full":
@@ -236,8 +258,29 @@
                 return lambda: process.send(signal.SIGUSR1)
         return lambda: None
 
+    def _renewed(self, process: Process) -> None:
+        """Its program is replaced by the newer one."""
+        process.old = False
+        process.kill(signal.SIGTERM)
+        self._task(self.world.again(process.name))
+
     # ---- operators ---------------------------------------------------------------------------------------
 
+    async def _older_lists(self) -> None:
+        """What a balancer of an older program does: it puts the list that it knows, unasked and without a
+        token, over whatever stands there."""
+        client = self.world.client("older")
+        try:
+            while not self.over:
+                row = (await client.get(f"list/{SERVICE}")).rows[0]
+                if row.value is not None:
+                    plain = {k: v for k, v in msgspec.json.decode(row.value).items()
+                             if k in ("at", "servers")}
+                    await client.put(f"list/{SERVICE}", msgspec.json.encode(plain), note="older program")
+                await asyncio.sleep(OLDER_S)
+        finally:
+            await client.close()
+
     async def _begin_roll(self) -> None:
         """By the command that operators use."""
         roll = self.s.roll
@@ -246,7 +289,7 @@
         names = ",".join(sorted(self.world.boxes)[:roll.boxes])
         words = ["roll", "start", "--service", SERVICE, "--at", nodes, "--pick", names, "--at-once",
                  str(roll.at_once), "--per-site", str(roll.per_site), "--least", "0.1", "--warm",
-                 str(roll.warm / 1e9)]
+                 str(roll.warm / 1e9), *(["--door", DOOR] if roll.door else [])]
         command = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lanelift.cli.main", *words, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT)
@@ -263,17 +306,23 @@
             if box.inside:
                 self.books.say(f"{name} was said to be quiet, and {box.inside} requests are under way there")
             box.closed = True
-            self.loop.call_later(RESTART_S, self._restart, name)
+            if self.s.roll is not None and not self.s.roll.door:
+                self.loop.call_later(RESTART_S, self._restart, name)
         elif phase == "back" and not box.restarts:
             self.books.say(f"{name} was put back before it was restarted")
 
+    def _asked_at_door(self, name: str) -> None:
+        if self.books.phases.get(name) != "quiet":
+            self.books.say(f"{name} was asked to restart while it is {self.books.phases.get(name)}")
+        self.loop.call_later(RESTART_S, self._restart, name)
+
     def _restart(self, name: str) -> None:
         box = self.world.boxes[name]
         box.closed = False
         box.restarts += 1
         box.started_ms = int(time.time() * 1000)
         self.world.discovery.change(list(self.world.discovery.boxes))
-        self.event(f"operators restarted {name}")
+        self.event(f"{name} was restarted")
 
     async def _follow_leader(self) -> None:
         client = self.world.client("leader")
@@ -293,13 +342,14 @@
         writing: asyncio.Task[None] | None = None
         began = time.monotonic()
         try:
-            world.discovery.boxes = sorted(world.boxes)
+            world.discovery.boxes = world.names()
             self.began = began
             await world.start()
             client = world.client("books")
+            books.revision = world.filled  # of what came before, not all is kept
             watching = self.loop.create_task(self._kept(books.watch(client)))
             self._task(self._follow_leader())
-            if self.listed_there:
+            if self.listed_there and not self.s.old:
                 await self._until(lambda: bool(books.owner(LEASE)) and bool(books.lists),
                                   "the list has an owner")
             calls = len(world.discovery.calls)
@@ -312,6 +362,8 @@
                 writing = self.loop.create_task(self._kept(self._writers()))
             if self.s.roll is not None:
                 self._task(self._begin_roll())
+            if self.s.older_lists:
+                self._task(self._older_lists())
             for fault in self.faults:
                 if fault.when is None:
                     self.loop.call_later(fault.at / 1e9, self._strike, fault)
@@ -364,8 +416,8 @@
         if self.listed_there:
             await self._until(lambda: bool(books.owner(LEASE)), "the list has an owner again")
             self.result.figures["owner again s"] = round(self.now - self.last_s, 3)
-            await self._until(lambda: bool(books.lists) and books.lists[-1][2] == world.discovery.version,
-                              "the store holds discovery's list")
+            await self._until(lambda: bool(books.lists) and books.lists[-1][2] == world.discovery.version
+                              and not books.overwritten, "the store holds discovery's list")
             self.result.figures["list again s"] = round(self.now - self.last_s, 3)
         if self.s.roll is not None:
             await self._until(lambda: books.roll.get("state") == "ended" and not books.out,
@@ -429,9 +481,11 @@
             "requests": len(tries), "served": sum(t.status == 200 for t in tries),
             "served part": round(sum(t.status == 200 for t in tries) / max(1, len(tries)), 4),
             "discovery calls": len(world.discovery.calls), "owners": books.counts["owners"],
-            "owners' words": books.counts["owners' words"], "store changes": books.counts["changes"],
+            "owners' words": books.counts["owners' words"], "older words": books.counts["older words"],
+            "store changes": books.counts["changes"],
             "fenced": sum(lease.refused for lease in books.leases.values()),
-            "longest gap s": round(max(gaps, default=0.0), 3),
+            "longest gap s": round(max(gaps, default=0.0), 3), **self.firsts.figures(),
+            "doors asked": sum(len(box.asked) for box in world.boxes.values()),
             "slowest leave s": round(max((p.leave_s for p in world.processes.values()), default=0.0), 2)}
         r.tails = {n: [line for _, line in p.lines[-40:]] for n, p in world.processes.items()}
 
--- a/lanelift/lab/rig/scenario.py
+++ b/lanelift/lab/rig/scenario.py
@@ -32,7 +32,8 @@
 
 SECOND = 1_000_000_000
 OnLink = Literal["cut", "hold", "refuse", "reset", "delay", "trickle", "lossy"]
-OnProcess = Literal["kill", "stop", "restart", "lose", "leave", "fast", "slow", "jump", "full", "slowdisk"]
+OnProcess = Literal["kill", "stop", "restart", "lose", "leave", "fast", "slow", "jump", "full", "slowdisk",
+                    "old", "upgrade"]
 OnWorld = Literal["boxes", "discovery-down"]
 Kind = Literal[OnLink, OnProcess, OnWorld]
 LINKS, PROCESSES, WORLD = get_args(OnLink), get_args(OnProcess), get_args(OnWorld)
@@ -75,6 +76,7 @@
     at_once: int = 1
     per_site: int = 0
     warm: Duration = Duration(SECOND)
+    door: bool = False  # the roll's owner restarts them by their own door, in place of operators
 
 
 class Scenario(Part, frozen=True):
@@ -89,6 +91,11 @@
     rate: float = 40.0  # clients' requests a second, all together
     sites: dict[str, list[str]] = {}
     alone: bool = False  # balancers without the store, to be held against those with it
+    document: bool = False  # balancers' settings stand in the store
+    listed: int = 0  # names that discovery lists beyond the boxes, at the addresses of the boxes
+    fill_mb: int = 0  # of state that the store holds beforehand
+    old: list[str] = []  # processes that begin with an older program, which knows no leases
+    older_lists: bool = False  # a balancer of an older program puts its list over the owner's each second
     roll: Rolled | None = None
     writers: int = 0  # of the store, past all relays, with a ledger of their own
     chance: int = 0  # faults drawn by seed on top
@@ -100,6 +107,8 @@
     """The first thing that can't be, in one line; empty: nothing."""
     if not (1 <= s.nodes <= 7 and 0 <= s.balancers <= 32 and 1 <= s.boxes <= 64):
         return "nodes must be 1 to 7, balancers 0 to 32, boxes 1 to 64"
+    if not 0 <= s.listed <= 2000 or not 0 <= s.fill_mb <= 1000:
+        return "listed must be 0 to 2000, fill_mb 0 to 1000"
     if not s.balancers and (s.roll is not None or not s.writers):
         return "without balancers there are writers, and no roll"
     if s.roll is not None and not 1 <= s.roll.boxes <= s.boxes:
--- a/lanelift/lab/rig/standins.py
+++ b/lanelift/lab/rig/standins.py
@@ -21,6 +21,7 @@
 WORK_S = 0.01  # that a box takes for a request
 CLASSES = (("lookup", "GET", 0.6), ("book-delivery", "POST", 0.4))
 DEADLINE_MS = 2000
+DOOR = "/restart"  # of a box, for the roll's owner
 NOT_RUN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -51,6 +52,8 @@
         self.inside = 0
         self.closed = False  # it was said to be quiet, and is not restarted yet
         self.late: list[str] = []
+        self.asked: list[str] = []  # names of restarts that came at its door, as often as they came
+        self.door: Callable[[], None] = lambda: None  # what the first of each name does
 
     async def listen(self) -> None:
         loop = asyncio.get_running_loop()
@@ -64,6 +67,9 @@
         self.box = box
 
     def request(self, url: bytes, headers: dict[bytes, bytes], first_ns: int) -> None:
+        if url == DOOR.encode():
+            self._asked(headers.get(b"idempotency-key", b"").decode("latin-1"))
+            return
         name = headers.get(b"x-request-id", b"").decode("latin-1")
         known = self.box.tries.get(name)
         if known is None:
@@ -75,6 +81,14 @@
         self.box.inside += 1
         asyncio.get_running_loop().call_later(WORK_S, self._done, name)
 
+    def _asked(self, name: str) -> None:
+        """Restarts once for each name (Idempotency-Key), however often it comes."""
+        new = name not in self.box.asked
+        self.box.asked.append(name)
+        if new:
+            self.box.door()
+        self.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+
     def _done(self, name: str) -> None:
         self.box.inside -= 1
         body = f"{name} by {self.box.name}".encode()
@@ -162,6 +176,7 @@
         self.rng = rng
         self.tries: dict[str, Try] = {}
         self.open: set[asyncio.Task[None]] = set()
+        self.extra = 0
         self.over = asyncio.Event()
 
     async def run(self) -> None:
@@ -174,22 +189,36 @@
                 async with asyncio.timeout(max(0.0, due - time.monotonic())):
                     await self.over.wait()
             number += 1
-            task = asyncio.get_running_loop().create_task(self._ask(number, names[number % len(names)]))
+            one = self._new(f"{number:08x}", names[number % len(names)])
+            task = asyncio.get_running_loop().create_task(self._ask(one, number))
             self.open.add(task)
             task.add_done_callback(self.open.discard)
         while self.open:
             await asyncio.wait(self.open)
 
-    async def _ask(self, number: int, balancer: str) -> None:
-        kind, method, _ = CLASSES[self.rng.random() > CLASSES[0][2]]
-        one = Try(f"{number:08x}", method == "POST", time.monotonic(), balancer)
-        self.tries[one.id] = one
+    def _new(self, name: str, balancer: str, unsafe: bool | None = None) -> Try:
+        if unsafe is None:
+            unsafe = self.rng.random() > CLASSES[0][2]
+        one = self.tries[name] = Try(name, unsafe, time.monotonic(), balancer)
+        return one
+
+    async def routed(self, balancer: str) -> bool:
+        """Ask once, beside the others; was it served?"""
+        self.extra += 1
+        one = self._new(f"extra-{self.extra}", balancer, False)
+        await self._ask(one, self.extra)
+        if not one.answers:
+            del self.tries[one.id]  # nobody was there yet: no request that is owed an answer
+        return one.status == 200
+
+    async def _ask(self, one: Try, number: int) -> None:
+        kind, method, _ = CLASSES[one.unsafe]
         head = (f"{method} /{kind}?obj=k{number % 40} HTTP/1.1\r\nHost: origin.svc\r\n"
                 f"X-Request-Id: {one.id}\r\nX-Class: {kind}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
                 f"Content-Length: 0\r\n\r\n")
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000 + 1.0):
-                reader, writer = await asyncio.open_connection(*self.doors[balancer]())
+                reader, writer = await asyncio.open_connection(*self.doors[one.balancer]())
                 try:
                     writer.write(head.encode())
                     text = await reader.readuntil(b"\r\n\r\n")
--- a/lanelift/lab/rig/taps.py
+++ b/lanelift/lab/rig/taps.py
@@ -23,7 +23,7 @@
 from lanelift.store.wire.protocol import Put
 
 MOST = 16 << 20
-HTTP = re.compile(rb"(?:GET|POST|HEAD|PUT) [^ ]+ HTTP/1\.1\r\n")
+HTTP = re.compile(rb"(?:GET|POST|HEAD|PUT) ([^ ]+) HTTP/1\.1\r\n")
 WORDS = {Write: "write", FencedWrite: "write", OpenSession: "session", CloseSession: "session",
          Claim: "claim", Release: "release", Lapse: "lapse", Upgrade: "upgrade"}
 
@@ -37,8 +37,8 @@
 
 class HttpTap(Tap):
     def heard(self, data: bytes) -> Iterator[str]:
-        for _ in HTTP.finditer(data):
-            yield "request"
+        for found in HTTP.finditer(data):
+            yield "restart" if found[1] == b"/restart" else "request"
 
 
 class StoreTap(Tap):
--- a/lanelift/lab/rig/world.py
+++ b/lanelift/lab/rig/world.py
@@ -12,6 +12,7 @@
 from fnmatch import fnmatchcase
 from pathlib import Path
 
+from lanelift.lab.cluster.bench import fill
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.lab.rig.processes import Process
 from lanelift.lab.rig.relay import Relay
@@ -19,6 +20,7 @@
 from lanelift.lab.rig.standins import Box, Clients, Discovery
 from lanelift.lab.rig.taps import HttpTap, StoreTap, Tap
 from lanelift.lab.topology import Unusable
+from lanelift.store import documents
 from lanelift.store import run as running
 from lanelift.store.client import Client, StoreError
 from lanelift.store.settings import read_store
@@ -45,19 +47,29 @@
         self.replacing = False  # a node that lost its folder is not yet a member again
         self.held: list[socket.socket] = []
         self.numbers: dict[str, int] = {}  # of nodes, in the store
+        self.filled = 0  # the store's revision once it was filled
         self.sites = {site: tuple(members) for site, members in scenario.sites.items()}
         self.doors = {f"balancer-{i}": self._door(f"balancer-{i}") for i in range(scenario.balancers)}
         self.clients = Clients(self.doors, scenario.rate, random.Random(f"{seed}/clients"))
         self.boxes = {f"box-{i}": Box(f"box-{i}", self.clients.tries) for i in range(scenario.boxes)}
+        self.begun: Callable[[str], None] = lambda name: None  # a process was started anew
         self.discovery = Discovery(self._row)
         self.owner: Callable[[str], str] = lambda lease: ""  # who holds a lease, by the books
 
     def _door(self, balancer: str) -> Callable[[], tuple[str, int]]:
         return lambda: ("127.0.0.1", self.relays[f"clients>{balancer}"].port)
 
-    def _row(self, balancer: str, box: str) -> dict[str, object]:
-        relay = self.relays[f"{balancer}>{box}"]
-        return {"id": box, "addr": relay.address, "zone": self.site_of(box), "kind": "m", "cell": 0,
+    def names(self) -> list[str]:
+        """What discovery lists when all is well."""
+        return sorted(self.boxes) + [f"more-{i}" for i in range(self.s.listed)]
+
+    def _row(self, balancer: str, name: str) -> dict[str, object]:
+        """Balancers with a store hear of boxes at the addresses that all know, and dial what their settings
+        say in place of those; one alone is told its own."""
+        box = name if name in self.boxes else f"box-{int(name.split('-')[1]) % len(self.boxes)}"
+        address = self.relays[f"{balancer}>{box}"].address if self.s.alone else (
+            f"127.0.0.1:{self.boxes[box].port}")
+        return {"id": name, "addr": address, "zone": self.site_of(box), "kind": "m", "cell": 0,
                 "state": "Ready", "weight": 1.0, "started_ms": self.boxes[box].started_ms}
 
     def site_of(self, name: str) -> str:
@@ -103,6 +115,13 @@
             await self._store(nodes)
         except StoreError as error:
             raise Unusable(f"the store did not start: {error}") from None
+        if self.s.fill_mb:
+            client = self.client("fill")
+            try:
+                await fill(client, self.s.fill_mb)
+                self.filled = (await client.get("bench/fill")).revision
+            finally:
+                await client.close()
         await asyncio.gather(*(self._balancer(f"balancer-{i}", nodes) for i in range(self.s.balancers)))
 
     def _kept_port(self) -> int:
@@ -134,7 +153,7 @@
             settings = read_store(path)
             words = ["store", "run", "--settings", str(path)]
             process = self.processes[name] = Process(name, words, "listening", self.folder / name,
-                                                     heard=self.said)
+                                                     old=name in self.s.old, heard=self.said)
             if i == 0:
                 self.numbers[name] = running.init(settings, name=name).node
                 await process.start()
@@ -160,24 +179,34 @@
         self._relay("clients", name, self._port(name), lambda: (HttpTap(), Tap()))
         port = await self.discovery.listen(name)
         discovery = self._relay(name, "discovery", lambda: ("127.0.0.1", port), lambda: (HttpTap(), Tap()))
-        for box in self.boxes.values():
-            self._relay(name, box.name, lambda box=box: ("127.0.0.1", box.port),  # type: ignore[misc]
-                        lambda: (HttpTap(), Tap()))
         addresses, reach = [], ""
+        for box in self.boxes.values():
+            relay = self._relay(name, box.name,
+                                lambda box=box: ("127.0.0.1", box.port),  # type: ignore[misc]
+                                lambda: (HttpTap(), Tap()))
+            reach += f'"127.0.0.1:{box.port}" = "{relay.address}"\n'
         for node in nodes:
             relay = self._relay(name, node, self._port(node), lambda: (StoreTap(True), StoreTap(False)))
             addresses.append(f'"{relay.address}"')
             reach += f'"127.0.0.1:{self.ports[node]}" = "{relay.address}"\n'
         path = self.folder / f"{name}.toml"
         number = int(name.split("-")[1])
-        path.write_text(
+        own = (
             f'listen = "127.0.0.1:{self.ports[name]}"\ndiscovery = "{discovery.address}"\nname = "{name}"\n'
             f'number = {number}\nof = {self.s.balancers}\nzone = "{self.site_of(name)}"\n'
             + "".join(f'[[class]]\nname = "{kind}"\neffect = "{effect}"\naim = "1s"\ndeadline = "2s"\n'
-                      for kind, effect in (("lookup", "safe"), ("book-delivery", "unsafe")))
-            + ("" if self.s.alone else
-               f'[store]\naddresses = [{", ".join(addresses)}]\nservice = "{SERVICE}"\nbalancer = "{name}"\n'
-               f'lease = "{int(self.s.lease)}ns"\n[store.reach]\n{reach}'))
+                      for kind, effect in (("lookup", "safe"), ("book-delivery", "unsafe"))))
+        boot = ("" if self.s.alone else
+                f'[store]\naddresses = [{", ".join(addresses)}]\nservice = "{SERVICE}"\nbalancer = "{name}"\n'
+                f'lease = "{int(self.s.lease)}ns"\n')
+        if self.s.document:
+            client = self.client("settings")
+            try:
+                await documents.put(client, f"balancer/{name}", own, lambda n, text: "", -1, "rig")
+            finally:
+                await client.close()
+            own, boot = "", boot + f'document = "balancer/{name}"\nfolder = "{name}"\n'
+        path.write_text(own + boot + (f"[store.reach]\n{reach}" if boot else ""))
         process = self.processes[name] = Process(name, ["serve", "--settings", str(path)], "\0",
                                                  heard=self.said)
         await process.start(wait=False)
@@ -216,7 +245,12 @@
             except StoreError as error:
                 raise Unusable(f"{name} could not be replaced: {error}") from None
             return
-        await process.begun()
+        await process.gone()
+        starting = asyncio.ensure_future(process.start())
+        await asyncio.sleep(0)
+        self.begun(name)
+        await starting
+        process.back()
 
     async def _replaced(self, name: str) -> None:
         """A node whose folder is lost: its number is taken out, and it joins anew, under another. Raises
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -78,6 +78,7 @@
         self.open = 0  # requests that are owed an answer
         self.waiting: list[api.Event] = []
         self.told = asyncio.Event()  # a list came
+        self.tap: Callable[[int, Sequence[api.Event]], None] | None = None  # who else hears what came
 
     @property
     def ready(self) -> bool:
@@ -164,6 +165,8 @@
         except Exception:
             self._blame("the decision module failed", events)
             actions = []
+        if self.tap is not None:
+            self.tap(now, events)
         for action in actions:
             try:
                 self._carry_out(action, now)
--- a/tests/test_roll.py
+++ b/tests/test_roll.py
@@ -8,7 +8,9 @@
 import msgspec
 import pytest
 
+from lanelift import interface as api
 from lanelift.daemon.follow import CALLS_S, OLD_NS, Follower
+from lanelift.daemon.reach import Reach
 from lanelift.daemon.rolling import (
     PATIENCE_S,
     Box,
@@ -21,9 +23,13 @@
     View,
     decide,
     held_up,
+    meant,
+    name_of,
+    to_ask,
     wrong,
 )
 from lanelift.leases.fence import Word
+from lanelift.net.upstream import Endpoint
 
 SECOND = 1_000_000_000
 
@@ -225,3 +231,31 @@
     follower = Follower(8, random.Random(1), 0)
     first = next(ms for ms in range(0, 20_000, 10) if follower.asks(ms * 1_000_000))
     assert first <= 760
+
+
+# ---- a box's own door, which checks no token ---------------------------------------------------------------
+
+
+def test_a_box_is_asked_only_by_who_wrote_so_and_by_the_next_owner_only_after_a_leases_time() -> None:
+    quiet = msgspec.structs.replace(Box("box-0", 0), phase=Phase.QUIET)
+    r = msgspec.structs.replace(roll(1), boxes=(quiet,), door="/restart")
+    assert to_ask(r, 5) == []  # nothing is done that the store does not say first
+    step = meant(r, 5, 0.0, 10.0)
+    assert step is not None and step.disabled is None and meant(step.roll, 5, 99.0, 10.0) is None
+    assert [b.name for b in to_ask(step.roll, 5)] == ["box-0"] and to_ask(step.roll, 6) == []
+    assert meant(step.roll, 6, 9.9, 10.0) is None
+    later = meant(step.roll, 6, 10.0, 10.0)
+    assert later is not None and to_ask(later.roll, 5) == [] and to_ask(later.roll, 6) != []
+    assert name_of(later.roll, later.roll.boxes[0]) == name_of(r, quiet)  # the same act, whoever asks
+    aborting = msgspec.structs.replace(later.roll, state=State.ABORTING)
+    assert to_ask(aborting, 6) == [] and meant(aborting, 7, 99.0, 10.0) is None
+    assert meant(msgspec.structs.replace(r, door=""), 5, 99.0, 10.0) is None
+    assert "is no path" in wrong(msgspec.structs.replace(r, door="/a b\r\nX: y"))
+
+
+def test_boxes_behind_translation_are_shared_as_all_know_them_and_dialled_as_from_here() -> None:
+    reach = Reach({"10.0.0.1:80": "127.0.0.1:9001"})
+    known = [Endpoint(api.Upstream(n), host, 80) for n, host in enumerate(("10.0.0.1", "10.0.0.2"))]
+    here = reach.from_here(known)
+    assert [(e.host, e.port) for e in here] == [("127.0.0.1", 9001), ("10.0.0.2", 80)]
+    assert reach.as_known(here) == known and reach.dialled(("10.0.0.1", 80)) == ("127.0.0.1", 9001)
