Answer what is still open when a process leaves

At fault: a process leaves 3.55 s after SIGTERM (the longest deadline, taken as 3 s), and only requests that come after SIGTERM have their deadline cut to that (Frontend._deadline). One that came before it, of a class with 6 s, was dropped with its connection. Whatever is open at that moment is now answered 504 with Connection: close. Measured: tests/test_frontend.py: connection dropped without the change, 504 with it.

--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -210,6 +210,13 @@
             log.error("request %s was not answered by its deadline", request.arrival.request)
             self.post(api.ClientGone(request.arrival.request))
 
+    def end_open(self) -> None:
+        """This process leaves now: whoever still waits is told that, and not left with a broken connection.
+        Requests that were taken before it was told to leave may have more time than it has."""
+        for request in list(self.requests.values()):
+            if self._answer(request, lambda client: client.failed(504)):
+                self.post(api.ClientGone(request.arrival.request))
+
     # ---- actions -----------------------------------------------------------------------------------------
 
     def _carry_out(self, action: api.Action, now: int) -> None:
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -278,6 +278,7 @@
             if self.started:
                 leave_to_successor(self.listener)
             self.loop.call_later(DRAIN_S, self._stop)
+            self.loop.call_later(self.leave_ns / 1e9, self.driver.end_open)
 
     def _stop(self) -> None:
         """What is in the accept queue was taken, and closing the listener would reset it: first it is
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -31,6 +31,20 @@
 )
 
 
+@pytest.fixture
+def made(monkeypatch: pytest.MonkeyPatch) -> list[frontend.Frontend]:
+    """The frontends of the balancers that a test starts."""
+    found: list[frontend.Frontend] = []
+
+    class Kept(frontend.Frontend):
+        def start(self) -> None:
+            found.append(self)
+            super().start()
+
+    monkeypatch.setattr(program, "Frontend", Kept)
+    return found
+
+
 def test_ready_once_the_module_can_serve() -> None:
     async def test() -> None:
         async with world(known=None) as w:
@@ -381,17 +395,8 @@
 @pytest.mark.skipif(sys.platform != "linux", reason="other kernels do not tell")
 @pytest.mark.parametrize("end", ["drained", "swept", "made room"])
 def test_a_connection_at_rest_is_not_closed_over_a_request_that_lies_unread(
-        end: str, monkeypatch: pytest.MonkeyPatch) -> None:
+        end: str, made: list[frontend.Frontend]) -> None:
     """A timer runs ahead of the sockets: with both due in one turn the request was lost, unanswered."""
-    made: list[frontend.Frontend] = []
-
-    class Kept(frontend.Frontend):
-        def start(self) -> None:
-            made.append(self)
-            super().start()
-
-    monkeypatch.setattr(program, "Frontend", Kept)
-
     async def test() -> None:
         async with world() as w:
             loop = asyncio.get_running_loop()
@@ -425,3 +430,19 @@
                 assert await loop.sock_recv(used, 4096) == b""  # with nothing unread it ends
 
     run(test())
+
+
+def test_who_leaves_answers_a_request_that_has_more_time_than_it_has(
+        made: list[frontend.Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Taken before SIGTERM, with a deadline behind the process's own end: it ended over the open request."""
+    monkeypatch.setattr(frontend, "LONGEST_NS", 100_000_000)
+    monkeypatch.setattr(frontend, "LEAVE_NS", 100_000_000)
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.held("r1", X_Deadline_Ms=3000)
+            made[0].drain()
+            assert (await asyncio.wait_for(read_message(client.reader), 2.0)).status == 504
+            await client.ended()
+
+    run(test())
