--- /dev/null
+++ b/lanelift/sites/orders.py
@@ -0,0 +1,189 @@
+"""What follows from the courses for each balancer: which sites' boxes it may use and how much, what it
+refuses, and which cold boxes are its to warm. Pure.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from lanelift.sites import recovery
+from lanelift.sites.course import Course, parts
+from lanelift.sites.plan import (
+    CLASSES,
+    COPIES,
+    EPSILON,
+    EXCESS,
+    RETRIES,
+    Admission,
+    Fleet,
+    Kind,
+    Ladder,
+    Load,
+    Place,
+    admitted,
+    table,
+)
+from lanelift.sites.recovery import RISE, STEP_S, Stage
+from lanelift.sites.words import OLD_S, Told
+
+SEEN_LEAST = 0.15  # of its draws that a site keeps which has room: balancers correct by what they see
+FIRST_NS, ROOM_MOST_NS = 250_000_000, 60_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Place0:
+    """A site as operators describe it: requests a second of the usual mix that it bears warm."""
+
+    name: str
+    bears: float
+    burst: float = 0.2
+    prices: Mapping[str, float] = field(default_factory=dict)
+    connections: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Orders:
+    """For all balancers; `zones` by the site where one stands, `shares` and `cold` by its name."""
+
+    zones: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
+    excess: float = 0.0
+    repeats: float = 0.0
+    copies: bool = True
+    classes: Mapping[str, float] = field(default_factory=dict)
+    back_ns: tuple[int, int] = (0, 0)
+    shares: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
+    cold: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
+
+
+def fleet_of(places: Iterable[Place0], worths: Mapping[str, float], rows: Mapping[str, Told]) -> Fleet:
+    """What the rows that are fresh add up to. Work is against the mean of the usual mix, so that what sites
+    bear can be said in requests a second."""
+    sums: dict[tuple[str, str, str], list[float]] = {}
+    works: dict[str, list[float]] = {}
+    for told in rows.values():
+        if told.age_s > OLD_S:
+            continue
+        for kind, tenant, rate, excess, repeats in told.row.loads:
+            if kind in worths:
+                row = sums.setdefault((told.row.site, kind, tenant), [0.0, 0.0, 0.0])
+                row[0] += rate
+                row[1] += rate * excess
+                row[2] += rate * repeats
+        for kind, seconds in told.row.work:
+            if kind in worths and seconds > 0:
+                works.setdefault(kind, []).append(seconds)
+    rates: dict[str, float] = {}
+    for (_, kind, _), row in sums.items():
+        rates[kind] = rates.get(kind, 0.0) + row[0]
+    work = {kind: sorted(seen)[len(seen) // 2] for kind, seen in works.items()}
+    usual = sum(work.values()) / len(work) if work else 1.0
+    whole = sum(rates.values())
+    mean = sum(rate * work.get(k, usual) for k, rate in rates.items()) / whole if whole else usual
+    kinds = {k: Kind(k, worth, work.get(k, usual) / max(EPSILON, mean)) for k, worth in worths.items()}
+    loads = tuple(Load(site, kind, tenant, row[0], row[1] / row[0], row[2] / row[0])
+                  for (site, kind, tenant), row in sorted(sums.items()) if row[0] > EPSILON)
+    return Fleet({p.name: Place(p.name, p.bears, p.burst, p.prices, p.connections) for p in places}, kinds,
+                 loads)
+
+
+def shrunk(fleet: Fleet, left: Mapping[str, float]) -> Fleet:
+    """With what its sites bear now: a part of the usual for those that are lost, emptied or coming back."""
+    return replace(fleet, places={n: replace(p, bears=p.bears * left.get(n, 1.0))
+                                  for n, p in fleet.places.items()})
+
+
+def orders(fleet: Fleet, courses: Sequence[Course], ladder: Ladder, rows: Mapping[str, Told],
+           cold: Mapping[int, float], now: int) -> Orders:
+    """`cold`: cold boxes of sites that come back, and requests a second that each bears from all together."""
+    left = parts(courses)
+    if not left:
+        ladder.at = Admission()
+        return Orders()
+    apart = {c.site for c in courses if c.apart}
+    joined = shrunk(replace(fleet, places={n: p for n, p in fleet.places.items() if n not in apart}), left)
+    gone = [n for n in joined.places if left.get(n, 1.0) <= 0.0]
+    loads = tuple(load for load in fleet.loads if load.site not in apart and load.site in joined.places)
+    joined = replace(joined, loads=loads)
+    found = table(joined, gone) if len(gone) < len(joined.places) else None
+    # The ladder has a memory: up at once, down with care.
+    bears = sum(p.bears for n, p in joined.places.items() if n not in gone)
+    admission = ladder.update(joined, loads, 0.9 * bears, now)
+    zones: dict[str, dict[str, float]] = {}
+    for here in fleet.places:
+        if here in apart:
+            zones[here] = {n: 0.0 for n in fleet.places if n != here}
+            continue
+        zones[here] = {n: 0.0 for n in apart} | {n: left[n] for n in gone}
+        if found is not None:
+            zones[here] |= _draws(joined, found.shares.get(here, {}), gone, left)
+    refused = {k: admission.refused(CLASSES + i) for i, k in enumerate(fleet.rungs())}
+    return Orders(zones, admission.refused(EXCESS), admission.refused(RETRIES), not admission.refused(COPIES),
+                  {k: part for k, part in refused.items() if part > 0},
+                  _back(joined, loads, admission, bears, courses), _quotas(rows) if admission.rung else {},
+                  _dealt(cold, rows, apart))
+
+
+def _draws(fleet: Fleet, shares: Mapping[str, float], gone: Sequence[str],
+           left: Mapping[str, float]) -> dict[str, float]:
+    """By which part the draws at each site's boxes are used, so that the load goes as the table says: boxes
+    are drawn alike, so a site that is to get less for what it bears gets a part of its draws."""
+    each = {n: shares.get(n, 0.0) / max(EPSILON, p.bears) for n, p in fleet.places.items()
+            if n not in gone and p.bears > EPSILON}
+    most = max(each.values(), default=0.0)
+    if most <= 0:
+        return {}
+    found = {}
+    for name, share in each.items():
+        part = max(SEEN_LEAST, share / most)
+        # One that comes back gets no more than its part, whatever the table has room for.
+        part = min(part, left[name]) if name in left else part
+        if part < 0.999:
+            found[name] = round(part, 4)
+    return found
+
+
+def _back(fleet: Fleet, loads: Sequence[Load], admission: Admission, bears: float,
+          courses: Sequence[Course]) -> tuple[int, int]:
+    """From when to when the refused shall try again."""
+    if not admission.rung:
+        return 0, 0
+    asked = sum(load.rate for load in loads)
+    refused = asked - sum(admitted(fleet, load, admission) for load in loads)
+    # When is there room? Where a site comes back, once it has risen; else by what is spare each second.
+    rounds = [_rounds(c.part) for c in courses if c.stage in (Stage.TRICKLE, Stage.SHARES)]
+    room = int(min(rounds, default=0.0) * STEP_S * 1e9)
+    spread = int(1e9 * refused / max(0.05 * bears, EPSILON))
+    first = min(ROOM_MOST_NS, max(FIRST_NS, room))
+    return first, min(2 * ROOM_MOST_NS, first + max(FIRST_NS, spread))
+
+
+def _rounds(part: float) -> float:
+    """Steps until a share is whole."""
+    steps = 0.0
+    while 0 < part < 1 and steps < 40:
+        part, steps = part * RISE, steps + 1
+    return steps
+
+
+def _quotas(rows: Mapping[str, Told]) -> dict[str, dict[str, float]]:
+    """What of each balancer's traffic is within shares, requests a second by tenant: as it was seen there."""
+    found: dict[str, dict[str, float]] = {}
+    for name, told in rows.items():
+        mine: dict[str, float] = {}
+        for _, tenant, rate, excess, _ in told.row.loads:
+            mine[tenant] = mine.get(tenant, 0.0) + rate * (1.0 - excess)
+        found[name] = {t: round(max(0.1, rate), 3) for t, rate in sorted(mine.items())}
+    return found
+
+
+def _dealt(cold: Mapping[int, float], rows: Mapping[str, Told],
+           apart: Iterable[str]) -> dict[str, dict[int, float]]:
+    """Who warms which cold box; those that got none of one are told so too."""
+    if not cold:
+        return {}
+    out = set(apart)
+    able = {n: t for n, t in rows.items() if t.age_s <= OLD_S and not t.row.alone and t.row.site not in out}
+    traffic = {n: sum(load[2] for load in t.row.loads) for n, t in able.items()}
+    dealt = recovery.deal(sorted(cold), sorted(able), cold, traffic if any(traffic.values()) else None)
+    return {name: {box: round(dealt.get(name, {}).get(box, 0.0), 4) for box in sorted(cold)} for name in rows}
