--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -14,7 +14,8 @@
 from lanelift.store.client import StoreError
 from lanelift.store.durable.journal import Damaged, Full
 
-DAEMONS = ("serve", "store", "config", "lease", "roll", "version")  # these start without the lab's libraries
+# These start without the lab's libraries.
+DAEMONS = ("serve", "store", "config", "lease", "roll", "site", "version")
 
 
 def version() -> None:
@@ -24,7 +25,7 @@
 
 def application(words: Sequence[str]) -> typer.Typer:
     """The commands; the lab, whose libraries take half a second to load, only where it may be meant."""
-    from lanelift.cli import config, lease, roll, serve, store
+    from lanelift.cli import config, lease, roll, serve, site, store
     app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                       help="A load balancer that keeps its rules, and the lab that shows it under failure.")
     app.command("serve")(serve.serve)
@@ -32,6 +33,7 @@
     app.add_typer(config.app, name="config")
     app.add_typer(lease.app, name="lease")
     app.add_typer(roll.app, name="roll")
+    app.add_typer(site.app, name="site")
     if not words or words[0] not in DAEMONS:
         from lanelift.cli import clusters, lab, rig
         clusters.add_to(lab.app)
--- /dev/null
+++ b/lanelift/cli/site.py
@@ -0,0 +1,204 @@
+"""`lanelift site ...`: what the fleet does about its sites, what a loss would come to, and operators'
+words."""
+
+from __future__ import annotations
+
+import getpass
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Annotated
+
+import msgspec
+import typer
+from rich.table import Table as Rows
+
+from lanelift.cli.console import out
+from lanelift.cli.store import At, Authority, Cert, Key, client, using
+from lanelift.daemon.roller import Ages
+from lanelift.daemon.saved import decoded
+from lanelift.daemon.sitewatch import PlanDoc, SiteKeys, course_of, with_course
+from lanelift.daemon.siteworks import Looked, look
+from lanelift.leases import table as leases
+from lanelift.settings import Malformed
+from lanelift.sites.course import Aim, ordered
+from lanelift.sites.plan import CLASSES, EXCESS, Admission, Fleet, Table, bearable, table, tables
+from lanelift.store.client import Client, Conflict
+from lanelift.store.commands import LEASES
+from lanelift.units import duration
+
+app = typer.Typer(no_args_is_help=True, help="Sites: what is lost, where its load goes, how it comes back.")
+Service = Annotated[str, typer.Option(envvar="LANELIFT_SERVICE", help="As in the balancers' [store].")]
+Name = Annotated[str, typer.Argument(help="Of a site, as in the document of sites.")]
+RUNGS = ("nothing", "excess over shares", "repeats", "copies")
+
+
+def _seconds(text: str) -> float:
+    """Raises Malformed."""
+    try:
+        return float(duration(text)) / 1e9
+    except ValueError as error:
+        raise Malformed(str(error)) from None
+
+
+def _rung(fleet: Fleet, a: Admission) -> str:
+    if not a.rung:
+        return RUNGS[0]
+    name = RUNGS[a.rung] if a.rung < CLASSES else f"class {fleet.rungs()[a.rung - CLASSES]}"
+    return f"{a.part:.0%} of {name}" + (" and all before it" if a.rung > EXCESS else "")
+
+
+async def _looked(c: Client, service: str) -> Looked:
+    """Raises StoreError, Malformed."""
+    return await look(c, service, None, Ages(), {})
+
+
+@app.command()
+def status(service: Service, at: At, certificate: Cert = None, key: Key = None,
+           authority: Authority = None) -> None:
+    """Each site: what the fleet takes it to be and why, and what it gets."""
+    async def work(c: Client) -> None:
+        seen = await _looked(c, service)
+        owner = (await c.get(f"{LEASES}work/site/{service}")).rows[0]
+        held = leases.unpack(owner.value) if owner.value is not None else None
+        who = f"{held.holder.split('@')[0]}, token {leases.written(held.token)}" if (
+            held is not None and held.held) else "nobody"
+        out.print(f"owner: {who}; {len(seen.rows)} balancers tell"
+                  + (f"; the work rests: {seen.why}" if seen.why else ""), soft_wrap=True)
+        rows = Rows()
+        for column in ("site", "seen as", "aim", "stage", "gets", "since it failed", "why"):
+            rows.add_column(column)
+        for name in sorted(seen.fleet.places):
+            course, v = course_of(seen.doc, name), seen.verdicts[name]
+            rows.add_row(name, v.state.value, course.aim.value + (f" by {course.by}" if course.by else ""),
+                         "apart" if course.apart else course.stage.value, f"{course.part:.0%}",
+                         str(course.fails), course.why or v.why)
+        out.print(rows)
+        o = seen.doc.orders
+        if o.excess or o.repeats or o.classes or not o.copies:
+            classes = ", ".join(f"{part:.0%} of {k}" for k, part in o.classes.items())
+            out.print(f"refused: {o.excess:.0%} beyond shares, {o.repeats:.0%} of repeats, "
+                      f"{'no copies' if not o.copies else 'copies as usual'}"
+                      + (f", {classes}" if classes else ""), soft_wrap=True)
+
+    using(client(at, certificate, key, authority), work)
+
+
+def _row(fleet: Fleet, t: Table) -> tuple[str, ...]:
+    worst_tenant = min(t.by_tenant.items(), key=lambda it: it[1], default=("-", 1.0))
+    worst_class = min(t.by_class.items(), key=lambda it: it[1], default=("-", 1.0))
+    return (" and ".join(sorted(t.lost)) or "none", f"{t.worth / max(1e-9, t.usual):.1%}",
+            _rung(fleet, t.admission), f"{worst_class[0]} {worst_class[1]:.0%}",
+            f"{worst_tenant[0]} {worst_tenant[1]:.0%}",
+            ", ".join(f"{n} {fill:.0%}" for n, fill in sorted(t.fill.items())))
+
+
+@app.command()
+def plan(service: Service, at: At,
+         lose: Annotated[str, typer.Option(help="Sites, with commas between; empty: each and each two.")] =
+         "", certificate: Cert = None, key: Key = None, authority: Authority = None) -> None:
+    """What a loss now would come to: worth that is left, what is refused, how full the others are. Exit
+    status 1 where the loss of one site is more than the others bear."""
+    async def work(c: Client) -> bool:
+        seen = await _looked(c, service)
+        if not seen.fleet.places:
+            raise Malformed(seen.why)
+        if not seen.fleet.loads:
+            raise Malformed("no balancer tells of any load: there is nothing to plan with")
+        names = [n.strip() for n in lose.split(",") if n.strip()]
+        unknown = [n for n in names if n not in seen.fleet.places]
+        if unknown or len(names) >= len(seen.fleet.places):
+            raise Malformed(f"{unknown[0]}: there is no such site" if unknown else "all sites can't be lost")
+        found = {frozenset(names): table(seen.fleet, names)} if names else tables(seen.fleet)
+        rows = Rows()
+        for column in ("lost", "worth left", "refused", "worst class", "worst tenant", "filled to"):
+            rows.add_column(column)
+        for t in found.values():
+            rows.add_row(*_row(seen.fleet, t))
+        out.print(rows)
+        if names:
+            for origin, to in found[frozenset(names)].shares.items():
+                goes = ", ".join(f"{t} {part:.0%}" for t, part in to.items())
+                out.print(f"what comes in at {origin} goes to {goes}", soft_wrap=True)
+        short = bearable(found)
+        for gone in short:
+            out.print(f"[red]the others do not bear the loss of {' and '.join(sorted(gone))}[/red]",
+                      soft_wrap=True)
+        return bool(short)
+
+    told: Callable[[Client], Awaitable[bool]] = work
+    if using(client(at, certificate, key, authority), told):
+        raise typer.Exit(1)
+
+
+def _order(service: str, made: Client, name: str, aim: Aim, over_s: float = 0.0, hold_s: float = 0.0,
+           force: bool = False) -> None:
+    """An operator's word, merged into what the owner does meanwhile. Raises Malformed."""
+    by = "an operator"
+    with suppress(KeyError, OSError):
+        by = getpass.getuser()
+
+    async def work(c: Client) -> str:
+        seen = await _looked(c, service)
+        if name not in seen.fleet.places:
+            raise Malformed(f"{name}: there is no such site in the document of sites" if seen.fleet.places
+                            else seen.why)
+        if aim is not Aim.IN and not force and seen.fleet.loads:
+            out_ = {x.site for x in seen.doc.courses if x.part < 1} | {name}
+            if out_ >= set(seen.fleet.places):
+                raise Malformed("all sites would be out")
+            t = table(seen.fleet, out_)
+            if t.admission.rung > EXCESS:
+                raise Malformed(f"the others do not bear it: {_rung(seen.fleet, t.admission)} would be"
+                                f" refused, {t.worth / max(1e-9, t.usual):.0%} of the worth be left; --force"
+                                " does it all the same")
+        while True:
+            row = (await c.get(SiteKeys(service).plan)).rows[0]
+            doc = decoded(row, PlanDoc) or PlanDoc()
+            try:
+                course = ordered(course_of(doc, name), aim, by, over_s, hold_s)
+            except ValueError as error:
+                raise Malformed(str(error)) from None
+            with suppress(Conflict):
+                value = msgspec.json.encode(with_course(doc, course))
+                await c.put(SiteKeys(service).plan, value, row.version, note=course.why[:200])
+                return f"site {name}: {course.why}"
+
+    told: Callable[[Client], Awaitable[str]] = work
+    out.print(using(made, told), soft_wrap=True)
+
+
+Force = Annotated[bool, typer.Option("--force", help="Even where the others do not bear it.")]
+
+
+@app.command()
+def drain(name: Name, service: Service, at: At,
+          over: Annotated[str, typer.Option(help="In which it is emptied, with a unit.")] = "5m",
+          force: Force = False, certificate: Cert = None, key: Key = None,
+          authority: Authority = None) -> None:
+    """Empty a site, without one failure; it stays so until `return`."""
+    _order(service, client(at, certificate, key, authority), name, Aim.OUT, _seconds(over), force=force)
+
+
+@app.command()
+def hold(name: Name, service: Service, at: At, force: Force = False, certificate: Cert = None,
+         key: Key = None, authority: Authority = None) -> None:
+    """Take a site out at once, and keep it out."""
+    _order(service, client(at, certificate, key, authority), name, Aim.OUT, 0.0, force=force)
+
+
+@app.command("return")
+def return_(name: Name, service: Service, at: At, certificate: Cert = None, key: Key = None,
+            authority: Authority = None) -> None:
+    """Let a site that is held, drained or drilled come back, in stages."""
+    _order(service, client(at, certificate, key, authority), name, Aim.IN)
+
+
+@app.command()
+def drill(name: Name, service: Service, at: At,
+          over: Annotated[str, typer.Option(help="In which it is emptied.")] = "5m",
+          empty: Annotated[str, typer.Option("--for", help="How long it stays so.")] = "1m",
+          force: Force = False, certificate: Cert = None, key: Key = None,
+          authority: Authority = None) -> None:
+    """A drain that ends itself: when its time is over, or at once when service falls."""
+    _order(service, client(at, certificate, key, authority), name, Aim.DRILL, _seconds(over), _seconds(empty),
+           force)
--- a/lanelift/daemon/boot.py
+++ b/lanelift/daemon/boot.py
@@ -7,6 +7,7 @@
     document = "balancer/orders"     # without it, the rest of the settings stands in this file
     folder = "state"                 # for a copy of the document
     lease = "10s"                    # work of the fleet passes on after an owner's silence of so long
+    sites = true                     # take part when a site is lost, emptied or comes back; `zone` is needed
     # reach = {"10.0.0.1:7101" = "127.0.0.1:9001"}   # behind address translation
 """
 
@@ -46,6 +47,7 @@
     lease: Duration = Duration(int(LEASE_S * 1e9))  # work of the fleet passes on after an owner's silence
     rank: int = 0  # the lower, the sooner this one owns it
     reach: dict[str, str] = {}  # where a node or an upstream that is known at one address is dialled instead
+    sites: bool = False  # take part in what the fleet does when a site is lost, emptied or comes back
     tls: Keys | None = None
 
 
@@ -125,7 +127,8 @@
 
     def companion(self, parts: Parts) -> Keeper:
         return Keeper(self.client(), self.table.service, self.table.balancer, self.table.document, self.cache,
-                      parts, self.table.lease / 1e9, self.table.rank, self.table.reach)
+                      parts, self.table.lease / 1e9, self.table.rank, self.table.reach,
+                      self.table.sites)
 
 
 def read_boot(path: Path) -> Boot | None:
--- a/lanelift/daemon/documents.py
+++ b/lanelift/daemon/documents.py
@@ -5,8 +5,10 @@
 import tomllib
 
 from lanelift.__main__ import Config
+from lanelift.daemon import places
 from lanelift.daemon.settings import read_raw
 from lanelift.settings import Json, Malformed
+from lanelift.sites.plan import Place
 
 BALANCER = "balancer"  # and `balancer/NAME`: the operators' settings of balancers
 
@@ -24,11 +26,22 @@
     return read_raw(parsed(name, text), name)
 
 
+def sites(name: str, text: str) -> dict[str, Place]:
+    """A document of what operators say of their sites. Raises Malformed."""
+    raw = parsed(name, text)
+    try:
+        return places.read(raw)
+    except ValueError as error:
+        raise Malformed(f"{name}: {error}") from None
+
+
 def check(name: str, text: str) -> str:
     """The first thing wrong with a document, in one line; empty: nothing."""
     try:
         if name == BALANCER or name.startswith(BALANCER + "/"):
             read(name, text)
+        elif name.startswith(places.DOCUMENT + "/"):
+            sites(name, text)
         else:
             parsed(name, text)
     except Malformed as error:
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -6,12 +6,15 @@
     disabled/SERVICE           names, JSON
     list/SERVICE               the last box list; its one owner puts it
     learnt/SERVICE/BALANCER    what its module learnt; the one process of that name puts it
+    site/SERVICE/...           what the fleet does about its sites, where it is switched on
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import os
+import random
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
@@ -34,6 +37,8 @@
     save_learnt,
     save_list,
 )
+from lanelift.daemon.sitewatch import SiteWatch
+from lanelift.daemon.siteworks import SiteWorks
 from lanelift.leases.table import Lease
 from lanelift.net.discovery import Discovery
 from lanelift.store.client import Client, Compacted, Conflict, StoreError
@@ -54,7 +59,7 @@
 class Keeper:
     def __init__(self, client: Client, service: str, balancer: str, document: str, cache: Path | None,
                  parts: Parts, lease_s: float = LEASE_S, rank: int = 0,
-                 reach: Mapping[str, str] | None = None) -> None:
+                 reach: Mapping[str, str] | None = None, sites: bool = False) -> None:
         self.client = client
         self.balancer = balancer
         self.document = document
@@ -76,6 +81,12 @@
         self.reporter = Reporter(parts.driver, parts.disabled, client, self.name, service, balancer)
         self.roller = Owner(client, f"work/roll/{service}", balancer, lease_s, rank)
         Roller(client, self.roller, service, self.reach)
+        self.sites: SiteWatch | None = None
+        self.site_owner = Owner(client, f"work/site/{service}", balancer, lease_s, rank)
+        if sites:
+            rng = random.Random(os.urandom(8))
+            self.sites = SiteWatch(parts.driver, client, self.name, service, balancer, rng)
+            SiteWorks(client, self.site_owner, service, parts.driver.settings)
         discovery = parts.driver.discovery
         if isinstance(discovery, Discovery):
             self.list = FleetList(parts.driver, discovery, client, self.lister, service, self.reach)
@@ -91,8 +102,12 @@
             works += [self.list.follow, self.list.look]
         if self.document:
             works.append(self._watch_document)
+        owners = [self.name, self.lister, self.roller]
+        if self.sites is not None:
+            works += [self.sites.look, self.sites.tell, self.sites.follow]
+            owners.append(self.site_owner)
         self.tasks = [loop.create_task(self._kept(work)) for work in works]
-        for owner in (self.name, self.lister, self.roller):
+        for owner in owners:
             owner.start()
 
     def _named(self, lease: Lease) -> None:
@@ -255,7 +270,10 @@
         with suppress(StoreError):
             await self.save(0.5)
             await self.reporter.leave()
-        await asyncio.gather(self.name.close(), self.lister.close(), self.roller.close())
+            if self.sites is not None:
+                await self.sites.leave()
+        await asyncio.gather(*(owner.close() for owner in (
+            self.name, self.lister, self.roller, *([self.site_owner] if self.sites is not None else []))))
         await self.client.close()
 
 
--- a/lanelift/lab/rig/books.py
+++ b/lanelift/lab/rig/books.py
@@ -21,7 +21,8 @@
 from lanelift.store.commands import LEASES
 from lanelift.store.wire.protocol import Change
 
-WORKS = {"list/": "work/list/", "listed/": "work/list/"}  # what stands there is put by who owns that
+# what stands there is put by who owns that
+WORKS = {"list/": "work/list/", "listed/": "work/list/", "site/": "work/site/"}
 ROLL, DISABLED = "roll/orders", "disabled/orders"
 ORDER = ("waiting", "out", "quiet", "back", "done")
 
@@ -94,9 +95,11 @@
         elif change.key == DISABLED:
             self.out = set(msgspec.json.decode(change.value))
         else:
-            for prefix, work in WORKS.items():
-                if change.key.startswith(prefix):
-                    self._word(change.key, work + change.key.removeprefix(prefix), change.value)
+            prefix, _, rest = change.key.partition("/")
+            service, _, what = rest.partition("/")
+            work = WORKS.get(prefix + "/")
+            if work is not None and not what.startswith("row/"):
+                self._word(change.key, work + service, change.value)
         self.poked()
 
     def _roll(self, roll: dict[str, Any]) -> None:
@@ -149,6 +152,8 @@
         raw = msgspec.json.decode(value)
         token, number = int(raw.get("token", 0)), int(raw.get("number", 0))
         holds = self.leases.get(lease)
+        if change_of_operators(key, (token, number), self.newest.get(key)):
+            return
         if self.older and not token:
             self.counts["older words"] += 1
             self.overwritten.add(key)
@@ -167,3 +172,8 @@
                 self.say(f"{key}: discovery's version {version} was put over {old[2]}")
             self.lists.append((time.monotonic(), token, version))
         self.newest[key] = token, number, version
+
+
+def change_of_operators(key: str, word: tuple[int, int], before: tuple[int, int, int] | None) -> bool:
+    """They change the courses of sites, and leave the owner's word as it is."""
+    return key.endswith("/plan") and word == (before[:2] if before else (0, 0))
--- a/lanelift/lab/rig/run.py
+++ b/lanelift/lab/rig/run.py
@@ -22,8 +22,8 @@
 from lanelift.lab.rig.firsts import Firsts
 from lanelift.lab.rig.processes import Process
 from lanelift.lab.rig.relay import TO, Relay
-from lanelift.lab.rig.scenario import LINKS, Fault, Scenario, drawn, quiet, source
-from lanelift.lab.rig.standins import DOOR
+from lanelift.lab.rig.scenario import LINKS, Expected, Fault, Scenario, drawn, quiet, source
+from lanelift.lab.rig.standins import CLASSES, DOOR, Try
 from lanelift.lab.rig.world import SERVICE, World
 from lanelift.lab.rig.writers import CALM_S, Ledger, Writer, digest, judge, look
 from lanelift.lab.topology import Unusable
@@ -35,7 +35,7 @@
 RESTART_S = 0.3  # that operators take to restart a box
 OLDER_S = 1.0  # between two lists of an older program
 SERVED_S = 1.5  # at the end, in which every request is served
-ENDS_AT_ONCE = ("kill", "lose", "leave", "restart", "reset", "boxes", "jump", "upgrade")
+ENDS_AT_ONCE = ("kill", "lose", "leave", "restart", "reset", "boxes", "jump", "upgrade", "down")
 GAP_MOST = 8  # of the lease's time that the work may be without an owner once all is mended
 
 
@@ -141,7 +141,8 @@
                     self._strike(armed.fault)
 
     def _said(self, process: Process, line: str) -> None:
-        if "owned under token" in line or "refused" in line or "belongs to" in line or "rests" in line:
+        if "owned under token" in line or "refused" in line or "belongs to" in line or "rests" in line or (
+                "site" in line and ("INFO" in line or "WARNING" in line)):
             self.event(f"{process.name}: {line.split(' ', 1)[-1]}")
 
     def _begun(self, name: str) -> None:
@@ -170,6 +171,12 @@
             kept = [boxes[(self.listed + i) % len(boxes)] for i in range(max(1, int(fault.size)))]
             world.discovery.change(sorted(set(kept)))
             names = f"{len(set(kept))} listed, version {world.discovery.version}"
+        elif fault.do == "down":
+            down = world.boxed(fault.on)
+            for box in down:
+                box.down()
+                ends.append(lambda box=box: self._task(box.up()))  # type: ignore[misc]
+            names = ", ".join(b.name for b in down) or f"{fault.on}: nobody"
         elif fault.do == "discovery-down":
             world.discovery.fail(True)
             ends, names = [lambda: world.discovery.fail(False)], "discovery"
@@ -285,18 +292,28 @@
         """By the command that operators use."""
         roll = self.s.roll
         assert roll is not None
-        nodes = ",".join(f"127.0.0.1:{p}" for n, p in self.world.ports.items() if n.startswith("node"))
         names = ",".join(sorted(self.world.boxes)[:roll.boxes])
-        words = ["roll", "start", "--service", SERVICE, "--at", nodes, "--pick", names, "--at-once",
+        words = ["roll", "start", "--pick", names, "--at-once",
                  str(roll.at_once), "--per-site", str(roll.per_site), "--least", "0.1", "--warm",
                  str(roll.warm / 1e9), *(["--door", DOOR] if roll.door else [])]
+        await self._command(words)
+
+    def _order_soon(self, words: str) -> None:
+        self._task(self._order(words))
+
+    async def _order(self, words: str) -> None:
+        await self._command(["site", *words.split()])
+
+    async def _command(self, words: list[str]) -> None:
+        """As operators give it, past all relays. Raises Unusable."""
+        nodes = ",".join(f"127.0.0.1:{p}" for n, p in self.world.ports.items() if n.startswith("node"))
         command = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lanelift.cli.main", *words, stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT)
+            sys.executable, "-m", "lanelift.cli.main", *words, "--service", SERVICE, "--at", nodes,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
         said, _ = await command.communicate()
         self.event(f"operators: {said.decode().strip()}")
         if command.returncode:
-            raise Unusable(f"the roll did not begin: {said.decode().strip()}")
+            raise Unusable(f"{' '.join(words[:2])}: {said.decode().strip()}")
 
     def _turned(self, name: str, phase: str) -> None:
         """The roll's document says something else of a box."""
@@ -319,8 +336,7 @@
     def _restart(self, name: str) -> None:
         box = self.world.boxes[name]
         box.closed = False
-        box.restarts += 1
-        box.started_ms = int(time.time() * 1000)
+        box.restarted()
         self.world.discovery.change(list(self.world.discovery.boxes))
         self.event(f"{name} was restarted")
 
@@ -362,6 +378,8 @@
                 writing = self.loop.create_task(self._kept(self._writers()))
             if self.s.roll is not None:
                 self._task(self._begin_roll())
+            for order in self.s.orders:
+                self.loop.call_later(order.at / 1e9, self._order_soon, order.words)
             if self.s.older_lists:
                 self._task(self._older_lists())
             for fault in self.faults:
@@ -466,6 +484,11 @@
             for _, line in process.lines:
                 if "Traceback" in line or "the store's keeper" in line or "decision module failed" in line:
                     books.say(f"{name}: {line}")
+        for box in world.boxes.values():
+            if box.falls:
+                books.say(f"{box.name} was cold and got more than it bears, {box.falls} times")
+        for e in self.s.expects:
+            self._expect(e, tries)
         r.wrong = books.wrong
         served = Counter(int((t.at - self.began) * 2) for t in tries if t.status == 200)
         asked = Counter(int((t.at - self.began) * 2) for t in tries)
@@ -489,13 +512,30 @@
             "slowest leave s": round(max((p.leave_s for p in world.processes.values()), default=0.0), 2)}
         r.tails = {n: [line for _, line in p.lines[-40:]] for n, p in world.processes.items()}
 
+    def _expect(self, e: Expected, tries: list[Try]) -> None:
+        """Of what clients asked between two moments, was enough served?"""
+        begin, end = self.began + e.after / 1e9, self.began + e.before / 1e9
+        asked = [t for t in tries if begin <= t.at < end and (not e.tenant or t.tenant == e.tenant)
+                 and (not e.kind or CLASSES[t.unsafe][0] == e.kind)]
+        most = float(len(asked))
+        if e.within:
+            quota = next(t.quota for t in self.s.tenants if t.name == e.tenant)
+            most = min(most, quota * (end - begin))
+        served = sum(t.status == 200 for t in asked)
+        part = min(1.0, served / most) if most else 0.0
+        who = e.tenant or e.kind or "all"
+        self.result.figures[f"served {who} {e.after / 1e9:g}-{e.before / 1e9:g} s"] = round(part, 4)
+        if part < e.served:
+            self.books.say(f"{part:.1%} of {who} were served from {e.after / 1e9:g} to {e.before / 1e9:g} s,"
+                           f" and {e.served:.1%} are expected")
+
     def _excused(self, balancer: str, at: float) -> bool:
         """Was something wrong with this balancer, or with its clients' way, around then?"""
         process = self.world.processes[balancer]
         if any(a - 3.0 <= at <= (b or at) + 1.0 for a, b in process.stops):
             return True
         return any(f.do in LINKS and (f.link.startswith(("clients", "*")) or f.link.endswith(f">{balancer}")
-                                      or "@" in f.link) for f in self.faults)
+                                      or "@" in f.link or "!" in f.link) for f in self.faults)
 
 
 async def _played(scenario: Scenario, seed: int, folder: Path, faults: Sequence[Fault] | None) -> Result:
--- a/lanelift/lab/rig/scenario.py
+++ b/lanelift/lab/rig/scenario.py
@@ -15,7 +15,8 @@
     lasts = "5s"
 
 Processes are `node-N`, `balancer-N`, `box-N`, `discovery`, `clients` and `judge`. Patterns are those of
-fnmatch; `@SITE` means all of a site, `@list` who owns the list at that moment, `@leader` who leads the store.
+fnmatch; `@SITE` means all of a site, `@list` who owns the list at that moment (`@roll`, `@site` alike),
+`@leader` who leads the store; with `!` ahead all that is not meant.
 """
 
 from __future__ import annotations
@@ -34,10 +35,11 @@
 OnLink = Literal["cut", "hold", "refuse", "reset", "delay", "trickle", "lossy"]
 OnProcess = Literal["kill", "stop", "restart", "lose", "leave", "fast", "slow", "jump", "full", "slowdisk",
                     "old", "upgrade"]
+OnBox = Literal["down"]
 OnWorld = Literal["boxes", "discovery-down"]
-Kind = Literal[OnLink, OnProcess, OnWorld]
+Kind = Literal[OnLink, OnProcess, OnBox, OnWorld]
 LINKS, PROCESSES, WORLD = get_args(OnLink), get_args(OnProcess), get_args(OnWorld)
-OWNERS = ("@list", "@roll", "@leader")
+OWNERS = ("@list", "@roll", "@site", "@leader")
 
 
 class Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -79,6 +81,34 @@
     door: bool = False  # the roll's owner restarts them by their own door, in place of operators
 
 
+class Tenant(Part, frozen=True):
+    """`part`: of the clients' requests; `quota`: what is its share, requests a second."""
+
+    name: str
+    part: float
+    quota: float
+    share: float = 1.0
+
+
+class Expected(Part, frozen=True):
+    """What clients shall find between two moments: at least such a part of what they asked is served, of one
+    tenant or class or of all. `within`: of a tenant's requests, no more than its quota count."""
+
+    after: Duration
+    before: Duration
+    served: float
+    tenant: str = ""
+    kind: str = ""
+    within: bool = False
+
+
+class Ordered(Part, frozen=True):
+    """An operator's word about a site, by the command that operators use."""
+
+    at: Duration
+    words: str  # as after `lanelift site`
+
+
 class Scenario(Part, frozen=True):
     name: str
     lasts: Duration = Duration(12 * SECOND)
@@ -97,6 +127,15 @@
     old: list[str] = []  # processes that begin with an older program, which knows no leases
     older_lists: bool = False  # a balancer of an older program puts its list over the owner's each second
     roll: Rolled | None = None
+    sited: bool = False  # balancers take part in what the fleet does about its sites
+    cores: int = 0  # of a box, each with one request at a time; 0: as many as come
+    work: Duration = Duration(10_000_000)  # that a box takes for a request, warm
+    queue: int = 8  # that wait at a box; more are turned away
+    cold: Duration = Duration(0)  # a box that was started is cold for so long
+    bears: float = 0.0  # requests a second that a site is said to bear; 0: what its boxes can do
+    tenants: tuple[Tenant, ...] = msgspec.field(name="tenant", default=())
+    expects: tuple[Expected, ...] = msgspec.field(name="expect", default=())
+    orders: tuple[Ordered, ...] = msgspec.field(name="order", default=())
     writers: int = 0  # of the store, past all relays, with a ledger of their own
     chance: int = 0  # faults drawn by seed on top
     every: Duration = Duration(0)  # or so many that one comes in each stretch of this length, to nodes alone
@@ -113,6 +152,12 @@
         return "without balancers there are writers, and no roll"
     if s.roll is not None and not 1 <= s.roll.boxes <= s.boxes:
         return "roll.boxes must be 1 to boxes"
+    if s.sited and not s.sites:
+        return "sited: without sites there is nothing to do"
+    names = {t.name for t in s.tenants}
+    for e in s.expects:
+        if e.after >= e.before or not 0 <= e.served <= 1 or (e.tenant and e.tenant not in names):
+            return "expect: needs after < before, a part, and a tenant that is there"
     for number, f in enumerate(s.faults, 1):
         where = f"fault {number} ({f.do})"
         if (f.when is None) is (f.at == 0):
@@ -121,13 +166,13 @@
             return f"{where}: it is set on a `link`"
         if f.do in LINKS and ">" not in f.link:
             return f"{where}: a link is DIALLER>LISTENER, not {f.link!r}"
-        if f.do in PROCESSES and (not f.on or f.link):
-            return f"{where}: it is set `on` a process"
+        if f.do in (*PROCESSES, "down") and (not f.on or f.link):
+            return f"{where}: it is set `on` a process or a box"
         if f.do not in LINKS and f.way != "both":
             return f"{where}: only a link has a `way`"
         if f.do in ("delay", "trickle", "lossy", "boxes") and f.size <= 0:
             return f"{where}: needs a `size`"
-        for pattern in [p for p in (f.on, *f.link.split(">")) if p.startswith("@")]:
+        for pattern in [p.removeprefix("!") for p in (f.on, *f.link.split(">")) if p.lstrip("!")[:1] == "@"]:
             if pattern not in OWNERS and pattern[1:] not in s.sites:
                 return f"{where}: there is no site {pattern}"
     return ""
--- a/lanelift/lab/rig/standins.py
+++ b/lanelift/lab/rig/standins.py
@@ -10,18 +10,25 @@
 import asyncio
 import json
 import random
+import re
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
+from lanelift.lab.rig.scenario import Scenario, Tenant
 from lanelift.lab.sockets.fleet import Incoming
 
-WORK_S = 0.01  # that a box takes for a request
 CLASSES = (("lookup", "GET", 0.6), ("book-delivery", "POST", 0.4))
 DEADLINE_MS = 2000
+# rule 4: a cold box's first part of its speed, and what it bears
+COLD_FROM, MULTIPLE, WINDOW_S = 0.3, 3.0, 1.5
+AWAY_S = 2.0  # that clients leave alone a balancer which did not take a connection
+CONNECT_S, DOORS = 0.3, 3  # for a connection to come up; balancers that a client tries
 DOOR = "/restart"  # of a box, for the roll's owner
+RETRY = re.compile(rb"\r\nRetry-After: ([0-9.]+)", re.IGNORECASE)
 NOT_RUN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -37,14 +44,34 @@
     took: float = 0.0
     ran: list[str] = field(default_factory=list)  # boxes that began it
     answers: int = 0
+    tenant: str = ""
+    site: str = ""  # whose clients' it is
+    retry_ms: int = 0  # when it was told to come back
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Work:
+    """A request at a box, and what is done when it is over."""
+
+    known: Try
+    done: Callable[[Try], None]
 
 
 class Box:
-    """`draining`: it turns away; what it has goes on."""
+    """Some cores with a short queue in front, cold for a while after its start."""
 
-    def __init__(self, name: str, tries: dict[str, Try]) -> None:
+    def __init__(self, name: str, tries: dict[str, Try], s: Scenario) -> None:
         self.name = name
         self.tries = tries
+        self.s = s
+        self.busy = 0  # cores
+        self.waiting: deque[tuple[float, Work]] = deque()
+        self.sent: deque[float] = deque()  # when requests came while it was cold
+        self.lives = 0  # of its process, as far as it was killed
+        self.falls = 0  # it was given more than a cold one bears
+        self.turned = 0
+        self.started_s = 0.0  # by this clock; 0: long ago
+        self.open: set[ToBox] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
         self.started_ms = 0
@@ -60,6 +87,70 @@
         self.server = await loop.create_server(lambda: ToBox(self), "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def down(self) -> None:
+        """Its process is killed: what it had is gone, and nobody listens."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.lives += 1
+        self.busy = self.inside = 0
+        self.waiting.clear()
+        for link in list(self.open):
+            link.abort()
+
+    async def up(self) -> None:
+        """It is started again, cold."""
+        if self.server is None:
+            self.restarted()
+            await self.listen()
+
+    def restarted(self) -> None:
+        self.restarts += 1
+        self.started_s = time.monotonic()
+        self.started_ms = int(time.time() * 1000)
+        self.sent.clear()
+
+    def part(self) -> float:
+        """Of its speed that it has now."""
+        cold = self.s.cold / 1e9
+        age = time.monotonic() - self.started_s
+        return 1.0 if not cold or not self.started_s or age >= cold else (
+            COLD_FROM + (1 - COLD_FROM) * age / cold)
+
+    def take(self, work: Work, away: Callable[[], None]) -> None:
+        """Begin a request, have it wait, or turn it away."""
+        now, part = time.monotonic(), self.part()
+        if part < 1.0 and self.s.cores:
+            self.sent.append(now)
+            while self.sent[0] <= now - WINDOW_S:
+                self.sent.popleft()
+            bears = MULTIPLE * part * self.s.cores / (self.s.work / 1e9) * WINDOW_S
+            self.falls += len(self.sent) > bears + 3 * bears ** 0.5 + 3
+        if not self.s.cores or self.busy < self.s.cores:
+            self._run(work)
+        elif len(self.waiting) < self.s.queue:
+            self.waiting.append((now, work))
+        else:
+            self.turned += 1
+            away()
+
+    def _run(self, work: Work) -> None:
+        self.busy += 1
+        work.known.ran.append(self.name)
+        asyncio.get_running_loop().call_later(self.s.work / 1e9 / self.part(), self._ran, work, self.lives)
+
+    def _ran(self, work: Work, life: int) -> None:
+        if life != self.lives:
+            return  # of a process that was killed
+        self.busy -= 1
+        work.done(work.known)
+        while self.waiting and (not self.s.cores or self.busy < self.s.cores):
+            since, following = self.waiting.popleft()
+            if time.monotonic() - since < DEADLINE_MS / 1000:
+                self._run(following)
+            else:
+                self.inside -= 1
+
 
 class ToBox(Incoming):
     def __init__(self, box: Box) -> None:
@@ -67,6 +158,9 @@
         self.box = box
 
     def request(self, url: bytes, headers: dict[bytes, bytes], first_ns: int) -> None:
+        if url == b"/health":
+            self.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return
         if url == DOOR.encode():
             self._asked(headers.get(b"idempotency-key", b"").decode("latin-1"))
             return
@@ -75,11 +169,10 @@
         if known is None:
             self.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
             return
-        known.ran.append(self.box.name)
         if self.box.closed:
             self.box.late.append(name)
         self.box.inside += 1
-        asyncio.get_running_loop().call_later(WORK_S, self._done, name)
+        self.box.take(Work(known, self._done), self._away)
 
     def _asked(self, name: str) -> None:
         """Restarts once for each name (Idempotency-Key), however often it comes."""
@@ -89,9 +182,20 @@
             self.box.door()
         self.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
 
-    def _done(self, name: str) -> None:
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.box.open.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.box.open.discard(self)
+
+    def _away(self) -> None:
+        self.box.inside -= 1
+        self.write(NOT_RUN)
+
+    def _done(self, known: Try) -> None:
         self.box.inside -= 1
-        body = f"{name} by {self.box.name}".encode()
+        body = f"{known.id} by {self.box.name}".encode()
         self.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
 
@@ -170,7 +274,13 @@
     """Ask at a steady pace, spread over the balancers, each request on a connection of its own."""
 
     def __init__(self, doors: dict[str, Callable[[], tuple[str, int]]], rate: float,
-                 rng: random.Random) -> None:
+                 rng: random.Random, tenants: Sequence[Tenant] = (),
+                 site_of: Callable[[str], str] = lambda name: "") -> None:
+        """Each balancer's clients stand at its site; where it does not answer, they ask others for a
+        while."""
+        self.tenants = tenants
+        self.site_of = site_of
+        self.away: dict[str, float] = {}  # until when a balancer is left alone
         self.doors = doors
         self.rate = rate
         self.rng = rng
@@ -189,17 +299,26 @@
                 async with asyncio.timeout(max(0.0, due - time.monotonic())):
                     await self.over.wait()
             number += 1
-            one = self._new(f"{number:08x}", names[number % len(names)])
+            one = self._new(f"{number:08x}", self._door(names, number))
             task = asyncio.get_running_loop().create_task(self._ask(one, number))
             self.open.add(task)
             task.add_done_callback(self.open.discard)
         while self.open:
             await asyncio.wait(self.open)
 
+    def _door(self, names: Sequence[str], number: int) -> str:
+        now, mine = time.monotonic(), names[number % len(names)]
+        there = [n for n in names if self.away.get(n, 0.0) <= now]
+        return mine if mine in there or not there else self.rng.choice(there)
+
     def _new(self, name: str, balancer: str, unsafe: bool | None = None) -> Try:
         if unsafe is None:
             unsafe = self.rng.random() > CLASSES[0][2]
-        one = self.tries[name] = Try(name, unsafe, time.monotonic(), balancer)
+        tenant = ""
+        if self.tenants:
+            tenant = self.rng.choices([t.name for t in self.tenants], [t.part for t in self.tenants])[0]
+        one = self.tries[name] = Try(name, unsafe, time.monotonic(), balancer, tenant=tenant,
+                                     site=self.site_of(balancer))
         return one
 
     async def routed(self, balancer: str) -> bool:
@@ -211,19 +330,33 @@
             del self.tries[one.id]  # nobody was there yet: no request that is owed an answer
         return one.status == 200
 
+    async def _connected(self, one: Try) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Where there are sites, a client whose own balancer does not take its connection asks another."""
+        if not self.tenants:
+            return await asyncio.open_connection(*self.doors[one.balancer]())
+        for _ in range(DOORS):
+            with suppress(OSError, TimeoutError):
+                async with asyncio.timeout(CONNECT_S):
+                    return await asyncio.open_connection(*self.doors[one.balancer]())
+            self.away[one.balancer] = time.monotonic() + AWAY_S
+            one.balancer = self._door(sorted(self.doors), 0)
+        raise OSError("no balancer takes a connection")
+
     async def _ask(self, one: Try, number: int) -> None:
         kind, method, _ = CLASSES[one.unsafe]
         head = (f"{method} /{kind}?obj=k{number % 40} HTTP/1.1\r\nHost: origin.svc\r\n"
                 f"X-Request-Id: {one.id}\r\nX-Class: {kind}\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
-                f"Content-Length: 0\r\n\r\n")
+                f"X-Tenant: {one.tenant}\r\nContent-Length: 0\r\n\r\n")
         try:
             async with asyncio.timeout(DEADLINE_MS / 1000 + 1.0):
-                reader, writer = await asyncio.open_connection(*self.doors[one.balancer]())
+                reader, writer = await self._connected(one)
                 try:
                     writer.write(head.encode())
                     text = await reader.readuntil(b"\r\n\r\n")
                     one.status = int(text.split(b" ", 2)[1])
                     one.answers += 1
+                    told = RETRY.search(text)
+                    one.retry_ms = int(1000 * float(told[1])) if told else 0
                     length = next((int(line.split(b":")[1]) for line in text.split(b"\r\n")
                                    if line.lower().startswith(b"content-length:")), 0)
                     body = await reader.readexactly(length)
--- a/lanelift/lab/rig/world.py
+++ b/lanelift/lab/rig/world.py
@@ -17,7 +17,7 @@
 from lanelift.lab.rig.processes import Process
 from lanelift.lab.rig.relay import Relay
 from lanelift.lab.rig.scenario import Scenario
-from lanelift.lab.rig.standins import Box, Clients, Discovery
+from lanelift.lab.rig.standins import COLD_FROM, Box, Clients, Discovery
 from lanelift.lab.rig.taps import HttpTap, StoreTap, Tap
 from lanelift.lab.topology import Unusable
 from lanelift.store import documents
@@ -31,6 +31,11 @@
 POLL_S = 0.01
 
 
+def unchecked(name: str, text: str) -> str:
+    """What the lab writes needs no checking, and the check belongs to the daemon."""
+    return ""
+
+
 class World:
     """`heard`: each message that a relay read, as (relay, direction, kind); `said`: each line of a log."""
 
@@ -50,8 +55,10 @@
         self.filled = 0  # the store's revision once it was filled
         self.sites = {site: tuple(members) for site, members in scenario.sites.items()}
         self.doors = {f"balancer-{i}": self._door(f"balancer-{i}") for i in range(scenario.balancers)}
-        self.clients = Clients(self.doors, scenario.rate, random.Random(f"{seed}/clients"))
-        self.boxes = {f"box-{i}": Box(f"box-{i}", self.clients.tries) for i in range(scenario.boxes)}
+        self.clients = Clients(self.doors, scenario.rate, random.Random(f"{seed}/clients"),
+                               scenario.tenants, self.site_of)
+        self.boxes = {name: Box(name, self.clients.tries, scenario)
+                      for name in (f"box-{i}" for i in range(scenario.boxes))}
         self.begun: Callable[[str], None] = lambda name: None  # a process was started anew
         self.discovery = Discovery(self._row)
         self.owner: Callable[[str], str] = lambda lease: ""  # who holds a lease, by the books
@@ -79,7 +86,9 @@
 
     def matches(self, pattern: str, name: str) -> bool:
         """Does a pattern of a scenario mean this one, now?"""
-        if pattern in ("@list", "@roll"):
+        if pattern.startswith("!"):
+            return not self.matches(pattern[1:], name)
+        if pattern in ("@list", "@roll", "@site"):
             return bool(name) and self.owner(f"work/{pattern[1:]}/{SERVICE}") == name
         if pattern == "@leader":
             return self.owner("@leader") == name
@@ -87,6 +96,9 @@
             return name in self.sites.get(pattern[1:], ())
         return fnmatchcase(name, pattern)
 
+    def boxed(self, pattern: str) -> list[Box]:
+        return [b for name, b in self.boxes.items() if self.matches(pattern, name)]
+
     def named(self, pattern: str) -> list[Process]:
         return [p for name, p in self.processes.items() if self.matches(pattern, name)]
 
@@ -115,6 +127,8 @@
             await self._store(nodes)
         except StoreError as error:
             raise Unusable(f"the store did not start: {error}") from None
+        if self.s.sited:
+            await self._describe()
         if self.s.fill_mb:
             client = self.client("fill")
             try:
@@ -124,6 +138,20 @@
                 await client.close()
         await asyncio.gather(*(self._balancer(f"balancer-{i}", nodes) for i in range(self.s.balancers)))
 
+    async def _describe(self) -> None:
+        """What operators say of the sites."""
+        text = ""
+        for site, members in sorted(self.sites.items()):
+            boxes = sum(name in self.boxes for name in members)
+            bears = self.s.bears or boxes * max(1, self.s.cores) / (self.s.work / 1e9)
+            others = ", ".join(f"{other} = 1.0" for other in sorted(self.sites) if other != site)
+            text += f'[[site]]\nname = "{site}"\nbears = "{bears:.3f}/s"\nprices = {{{others}}}\n'
+        client = self.client("sites")
+        try:
+            await documents.put(client, f"sites/{SERVICE}", text, unchecked, -1, "rig")
+        finally:
+            await client.close()
+
     def _kept_port(self) -> int:
         """Of loopback, drawn by the kernel. It stays bound here, without a listener, so that nobody else is
         given it while its process is down; the program's own listeners share it."""
@@ -196,13 +224,19 @@
             f'number = {number}\nof = {self.s.balancers}\nzone = "{self.site_of(name)}"\n'
             + "".join(f'[[class]]\nname = "{kind}"\neffect = "{effect}"\naim = "1s"\ndeadline = "2s"\n'
                       for kind, effect in (("lookup", "safe"), ("book-delivery", "unsafe"))))
+        own += "".join(f'[[tenant]]\nname = "{t.name}"\nshare = {t.share}\nquota = "{t.quota}/s"\n'
+                       for t in self.s.tenants)
+        if self.s.cold:
+            own += f'[drains]\ncold = "{int(self.s.cold)}ns"\ncold_from = {COLD_FROM}\n'
         boot = ("" if self.s.alone else
                 f'[store]\naddresses = [{", ".join(addresses)}]\nservice = "{SERVICE}"\nbalancer = "{name}"\n'
-                f'lease = "{int(self.s.lease)}ns"\n')
+                f'lease = "{int(self.s.lease)}ns"\n'
+                + (f"sites = true\nrank = {sorted(self.sites).index(self.site_of(name))}\n"
+                   if self.s.sited and self.site_of(name) else ""))
         if self.s.document:
             client = self.client("settings")
             try:
-                await documents.put(client, f"balancer/{name}", own, lambda n, text: "", -1, "rig")
+                await documents.put(client, f"balancer/{name}", own, unchecked, -1, "rig")
             finally:
                 await client.close()
             own, boot = "", boot + f'document = "balancer/{name}"\nfolder = "{name}"\n'
--- a/lanelift/sites/evidence.py
+++ b/lanelift/sites/evidence.py
@@ -25,13 +25,14 @@
 USUAL_FELT = 0.005  # by each outcome
 ALARM = 13.8  # log of how much likelier loss is than the usual, before it is believed: one in a million
 DISTINCT = 8  # boxes in a row, where there are so many: half a site that died shows so by chance in 1 of 256
-LEAST_FAILS = 3  # where there are fewer boxes
+MOST_OF = 0.75  # of a site's boxes, where there are fewer than that
+LEAST_FAILS = 3
 OLD_NS = 10 * SECOND  # of a box's last outcome, beyond which it tells nothing
 SLOW, SLOW_FELT = 3.0, 0.1  # times the other sites' pace; by each answer
 PART = 0.3  # of a site's boxes that are silent make it impaired
 SIGNS = 3  # good answers, from different boxes where there are some, that end a loss
 WITNESSES = 2  # other balancers, whose word turns "lost" into "cut from us", or makes it known sooner
-HEARD_OLD_NS = 10 * SECOND  # of what another balancer said
+HEARD_OLD_NS = 6 * SECOND  # of what another balancer said
 CALM = 2 * SECOND, 120 * SECOND  # how long it must stay well after a loss, first and at most
 FORGIVEN_NS = 300 * SECOND  # without a further loss, after which the wait is halved
 
@@ -169,7 +170,7 @@
         there = sum(b.site == site.name for b in self.boxes.values())
         if not there:
             return False
-        enough = min(need, there)
+        enough = min(need, math.ceil(MOST_OF * there))  # to wait for each last one takes long
         tries = sum(site.silent.values())
         return len(site.silent) >= enough and tries >= LEAST_FAILS and site.score >= ALARM and (
             site.good_ns < site.run_ns)
@@ -222,14 +223,16 @@
         if site.state is State.HELD:
             self._returning(site, "no longer held")
             return
-        cut = self.alone or inside or answers >= WITNESSES
+        # Without the store nobody else can be asked: it may as well be we who are cut off.
+        cut = self.alone or inside or answers >= WITNESSES or not self.store
         if seems or (site.state in (State.LOST, State.CUT) and not self._back(site)):
             if seems and site.state not in (State.LOST, State.CUT):
                 site.signs.clear()
                 site.losses = min(16, site.losses + 1)
             whose = ("no other site answers here: we are cut off" if self.alone else
                      "its own balancers still speak" if inside else
-                     f"{answers} others are answered" if cut else f"{silent} others say the same")
+                     f"{answers} others are answered" if answers >= WITNESSES else
+                     "the store does not answer either" if cut else f"{silent} others say the same")
             last = f", the last sign {(now - site.good_ns) / 1e9:.1f} s ago" if site.good_ns else ""
             self._set(site, State.CUT if cut else State.LOST, f"{sum(site.silent.values())} tries in a row at"
                       f" {len(site.silent)} boxes without a sign{last}; {whose}")
@@ -254,6 +257,11 @@
         elif site.state is not State.WELL:
             self._set(site, State.WELL, f"{alive:.0%} of its boxes met lately answer")
 
+    def suspected(self, name: str) -> bool:
+        """Is there a run of tries without a sign, too short yet to tell?"""
+        site = self.sites[name]
+        return site.state in (State.WELL, State.IMPAIRED) and site.score >= ALARM / 4
+
     def _back(self, site: Site) -> bool:
         """Signs of life since the loss: from some boxes, or many from the few that came back."""
         there = sum(b.site == site.name for b in self.boxes.values())
--- a/lanelift/sites/orders.py
+++ b/lanelift/sites/orders.py
@@ -25,23 +25,12 @@
     table,
 )
 from lanelift.sites.recovery import RISE, STEP_S, Stage
-from lanelift.sites.words import OLD_S, Told
+from lanelift.sites.words import Told
 
 SEEN_LEAST = 0.15  # of its draws that a site keeps which has room: balancers correct by what they see
 FIRST_NS, ROOM_MOST_NS = 250_000_000, 60_000_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Place0:
-    """A site as operators describe it: requests a second of the usual mix that it bears warm."""
-
-    name: str
-    bears: float
-    burst: float = 0.2
-    prices: Mapping[str, float] = field(default_factory=dict)
-    connections: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class Orders:
     """For all balancers; `zones` by the site where one stands, `shares` and `cold` by its name."""
@@ -56,35 +45,38 @@
     cold: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
 
 
-def fleet_of(places: Iterable[Place0], worths: Mapping[str, float], rows: Mapping[str, Told]) -> Fleet:
-    """What the rows that are fresh add up to. Work is against the mean of the usual mix, so that what sites
-    bear can be said in requests a second."""
+def fleet_of(places: Iterable[Place], worths: Mapping[str, float], quotas: Mapping[str, float],
+             rows: Mapping[str, Told]) -> Fleet:
+    """What the rows that are fresh add up to. Work is against the mean of the usual mix, so that what a place
+    `bears` is in requests a second. `quotas`: by tenant, its share, requests a second over all; 0: not
+    told."""
     sums: dict[tuple[str, str, str], list[float]] = {}
     works: dict[str, list[float]] = {}
+    rates: dict[str, float] = {}
+    tenants: dict[str, float] = {}
     for told in rows.values():
-        if told.age_s > OLD_S:
+        if not told.fresh:
             continue
-        for kind, tenant, rate, excess, repeats in told.row.loads:
+        for kind, tenant, rate, repeats in told.row.loads:
             if kind in worths:
-                row = sums.setdefault((told.row.site, kind, tenant), [0.0, 0.0, 0.0])
+                row = sums.setdefault((told.row.site, kind, tenant), [0.0, 0.0])
                 row[0] += rate
-                row[1] += rate * excess
-                row[2] += rate * repeats
+                row[1] += rate * repeats
+                rates[kind] = rates.get(kind, 0.0) + rate
+                tenants[tenant] = tenants.get(tenant, 0.0) + rate
         for kind, seconds in told.row.work:
             if kind in worths and seconds > 0:
                 works.setdefault(kind, []).append(seconds)
-    rates: dict[str, float] = {}
-    for (_, kind, _), row in sums.items():
-        rates[kind] = rates.get(kind, 0.0) + row[0]
     work = {kind: sorted(seen)[len(seen) // 2] for kind, seen in works.items()}
     usual = sum(work.values()) / len(work) if work else 1.0
     whole = sum(rates.values())
     mean = sum(rate * work.get(k, usual) for k, rate in rates.items()) / whole if whole else usual
     kinds = {k: Kind(k, worth, work.get(k, usual) / max(EPSILON, mean)) for k, worth in worths.items()}
-    loads = tuple(Load(site, kind, tenant, row[0], row[1] / row[0], row[2] / row[0])
+    beyond = {t: max(0.0, 1.0 - quotas[t] / rate) if quotas.get(t) and rate > 0 else 0.0
+              for t, rate in tenants.items()}
+    loads = tuple(Load(site, kind, tenant, row[0], beyond[tenant], row[1] / row[0])
                   for (site, kind, tenant), row in sorted(sums.items()) if row[0] > EPSILON)
-    return Fleet({p.name: Place(p.name, p.bears, p.burst, p.prices, p.connections) for p in places}, kinds,
-                 loads)
+    return Fleet({p.name: p for p in places}, kinds, loads)
 
 
 def shrunk(fleet: Fleet, left: Mapping[str, float]) -> Fleet:
@@ -120,8 +112,8 @@
     refused = {k: admission.refused(CLASSES + i) for i, k in enumerate(fleet.rungs())}
     return Orders(zones, admission.refused(EXCESS), admission.refused(RETRIES), not admission.refused(COPIES),
                   {k: part for k, part in refused.items() if part > 0},
-                  _back(joined, loads, admission, bears, courses), _quotas(rows) if admission.rung else {},
-                  _dealt(cold, rows, apart))
+                  _back(joined, loads, admission, bears, courses), _quotas(rows, joined) if admission.rung
+                  else {}, _dealt(cold, rows, apart))
 
 
 def _draws(fleet: Fleet, shares: Mapping[str, float], gone: Sequence[str],
@@ -166,13 +158,14 @@
     return steps
 
 
-def _quotas(rows: Mapping[str, Told]) -> dict[str, dict[str, float]]:
-    """What of each balancer's traffic is within shares, requests a second by tenant: as it was seen there."""
+def _quotas(rows: Mapping[str, Told], fleet: Fleet) -> dict[str, dict[str, float]]:
+    """What of each balancer's traffic is within shares, requests a second by tenant: each gets its part."""
+    beyond = {load.tenant: load.excess for load in fleet.loads}
     found: dict[str, dict[str, float]] = {}
     for name, told in rows.items():
         mine: dict[str, float] = {}
-        for _, tenant, rate, excess, _ in told.row.loads:
-            mine[tenant] = mine.get(tenant, 0.0) + rate * (1.0 - excess)
+        for _, tenant, rate, _ in told.row.loads:
+            mine[tenant] = mine.get(tenant, 0.0) + rate * (1.0 - beyond.get(tenant, 0.0))
         found[name] = {t: round(max(0.1, rate), 3) for t, rate in sorted(mine.items())}
     return found
 
@@ -183,7 +176,7 @@
     if not cold:
         return {}
     out = set(apart)
-    able = {n: t for n, t in rows.items() if t.age_s <= OLD_S and not t.row.alone and t.row.site not in out}
+    able = {n: t for n, t in rows.items() if t.fresh and not t.row.alone and t.row.site not in out}
     traffic = {n: sum(load[2] for load in t.row.loads) for n, t in able.items()}
     dealt = recovery.deal(sorted(cold), sorted(able), cold, traffic if any(traffic.values()) else None)
     return {name: {box: round(dealt.get(name, {}).get(box, 0.0), 4) for box in sorted(cold)} for name in rows}
--- a/lanelift/sites/words.py
+++ b/lanelift/sites/words.py
@@ -17,28 +17,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A balancer's, as it stands in the store; small, and put some times a minute. `loads`: requests a second
-    that came in, by class and tenant: all, beyond its share, repeats; `sites`: by site, tries that ended a
-    second and the part of them good, its pace; `served`: part of what came in that was served in time;
+    """A balancer's, as it stands in the store; small, and put some times a minute. `loads`: by class and
+    tenant, requests a second that came in, and the part of them that were clients' repeats; `sites`: by site,
+    tries that ended since the row before, the part of them that were good, and their pace; `served`: part of
+    what came in that was answered in time, under 0: too few; `work`: by class, seconds that a request takes;
     `count` grows."""
 
     site: str
     answers: tuple[str, ...]
     silent: tuple[str, ...]
     alone: bool
-    loads: tuple[tuple[str, str, float, float, float], ...] = ()
-    sites: tuple[tuple[str, float, float, float], ...] = ()
-    served: float = 1.0
+    loads: tuple[tuple[str, str, float, float], ...] = ()
+    sites: tuple[tuple[str, int, float, float], ...] = ()
+    served: float = -1.0
     work: tuple[tuple[str, float], ...] = ()  # by class, seconds that a request takes
     count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """A row, and for how long it has stood, by the reader's clock."""
+    """A row, and for how long it has stood, by the reader's clock; `live`: its balancer holds its name."""
 
     row: Row
     age_s: float
+    live: bool = True
+
+    @property
+    def fresh(self) -> bool:
+        return self.live and self.age_s <= OLD_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +61,7 @@
     votes: dict[tuple[str, str], list[int]] = {}
     within: dict[str, int] = {}
     for told in rows.values():
-        if told.age_s > OLD_S:
+        if not told.fresh:
             continue
         within[told.row.site] = within.get(told.row.site, 0) + 1
         if told.row.alone:
@@ -83,11 +89,13 @@
     if usual and not listed:
         return Verdict(State.LOST, 0, 0.0, "discovery lists none of its boxes; " + why)
     opinions = len(others_no) + len(others_yes)
-    if opinions and len(others_no) >= AGREE * opinions:
+    # One voice is not enough where others could speak: it may be that site's own network.
+    voices = min(2, sum(1 for site in h.within if site != name))
+    if others_no and len(others_no) >= max(voices, AGREE * opinions):
         if name in against:
             return Verdict(State.CUT, 0, alive, "its own balancers are answered; " + why)
         return Verdict(State.LOST, 0, 0.0, why)
-    if others_no:
+    if len(others_no) >= voices and others_no:
         return Verdict(State.CUT, 0, alive, "some sites get no answer there; " + why)
     if name in for_ and not others_yes:
         return Verdict(State.LOST, 0, 0.0, "its own balancers get no answer there; " + why)
