--- a/lanelift/daemon/sitewatch.py
+++ b/lanelift/daemon/sitewatch.py
@@ -42,6 +42,7 @@
 SECOND = 1_000_000_000
 TICK_S = 0.25
 ROW_S, ROW_EACH_S, ROW_MOST_S = 2.0, 0.015, 3.0  # between two rows of one among many
+CALM, BUSY = api.Plan(), 0.5
 NEWS_S = 0.5  # a change of what a site is takes no longer to be told
 SUSPECTED = 2  # calls of its own at each tick to a site that is suspected
 SOUND_S, SOUND_EACH = 1.0, 8  # a site that is not used gets so many calls of its own in that time, from all
@@ -216,6 +217,11 @@
                  if s.state in (State.LOST, State.CUT, State.RETURNING)}
         return found | {n for n, part in self.plan.zones.items() if part < 0.05}
 
+    def _stirs(self, name: str) -> bool:
+        """Did a site that is taken to be gone give a sign? Then it is asked again at once."""
+        site = self.evidence.sites[name]
+        return site.state in (State.LOST, State.CUT) and bool(site.signs)
+
     def _sound(self, now: int) -> None:
         """A call of its own to a box of each site that is not used: nothing else would tell that it is back.
         And to some of one that is suspected: the module leaves alone what fails, and too few would be
@@ -228,7 +234,7 @@
                     self.driver.upstreams.probe(number, partial(self._sounded, number, name))
         for name in self._unused():
             every = SOUND_S * SECOND * max(1.0, self.balancers / SOUND_EACH)
-            if now < self.sounded_ns.get(name, 0):
+            if now < self.sounded_ns.get(name, 0) and not self._stirs(name):
                 continue
             self.sounded_ns[name] = now + int(every * self.rng.uniform(0.7, 1.0))
             boxes = [n for n, b in self.evidence.boxes.items() if b.site == name]
@@ -260,7 +266,8 @@
     async def tell(self) -> None:
         """Raises StoreError."""
         while True:
-            wait = self.row_s * self.rng.uniform(0.8, 1.0)
+            # More often while something is under way: each step of a return waits for what is seen.
+            wait = self.row_s * self.rng.uniform(0.8, 1.0) * (1.0 if self.plan == CALM else BUSY)
             with suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await self.news.wait()
--- a/lanelift/daemon/siteworks.py
+++ b/lanelift/daemon/siteworks.py
@@ -8,7 +8,7 @@
 import logging
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -23,7 +23,7 @@
 from lanelift.sites.course import Course, View, advance
 from lanelift.sites.evidence import State, Verdict
 from lanelift.sites.orders import Orders, fleet_of, orders
-from lanelift.sites.plan import Fleet, Ladder, Place, Table, bearable, tables
+from lanelift.sites.plan import Fleet, Ladder, Load, Place, Table, bearable, tables
 from lanelift.sites.recovery import Seen
 from lanelift.sites.words import Row as Own
 from lanelift.sites.words import Told, heard, verdict
@@ -41,6 +41,7 @@
 TABLES_S, TABLES_PART = 30.0, 0.1  # tables are put anew so often, where load changed by so much
 LIST_OLD_S = 12.0
 CALM = Orders()
+SMOOTH = 0.15  # by each look
 
 
 @dataclass(slots=True)
@@ -137,6 +138,8 @@
         self.counts: dict[str, int] = {}  # rows that were counted
         self.tabled_s, self.tabled_load = -TABLES_S, -1.0
         self.warned: set[frozenset[str]] = set()
+        self.refusing = False
+        self.rates: dict[tuple[str, str, str], float] = {}
 
     def began(self, token: int) -> None:
         self._anew()  # what this process saw as an owner of before is old
@@ -195,8 +198,11 @@
                          now.stage.value, 100 * now.part, now.why)
                 self.answers.pop(now.site, None)
         rows = {n: t for n, t in seen.rows.items() if t.fresh}
+        seen.fleet = self._smooth(seen.fleet)
         made = orders(seen.fleet, then, self.ladder, rows, self._cold(seen, then), time.monotonic_ns())
         await self._put(seen, then, made)
+        for c in then:
+            self.ages.age_s(f"course {c.site}", c.count)  # its time runs from here
         await self._tables(seen)
         return CALM_S if all(c.well for c in then) else LOOK_S
 
@@ -213,6 +219,23 @@
                 if told.row.site != site or tries > 1:
                     self.paces[site] = self.paces.get(site, 1.0) + 0.2 * (pace - self.paces.get(site, 1.0))
 
+    def _smooth(self, fleet: Fleet) -> Fleet:
+        """Over some rows: a ladder that follows each of them would climb by chance."""
+        now = {(x.site, x.kind, x.tenant): x for x in fleet.loads}
+        for key in now.keys() | self.rates.keys():
+            rate = now[key].rate if key in now else 0.0
+            self.rates[key] = self.rates.get(key, rate) + SMOOTH * (rate - self.rates.get(key, rate))
+        self.rates = {key: rate for key, rate in self.rates.items() if rate > 0.01}
+        # What came in at balancers that are silent now fades as fast as it is seen to come in elsewhere.
+        loads = tuple(replace(now.get(key, Load(*key, 0.0)), rate=rate) for key, rate in sorted(
+            self.rates.items()) if key[1] in fleet.kinds and key[0] in fleet.places)
+        whole: dict[str, float] = {}
+        for x in loads:
+            whole[x.tenant] = whole.get(x.tenant, 0.0) + x.rate
+        loads = tuple(replace(x, excess=max(0.0, 1.0 - fleet.quotas[x.tenant] / whole[x.tenant]))
+                      if fleet.quotas.get(x.tenant) and whole[x.tenant] > 0 else x for x in loads)
+        return replace(fleet, loads=loads)
+
     def _seen(self, seen: Looked) -> dict[str, Seen]:
         usual = sorted(self.paces.values())[len(self.paces) // 2] if self.paces else 1.0
         found = {}
@@ -251,12 +274,21 @@
             fresh = PlanDoc(token, self.number, sites, moved, made, time.time())
             await self.owner.write([Op(self.keys.plan, msgspec.json.encode(fresh), seen.plan.version)])
             self.put_s = now
+            self._tell_refused(made)
         elif now - self.put_s >= BEAT_S:
             self.beat += 1
             stands = Stands(token, self.number, self.beat)
             await self.owner.write([Op(self.keys.stands, msgspec.json.encode(stands))])
             self.put_s = now
 
+    def _tell_refused(self, made: Orders) -> None:
+        classes = ", ".join(f"{part:.0%} of {k}" for k, part in made.classes.items())
+        now = (f"{made.excess:.0%} beyond shares, {made.repeats:.0%} of repeats"
+               + (", no copies" if not made.copies else "") + (f", {classes}" if classes else ""))
+        if made.excess or self.refusing:
+            log.info("sites: refused: %s", now if made.excess else "nothing more")
+        self.refusing = bool(made.excess)
+
     async def _tables(self, seen: Looked) -> None:
         """What each loss would come to, before it happens."""
         now, load = time.monotonic(), sum(x.rate for x in seen.fleet.loads)
--- a/lanelift/lab/rig/scenario.py
+++ b/lanelift/lab/rig/scenario.py
@@ -238,7 +238,7 @@
 
 def _draw(s: Scenario, rng: random.Random) -> Fault:
     processes = [f"node-{i}" for i in range(s.nodes)] + [f"balancer-{i}" for i in range(s.balancers)]
-    owner = "@roll" if s.roll is not None else "@list"
+    owner = "@roll" if s.roll is not None else "@site" if s.sited else "@list"
     who = rng.choice([*processes, owner, owner, owner, "@leader"])
     lasts = Duration(int(rng.uniform(0.2, 2.5) * s.lease))
     at = Duration(int(rng.uniform(0.15, 0.8) * s.lasts))
@@ -248,6 +248,14 @@
         at = Duration(0)
     what: Kind = rng.choice(["kill", "stop", "stop", "leave", "restart", "cut", "cut", "hold", "refuse",
                              "reset", "delay", "lossy", "boxes", "discovery-down"])
+    if s.sited and rng.random() < 0.5:
+        site = rng.choice(sorted(s.sites))
+        far = Duration(int(rng.uniform(1, 5) * s.lease))
+        if rng.random() < 0.4:
+            return Fault("down", at, when, on=f"@{site}", lasts=far)
+        link = rng.choice([f"@{site}>!@{site}", f"!@{site}>@{site}"])
+        return Fault(rng.choice(["cut", "cut", "hold", "refuse", "lossy"]), at, when, link=link,
+                     way=rng.choice(["both", "both", "to", "from"]), lasts=far, size=0.1)
     if what in PROCESSES:
         return Fault(what, at, when, on=who, lasts=lasts)
     if what == "boxes":
--- a/lanelift/sites/course.py
+++ b/lanelift/sites/course.py
@@ -107,9 +107,10 @@
     if cut is not c.apart and not lost:
         if cut:
             return replace(c, apart=True, why=verdict.why, count=c.count + 1)
+        if c.aim is not Aim.IN or c.part <= 0:
+            return replace(c, apart=False, why="it is reached again", count=c.count + 1)
         # Its boxes went on serving what came in there: they are warm, and take the rest in shares.
-        return replace(c, apart=False, stage=Stage.SHARES if c.aim is Aim.IN else c.stage,
-                       part=min(c.part, 1.0 / recovery.RISE) if c.aim is Aim.IN else c.part,
+        return replace(c, apart=False, stage=Stage.SHARES, part=min(c.part, 1.0 / recovery.RISE),
                        why="it is reached again", count=c.count + 1)
     if lost and (c.part > 0 or c.stage is not Stage.OUT or c.apart):
         # What failed on its way back counts; a site that was well is lost for the first time.
@@ -144,7 +145,9 @@
             return c if c.why.startswith("rests") else replace(c, why=why, count=c.count + 1)
         if age < c.over_s / STEPS:
             return c
-        part = 0.0 if not c.over_s else max(0.0, round(c.part - 1.0 / STEPS, 6))
+        # A look may come later than a step is due: by then it is a larger one, but never by half.
+        step = min(0.5, max(1.0 / STEPS, age / c.over_s)) if c.over_s else 1.0
+        part = max(0.0, round(c.part - step, 6))
         return replace(c, part=part, stage=c.stage if part else Stage.OUT,
                        why="is empty" if not part else f"gets {part:.0%}", count=c.count + 1)
     if c.aim is Aim.DRILL and age >= c.hold_s:
--- a/lanelift/sites/orders.py
+++ b/lanelift/sites/orders.py
@@ -10,7 +10,6 @@
 from lanelift.sites import recovery
 from lanelift.sites.course import Course, parts
 from lanelift.sites.plan import (
-    CLASSES,
     COPIES,
     EPSILON,
     EXCESS,
@@ -28,6 +27,7 @@
 from lanelift.sites.words import Told
 
 SEEN_LEAST = 0.15  # of its draws that a site keeps which has room: balancers correct by what they see
+LEAST_SHARE = 1.0  # a second, of a tenant at a balancer
 FIRST_NS, ROOM_MOST_NS = 250_000_000, 60_000_000_000
 
 
@@ -76,7 +76,7 @@
               for t, rate in tenants.items()}
     loads = tuple(Load(site, kind, tenant, row[0], beyond[tenant], row[1] / row[0])
                   for (site, kind, tenant), row in sorted(sums.items()) if row[0] > EPSILON)
-    return Fleet({p.name: p for p in places}, kinds, loads)
+    return Fleet({p.name: p for p in places}, kinds, loads, quotas)
 
 
 def shrunk(fleet: Fleet, left: Mapping[str, float]) -> Fleet:
@@ -109,7 +109,7 @@
         zones[here] = {n: 0.0 for n in apart} | {n: left[n] for n in gone}
         if found is not None:
             zones[here] |= _draws(joined, found.shares.get(here, {}), gone, left)
-    refused = {k: admission.refused(CLASSES + i) for i, k in enumerate(fleet.rungs())}
+    refused = {k: admission.refused(fleet.rung_of(k)) for k in fleet.kinds}
     return Orders(zones, admission.refused(EXCESS), admission.refused(RETRIES), not admission.refused(COPIES),
                   {k: part for k, part in refused.items() if part > 0},
                   _back(joined, loads, admission, bears, courses), _quotas(rows, joined) if admission.rung
@@ -159,15 +159,17 @@
 
 
 def _quotas(rows: Mapping[str, Told], fleet: Fleet) -> dict[str, dict[str, float]]:
-    """What of each balancer's traffic is within shares, requests a second by tenant: each gets its part."""
-    beyond = {load.tenant: load.excess for load in fleet.loads}
-    found: dict[str, dict[str, float]] = {}
+    """Each balancer's part of each tenant's share, requests a second, by its part of that tenant's traffic.
+    Who asks less than its share gets more here than it asks: chance alone must not make it seem beyond."""
+    asked: dict[str, float] = {}
+    mine: dict[str, dict[str, float]] = {name: {} for name in rows}
     for name, told in rows.items():
-        mine: dict[str, float] = {}
         for _, tenant, rate, _ in told.row.loads:
-            mine[tenant] = mine.get(tenant, 0.0) + rate * (1.0 - beyond.get(tenant, 0.0))
-        found[name] = {t: round(max(0.1, rate), 3) for t, rate in sorted(mine.items())}
-    return found
+            asked[tenant] = asked.get(tenant, 0.0) + rate
+            mine[name][tenant] = mine[name].get(tenant, 0.0) + rate
+    return {name: {t: round(max(LEAST_SHARE, fleet.quotas[t] * rate / asked[t]), 3)
+                   for t, rate in sorted(found.items()) if fleet.quotas.get(t, 0.0) > 0 and asked[t] > 0}
+            for name, found in mine.items()}
 
 
 def _dealt(cold: Mapping[int, float], rows: Mapping[str, Told],
--- a/lanelift/sites/plan.py
+++ b/lanelift/sites/plan.py
@@ -25,6 +25,7 @@
 STRANGE = 1.15  # times the work of a request whose key the boxes there never met
 EXCESS, RETRIES, COPIES, CLASSES = 1, 2, 3, 4  # rungs; the classes take one each from CLASSES on
 OVER_SHARE_WORTH = 0.2  # of its class's worth that a request beyond its tenant's share earns
+ALIKE = 1.3  # times the worth for the work, below which two classes are refused alike
 EPSILON = 1e-9
 
 
@@ -69,11 +70,29 @@
     places: Mapping[str, Place]
     kinds: Mapping[str, Kind]
     loads: tuple[Load, ...]
+    quotas: Mapping[str, float] = field(default_factory=dict)  # tenant: requests a second within its share
+
+    def rungs(self) -> list[list[str]]:
+        """The classes in the order in which they are refused. Those that are worth about the same for their
+        work stand on one rung: else a small change of what they seem to take would turn all of it over."""
+        found: list[list[str]] = []
+        first = 0.0
+        for kind in sorted(self.kinds.values(), key=lambda k: (k.worth / max(EPSILON, k.work), k.name)):
+            dense = kind.worth / max(EPSILON, kind.work)
+            if found and dense < ALIKE * first:
+                found[-1].append(kind.name)
+            else:
+                found.append([kind.name])
+                first = dense
+        return found
+
+    def rung_of(self, kind: str) -> int:
+        return CLASSES + next(i for i, names in enumerate(self.rungs()) if kind in names)
 
-    def rungs(self) -> list[str]:
-        """The classes in the order in which they are refused."""
-        return [k.name for k in sorted(self.kinds.values(), key=lambda k: (k.worth / max(EPSILON, k.work),
-                                                                           k.name))]
+    @property
+    def top(self) -> int:
+        """The last rung."""
+        return CLASSES + len(self.rungs()) - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +138,7 @@
 
 def admitted(fleet: Fleet, load: Load, a: Admission) -> float:
     """Requests a second of a load that are let in."""
-    rung = CLASSES + fleet.rungs().index(load.kind)
+    rung = fleet.rung_of(load.kind)
     within = 1.0 - load.excess * a.refused(EXCESS)
     return load.rate * within * (1.0 - load.retries * a.refused(RETRIES)) * (1.0 - a.refused(rung))
 
@@ -137,7 +156,7 @@
     def asks(a: Admission) -> float:
         return sum(work(fleet, load, a) for load in loads)
 
-    rung, last = 0, CLASSES + len(fleet.kinds) - 1
+    rung, last = 0, fleet.top
     if asks(Admission()) <= bears:
         return Admission()
     while rung < last:
@@ -209,7 +228,7 @@
     asked = sum(work(fleet, x, Admission()) for x in fleet.loads)
     dearer = 1.0 + (STRANGE - 1.0) * strange / asked if asked else 1.0
     admission = ladder(fleet, loads, sum(room.values()) / dearer) if left else Admission(
-        CLASSES + len(fleet.kinds) - 1, 1.0)
+        fleet.top, 1.0)
     need: dict[str, float] = {}
     for load in loads:
         need[load.site] = need.get(load.site, 0.0) + dearer * work(fleet, load, admission)
@@ -231,7 +250,7 @@
     for load in loads:
         worth = fleet.kinds[load.kind].worth
         within = load.rate * (1.0 - load.excess)
-        rung = CLASSES + fleet.rungs().index(load.kind)
+        rung = fleet.rung_of(load.kind)
         part = (1.0 - load.retries * a.refused(RETRIES)) * (1.0 - a.refused(rung))
         excess = load.rate * load.excess * (1.0 - a.refused(EXCESS)) * OVER_SHARE_WORTH
         served += worth * part * (within + excess)
@@ -266,6 +285,7 @@
     UP_MARGIN, DOWN_MARGIN = 1.0, 0.92  # of what is borne
     STAY_NS = 3_000_000_000
     STEP = 0.5  # of a rung
+    UP_PART = 0.3
 
     def __init__(self, now: int) -> None:
         self.at = Admission()
@@ -275,7 +295,10 @@
         loads = list(loads)
         needed = ladder(fleet, loads, bears * self.UP_MARGIN)
         if needed.height >= self.at.height:
-            self.at, self.high_ns = needed, now
+            # To the next rung at once; within one by part of the way, or the highest of many looks would stand.
+            part = 1.0 if needed.rung > self.at.rung else self.UP_PART
+            height = self.at.height + part * (needed.height - self.at.height)
+            self.at, self.high_ns = Admission.at(height) if part < 1.0 else needed, now
             return self.at
         calm = ladder(fleet, loads, bears * self.DOWN_MARGIN)
         if calm.height >= self.at.height:
--- a/lanelift/sites/recovery.py
+++ b/lanelift/sites/recovery.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-PROBES_S, TRICKLE_S, STEP_S = 1.5, 2.0, 1.0  # least time in a stage, and between two rises
-TRICKLE, RISE, LEAST_STEP = 0.04, 1.6, 0.05  # part of its usual load; times as much; at least so much more
+PROBES_S, TRICKLE_S, STEP_S = 1.0, 1.0, 1.0  # least time in a stage, and between two rises
+TRICKLE, RISE, LEAST_STEP = 0.04, 2.0, 0.1  # part of its usual load; times as much; at least so much more
 GOOD, BAD = 0.95, 0.85  # part of answers in time: rises from the first on, goes back below the second
 SLOW, TOO_SLOW = 2.0, 4.0  # times the other sites' pace: rises no more; goes back
 ENOUGH = 5  # answers in a stage before it is judged
