Random draws come from as many upstreams while homes are small for a replaced fleet

Cause: the reach of random draws fell by one each half second from the large home to the small one, so some ten seconds after a replacement a proxy drew from ten upstreams, the same as a few others do.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -371,6 +371,7 @@
         self.order: list[Server] = []  # ready ones, this proxy's home first
         self.home = 0
         self.width = 0  # how many of `order` it draws from
+        self.reach = 0  # and at least
         self.last: Server | None = None  # the previous winner
         self.near: list[Server] = []  # those at home in its own zone, where that matters
         self.favours = True  # one draw is among them
@@ -409,7 +410,9 @@
         self.near = [s for s in home if s.way == 1.0]
         if len(self.near) == len(home):
             self.near = []  # no choice between them
-        self.width = min(n, max(self.width, self.home))
+        # Random draws come from as many whatever the home's size: few would all be met by the same few proxies.
+        self.reach = min(n, max(self.home, min(SCAN, n // KEY_PART)))
+        self.width = min(n, max(self.width, self.reach))
         self.by_key.clear()
         for s in home:
             s.own = True
@@ -1249,7 +1252,7 @@
             pool.compare()
             if pool.blocked_ns and self.guest < 1.5 and pool.width < len(pool.order):
                 pool.width += 1
-            elif (not pool.blocked_ns or self.guest > 1.5) and pool.width > pool.home:
+            elif (not pool.blocked_ns or self.guest > 1.5) and pool.width > pool.reach:
                 pool.width -= 1
         for s in fleet.main.order[:min(fleet.main.width, SCAN)]:
             s.errors *= ERROR_FADE
