--- a/lanelift/cli/site.py
+++ b/lanelift/cli/site.py
@@ -22,6 +22,7 @@
 from lanelift.settings import Malformed
 from lanelift.sites.course import Aim, ordered
 from lanelift.sites.plan import CLASSES, EXCESS, Admission, Fleet, Table, bearable, table, tables
+from lanelift.sites.words import heard, verdict
 from lanelift.store.client import Client, Conflict
 from lanelift.store.commands import LEASES
 from lanelift.units import duration
@@ -62,13 +63,17 @@
         held = leases.unpack(owner.value) if owner.value is not None else None
         who = f"{held.holder.split('@')[0]}, token {leases.written(held.token)}" if (
             held is not None and held.held) else "nobody"
-        out.print(f"owner: {who}; {len(seen.rows)} balancers tell"
-                  + (f"; the work rests: {seen.why}" if seen.why else ""), soft_wrap=True)
+        blind = seen.look.blind
+        out.print(f"owner: {who}; {len(seen.look.rows)} balancers tell"
+                  + (f"; the work rests: {blind}" if blind else ""), soft_wrap=True)
+        what = heard(seen.look.rows)
+        verdicts = {n: verdict(n, what, seen.look.listed.get(n, 0), seen.look.usual.get(n, 0))
+                    for n in seen.sites}
         rows = Rows()
         for column in ("site", "seen as", "aim", "stage", "gets", "since it failed", "why"):
             rows.add_column(column)
-        for name in sorted(seen.fleet.places):
-            course, v = course_of(seen.doc, name), seen.verdicts[name]
+        for name in seen.sites:
+            course, v = course_of(seen.doc, name), verdicts[name]
             rows.add_row(name, v.state.value, course.aim.value + (f" by {course.by}" if course.by else ""),
                          "apart" if course.apart else course.stage.value, f"{course.part:.0%}",
                          str(course.fails), course.why or v.why)
@@ -100,20 +105,21 @@
     status 1 where the loss of one site is more than the others bear."""
     async def work(c: Client) -> bool:
         seen = await _looked(c, service)
-        if not seen.fleet.places:
-            raise Malformed(seen.why)
-        if not seen.fleet.loads:
+        fleet = seen.fleet
+        if not seen.sites:
+            raise Malformed(seen.look.blind)
+        if not fleet.loads:
             raise Malformed("no balancer tells of any load: there is nothing to plan with")
         names = [n.strip() for n in lose.split(",") if n.strip()]
-        unknown = [n for n in names if n not in seen.fleet.places]
-        if unknown or len(names) >= len(seen.fleet.places):
+        unknown = [n for n in names if n not in seen.sites]
+        if unknown or len(names) >= len(seen.sites):
             raise Malformed(f"{unknown[0]}: there is no such site" if unknown else "all sites can't be lost")
-        found = {frozenset(names): table(seen.fleet, names)} if names else tables(seen.fleet)
+        found = {frozenset(names): table(fleet, names)} if names else tables(fleet)
         rows = Rows()
         for column in ("lost", "worth left", "refused", "worst class", "worst tenant", "filled to"):
             rows.add_column(column)
         for t in found.values():
-            rows.add_row(*_row(seen.fleet, t))
+            rows.add_row(*_row(fleet, t))
         out.print(rows)
         if names:
             for origin, to in found[frozenset(names)].shares.items():
@@ -139,16 +145,17 @@
 
     async def work(c: Client) -> str:
         seen = await _looked(c, service)
-        if name not in seen.fleet.places:
-            raise Malformed(f"{name}: there is no such site in the document of sites" if seen.fleet.places
-                            else seen.why)
-        if aim is not Aim.IN and not force and seen.fleet.loads:
+        fleet = seen.fleet
+        if name not in seen.sites:
+            raise Malformed(f"{name}: there is no such site in the document of sites" if seen.sites
+                            else seen.look.blind)
+        if aim is not Aim.IN and not force and fleet.loads:
             out_ = {x.site for x in seen.doc.courses if x.part < 1} | {name}
-            if out_ >= set(seen.fleet.places):
+            if out_ >= set(seen.sites):
                 raise Malformed("all sites would be out")
-            t = table(seen.fleet, out_)
+            t = table(fleet, out_)
             if t.admission.rung > EXCESS:
-                raise Malformed(f"the others do not bear it: {_rung(seen.fleet, t.admission)} would be"
+                raise Malformed(f"the others do not bear it: {_rung(fleet, t.admission)} would be"
                                 f" refused, {t.worth / max(1e-9, t.usual):.0%} of the worth be left; --force"
                                 " does it all the same")
         while True:
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -410,7 +410,8 @@
         self.near = [s for s in home if s.way == 1.0]
         if len(self.near) == len(home):
             self.near = []  # no choice between them
-        # Random draws come from as many whatever the home's size: few would all be met by the same few proxies.
+        # Random draws come from as many whatever the home's size: few would all be met by the same few
+        # proxies.
         self.reach = min(n, max(self.home, min(SCAN, n // KEY_PART)))
         self.width = min(n, max(self.width, self.reach))
         self.by_key.clear()
--- /dev/null
+++ b/lanelift/lab/sites/fleet.py
@@ -0,0 +1,91 @@
+"""The fleet's plan in virtual time: the cores that the daemon runs, with the store between them as delays.
+
+Every balancer keeps its own evidence from its own tries; rows and plans take their time, and none passes to
+or from a site that is cut off. The owner stands in the first site that is not.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from lanelift import interface as api
+from lanelift.sites.course import Aim, Course
+from lanelift.sites.evidence import Said
+from lanelift.sites.member import Member, Turn
+from lanelift.sites.orders import Orders
+from lanelift.sites.plan import Place
+from lanelift.sites.planner import ColdBox, Look, Planner, Rules
+from lanelift.sites.words import Row, Told
+
+SECOND = 1_000_000_000
+TICK_NS, OWNER_NS = SECOND // 4, 3 * SECOND // 10
+COMMIT_NS = 30_000_000  # from a write to those that watch
+TAKES_OVER_NS = 2 * SECOND  # until the next one owns the work, where the owner's site is lost
+
+
+class SiteFleet:
+    def __init__(self, sites: dict[int, str], boxes: dict[int, str], settings: api.Settings,
+                 bears: dict[str, float], taken: dict[str, float], seed: int, now: int) -> None:
+        """`sites`: of each balancer; `boxes`: by upstream id; `bears`: requests a second of each site;
+        `taken`: by class, ns that a request takes."""
+        rng = random.Random(f"{seed}/sites")
+        self.boxes = boxes
+        self.taken = taken
+        self.settings = settings
+        self.members = {n: Member(site, f"{n:04d}", len(sites), rng, now) for n, site in sites.items()}
+        for m in self.members.values():
+            m.evidence.listed(boxes, now)
+        self.told: dict[int, tuple[Row, int]] = {}  # rows as they stand in the store, and since when
+        self.places = {n: Place(n, b, 0.1, {o: 1.0 for o in bears if o != n})
+                       for n, b in sorted(bears.items())}
+        self.courses = tuple(Course(n) for n in self.places)
+        rules = settings.rules
+        self.rules = Rules(rules.cold_ns / 1e9, rules.cold_from, rules.fall_multiple)
+        self.planner = Planner(self.rules, now)
+        self.owner_site = min(self.places)
+        self.rests_ns = now + SECOND
+        self.cold: dict[int, int] = {}  # upstream: when it started
+        self.log: list[tuple[int, str]] = []
+
+    def tick(self, number: int, now: int, reaches: bool) -> Turn:
+        """One balancer's turn. `reaches`: it has the store."""
+        m = self.members[number]
+        turn = m.turn(now, reaches)
+        if reaches and m.row_due(now):
+            row = m.row(self.taken, now)
+            self.told[number] = row, now
+            said = Said(row.site, frozenset(row.answers), frozenset(row.silent))
+            for other in self.members.values():
+                if other is not m and not row.alone:
+                    other.evidence.said[m.name] = said, now + COMMIT_NS
+        return turn
+
+    def owner(self, now: int, speaks: set[str]) -> Orders | None:
+        """One look and one step, where somebody owns the work. `speaks`: sites that have the store."""
+        if self.owner_site not in speaks:
+            if not speaks:
+                return None
+            self.owner_site, self.rests_ns = min(speaks), now + TAKES_OVER_NS
+            self.planner = Planner(self.rules, now)
+        if now < self.rests_ns:
+            return None
+        rows = {self.members[n].name: Told(row, (now - at) / SECOND, row.site in speaks)
+                for n, (row, at) in self.told.items()}
+        if not any(t.fresh for t in rows.values()):
+            return None
+        usual = Counter(self.boxes.values())
+        cold = tuple(ColdBox(n, self.boxes[n], (now - at) / 1e9) for n, at in self.cold.items())
+        planned = self.planner.plan(self.courses, Look(
+            self.places, rows, {k: c.worth for k, c in self.settings.classes.items()},
+            {n: t.quota_per_s for n, t in self.settings.tenants.items()}, usual, usual, cold), now)
+        for was, course in zip(self.courses, planned.courses, strict=True):
+            if was != course:
+                self.log.append((now, f"{course.site}: {course.stage.value} {course.part:.0%}"
+                                      f"{' apart' if course.apart else ''}"))
+        self.courses = planned.courses
+        return planned.orders
+
+    def hears(self, number: int, orders: Orders, now: int) -> None:
+        held = {c.site: c.by for c in self.courses if c.aim is not Aim.IN and c.part <= 0}
+        self.members[number].ordered(orders, frozenset(self.places), held, now)
--- a/lanelift/lab/virtual.py
+++ b/lanelift/lab/virtual.py
@@ -436,6 +436,10 @@
     def _way(self, life: Life, box: int) -> int:
         return self._jitter(self.same_ns if self.zones[box] == life.zone else self.cross_ns)
 
+    def _silent(self, life: Life, box: int, back: bool = False) -> bool:
+        """Does nothing get from this balancer to that box, or back?"""
+        return box in self.cut
+
     def _send(self, life: Life, action: api.Send) -> None:
         request = life.requests.get(action.request)
         number = self.by_id.get(action.upstream)
@@ -464,7 +468,7 @@
         fresh = not self._take_connection(life, number)
         if fresh:
             limit = self.now + int(self.t.fleet.connect_timeout)
-            if number in self.cut or self.used[number] >= self.t.fleet.connections:
+            if self._silent(life, number) or self.used[number] >= self.t.fleet.connections:
                 self.at(limit, self._connect_failed, (life, life.life, attempt))
                 return
             if not box.up:
@@ -496,7 +500,7 @@
     def _at_box(self, what: tuple[Life, int, Sent, bool]) -> None:
         life, number, attempt, fresh = what
         box = attempt.box
-        if attempt.over or box.number in self.cut:
+        if attempt.over or self._silent(life, box.number):
             return  # given up on the way, or lost in a network that says nothing
         if not box.up:
             self._reply(life, number, attempt, api.Result.CONNECT_FAILED if fresh else api.Result.RESET)
@@ -539,7 +543,7 @@
         self._reply(*what)
 
     def _reply(self, life: Life, number: int, attempt: Sent, result: api.Result) -> None:
-        if attempt.box.number not in self.cut:
+        if not self._silent(life, attempt.box.number, True):
             self.at(self.now + self._way(life, attempt.box.number), self._back,
                     (life, number, attempt, result))
 
@@ -613,7 +617,7 @@
         if number is None or not self.boxes[number].up:
             self.at(self.now + 2 * self.cross_ns, self._probed,
                     (life, life.life, upstream_id, api.Result.CONNECT_FAILED, self.now, None))
-        elif number in self.cut:
+        elif self._silent(life, number):
             self.at(self.now + PROBE_WAIT_NS, self._probed,
                     (life, life.life, upstream_id, api.Result.TIMEOUT, self.now, None))
         else:
--- a/lanelift/sites/course.py
+++ b/lanelift/sites/course.py
@@ -41,6 +41,7 @@
     part: float = 1.0
     apart: bool = False
     fails: int = 0
+    fell: bool = False
     over_s: float = 0.0
     hold_s: float = 0.0
     before: float = -1.0
@@ -66,6 +67,7 @@
     bears: Mapping[str, float]
     served: float = -1.0
     blind: str = ""
+    needed: bool = False
 
 
 def ordered(course: Course, aim: Aim, by: str, over_s: float = 0.0, hold_s: float = 0.0) -> Course:
@@ -93,7 +95,7 @@
     courses = tuple(courses)
     if view.blind:
         return courses
-    returning = [Return(c.site, c.stage, c.part, c.fails) for c in courses if c.aim is Aim.IN]
+    returning = [Return(c.site, c.stage, c.part, c.fails, c.fell) for c in courses if c.aim is Aim.IN]
     rises = recovery.rises(returning, view.bears)
     return tuple(_next(c, view, rises.get(c.site, 1.0)) for c in courses)
 
@@ -104,7 +106,8 @@
     if verdict is None:
         return c
     lost, cut = verdict.state is State.LOST, verdict.state is State.CUT
-    if cut is not c.apart and not lost:
+    # One that is out and answers its own balancers only is on its way back: not yet a site to itself.
+    if cut is not c.apart and not lost and (c.apart or c.part > 0):
         if cut:
             return replace(c, apart=True, why=verdict.why, count=c.count + 1)
         if c.aim is not Aim.IN or c.part <= 0:
@@ -117,19 +120,20 @@
         fails = min(16, c.fails + (c.stage not in (Stage.NORMAL, Stage.OUT)))
         return replace(c, stage=Stage.OUT, part=0.0, apart=False, fails=fails, why=verdict.why,
                        count=c.count + 1)
-    if lost or c.apart:
+    if lost or cut:
         return c
     if c.aim is not Aim.IN:
         return _emptied(c, view, age)
     if c.stage is Stage.NORMAL:
         return c
     seen = view.seen.get(c.site, Seen(False, 0, 1.0))
-    now = Return(c.site, c.stage, c.part, c.fails)
-    then = recovery.step(now, seen, age, most)
+    now = Return(c.site, c.stage, c.part, c.fails, c.fell)
+    then = recovery.step(now, seen, age, most, view.needed)
     if then == now:
         return c
     said = f"{then.stage.value} at {then.share:.0%}: {seen.answers} answers, {seen.good:.0%} in time"
-    return replace(c, stage=then.stage, part=then.share, fails=then.fails, why=said, count=c.count + 1)
+    return replace(c, stage=then.stage, part=then.share, fails=then.fails, fell=then.fell, why=said,
+                   count=c.count + 1)
 
 
 def _emptied(c: Course, view: View, age: float) -> Course:
--- a/lanelift/sites/plan.py
+++ b/lanelift/sites/plan.py
@@ -171,31 +171,62 @@
 def assign(need: Mapping[str, float], room: Mapping[str, float],
            price: Mapping[tuple[str, str], float]) -> dict[str, dict[str, float]]:
     """Work from each origin to each target, no target over its room, at a low price in all: next is whoever
-    would lose most by not getting its best (Vogel). What finds no room is left out."""
+    would lose most by not getting its best (Vogel); then two that gain by it change places, as long as any
+    do.
+    What finds no room is left out."""
     need = {o: w for o, w in need.items() if w > EPSILON}
     room = {t: w for t, w in room.items() if w > EPSILON}
-    flow: dict[str, dict[str, float]] = {}
+    flow: dict[tuple[str, str], float] = {}
     while need and room:
-        best: tuple[float, float, str, str] | None = None
+        choices = []
         for o in sorted(need):
             ranked = sorted((price.get((o, t), 0.0), t) for t in room)
             regret = ranked[1][0] - ranked[0][0] if len(ranked) > 1 else 0.0
-            choice = (-regret, ranked[0][0], o, ranked[0][1])
-            best = choice if best is None or choice < best else best
-        for t in sorted(room):
-            ranked = sorted((price.get((o, t), 0.0), o) for o in need)
-            regret = ranked[1][0] - ranked[0][0] if len(ranked) > 1 else 0.0
-            choice = (-regret, ranked[0][0], ranked[0][1], t)
-            best = choice if best is None or choice < best else best
-        assert best is not None
-        o, t = best[2:]
+            choices.append((-regret, ranked[0][0], o, ranked[0][1]))
+        o, t = min(choices)[2:]
         moved = min(need[o], room[t])
-        flow.setdefault(o, {})[t] = flow.get(o, {}).get(t, 0.0) + moved
+        flow[o, t] = flow.get((o, t), 0.0) + moved
         for left, name in ((need, o), (room, t)):
             left[name] -= moved
             if left[name] <= EPSILON:
                 del left[name]
-    return flow
+    while _better(flow, room, price):
+        pass
+    found: dict[str, dict[str, float]] = {}
+    for (o, t), w in sorted(flow.items()):
+        if w > EPSILON:
+            found.setdefault(o, {})[t] = w
+    return found
+
+
+def _better(flow: dict[tuple[str, str], float], room: dict[str, float],
+            price: Mapping[tuple[str, str], float]) -> bool:
+    """One change that makes it cheaper: into room that is left, or two that change targets."""
+    used = [pair for pair, w in sorted(flow.items()) if w > EPSILON]
+
+    def move(o: str, t: str, w: float) -> None:
+        flow[o, t] = flow.get((o, t), 0.0) + w
+
+    for o, t in used:
+        for other, left in sorted(room.items()):
+            if left > EPSILON and price.get((o, other), 0.0) < price.get((o, t), 0.0) - EPSILON:
+                moved = min(left, flow[o, t])
+                move(o, t, -moved)
+                move(o, other, moved)
+                room[other] -= moved
+                room[t] = room.get(t, 0.0) + moved
+                return True
+    for i, (o, t) in enumerate(used):
+        for p, u in used[i + 1:]:
+            gain = (price.get((o, t), 0.0) + price.get((p, u), 0.0)
+                    - price.get((o, u), 0.0) - price.get((p, t), 0.0))
+            if o != p and t != u and gain > EPSILON:
+                moved = min(flow[o, t], flow[p, u])
+                for who, was, now in ((o, t, u), (p, u, t)):
+                    move(who, was, -moved)
+                    move(who, now, moved)
+                return True
+    return False
 
 
 def rooms(fleet: Fleet, lost: frozenset[str]) -> dict[str, float]:
@@ -295,7 +326,8 @@
         loads = list(loads)
         needed = ladder(fleet, loads, bears * self.UP_MARGIN)
         if needed.height >= self.at.height:
-            # To the next rung at once; within one by part of the way, or the highest of many looks would stand.
+            # To the next rung at once; within one by part of the way, or the highest of many looks would
+            # stand.
             part = 1.0 if needed.rung > self.at.rung else self.UP_PART
             height = self.at.height + part * (needed.height - self.at.height)
             self.at, self.high_ns = Admission.at(height) if part < 1.0 else needed, now
--- a/lanelift/sites/recovery.py
+++ b/lanelift/sites/recovery.py
@@ -19,6 +19,7 @@
 
 PROBES_S, TRICKLE_S, STEP_S = 1.0, 1.0, 1.0  # least time in a stage, and between two rises
 TRICKLE, RISE, LEAST_STEP = 0.04, 2.0, 0.1  # part of its usual load; times as much; at least so much more
+HASTE = 0.5, 0.5  # where it is needed: part of these times, and least step
 GOOD, BAD = 0.95, 0.85  # part of answers in time: rises from the first on, goes back below the second
 SLOW, TOO_SLOW = 2.0, 4.0  # times the other sites' pace: rises no more; goes back
 ENOUGH = 5  # answers in a stage before it is judged
@@ -37,13 +38,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Return:
-    """One site's way back. `share`: of its usual load; `fails`: stages that failed since it was last
-    normal."""
+    """One site's way back. `share`: of its usual load; `fails`: stages that failed since it was last normal;
+    `fell`: that is the last thing that happened to it."""
 
     site: str
     stage: Stage = Stage.OUT
     share: float = 0.0
     fails: int = 0
+    fell: bool = False
 
     @property
     def wait_s(self) -> float:
@@ -69,11 +71,13 @@
     """The stage before, with a longer wait ahead of the next try."""
     before = ORDER[max(1, ORDER.index(r.stage) - 1)]
     share = {Stage.PROBES: 0.0, Stage.TRICKLE: TRICKLE}.get(before, r.share / RISE)
-    return replace(r, stage=before, share=min(r.share, share), fails=min(16, r.fails + 1))
+    return replace(r, stage=before, share=min(r.share, share), fails=min(16, r.fails + 1), fell=True)
 
 
-def step(r: Return, seen: Seen, age_s: float, most: float = 1.0) -> Return:
-    """What it is next. `age_s`: how long it has been as it is; `most`: it may rise by so much now."""
+def step(r: Return, seen: Seen, age_s: float, most: float = 1.0, needed: bool = False) -> Return:
+    """What it is next. `age_s`: how long it has been as it is; `most`: it may rise by so much now; `needed`:
+    the others refuse for want of room, so each second that it stays away costs, and it comes by larger
+    steps."""
     if seen.lost:
         if r.stage is Stage.OUT:
             return r
@@ -85,14 +89,17 @@
     if seen.answers >= ENOUGH and (seen.good < BAD or seen.pace > TOO_SLOW):
         return _back(r)
     least = {Stage.PROBES: PROBES_S, Stage.TRICKLE: TRICKLE_S}.get(r.stage, STEP_S)
-    if age_s < max(least, r.wait_s) or seen.answers < ENOUGH or seen.good < GOOD or seen.pace > SLOW:
+    least *= HASTE[0] if needed else 1.0
+    least = max(least, r.wait_s if r.fell else 0.0)
+    if age_s < least or seen.answers < ENOUGH or seen.good < GOOD or seen.pace > SLOW:
         return r
     if r.stage is Stage.PROBES:
-        return replace(r, stage=Stage.TRICKLE, share=TRICKLE)
-    share = min(1.0, r.share + min(most, max(LEAST_STEP, r.share * (RISE - 1.0))))
+        return replace(r, stage=Stage.TRICKLE, share=TRICKLE, fell=False)
+    rise = max(LEAST_STEP, r.share * (RISE - 1.0))
+    share = min(1.0, r.share + (max(rise, HASTE[1]) if needed else min(most, rise)))
     if share >= 1.0:
         return Return(r.site, Stage.NORMAL, 1.0, 0)
-    return replace(r, stage=Stage.SHARES, share=share)
+    return replace(r, stage=Stage.SHARES, share=share, fell=False)
 
 
 def rises(returning: Iterable[Return], bears: Mapping[str, float]) -> dict[str, float]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -234,7 +234,8 @@
     proxy.post(2 * SECOND, api.ListUpdate(api.ListKind.DELTA, fresh))
     proxy.play(3 * SECOND)
     small = proxy.balancer.fleet.main.home
-    # Random draws still come from as many, for as long as it lasts: a proxy's few are the same few others' too.
+    # Random draws still come from as many, for as long as it lasts: a proxy's few are the same few others'
+    # too.
     for second in range(4, 25):
         proxy.post(second * SECOND, api.ListUpdate(api.ListKind.DELTA, []))
         proxy.play(second * SECOND)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -319,7 +319,7 @@
                                                                                       strict=False) if a)
     weak = come_back(lambda share, at: share <= 0.3)
     assert max(r.share for _, r in weak) < 0.6 and weak[-1][1].stage is not Stage.NORMAL
-    falls = [at for at, r in weak if r.fails and r.share <= 0.3]
+    falls = [at for at, r in weak if r.fell]
     gaps = [b - a for a, b in zip(falls, falls[1:], strict=False)]
     assert gaps == sorted(gaps) and gaps[-1] > 3 * gaps[0]
 
