Sites: how the refused return, and figures for a collector

Need: refused clients that return together are the next crowd; operators want the sites' state in their metrics. Change: `lanelift lab sites returns`, `lanelift site metrics` (Prometheus text).

--- a/lanelift/cli/site.py
+++ b/lanelift/cli/site.py
@@ -88,6 +88,40 @@
     using(client(at, certificate, key, authority), work)
 
 
+@app.command()
+def metrics(service: Service, at: At, certificate: Cert = None, key: Key = None,
+            authority: Authority = None) -> None:
+    """The same as text for Prometheus (for a collector that reads files, say)."""
+    from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+    async def work(c: Client) -> bytes:
+        seen = await _looked(c, service)
+        registry = CollectorRegistry()
+        part = Gauge("lanelift_site_part", "of its usual load that a site gets", ["site"], registry=registry)
+        state = Gauge("lanelift_site_state", "1: what the fleet takes it to be", ["site", "state"],
+                      registry=registry)
+        refused = Gauge("lanelift_refused_part", "refused while there is too little room", ["what"],
+                        registry=registry)
+        left = Gauge("lanelift_site_loss_worth", "part of the worth that would be left without it", ["site"],
+                     registry=registry)
+        what, fleet = heard(seen.look.rows), seen.fleet
+        for name in seen.sites:
+            part.labels(name).set(course_of(seen.doc, name).part)
+            now = verdict(name, what, seen.look.listed.get(name, 0), seen.look.usual.get(name, 0)).state
+            state.labels(name, now.value).set(1)
+            if fleet.loads and len(seen.sites) > 1:
+                t = table(fleet, [name])
+                left.labels(name).set(t.worth / max(1e-9, t.usual))
+        o = seen.doc.orders
+        for rung, value in (("excess", o.excess), ("repeats", o.repeats), ("copies", float(not o.copies)),
+                            *((f"class {k}", v) for k, v in o.classes.items())):
+            refused.labels(rung).set(value)
+        return generate_latest(registry)
+
+    told: Callable[[Client], Awaitable[bytes]] = work
+    typer.echo(using(client(at, certificate, key, authority), told).decode(), nl=False)
+
+
 def _row(fleet: Fleet, t: Table) -> tuple[str, ...]:
     worst_tenant = min(t.by_tenant.items(), key=lambda it: it[1], default=("-", 1.0))
     worst_class = min(t.by_class.items(), key=lambda it: it[1], default=("-", 1.0))
--- a/lanelift/cli/sitelab.py
+++ b/lanelift/cli/sitelab.py
@@ -106,5 +106,24 @@
               f" {most:.1%} at most", soft_wrap=True)
 
 
+@app.command()
+def returns(rate: float = 400.0, bears: float = 300.0,
+            seconds: Annotated[float, typer.Option(help="That there is too little room.")] = 8.0) -> None:
+    """How refused clients return that do as they are told: by the plan's times, and after a fixed second."""
+    from lanelift.lab.sites.measure import returns
+    if not 0 < bears <= rate or seconds <= 0:
+        raise Unusable("bears must be over 0 and at most the rate, seconds over 0")
+    table = Table(title=f"{rate:g}/s come, {bears:g}/s are let in from 5 s on, for {seconds:g} s")
+    for column in ("told", "most in 100 ms, of the usual", "usual again after s",
+                   "arrivals in 100 ms, each 2 s"):
+        table.add_column(column)
+    for plan in (False, True):
+        found = returns(rate, bears, seconds, 1, plan)
+        means = [sum(found.arrivals[i:i + 10]) / 10 for i in range(40, 240, 20)]
+        table.add_row(found.how, f"{found.peak:.2f}", f"{found.settled_s:g}",
+                      " ".join(f"{m:.0f}" for m in means))
+    out.print(table)
+
+
 def add_to(lab: typer.Typer) -> None:
     lab.add_typer(app, name="sites")
--- a/lanelift/lab/sites/measure.py
+++ b/lanelift/lab/sites/measure.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 import statistics
 from collections.abc import Callable, Sequence
@@ -16,7 +17,18 @@
 from lanelift.lab.sites.world import Found, Shape, play
 from lanelift.lab.topology import Topology
 from lanelift.sites.evidence import Evidence, State
-from lanelift.sites.plan import Admission, Fleet, Kind, Load, Place, assign, rooms, table, work
+from lanelift.sites.plan import (
+    Admission,
+    Fleet,
+    Kind,
+    Load,
+    Place,
+    assign,
+    back_after,
+    rooms,
+    table,
+    work,
+)
 
 SECOND = 1_000_000_000
 HOUR_S = 3600.0
@@ -194,3 +206,57 @@
                          sum(bool(f.broken) for f in some), against(some, base, "during"),
                          against(some, base, "after")))
     return rows
+
+
+@dataclass(frozen=True, slots=True)
+class Returned:
+    """Arrivals in each 100 ms, first tries and returns, of `seconds`; `peak`: the most of them against the
+    rate of first tries, once the refusing began; `settled_s`: until no 100 ms saw a tenth more than that
+    rate."""
+
+    how: str
+    arrivals: list[int]
+    peak: float
+    settled_s: float
+
+
+def returns(rate: float, bears: float, refusing_s: float, seed: int, plan: bool, fixed_s: float = 1.0,
+            seconds: float = 30.0) -> Returned:
+    """Clients come at `rate` a second; from 5 s on, for so long, only `bears` are let in, and who is refused
+    comes back when told: by the plan's times, or after a fixed time. All do as told, until they are served."""
+    rng = random.Random(f"returns/{seed}")
+    bins = [0] * int(seconds * 10)
+    begin = 5.0
+    heap: list[tuple[float, bool]] = []
+    at = 0.0
+    while at < seconds:
+        at += rng.expovariate(rate)
+        heapq.heappush(heap, (at, True))
+    room = 0.0
+    last = 0.0
+    while heap:
+        now, first = heapq.heappop(heap)
+        if now >= seconds:
+            break
+        bins[int(now * 10)] += 1
+        scarce = begin <= now < begin + refusing_s
+        room = min(bears / 10, room + (now - last) * bears) if scarce else 1.0
+        last = now
+        if room >= 1.0:
+            room -= 1.0
+            continue
+        if plan:
+            # As orders say it: no earlier than there is room, and spread over what it takes to serve it
+            # beside.
+            left = begin + refusing_s - now
+            refused = rate - bears
+            told = back_after(refused, max(0.1 * bears, bears - rate), int(left * SECOND), SECOND // 4,
+                              int(60 * SECOND), rng.random()) / SECOND
+        else:
+            told = fixed_s
+        heapq.heappush(heap, (now + told, False))
+    after = bins[int(begin * 10):]
+    calm = rate / 10
+    high = [i for i, n in enumerate(after) if n > 1.1 * calm + 3 * calm ** 0.5]
+    return Returned("plan" if plan else "fixed", bins, max(after) / calm, (high[-1] + 1) / 10 if high else
+    0.0)
--- a/tests/test_lab_sites.py
+++ b/tests/test_lab_sites.py
@@ -62,6 +62,11 @@
     assert min(over) > -1e-6 and sum(over) / len(over) < 0.02
 
 
+def test_the_refused_come_back_less_together_than_after_a_fixed_time() -> None:
+    fixed, plan = (measure.returns(400.0, 300.0, 8.0, 1, plan) for plan in (False, True))
+    assert fixed.peak > 1.5 * plan.peak and plan.peak < 2.5
+
+
 def test_commands_tell_a_wrong_word_in_one_line() -> None:
     def said(*words: str) -> str:
         return str(CliRunner().invoke(application(["lab"]), ["lab", "sites", *words]).exception)
