--- a/lanelift/lab/sites/measure.py
+++ b/lanelift/lab/sites/measure.py
@@ -223,7 +223,7 @@
 def returns(rate: float, bears: float, refusing_s: float, seed: int, plan: bool, fixed_s: float = 1.0,
             seconds: float = 30.0) -> Returned:
     """Clients come at `rate` a second; from 5 s on, for so long, only `bears` are let in, and who is refused
-    comes back when told: by the plan's times, or after a fixed time. All do as told, until they are served."""
+    comes back when told: by the plan's times, or after a fixed time. All do so, until they are served."""
     rng = random.Random(f"returns/{seed}")
     bins = [0] * int(seconds * 10)
     begin = 5.0
