Sites: shares and cold boxes stand once in the store, and tables do not stop the loop

Seen: at 8 sites and 200 balancers the tables would have passed the store's bound of a value (36 tables, each with every balancer's shares), and took 0.7 s of the owner's loop, which serves clients. Change: shares stand once beside the tables, cold boxes only with those who warm them; rungs are worked out once a fleet; tables are made in a thread.

--- a/lanelift/cli/site.py
+++ b/lanelift/cli/site.py
@@ -44,7 +44,7 @@
 def _rung(fleet: Fleet, a: Admission) -> str:
     if not a.rung:
         return RUNGS[0]
-    name = RUNGS[a.rung] if a.rung < CLASSES else f"class {', '.join(fleet.rungs()[a.rung - CLASSES])}"
+    name = RUNGS[a.rung] if a.rung < CLASSES else f"class {', '.join(fleet.rungs[a.rung - CLASSES])}"
     return f"{a.part:.0%} of {name}" + (" and all before it" if a.rung > EXCESS else "")
 
 
--- a/lanelift/daemon/sitewatch.py
+++ b/lanelift/daemon/sitewatch.py
@@ -15,6 +15,7 @@
 import random
 from collections.abc import Sequence
 from contextlib import suppress
+from dataclasses import replace
 from functools import partial
 
 import msgspec
@@ -78,6 +79,7 @@
     at: float
     sites: tuple[str, ...]
     tables: tuple[TableRow, ...]
+    shares: dict[str, dict[str, float]] = {}  # the same in each of them, so they stand here once
 
 
 class SiteKeys:
@@ -218,7 +220,7 @@
     def _tabled(self, row: Row) -> None:
         doc = decoded(row, TablesDoc)
         if doc is not None and not Word(doc.token).before(Word(self.receiver.highest.token)):
-            self.member.tables = {frozenset(t.lost): t.orders for t in doc.tables}
+            self.member.tables = {frozenset(t.lost): replace(t.orders, shares=doc.shares) for t in doc.tables}
             self.member.tabled = frozenset(doc.sites)
 
     def _others(self, row: Row) -> None:
--- a/lanelift/daemon/siteworks.py
+++ b/lanelift/daemon/siteworks.py
@@ -8,7 +8,7 @@
 import logging
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -20,7 +20,7 @@
 from lanelift.leases import table as leases
 from lanelift.settings import Malformed
 from lanelift.sites.course import Course
-from lanelift.sites.orders import Orders, fleet_of, orders
+from lanelift.sites.orders import Orders, fleet_of, orders, quotas
 from lanelift.sites.plan import Fleet, Ladder, Place, Table, bearable, tables
 from lanelift.sites.planner import ColdBox, Look, Planner, Rules
 from lanelift.sites.recovery import Stage
@@ -227,14 +227,16 @@
         usual = all(c.well for c in seen.doc.courses)
         if not load or not changed or now - self.tabled_s < TABLES_S or not usual:
             return
-        found = tables(fleet)
+        found = await asyncio.to_thread(tables, fleet)  # it takes too long for a turn of the loop
         short = set(bearable(found))
         for gone in sorted(short - self.warned, key=sorted):
             log.warning("sites: the others do not bear the loss of %s: %.0f%% of the worth would be left",
                         " and ".join(sorted(gone)), 100 * found[gone].worth / max(1e-9, found[gone].usual))
         self.warned = short
-        rows = tuple(saved(fleet, t, seen.look.rows) for t in found.values() if t.lost)
-        doc = TablesDoc(self.owner.token(), self.number, time.time(), seen.sites, rows)
+        rows = await asyncio.to_thread(lambda: tuple(saved(fleet, t, seen.look.rows)
+                                                     for t in found.values() if t.lost))
+        shares = quotas(seen.look.rows, fleet)
+        doc = TablesDoc(self.owner.token(), self.number, time.time(), seen.sites, rows, shares)
         await self.owner.write([Op(self.keys.tables, msgspec.json.encode(doc))])
         self.tabled_s, self.tabled_load = now, load
 
@@ -246,4 +248,4 @@
     made = orders(fleet, courses, Ladder(0), rows, {}, 0)
     return TableRow(tuple(sorted(t.lost)), {o: dict(to) for o, to in t.shares.items()}, t.admission.rung,
                     round(t.admission.part, 4), {n: round(f, 4) for n, f in t.fill.items()},
-                    round(t.worth, 3), round(t.usual, 3), made)
+                    round(t.worth, 3), round(t.usual, 3), replace(made, shares={}))
--- a/lanelift/sites/member.py
+++ b/lanelift/sites/member.py
@@ -188,7 +188,7 @@
     def _of(self, o: Orders) -> api.Plan:
         return api.Plan(dict(o.zones.get(self.here, {})), o.excess, dict(o.shares.get(self.name, {})),
                         o.repeats, o.copies, dict(o.classes), (o.back_ns[0], o.back_ns[1]),
-                        dict(o.cold.get(self.name, {})))
+                        {box: o.cold.get(self.name, {}).get(box, 0.0) for box in o.cooling})
 
     def _by_table(self) -> api.Plan:
         lost = frozenset(n for n, s in self.evidence.sites.items() if s.state is State.LOST)
--- a/lanelift/sites/orders.py
+++ b/lanelift/sites/orders.py
@@ -33,7 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Orders:
-    """For all balancers; `zones` by the site where one stands, `shares` and `cold` by its name."""
+    """For all balancers; `zones` by the site where one stands, `shares` and `cold` by its name. `cooling`:
+    the boxes that are dealt out; who is given nothing of one sends it nothing."""
 
     zones: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
     excess: float = 0.0
@@ -43,12 +44,13 @@
     back_ns: tuple[int, int] = (0, 0)
     shares: Mapping[str, Mapping[str, float]] = field(default_factory=dict)
     cold: Mapping[str, Mapping[int, float]] = field(default_factory=dict)
+    cooling: tuple[int, ...] = ()
 
 
-def fleet_of(places: Iterable[Place], worths: Mapping[str, float], quotas: Mapping[str, float],
+def fleet_of(places: Iterable[Place], worths: Mapping[str, float], shares: Mapping[str, float],
              rows: Mapping[str, Told]) -> Fleet:
     """What the rows that are fresh add up to. Work is against the mean of the usual mix, so that what a place
-    `bears` is in requests a second. `quotas`: by tenant, its share, requests a second over all; 0: not
+    `bears` is in requests a second. `shares`: by tenant, what is its, requests a second over all; 0: not
     told."""
     sums: dict[tuple[str, str, str], list[float]] = {}
     works: dict[str, list[float]] = {}
@@ -72,11 +74,11 @@
     whole = sum(rates.values())
     mean = sum(rate * work.get(k, usual) for k, rate in rates.items()) / whole if whole else usual
     kinds = {k: Kind(k, worth, work.get(k, usual) / max(EPSILON, mean)) for k, worth in worths.items()}
-    beyond = {t: max(0.0, 1.0 - quotas[t] / rate) if quotas.get(t) and rate > 0 else 0.0
+    beyond = {t: max(0.0, 1.0 - shares[t] / rate) if shares.get(t) and rate > 0 else 0.0
               for t, rate in tenants.items()}
     loads = tuple(Load(site, kind, tenant, row[0], beyond[tenant], row[1] / row[0])
                   for (site, kind, tenant), row in sorted(sums.items()) if row[0] > EPSILON)
-    return Fleet({p.name: p for p in places}, kinds, loads, quotas)
+    return Fleet({p.name: p for p in places}, kinds, loads, shares)
 
 
 def shrunk(fleet: Fleet, left: Mapping[str, float]) -> Fleet:
@@ -109,11 +111,11 @@
         zones[here] = {n: 0.0 for n in apart} | {n: left[n] for n in gone}
         if found is not None:
             zones[here] |= _draws(joined, found.shares.get(here, {}), gone, left)
-    refused = {k: admission.refused(fleet.rung_of(k)) for k in fleet.kinds}
+    refused = {k: admission.refused(fleet.rung_of[k]) for k in fleet.kinds}
     return Orders(zones, admission.refused(EXCESS), admission.refused(RETRIES), not admission.refused(COPIES),
                   {k: part for k, part in refused.items() if part > 0},
-                  _back(joined, loads, admission, bears, courses), _quotas(rows, joined) if admission.rung
-                  else {}, _dealt(cold, rows, apart))
+                  _back(joined, loads, admission, bears, courses), quotas(rows, joined) if admission.rung
+                  else {}, _dealt(cold, rows, apart), tuple(sorted(cold)))
 
 
 def _draws(fleet: Fleet, shares: Mapping[str, float], gone: Sequence[str],
@@ -158,7 +160,7 @@
     return steps
 
 
-def _quotas(rows: Mapping[str, Told], fleet: Fleet) -> dict[str, dict[str, float]]:
+def quotas(rows: Mapping[str, Told], fleet: Fleet) -> dict[str, dict[str, float]]:
     """Each balancer's part of each tenant's share, requests a second, by its part of that tenant's traffic.
     Who asks less than its share gets more here than it asks: chance alone must not make it seem beyond."""
     asked: dict[str, float] = {}
@@ -174,11 +176,11 @@
 
 def _dealt(cold: Mapping[int, float], rows: Mapping[str, Told],
            apart: Iterable[str]) -> dict[str, dict[int, float]]:
-    """Who warms which cold box; those that got none of one are told so too."""
+    """Who warms which cold box."""
     if not cold:
         return {}
     out = set(apart)
     able = {n: t for n, t in rows.items() if t.fresh and not t.row.alone and t.row.site not in out}
     traffic = {n: sum(load[2] for load in t.row.loads) for n, t in able.items()}
     dealt = recovery.deal(sorted(cold), sorted(able), cold, traffic if any(traffic.values()) else None)
-    return {name: {box: round(dealt.get(name, {}).get(box, 0.0), 4) for box in sorted(cold)} for name in rows}
+    return {name: {box: round(rate, 4) for box, rate in sorted(mine.items())} for name, mine in dealt.items()}
--- a/lanelift/sites/plan.py
+++ b/lanelift/sites/plan.py
@@ -20,6 +20,7 @@
 import itertools
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 FILL = 0.9  # of what a site bears warm; above it a queue forms by chance alone
 STRANGE = 1.15  # times the work of a request whose key the boxes there never met
@@ -65,13 +66,14 @@
     connections: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Fleet:
     places: Mapping[str, Place]
     kinds: Mapping[str, Kind]
     loads: tuple[Load, ...]
     quotas: Mapping[str, float] = field(default_factory=dict)  # tenant: requests a second within its share
 
+    @cached_property
     def rungs(self) -> list[list[str]]:
         """The classes in the order in which they are refused. Those that are worth about the same for their
         work stand on one rung: else a small change of what they seem to take would turn all of it over."""
@@ -86,13 +88,15 @@
                 first = dense
         return found
 
-    def rung_of(self, kind: str) -> int:
-        return CLASSES + next(i for i, names in enumerate(self.rungs()) if kind in names)
+    @cached_property
+    def rung_of(self) -> dict[str, int]:
+        """By class."""
+        return {kind: CLASSES + i for i, names in enumerate(self.rungs) for kind in names}
 
     @property
     def top(self) -> int:
         """The last rung."""
-        return CLASSES + len(self.rungs()) - 1
+        return CLASSES + len(self.rungs) - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,7 +142,7 @@
 
 def admitted(fleet: Fleet, load: Load, a: Admission) -> float:
     """Requests a second of a load that are let in."""
-    rung = fleet.rung_of(load.kind)
+    rung = fleet.rung_of[load.kind]
     within = 1.0 - load.excess * a.refused(EXCESS)
     return load.rate * within * (1.0 - load.retries * a.refused(RETRIES)) * (1.0 - a.refused(rung))
 
@@ -281,7 +285,7 @@
     for load in loads:
         worth = fleet.kinds[load.kind].worth
         within = load.rate * (1.0 - load.excess)
-        rung = fleet.rung_of(load.kind)
+        rung = fleet.rung_of[load.kind]
         part = (1.0 - load.retries * a.refused(RETRIES)) * (1.0 - a.refused(rung))
         excess = load.rate * load.excess * (1.0 - a.refused(EXCESS)) * OVER_SHARE_WORTH
         served += worth * part * (within + excess)
