Sites: the daemon's part and the operators' commands tried on a real store

Tests: a site is described, held, let back and lost on a cluster of the store with two keepers; the owner is closed half-way and the next goes on; an older owner's plan is not heeded; orders hold while fresh and for just these sites; tables without an owner.

--- /dev/null
+++ b/tests/test_site_daemon.py
@@ -0,0 +1,165 @@
+"""What a balancer keeps, tells and follows of its sites on a real store; and the operators' commands."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import msgspec
+import pytest
+from typer.testing import CliRunner
+
+from lanelift import interface as api
+from lanelift.__main__ import Parts
+from lanelift.cli.main import application
+from lanelift.daemon import documents as docs
+from lanelift.daemon.keeper import Keeper
+from lanelift.daemon.sitewatch import PlanDoc, SiteKeys
+from lanelift.net.disabled import DisabledUpstreams
+from lanelift.net.siblings import Siblings
+from lanelift.net.upstream import Endpoint
+from lanelift.sites.orders import Orders
+from lanelift.store import documents
+from lanelift.store.client import Client
+from tests.fakes import run
+from tests.test_store_daemon import FakeDriver, until
+from tests.test_store_node import Cluster, cluster
+
+SITES = """[[site]]
+name = "a"
+bears = "40/s"
+[[site]]
+name = "b"
+bears = "40/s"
+prices = {a = 1.0}
+"""
+CLASSES = {"q": api.RequestClass("q", aim_ns=200_000_000)}
+BOXES = [Endpoint(api.Upstream(n, api.State.READY, "ab"[n % 2]), "127.0.0.1", 9000 + n) for n in range(8)]
+
+
+class SiteDriver(FakeDriver):
+    """Its clients ask at a steady pace; `gone`: boxes that give no sign."""
+
+    def __init__(self, zone: str) -> None:
+        super().__init__()
+        self.settings = api.Settings(zone=zone, classes=CLASSES, replicas_of_me=2,
+                                     tenants={"t": api.Tenant("t", 1.0, 80.0)})
+        self.tap: Callable[[int, list[api.Event]], None] = lambda now, events: None
+        self.requests: dict[str, Any] = {}
+        self.gone: set[int] = set()
+        self.upstreams = SimpleNamespace(targets={e.entry.id: SimpleNamespace(endpoint=e) for e in BOXES},
+                                         probe=self.probe)
+        self.plans: list[api.Plan] = []
+
+    def post(self, event: api.Event) -> None:
+        if isinstance(event, api.Plan):
+            self.plans.append(event)
+
+    def probe(self, number: int, done: Callable[[api.Result, Any], None]) -> bool:
+        done(api.Result.CONNECT_FAILED if number in self.gone else api.Result.OK, None)
+        return True
+
+    async def ask(self, rate: float) -> None:
+        count = 0
+        while True:
+            count += 1
+            now = time.monotonic_ns()
+            arrival = api.Arrival(f"r{count}", "q", "t", now + 10**9)
+            self.requests = {arrival.request: SimpleNamespace(arrival=arrival)}
+            number = count % len(BOXES)
+            result = api.Result.CONNECT_FAILED if number in self.gone else api.Result.OK
+            self.tap(now, [arrival, api.Outcome(arrival.request, 0, number, result, 20_000_000, True)])
+            await asyncio.sleep(1 / rate)
+
+
+class Sited:
+    def __init__(self, c: Cluster, name: str, zone: str) -> None:
+        self.driver = SiteDriver(zone)
+        disabled = DisabledUpstreams(None, name, Siblings(None), self.driver)
+        parts = Parts(cast(Any, None), cast(Any, self.driver), disabled, lambda: None)
+        self.keeper = Keeper(c.client(), "orders", name, "", None, parts, lease_s=0.6, sites=True)
+        self.keeper.start()
+        self.asking = asyncio.create_task(self.driver.ask(40.0))
+
+    async def close(self) -> None:
+        self.asking.cancel()
+        await self.keeper.close()
+
+
+async def command(c: Cluster, *words: str) -> tuple[int, str]:
+    at = ",".join(c.settings[place].advertise for place in c.nodes)
+    result = await asyncio.to_thread(CliRunner().invoke, application(words), [
+        "site", *words, "--service", "orders", "--at", at])
+    said = str(result.exception) if isinstance(result.exception, Exception) else result.output
+    return result.exit_code, said
+
+
+async def doc(client: Client) -> PlanDoc:
+    row = (await client.get(SiteKeys("orders").plan)).rows[0]
+    return msgspec.json.decode(row.value, type=PlanDoc) if row.value is not None else PlanDoc()
+
+
+def test_a_site_is_described_held_and_let_back_by_word_and_lost_by_what_is_seen(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            assert "no document" in (await command(c, "plan"))[1]
+            one, two = Sited(c, "one", "a"), Sited(c, "two", "b")
+            await until(lambda: "the work rests: there is no document sites/orders" in caplog.text)
+            await documents.put(client, "sites/orders", SITES, docs.check, 0, "test")
+            await until(lambda: bool(one.keeper.sites and one.keeper.sites.fresh)
+                        and bool(two.keeper.sites and two.keeper.sites.fresh))
+            async with asyncio.timeout(15):
+                while (await command(c, "plan"))[0] != 1:  # 80 a second come, and one site bears 40
+                    pass
+            status, said = await command(c, "hold", "b")
+            assert status == 1 and "do not bear it" in said
+            assert "no such site" in (await command(c, "hold", "nowhere"))[1]
+            assert (await command(c, "hold", "b", "--force"))[0] == 0
+            await until(lambda: bool(one.driver.plans) and one.driver.plans[-1].zones.get("b") == 0.0)
+            assert one.driver.plans[-1].excess > 0  # and what is beyond shares is refused
+            assert "out by" in (await command(c, "status"))[1]
+            assert 'lanelift_site_part{site="b"} 0.0' in (await command(c, "metrics"))[1]
+            assert "not as usual" in (await command(c, "drill", "b", "--force"))[1]
+            assert (await command(c, "return", "b"))[0] == 0
+            await until(lambda: one.driver.plans[-1] == api.Plan(), 30.0)
+            for beside in (one, two):
+                beside.driver.gone = {e.entry.id for e in BOXES if e.entry.zone == "b"}
+            await until(lambda: one.driver.plans[-1].zones.get("b") == 0.0)
+            async with asyncio.timeout(15):
+                while all(x.part > 0 for x in (await doc(client)).courses):
+                    await asyncio.sleep(0.05)
+            token = (await doc(client)).token
+            for beside in (one, two):
+                beside.driver.gone = set()
+            owner, other = (one, two) if one.keeper.site_owner.working else (two, one)
+            await owner.close()  # the next one goes on from what stands
+            async with asyncio.timeout(40):
+                while (now := await doc(client)).token == token or any(not x.well for x in now.courses):
+                    await asyncio.sleep(0.05)
+            await until(lambda: other.driver.plans[-1].zones.get("b") is None)
+            shut = Orders({"a": {"b": 0.0}, "b": {"b": 0.0}})
+            old = msgspec.structs.replace(now, token=token, orders=shut)
+            await client.put(SiteKeys("orders").plan, msgspec.json.encode(old))  # of an owner that wakes late
+            await until(lambda: "is not heeded" in caplog.text)
+            assert other.driver.plans[-1].zones.get("b") is None
+            await other.close()
+    with caplog.at_level(logging.INFO):
+        run(test())
+
+
+@pytest.mark.parametrize(("text", "why"), [
+    ("[[site]]\nname = 'a'\nbears = '40'", "bears"),
+    ("[[site]]\nname = 'a'\nbears = '0/s'", "bears over 0/s"),
+    ("[[site]]\nname = 'a'\nbears = '4/s'\n[[site]]\nname = 'a'\nbears = '4/s'", "a stands there twice"),
+    ("[[site]]\nname = 'a'\nbears = '4/s'\nprices = {b = 1.0}", "b is no site"), ("", "site"),
+])
+def test_a_wrong_document_of_sites_is_one_line(text: str, why: str) -> None:
+    said = docs.check("sites/orders", text)
+    assert why in said and "\n" not in said
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -8,12 +8,14 @@
 
 import pytest
 
+from lanelift import interface as api
 from lanelift.sites import evidence as evidences
 from lanelift.sites import plan as plans
 from lanelift.sites import recovery
 from lanelift.sites.course import Aim, Course, View, advance, ordered
 from lanelift.sites.evidence import Evidence, Said, State
-from lanelift.sites.orders import fleet_of, orders
+from lanelift.sites.member import Member
+from lanelift.sites.orders import Orders, fleet_of, orders
 from lanelift.sites.plan import (
     CLASSES,
     EXCESS,
@@ -477,3 +479,72 @@
     apart = orders(fleet, courses, Ladder(0), rows, {7: 4.0}, 0)
     assert apart.zones["b"] == {"a": 0.0, "c": 0.0, "d": 0.0} and apart.zones["a"]["b"] == 0.0
     assert not any(n.startswith("b") for n in apart.cold)
+
+
+# ---- a balancer's part ------------------------------------------------------------------------------------
+
+
+def member(now: int = SECOND) -> Member:
+    m = Member("a", "one", 8, random.Random(1), now)
+    m.evidence.listed({i: "abcd"[i % 4] for i in range(32)}, now)
+    return m
+
+
+def lose(m: Member, site: str, now: int) -> int:
+    """All its tries at a site fail until it is believed; when that is."""
+    for _ in range(40):
+        for box in [b for b, x in m.evidence.boxes.items() if x.site == site]:
+            m.sounded(box, api.Result.CONNECT_FAILED, now)
+        for box in [b for b, x in m.evidence.boxes.items() if x.site != site]:
+            m.sounded(box, api.Result.OK, now)
+        now += SECOND // 4
+        m.turn(now, True)
+        if m.plan.zones.get(site) == 0.0:
+            return now
+    raise AssertionError("it is not believed")
+
+
+def test_orders_are_followed_while_fresh_and_for_just_these_sites() -> None:
+    shut = Orders({"a": {"d": 0.0}}, excess=1.0)
+    m = member()
+    m.ordered(shut, frozenset("abcd"), {}, 2 * SECOND)
+    assert m.turn(3 * SECOND, True).plan == api.Plan({"d": 0.0}, excess=1.0)
+    m.stands(10 * SECOND)
+    assert m.turn(21 * SECOND, True).plan is None and m.plan.excess == 1.0
+    assert m.turn(23 * SECOND, True).plan == api.Plan()  # the owner is silent: by what is seen here
+    other = member()
+    other.ordered(shut, frozenset("abc"), {}, 2 * SECOND)  # of a fleet that had no site d
+    assert other.turn(3 * SECOND, True).plan is None and not other.owned(3 * SECOND)
+
+
+def test_without_an_owner_the_table_for_just_that_loss_holds_and_the_site_comes_back_in_stages() -> None:
+    m = member()
+    m.tables = {frozenset("b"): Orders({"a": {"b": 0.0}}, excess=0.5), frozenset("bc"): Orders(excess=1.0)}
+    m.tabled = frozenset("abcd")
+    now = lose(m, "b", 2 * SECOND)
+    assert m.plan.excess == 0.5
+    seen = []
+    for _ in range(240):
+        now += SECOND // 4
+        for box in m.evidence.boxes:
+            m.sounded(box, api.Result.OK, now)
+        m.turn(now, True)
+        seen.append(m.plan.zones.get("b", 1.0))
+    assert seen == sorted(seen) and seen[0] == 0.0 and len(set(seen)) > 4 and m.plan == api.Plan()
+    stale = member()
+    stale.tables, stale.tabled = m.tables, frozenset("abc")  # made for another fleet
+    lose(stale, "b", 2 * SECOND)
+    assert stale.plan.excess == 0.0
+
+
+def test_a_row_tells_what_came_and_when_it_is_due() -> None:
+    m = member()
+    for n in range(20):
+        m.arrived(api.Arrival(f"r{n}", "look", "t", 9 * SECOND, retry=n % 4 == 0))
+        m.tried(api.Outcome(f"r{n}", 0, n, api.Result.OK, 50 * MS, True), 200 * MS, 50e6, 2 * SECOND)
+    row = m.row({"look": 50e6}, 3 * SECOND)
+    assert row.loads == (("look", "t", 10.0, 0.25),) and row.served == 1.0 and row.work == (("look", 0.05),)
+    assert sum(n for _, n, _, _ in row.sites) == 20
+    assert not m.row_due(3 * SECOND + 10 * MS) and m.row_due(3 * SECOND + 2 * SECOND)
+    lose(m, "b", 3 * SECOND)
+    assert m.news and m.row_due(m.since_ns + SECOND // 4) and "b" in m.row({}, 4 * SECOND).silent
