Bear a start in the future where nothing is ever cold; one sign of life ends a run

Cause: a shared list rounds starts to a tenth of a second, so one may lie in the future; with `drains.cold` at 0, the default of `serve`, Fleet.cold took it for cold and the gap divided by 0.

--- a/lanelift/daemon/rolling.py
+++ b/lanelift/daemon/rolling.py
@@ -257,6 +257,8 @@
             return f"{box.name} still has attempts under way after {age_s:.0f} s"
         if box.phase is Phase.QUIET and age_s > roll.wait_s:
             return f"{box.name} was not restarted in {roll.wait_s:.0f} s"
+        if box.phase is Phase.BACK and box.number not in view.boxes and age_s > roll.warm_s + PATIENCE_S:
+            return f"{box.name} is not listed any more, {age_s:.0f} s after it was put back"
         if box.phase in (Phase.OUT, Phase.QUIET) and box.name not in view.disabled:
             return f"somebody put {box.name} back while it was out for this roll"
     return ""
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -663,7 +663,8 @@
         return self.breaks < BROKEN[0] or s.breaks >= BROKEN[1]
 
     def cold(self, s: Server, now: int) -> bool:
-        return bool(s.started_ns) and now - s.started_ns < self.settings.rules.cold_ns
+        # A start may lie in the future, where clocks differ; it is cold all the same, if anything ever is.
+        return bool(s.started_ns) and now - s.started_ns < self.settings.rules.cold_ns > 0
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
--- a/lanelift/lab/rig/run.py
+++ b/lanelift/lab/rig/run.py
@@ -392,6 +392,8 @@
                 (len(world.discovery.calls) - calls) * minute, 1)
             for end in list(self.undo.values()):
                 end()
+            if self.s.roll is not None and world.discovery.boxes != world.names():
+                world.discovery.change(world.names())  # a roll waits for a box that is not listed
             self.last_s = self.now
             await self._settle()
             if writing is not None:
--- a/lanelift/sites/evidence.py
+++ b/lanelift/sites/evidence.py
@@ -139,9 +139,9 @@
             site.signs[number] = site.signs.get(number, 0) + 1
             if pace > 0:
                 site.pace += SLOW_FELT * (min(10.0, pace) - site.pace)
+            # One sign ends the run, however likely a loss seemed by it.
             site.score = max(0.0, site.score - math.log((1 - self.usual) / (1 - LOST_P)))
-            if site.score == 0.0:
-                site.silent.clear()
+            site.silent.clear()
         else:
             counted = site.silent.get(number, 0)
             site.run_ns = site.run_ns if site.silent else now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,6 +12,7 @@
 
 from lanelift import interface as api
 from lanelift.decide import KEYS, Balancer
+from tests.bench import Desk, settings
 from tests.fakes import MS, SECOND
 
 CLASSES = {
@@ -260,3 +261,11 @@
 
     often, seldom = after(0), after(4 * SECOND)
     assert often < 2.2 and seldom > 2.4, (often, seldom)
+
+
+def test_a_start_in_the_future_is_borne_where_nothing_is_ever_cold() -> None:
+    """Starts in a shared list are rounded; without a rule for cold ones such a list was lost."""
+    desk = Desk(settings(rules=api.Rules(cold_ns=0)), servers=0)
+    desk.give(api.ListUpdate(api.ListKind.FULL, [api.Upstream(1, started_ns=desk.now + 40 * MS)]))
+    desk.give(api.ListUpdate(api.ListKind.FULL, [api.Upstream(1, started_ns=desk.now + 90 * MS)]))
+    assert [s.id for s in desk.balancer.fleet.ready] == [1]
