Sites: draws follow the table as far as distance is dear; returns judged beside others

Causes, by a trace of the owner: draws at other sites were thinned to 0.15 for a price of next to nothing, so nobody found the idle boxes; a cold site was sent back a stage for answers that were as late as everybody's; a return that was needed was not hurried once the ladder had found more room. Prices are parts of a request's worth now, and weigh as such. Still open: a return that is needed.

--- a/lanelift/daemon/places.py
+++ b/lanelift/daemon/places.py
@@ -4,7 +4,7 @@
     name = "tema"
     bears = "400/s"        # requests of the usual mix that its boxes serve in time, warm
     burst = 0.2            # by so much more than usual may come at a time
-    prices = {kasoa = 1.0} # of a request that comes from there
+    prices = {kasoa = 0.03}   # part of its worth that a request costs which comes from there
 """
 
 from __future__ import annotations
--- a/lanelift/sites/orders.py
+++ b/lanelift/sites/orders.py
@@ -110,7 +110,7 @@
             continue
         zones[here] = {n: 0.0 for n in apart} | {n: left[n] for n in gone}
         if found is not None:
-            zones[here] |= _draws(joined, found.shares.get(here, {}), gone, left)
+            zones[here] |= _draws(joined, here, found.shares.get(here, {}), gone, left)
     refused = {k: admission.refused(fleet.rung_of[k]) for k in fleet.kinds}
     return Orders(zones, admission.refused(EXCESS), admission.refused(RETRIES), not admission.refused(COPIES),
                   {k: part for k, part in refused.items() if part > 0},
@@ -118,18 +118,18 @@
                   else {}, _dealt(cold, rows, apart), tuple(sorted(cold)))
 
 
-def _draws(fleet: Fleet, shares: Mapping[str, float], gone: Sequence[str],
+def _draws(fleet: Fleet, here: str, shares: Mapping[str, float], gone: Sequence[str],
            left: Mapping[str, float]) -> dict[str, float]:
-    """By which part the draws at each site's boxes are used, so that the load goes as the table says: boxes
-    are drawn alike, so a site that is to get less for what it bears gets a part of its draws."""
+    """By which part the draws at each site's boxes are used. Where distance is dear they go as the table
+    says: boxes are drawn alike, so a site that is to get less for what it bears gets a part of its draws.
+    Where it is cheap they stay as they are: who may choose among all boxes finds the idle ones."""
     each = {n: shares.get(n, 0.0) / max(EPSILON, p.bears) for n, p in fleet.places.items()
             if n not in gone and p.bears > EPSILON}
     most = max(each.values(), default=0.0)
-    if most <= 0:
-        return {}
     found = {}
     for name, share in each.items():
-        part = max(SEEN_LEAST, share / most)
+        dear = min(1.0, fleet.places[name].prices.get(here, 0.0))
+        part = 1.0 - dear * (1.0 - max(SEEN_LEAST, share / most)) if most > 0 else 1.0
         # One that comes back gets no more than its part, whatever the table has room for.
         part = min(part, left[name]) if name in left else part
         if part < 0.999:
--- a/lanelift/sites/planner.py
+++ b/lanelift/sites/planner.py
@@ -21,6 +21,7 @@
 FADED = 0.01  # a second
 ENOUGH, FELT = 10, 0.3  # tries, below which a look tells nothing; by each look
 EASY, HARD = 0.03, 0.12  # below the usual part in time: less than the first, there is more room than thought
+STRAIN = 0.02  # below it, from which each second that a site stays away costs
 FACTOR, GROWS, SHRINKS, FORGETS = (0.6, 2.0), 1.08, 0.97, 0.02
 
 
@@ -90,7 +91,7 @@
         bears = {n: p.bears for n, p in look.places.items()}
         self._feel(look, verdicts)
         view = View(verdicts, self._seen(verdicts), ages, bears, look.served, look.blind,
-                    self.ladder.at.rung > 0)
+                    self.ladder.at.rung > 0 or self.good < self.usual_good - STRAIN)
         then = advance(courses, view)
         for was, course in zip(courses, then, strict=True):
             if was != course:
@@ -148,7 +149,10 @@
         found = {}
         for name, v in verdicts.items():
             tries, good = self.answers.get(name, [0.0, 0.0])
-            found[name] = Seen(v.state is State.LOST, int(tries), good / tries if tries else 1.0,
+            # Against what the others do now: where all are crowded, a site on its way back is no worse for
+            # it.
+            part = min(1.0, good / tries / max(0.5, self.good)) if tries else 1.0
+            found[name] = Seen(v.state is State.LOST, int(tries), part,
                                self.paces.get(name, 1.0) / max(0.1, usual))
         return found
 
--- a/lanelift/sites/recovery.py
+++ b/lanelift/sites/recovery.py
@@ -20,7 +20,7 @@
 PROBES_S, TRICKLE_S, STEP_S = 1.0, 1.0, 1.0  # least time in a stage, and between two rises
 TRICKLE, RISE, LEAST_STEP = 0.04, 2.0, 0.1  # part of its usual load; times as much; at least so much more
 HASTE = 0.5, 0.5  # where it is needed: part of these times, and least step
-GOOD, BAD = 0.95, 0.85  # part of answers in time: rises from the first on, goes back below the second
+GOOD, BAD = 0.9, 0.7  # part of answers in time: rises from the first on, goes back below the second
 SLOW, TOO_SLOW = 2.0, 4.0  # times the other sites' pace: rises no more; goes back
 ENOUGH = 5  # answers in a stage before it is judged
 WAIT_S = 2.0, 120.0  # before the next try after a failure, first and at most
@@ -55,8 +55,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """What is known of a site now. `answers`: since this stage began, and the part of them in time; `pace`:
-    against the other sites'; `lost`: no sign of life."""
+    """What is known of a site now. `answers`: since this stage began, and the part of them in time, and
+    `pace`, both against the other sites'; `lost`: no sign of life."""
 
     lost: bool
     answers: int
