--- a/lanelift/daemon/roller.py
+++ b/lanelift/daemon/roller.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from lanelift.daemon import doors
+from lanelift.daemon.owned import OwnedWork
 from lanelift.daemon.reach import Reach
 from lanelift.daemon.rolling import (
     Box,
@@ -36,7 +37,7 @@
 from lanelift.net.disabled import DisabledUpstreams
 from lanelift.net.driver import Driver
 from lanelift.net.upstream import number_of
-from lanelift.store.client import Client, Conflict, StoreError
+from lanelift.store.client import Client
 from lanelift.store.commands import LEASES, Op
 from lanelift.store.owner import NotOwner, Owner
 from lanelift.store.wire.protocol import Row
@@ -112,43 +113,19 @@
                                              boxes, list_age)
 
 
-class Roller:
+class Roller(OwnedWork):
     def __init__(self, client: Client, owner: Owner, service: str, reach: Reach) -> None:
+        super().__init__(owner, "roll")
         self.client = client
-        self.owner = owner
         self.reach = reach
         self.keys = Keys(service)
+        self.anew()
+
+    def anew(self) -> None:
         self.ages = Ages()
-        self.owned_s = 0.0  # since when
-        self.asked: dict[str, float] = {}  # restarts by name, and when this owner last asked for them
-        self.working: asyncio.Task[None] | None = None
         self.blind_s = 0.0  # since when nothing could be seen
-        owner.began, owner.ended = self.began, self.ended
-
-    def began(self, token: int) -> None:
-        self.ages, self.blind_s = Ages(), 0.0  # what this process saw as an owner of before is old
-        self.owned_s, self.asked = time.monotonic(), {}
-        self.working = asyncio.get_running_loop().create_task(self._work())
-
-    def ended(self) -> None:
-        if self.working is not None:
-            self.working.cancel()
-            self.working = None
-
-    async def _work(self) -> None:
-        while True:
-            wait = LOOK_S
-            try:
-                wait = await self.turn()
-            except NotOwner:
-                return
-            except Conflict:
-                wait = 0.0  # somebody changed the roll or the set meanwhile
-            except StoreError as error:
-                log.warning("roll: %s", error)
-            except Exception:
-                log.exception("roll")
-            await asyncio.sleep(max(0.01, wait))
+        self.owned_s = time.monotonic()  # since when it is owned
+        self.asked: dict[str, float] = {}  # restarts by name, and when this owner last asked for them
 
     async def turn(self) -> float:
         """One look and at most one step; seconds until the next. Raises StoreError."""
--- a/lanelift/daemon/siteworks.py
+++ b/lanelift/daemon/siteworks.py
@@ -14,6 +14,7 @@
 
 from lanelift import interface as api
 from lanelift.daemon import documents, places
+from lanelift.daemon.owned import OwnedWork
 from lanelift.daemon.roller import Ages
 from lanelift.daemon.saved import SavedList, decoded
 from lanelift.daemon.sitewatch import PlanDoc, SiteKeys, Stands, TableRow, TablesDoc
@@ -26,7 +27,7 @@
 from lanelift.sites.recovery import Stage
 from lanelift.sites.words import Row as Own
 from lanelift.sites.words import Told
-from lanelift.store.client import Client, Conflict, StoreError
+from lanelift.store.client import Client
 from lanelift.store.commands import Op
 from lanelift.store.documents import key as document_key
 from lanelift.store.owner import NotOwner, Owner
@@ -112,20 +113,17 @@
     return {n: t.quota_per_s or bears * t.share / whole for n, t in settings.tenants.items()}
 
 
-class SiteWorks:
+class SiteWorks(OwnedWork):
     def __init__(self, client: Client, owner: Owner, service: str, settings: api.Settings) -> None:
+        super().__init__(owner, "sites")
         self.client = client
-        self.owner = owner
         self.service = service
         self.settings = settings
         self.keys = SiteKeys(service)
         self.usual: dict[str, int] = {}
-        self.working: asyncio.Task[None] | None = None
-        self._anew()
-        owner.began, owner.ended = self.began, self.ended
+        self.anew()
 
-    def _anew(self) -> None:
-        """What this process saw as an owner of before is old."""
+    def anew(self) -> None:
         rules = self.settings.rules
         self.ages = Ages()
         self.planner = Planner(Rules(rules.cold_ns / 1e9, rules.cold_from, rules.fall_multiple),
@@ -137,32 +135,6 @@
         self.tabled_s, self.tabled_load = 0.0, -1.0
         self.warned: set[frozenset[str]] = set()
 
-    def began(self, token: int) -> None:
-        self._anew()
-        self.working = asyncio.get_running_loop().create_task(self._work())
-
-    def ended(self) -> None:
-        if self.working is not None:
-            self.working.cancel()
-            self.working = None
-
-    async def _work(self) -> None:
-        while True:
-            wait = CALM_S
-            try:
-                wait = await self.turn()
-            except NotOwner:
-                return
-            except Conflict:
-                wait = 0.05  # an operator said something meanwhile
-            except Malformed as error:
-                self._say(str(error))
-            except StoreError as error:
-                log.warning("sites: %s", error)
-            except Exception:
-                log.exception("sites")
-            await asyncio.sleep(wait)
-
     def _say(self, why: str) -> None:
         """Once, until it changes."""
         if why and why != self.said:
@@ -172,8 +144,11 @@
     # ---- one look and one step ---------------------------------------------------------------------------
 
     async def turn(self) -> float:
-        """Seconds until the next. Raises StoreError, Malformed."""
-        seen = await look(self.client, self.service, self.settings, self.ages, self.usual)
+        try:
+            seen = await look(self.client, self.service, self.settings, self.ages, self.usual)
+        except Malformed as error:
+            self._say(str(error))
+            return CALM_S
         self._say(seen.look.blind)
         if seen.look.blind:
             return CALM_S
