Sites: one rule for when the refused return, for the orders and for its measurement

Cause: the lab measured plan.back_after while the orders worked out the same window by themselves. Change: back_window serves both; what nobody called is gone.

--- a/lanelift/lab/sites/measure.py
+++ b/lanelift/lab/sites/measure.py
@@ -17,6 +17,7 @@
 from lanelift.lab.sites.world import Found, Shape, play
 from lanelift.lab.topology import Topology
 from lanelift.sites.evidence import Evidence, State
+from lanelift.sites.orders import FIRST_NS, ROOM_MOST_NS
 from lanelift.sites.plan import (
     Admission,
     Fleet,
@@ -24,7 +25,7 @@
     Load,
     Place,
     assign,
-    back_after,
+    back_window,
     rooms,
     table,
     work,
@@ -250,8 +251,8 @@
             # beside.
             left = begin + refusing_s - now
             refused = rate - bears
-            told = back_after(refused, max(0.1 * bears, bears - rate), int(left * SECOND), SECOND // 4,
-                              int(60 * SECOND), rng.random()) / SECOND
+            window = back_window(refused, 0.1 * bears, int(left * SECOND), FIRST_NS, ROOM_MOST_NS)
+            told = rng.uniform(*window) / SECOND
         else:
             told = fixed_s
         heapq.heappush(heap, (now + told, False))
--- a/lanelift/sites/orders.py
+++ b/lanelift/sites/orders.py
@@ -21,6 +21,7 @@
     Load,
     Place,
     admitted,
+    back_window,
     table,
 )
 from lanelift.sites.recovery import RISE, STEP_S, Stage
@@ -28,6 +29,7 @@
 
 SEEN_LEAST = 0.15  # of its draws that a site keeps which has room: balancers correct by what they see
 LEAST_SHARE = 1.0  # a second, of a tenant at a balancer
+SPARE = 0.05  # of what is borne, that is thought to be left for those who come back
 FIRST_NS, ROOM_MOST_NS = 250_000_000, 60_000_000_000
 
 
@@ -147,9 +149,7 @@
     # When is there room? Where a site comes back, once it has risen; else by what is spare each second.
     rounds = [_rounds(c.part) for c in courses if c.stage in (Stage.TRICKLE, Stage.SHARES)]
     room = int(min(rounds, default=0.0) * STEP_S * 1e9)
-    spread = int(1e9 * refused / max(0.05 * bears, EPSILON))
-    first = min(ROOM_MOST_NS, max(FIRST_NS, room))
-    return first, min(2 * ROOM_MOST_NS, first + max(FIRST_NS, spread))
+    return back_window(refused, SPARE * bears, room, FIRST_NS, ROOM_MOST_NS)
 
 
 def _rounds(part: float) -> float:
--- a/lanelift/sites/plan.py
+++ b/lanelift/sites/plan.py
@@ -344,13 +344,10 @@
         return self.at
 
 
-def back_after(refused_rate: float, spare_rate: float, room_ns: int, least_ns: int, most_ns: int,
-               chance: float) -> int:
-    """When a refused client shall try again, nanoseconds from now. `room_ns`: when the plan says that there
-    is room. What comes back is spread over as long as it takes to serve beside the rest, so that it does not
-    come together; `chance` in 0 to 1 is this client's place in that."""
-    spread = int(1e9 * refused_rate / max(EPSILON, spare_rate)) if refused_rate > 0 else 0
-    first = max(least_ns, room_ns)
-    last = min(most_ns, max(first + least_ns, first + spread))
-    first = min(first, max(least_ns, most_ns // 2))
-    return int(first + chance * max(0, last - first))
+def back_window(refused: float, spare: float, room_ns: int, least_ns: int, most_ns: int) -> tuple[int, int]:
+    """From when to when refused clients shall try again, nanoseconds from now. `refused`, `spare`: a second;
+    `room_ns`: when the plan says that there is room. What comes back is spread over as long as it takes to
+    serve beside the rest, so that it does not come together."""
+    first = min(most_ns, max(least_ns, room_ns))
+    spread = int(1e9 * refused / max(EPSILON, spare)) if refused > 0 else 0
+    return first, min(2 * most_ns, first + max(least_ns, spread))
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -288,12 +288,11 @@
 
 
 def test_the_refused_come_back_when_there_is_room_and_not_together() -> None:
-    def spread(rate: float, spare: float, room: int) -> list[int]:
-        return [plans.back_after(rate, spare, room, 250 * MS, 20 * SECOND, i / 100) for i in range(100)]
-    few, many = spread(5, 50, 0), spread(200, 50, 3 * SECOND)
-    assert min(few) == 250 * MS and max(few) < SECOND
-    assert min(many) == 3 * SECOND and 6.9 * SECOND < max(many) <= 7 * SECOND
-    assert max(spread(1e9, 1e-9, 0)) <= 20 * SECOND
+    def window(refused: float, spare: float, room: int) -> tuple[int, int]:
+        return plans.back_window(refused, spare, room, 250 * MS, 20 * SECOND)
+    assert window(5, 50, 0) == (250 * MS, 500 * MS)
+    assert window(200, 50, 3 * SECOND) == (3 * SECOND, 7 * SECOND)
+    assert window(1e9, 1e-9, 0) == (250 * MS, 40 * SECOND)
 
 
 # ---- the return --------------------------------------------------------------------------------------------
