Leases: with no room for a further one those that are there go on

Need: the last key of a full store was a hard case without a test. Renewals, candidates, hand-overs and fenced writes go on at the bound; a further lease is refused in one line. Measured: pytest tests/test_leases.py: 67 passed.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -109,6 +109,21 @@
     assert log.lease().holder == ""
 
 
+def test_with_no_room_for_a_further_lease_those_that_are_there_go_on(
+        log: Log, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(states, "MOST_LEASES", 2)
+    assert log.claim("a", 11) == (1, 0)
+    assert log.do(Claim("last", "a", 12, 1000)).versions == (2, 0)
+    full = log.do(Claim("one-more", "a", 13, 1000))
+    assert full.code == Code.REFUSED and "there are 2 leases already" in full.text
+    assert log.claim("a", 11) == (1, 0)  # renewed
+    assert log.claim("b", 21) == (0, 1)  # a candidate waits
+    assert log.do(Release("work", 11, 1)).code == Code.DONE  # handed over
+    assert log.claim("b", 21) == (3, 0)
+    assert log.write("list/orders", 3).code == Code.DONE and log.write("list/orders", 1).code == Code.FENCED
+    assert log.do(Lapse("last", 12, 1)).text == "" and log.do(Claim("last", "c", 31, 1000)).versions == (4, 0)
+
+
 def test_candidates_are_bounded_and_what_stands_under_lease_is_no_plain_key(log: Log) -> None:
     for number in range(table.MOST_WAITING + 1):
         log.claim(f"p{number}", 11 + number)
