Rig and sites: one way to replace a program, one bound for an impaired site

Found by reading the change again: the rig began a process with another program in two copies, a constant of the rig was read by nobody, words had the bound of an impaired site as a figure of its own, and a docstring named a field that is not there. Behaviour stays.

--- a/lanelift/lab/rig/run.py
+++ b/lanelift/lab/rig/run.py
@@ -36,7 +36,6 @@
 OLDER_S = 1.0  # between two lists of an older program
 SERVED_S = 1.5  # at the end, in which every request is served
 ENDS_AT_ONCE = ("kill", "lose", "leave", "restart", "reset", "boxes", "jump", "upgrade", "down")
-GAP_MOST = 8  # of the lease's time that the work may be without an owner once all is mended
 
 
 @dataclass(eq=False)
@@ -252,12 +251,10 @@
                 process.kill()
                 self._task(world.again(process.name))
             case "old":
-                process.old = True
-                process.kill(signal.SIGTERM)
-                self._task(world.again(process.name))
-                return lambda: self._renewed(process)
+                self._replace(process, True)
+                return lambda: self._replace(process, False)
             case "upgrade":
-                self._renewed(process)
+                self._replace(process, False)
             case "jump":
                 process.send(signal.SIGUSR2)
             case "full":
@@ -265,9 +262,9 @@
                 return lambda: process.send(signal.SIGUSR1)
         return lambda: None
 
-    def _renewed(self, process: Process) -> None:
-        """Its program is replaced by the newer one."""
-        process.old = False
+    def _replace(self, process: Process, old: bool) -> None:
+        """Its program is replaced, by an older or by the present one."""
+        process.old = old
         process.kill(signal.SIGTERM)
         self._task(self.world.again(process.name))
 
--- a/lanelift/lab/sites/incidents.py
+++ b/lanelift/lab/sites/incidents.py
@@ -10,9 +10,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Hit:
-    """`boxes`: its boxes die and start again at the end, cold; `to`, `back`: what is sent to it, and what
-    comes back, is lost; `part`: of its boxes, or of what is sent; `clients`: those at it ask at other
-    sites."""
+    """`boxes`: so much of its boxes dies and starts again at the end, cold; `to`, `back`: so much of what is
+    sent to it, and of what comes back, is lost; `clients`: those at it ask at other sites; `balancers`: they
+    are killed, and started again at the end."""
 
     site: int
     at_s: float
--- a/lanelift/sites/words.py
+++ b/lanelift/sites/words.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from lanelift.sites.evidence import State, Verdict
+from lanelift.sites.evidence import PART, State, Verdict
 
 OLD_S = 8.0  # of a row, beyond which it tells nothing
 AGREE = 2 / 3  # of the sites that can tell
@@ -99,6 +99,6 @@
         return Verdict(State.CUT, 0, alive, "some sites get no answer there; " + why)
     if name in for_ and not others_yes:
         return Verdict(State.LOST, 0, 0.0, "its own balancers get no answer there; " + why)
-    if usual and alive < 1 - 0.3:
+    if usual and alive < 1 - PART:
         return Verdict(State.IMPAIRED, 0, alive, why)
     return Verdict(State.WELL, 0, alive, why)
