Lingering close, and no attempt for a client, upstream or connection that has gone

Now: end sending, read and drop, until the client ends or a second has gone; also at rest, where a connection was aborted. - a client's close that lies unread (reading paused, loop late, a reset) did not stop further attempts: three of them went out. `received` knew CLOSE_WAIT alone. Now the driver asks the kernel ahead of each attempt, and again when a connection has come up (`Exchange.wanted`). - a connection that came up after its upstream drained or restarted, or its client went where calls may not be cancelled, still carried the attempt (`Upstreams._connect`). - an idle connection to an upstream with a late second answer, an end or a reset unread was used: the next request would have had the wrong answer, or broken. Now it is looked at first (`Connection.clear`). - what a client had sent ahead was begun after its end (`eof_received` left `unread` to be parsed). - at the end of the process a half request was reset; it gets 503. An answer without a length that the end cuts off seemed whole (a close); it is reset. Told to leave before it takes clients, it took them all the same. At the cap, idle clients were left 2 s while the queue of one that leaves waited.

Simpler: one look (`readable`, poll) takes the place of counting the kernel's ticks and of three looks in a row.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -34,7 +35,7 @@
 
 SOCKETS, MEMORY_MB = 1024, 256  # where no limit is told
 DOOR = CONNECTIONS + TURN + 1  # descriptors kept for the operators' door
-LEAVE_S = 0.05  # over the time of the last answer, for its way out
+LEAVE_S = 0.1  # over the time of the last answer, for its way out
 # A process that takes over waits so long for the first list, and for the other one to make room: it is owed
 # within 6 s that it takes clients.
 TAKE_OVER_S = 2.0
@@ -212,11 +213,12 @@
     gc.freeze()  # what is there now stays: no collection need look at it again
     try:
         await frontend.drained.wait()
-        async with asyncio.timeout(frontend.leave_ns / 1e9 + LEAVE_S):
-            await frontend.left.wait()
-    except TimeoutError:
-        log = logging.error if driver.open else logging.info
-        log("left with %d requests and %d clients' connections open", driver.open, frontend.held)
+        # One after the other, not by two timers: where the loop is late these would come due together, and
+        # the last answers be dropped.
+        if not await frontend.has_left(frontend.last_answer_ns):
+            frontend.end_open()
+            if not await frontend.has_left(time.monotonic_ns() + int(LEAVE_S * 1e9)):
+                logging.info("left with %d clients' connections open", frontend.held)
     finally:
         if beside is not None:
             await beside.close()
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -37,6 +37,10 @@
 
     def abort(self) -> None: ...
 
+    @property
+    def gone(self) -> bool:
+        """Has it closed its connection, as far as the kernel knows?"""
+
 
 class Discovery(Protocol):
     def subscribe(self, on: bool) -> None: ...
@@ -266,7 +270,7 @@
         limits = self.settings.limits
         left = request.arrival.deadline_ns - now
         stream = request.stream
-        legal = (not request.over and left > 0 and number < limits.max_attempts
+        legal = (self._wanted(request) and left > 0 and number < limits.max_attempts
                  and request.sent <= (2 if limits.second_copies and stream is None else 1)
                  and (stream is None or stream.whole_again))
 
@@ -294,12 +298,19 @@
                     stream.rewind()
                 request.attempts[number] = self.upstreams.send(
                     action.upstream, outgoing, wait / 1e9 if whole else None, ended, stream,
-                    request.method == b"HEAD")
+                    request.method == b"HEAD", lambda: self._wanted(request))
             except Exception:  # it still has its one outcome, below
                 self._blame("an attempt could not start", [action])
         if request.attempts[number] is None:
             ended(api.Result.MOOT)
 
+    def _wanted(self, request: OpenRequest) -> bool:
+        """Asked ahead of each attempt, and again when its connection is up: does anybody still wait for it? A
+        client's close may lie unread for as long as the loop is late, or its connection is not read from."""
+        if not request.over and request.client.gone:
+            self.client_gone(request)
+        return not request.over
+
     def _ended(self, request: OpenRequest, number: int, upstream: int, result: api.Result, took_ns: int,
                response: Response | None, report: Report) -> None:
         request.attempts[number] = None
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -7,7 +7,8 @@
 import socket
 import struct
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
+from contextlib import suppress
 from enum import Enum
 from http import HTTPStatus
 from typing import cast
@@ -17,7 +18,7 @@
 from lanelift.net.body import Body, Store
 from lanelift.net.driver import Driver, OpenRequest
 from lanelift.net.http import LAST_CHUNK, Reading, chunk, end_to_end
-from lanelift.net.kernel import received
+from lanelift.net.kernel import Socket, readable, received
 from lanelift.net.listener import leave_to_successor, listen
 from lanelift.net.parse import MAX_BODY, Headers, Request, RequestReader, Response, Unacceptable, message
 
@@ -47,23 +48,23 @@
     BODY = "the body of its request goes on coming"
     ANSWER = "a long answer goes out, or waits for its client to read"
     IDLE = "between two requests"
-    LEAVING = "its last answer is being read"
+    LINGERING = "its sending has ended; what still comes is dropped until its client ends too"
 
 
 # How long it may: a request must be whole this long after its client connected, or after its first byte on a
 # connection that was used before (whoever is silent or slow is owed an end within 3 s of connecting, and may
 # take 2 s over a head), or go on coming, by a QUANTUM in each such time; so long a long answer may stand
-# still; a kept connection is closed after so long, and clients open another; a last answer is left so long to
-# be read.
-LIMIT_S = {Phase.NEW: 2.6, Phase.BODY: 1.5, Phase.ANSWER: 10.0, Phase.IDLE: 10.0, Phase.LEAVING: 1.0}
-# At the cap these make room, in this order: one whose last answer was left so long to be read, one that sent
+# still; a kept connection is closed after so long, and clients open another; its client is left so long to
+# read the last answer and to end in its turn (lingering close).
+LIMIT_S = {Phase.NEW: 2.6, Phase.BODY: 1.5, Phase.ANSWER: 10.0, Phase.IDLE: 10.0, Phase.LINGERING: 1.0}
+# At the cap these make room, in this order: one that has lingered for so long, one that sent
 # nothing for so long though its request is not whole, one that has been idle for the 2 s that clients count
 # on. At last it is whoever has been silent longest, but for the time in which an honest client begins.
 LEFT_S, SILENT_S, KEPT_S, BEGIN_S = 0.1, 0.5, 2.0, 0.05
-# A connection at rest is not ended while something that it sent may lie unread, but no longer than the first:
-# where a kernel does not tell, that is always so. A look at the socket comes in between.
-AT_REST = (Phase.NEW, Phase.IDLE)
-UNREAD_S, LOOK_AGAIN_S, TICK_NS = 0.02, 0.004, 8_000_000
+# A connection at rest is not ended over something that lies unread, but no longer than the first: a timer
+# runs ahead of the sockets, and where the loop is late, as on a crowded core, what came meanwhile is read
+# only behind it, on the same turn. Then the connection is looked at again.
+UNREAD_S, LOOK_AGAIN_S = 0.3, 0.004
 
 
 class Frontend:
@@ -94,8 +95,8 @@
         self.listening = False
 
     def start(self) -> None:
-        """Take clients, unless the end has come already."""
-        if not self.closed:
+        """Take clients, unless the end has been told already."""
+        if not self.draining:
             listen(self.listener, BACKLOG)
             self.started = True
             self._listen()
@@ -174,12 +175,13 @@
         looks at the listener again. Where all are too fresh for that, wait until the first is not."""
         now = self.loop.time()
         heads = []
-        for table, seconds in ((self.waiting[Phase.LEAVING], LEFT_S), (self.unfinished, SILENT_S),
-                               (self.waiting[Phase.IDLE], KEPT_S), (self.unfinished, BEGIN_S)):
+        kept_s = 0.0 if self.draining else KEPT_S  # clients of one that leaves open connections elsewhere
+        for table, seconds in ((self.waiting[Phase.LINGERING], LEFT_S), (self.unfinished, SILENT_S),
+                               (self.waiting[Phase.IDLE], kept_s), (self.unfinished, BEGIN_S)):
             client = next(iter(table), None)
             if client is not None:
                 due = table[client] + seconds
-                if due <= now and not client.unheard:
+                if due <= now and not (client.unread or client.unsent):
                     client.abort()
                     return
                 heads.append(max(due, now + LOOK_AGAIN_S))
@@ -199,10 +201,10 @@
     def wait(self, client: ClientConnection, phase: Phase) -> None:
         """It has no request open from now on, and can make room: listen again, should that have stopped."""
         self.busy(client)
-        client.phase = phase
+        client.phase, client.end_at = phase, 0.0
         self.waiting[phase][client] = self.loop.time()
         self.heard(client)
-        self._sweep_at(self.loop.time() + LIMIT_S[phase])
+        self._sweep_at(self.loop.time() + self._limit_s(phase))
         if len(self.clients) >= self.max_clients:
             self._listen()
 
@@ -227,40 +229,28 @@
 
     def _sweep(self) -> None:
         """End what has waited too long, and look again when the next one will have."""
-        self.timer = None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
         now = self.loop.time()
         for phase, clients in self.waiting.items():
+            limit = self._limit_s(phase)
             late = []
             for client, since in clients.items():
-                if since + LIMIT_S[phase] > now:
-                    self._sweep_at(since + LIMIT_S[phase])
+                if since + limit > now:
+                    self._sweep_at(since + limit)
                     break
                 late.append(client)
-            if phase in AT_REST:
-                self._end_at_rest(late, phase)
-            else:
-                for client in late:
+            for client in late:
+                client.end_at = client.end_at or now + UNREAD_S
+                if now < client.end_at and client.unread:
+                    self._sweep_at(now + LOOK_AGAIN_S)
+                else:
                     client.too_late()
 
-    def _end_at_rest(self, clients: Sequence[ClientConnection], phase: Phase) -> None:
-        """End these, unless a request has come that is not read yet: a timer runs ahead of the sockets, and
-        where the loop is late, as on a crowded core, what came meanwhile lies there unseen. Closed with that,
-        its client would be left without an answer. So the sockets are looked at first, and then the kernel
-        is asked of each."""
-        when = self.loop.time()
-        self.loop.call_soon(self.loop.call_soon, self._end_unread, clients, phase, when)
-
-    def _end_unread(self, clients: Sequence[ClientConnection], phase: Phase, when: float) -> None:
-        again = []
-        for client in clients:
-            if self.waiting[phase].get(client, when + 1.0) > when:
-                continue  # it was heard of since
-            if client.unheard and self.loop.time() < when + UNREAD_S:
-                again.append(client)
-            else:
-                client.too_late()
-        if again:
-            self.loop.call_later(LOOK_AGAIN_S, self._end_unread, again, phase, when)
+    def _limit_s(self, phase: Phase) -> float:
+        """Once nothing new is taken, no connection is kept for a further request."""
+        return 0.0 if phase is Phase.IDLE and self.closed else LIMIT_S[phase]
 
     def lost(self, client: ClientConnection) -> None:
         self.clients.discard(client)
@@ -278,7 +268,6 @@
             if self.started:
                 leave_to_successor(self.listener)
             self.loop.call_later(DRAIN_S, self._stop)
-            self.loop.call_later(self.leave_ns / 1e9, self.driver.end_open)
 
     def _stop(self) -> None:
         """What is in the accept queue was taken, and closing the listener would reset it: first it is
@@ -292,14 +281,16 @@
         self._pause()
         self.closed = True
         self.listener.close()
-        self.loop.call_later(0.02, self._close_idle)
-
-    def _close_idle(self) -> None:
-        """A new connection is left its time all the same: its client has no reason yet to send elsewhere."""
-        idle = [client for client in self.waiting[Phase.IDLE] if not client.has_data]
-        self._end_at_rest(idle, Phase.IDLE)
+        # A new connection is left its time all the same: its client has no reason yet to send elsewhere.
+        self._sweep()
         self.check_left()
 
+    def end_open(self) -> None:
+        """This process ends: who still waits is told so, and so is who has sent part of a request."""
+        self.driver.end_open()
+        for client in list(self.unfinished):
+            client.leave()
+
     def close(self) -> None:
         self._pause()
         self.closed = True
@@ -307,7 +298,14 @@
         if self.timer is not None:
             self.timer.cancel()
         for client in list(self.clients):
-            client.abort()
+            client.cut()
+
+    async def has_left(self, until_ns: int) -> bool:
+        """Wait for the last client to go, until then (ns, monotonic) at the most."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout((until_ns - time.monotonic_ns()) / 1e9):
+                await self.left.wait()
+        return self.left.is_set()
 
     def check_left(self) -> None:
         if self.closed and not self.clients:
@@ -321,7 +319,7 @@
         self.frontend = frontend
         self.driver = frontend.driver
         self.reader = RequestReader(store=frontend.store)
-        self.unread = bytearray()  # come, and not parsed yet
+        self.ahead = bytearray()  # come, and not parsed yet
         self.transport: asyncio.Transport | None = None
         self.open: OpenRequest | None = None
         self.upload: Body | None = None  # the body of the open request, as long as it comes
@@ -333,6 +331,7 @@
         self.asked_ns = 0  # when what is being parsed came
         self.made_ns = 0  # when the connection was taken
         self.phase: Phase | None = None  # the table of the frontend that it stands in
+        self.end_at = 0.0  # overdue since it was first seen so, it ends then, whatever lies unread
         self.lingering = False  # its last answer is given: what it sends is not read any more
         self.blocked = False  # it does not read its answers
         self.keep_alive = True
@@ -340,17 +339,39 @@
         self.latest = True  # the client speaks HTTP/1.1
 
     @property
-    def unheard(self) -> bool:
-        """Did something come since it was last read from? The kernel's count is in ticks."""
-        if self.lingering or self.transport is None or self.transport.is_closing():
-            return False
-        _, ago_ns = received(self.transport.get_extra_info("socket"))
-        return time.monotonic_ns() - ago_ns > max(self.asked_ns, self.made_ns) + TICK_NS
+    def unread(self) -> bool:
+        """Did something come, at rest, that nobody has looked at yet?"""
+        if self.has_data:
+            return self.phase is Phase.IDLE  # sent ahead, and about to be parsed
+        return self.phase in (Phase.NEW, Phase.IDLE) and self._live is not None and readable(self._socket)
+
+    @property
+    def unsent(self) -> bool:
+        """Is part of what was written still held here?"""
+        transport = self._live
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    @property
+    def gone(self) -> bool:
+        """Has the client closed its connection, read or not? A loop that is late, or is not reading from it,
+        has not heard of it yet; the kernel has."""
+        return self._live is None or received(self._socket)[0]
+
+    @property
+    def _live(self) -> asyncio.Transport | None:
+        transport = self.transport
+        return None if transport is None or transport.is_closing() else transport
+
+    @property
+    def _socket(self) -> Socket:
+        assert self.transport is not None
+        sock: Socket = self.transport.get_extra_info("socket")
+        return sock
 
     @property
     def has_data(self) -> bool:
         """Part of a request has come."""
-        return self.reader.begun or bool(self.reader.ready or self.unread)
+        return self.reader.begun or bool(self.reader.ready or self.ahead)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -362,18 +383,17 @@
             return
         # Deadlines count from the client's send. What waited in the backlog, or for a loop that was late, is
         # not fresh; and work for a client that has left makes those behind it late, until they leave too.
-        assert self.transport is not None
-        gone, ago_ns = received(self.transport.get_extra_info("socket"))
+        gone, ago_ns = received(self._socket)
         if gone:
             self.abort()
             return
         self.asked_ns = time.monotonic_ns() - ago_ns
         self.frontend.heard(self)
         self._count(len(data))
-        if not self.reading and len(self.unread) > MAX_BODY:
+        if not self.reading and len(self.ahead) > MAX_BODY:
             self.abort()  # one request at a time: what floods in behind it would fill the memory
             return
-        self.unread += data
+        self.ahead += data
         self._parse()
 
     def pause_writing(self) -> None:
@@ -405,8 +425,8 @@
     def pause(self) -> None:
         """What was read of it waits for its upstream: that is not its client's time."""
         self.frontend.busy(self)
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        if (transport := self._live) is not None:
+            transport.pause_reading()
 
     def resume(self) -> None:
         self.progress = 0
@@ -415,19 +435,25 @@
         self.frontend.loop.call_soon(self._parse)
 
     def _read_on(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
+        if (transport := self._live) is not None:
+            transport.resume_reading()
 
     def eof_received(self) -> bool:
-        self._gone()
+        self._ended()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._gone()
+        self._ended()
         self.reader.close()
         self.frontend.lost(self)
 
-    def _gone(self) -> None:
+    def _ended(self) -> None:
+        """Its client has ended it: what it sent ahead is not looked at any more."""
+        self.lingering = True
+        self._drop()
+
+    def _drop(self) -> None:
+        """Nobody waits any more for the answer of the open request."""
         self.upload = None
         answer, self.answer = self.answer, None
         if answer is not None:
@@ -439,8 +465,22 @@
     def too_late(self) -> None:
         """It has been in its phase for as long as it may."""
         if self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
-            self._gone()  # of an open request only the end was still to come
+            self._drop()  # of an open request only the end was still to come
             self._reject(408, "the request did not come in time")
+        elif self.phase in (Phase.NEW, Phase.IDLE):
+            self._linger()
+        else:
+            self.abort()
+
+    def leave(self) -> None:
+        """This process ends. A request that is not whole yet was not begun, and may go elsewhere."""
+        if self.has_data and self.open is None:
+            self._reject(503, "not taken")
+
+    def cut(self) -> None:
+        """This process has ended. An answer that is not whole must not seem so, even one without a length."""
+        if self.answer is not None:
+            self._reset()
         else:
             self.abort()
 
@@ -451,9 +491,9 @@
 
     def _reset(self) -> None:
         """End it so that its client can tell that the answer is not whole, even one without a length."""
-        if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if self._live is not None:
+            linger = struct.pack("ii", 1, 0)
+            cast(socket.socket, self._socket).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.abort()
 
     # ---- in ----------------------------------------------------------------------------------------------
@@ -467,13 +507,13 @@
             elif reader.ready:
                 self._whole(reader.ready.popleft())
             elif reader.fault is not None:
-                self._gone()
+                self._drop()
                 self._reject(reader.fault.status, str(reader.fault))
             elif self.upload is not None and self.upload.paused:
                 return
-            elif self.unread:
-                data = bytes(self.unread[:SLICE])
-                del self.unread[:SLICE]
+            elif self.ahead:
+                data = bytes(self.ahead[:SLICE])
+                del self.ahead[:SLICE]
                 reader.feed(data)
             else:
                 self._continue()
@@ -607,7 +647,7 @@
     def _answered(self) -> None:
         """The answer is given as a whole."""
         if self.last:
-            self._leave()
+            self._linger()
             return
         self.frontend.wait(self, Phase.IDLE)
         if self.has_data:
@@ -649,21 +689,19 @@
         elif wrote:
             self.frontend.wait(self, Phase.ANSWER)
 
-    def _leave(self) -> None:
-        """End the connection once its answer has been read. Closing it with unread bytes in hand would reset
-        it and take the answer along: then only the sending ends, and what comes is not looked at."""
+    def _linger(self) -> None:
+        """Lingering close: end the sending behind the last answer, and read and drop what comes until the
+        client ends too, or its time is over. Closed at once, over bytes that lie unread here or in the kernel
+        or that are still on their way, the connection would be reset, and the answer lost with it."""
         self.lingering = True
-        if self.transport is None or self.transport.is_closing():
-            return
-        self.frontend.wait(self, Phase.LEAVING)
-        if not self.has_data and self.reader.fault is None:
-            self.transport.close()
-        elif self.transport.can_write_eof():
-            self.transport.write_eof()
+        self.ahead.clear()
+        if (transport := self._live) is not None:
+            self.frontend.wait(self, Phase.LINGERING)
+            transport.write_eof()
 
     def _write(self, data: bytes | None) -> None:
-        if data and self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
+        if data and (transport := self._live) is not None:
+            transport.write(data)
 
 
 def start_line(status: int) -> bytes:
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -12,7 +12,7 @@
 
 from lanelift.interface import Result
 from lanelift.net.body import PIECE, Body, Store
-from lanelift.net.kernel import received
+from lanelift.net.kernel import readable, received
 from lanelift.net.parse import MAX_BODY, Response, ResponseReader
 
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
@@ -59,13 +59,14 @@
     """A request and its end, told exactly once: OK with a response, or why there is none. The body of a long
     response comes in pieces, and may still fail."""
 
-    __slots__ = ("request", "body", "max_body", "store", "head_only", "done", "written", "connection",
-                 "timer", "unread_ns")
+    __slots__ = ("request", "body", "max_body", "store", "head_only", "wanted", "done", "written",
+                 "connection", "timer", "unread_ns")
 
     def __init__(self, request: bytes, done: Callable[[Result, Response | None], None],
                  max_body: int = MAX_BODY, body: Body | None = None, store: Store | None = None,
-                 head_only: bool = False) -> None:
+                 head_only: bool = False, wanted: Callable[[], bool] = lambda: True) -> None:
         self.request = request
+        self.wanted = wanted  # asked when a connection has come up: does anybody still wait for it?
         self.body = body  # follows on the request, in pieces
         self.max_body = max_body
         self.store = store  # a longer answer comes in pieces
@@ -123,9 +124,20 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.closed:  # given up while it came up
+            transport.abort()  # type: ignore[attr-defined]
+            return
         # The buffer counts as full from its first byte on: `resume_writing` then means that all was written.
         self.transport.set_write_buffer_limits(high=0)
 
+    @property
+    def clear(self) -> bool:
+        """Is it at rest, with nothing unread: no late byte, which would be read as the next answer, and no
+        end of the server's, which would break the next request?"""
+        transport = self.transport
+        return (transport is not None and not self.closed and not transport.is_closing()
+                and not readable(transport.get_extra_info("socket")))
+
     def start(self, exchange: Exchange) -> None:
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -139,7 +139,7 @@
     # ---- attempts and probes -----------------------------------------------------------------------------
 
     def send(self, number: int, request: bytes, timeout_s: float | None, done: Done, body: Body | None = None,
-             head_only: bool = False) -> Exchange | None:
+             head_only: bool = False, wanted: Callable[[], bool] = lambda: True) -> Exchange | None:
         """Start one attempt; None if there is no such upstream, or operators took it out. The outcome never
         comes within this call. Without a limit, it waits for a body that is still to come."""
         target = self.targets.get(number)
@@ -150,7 +150,7 @@
             report = self._report(response.header(b"x-load")) if response is not None else None
             done(outcome(result, response), response, report)
 
-        exchange = Exchange(request, ended, MAX_BODY, body, self.store, head_only)
+        exchange = Exchange(request, ended, MAX_BODY, body, self.store, head_only, wanted)
         self._start(target, exchange)
         if timeout_s is not None:
             exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
@@ -204,8 +204,9 @@
         while target.idle:
             connection = settled or target.idle[0]
             target.idle.remove(connection)
-            if connection.transport is not None and not connection.transport.is_closing():
+            if connection.clear:
                 return connection
+            connection.abort()
             settled = None
         return None
 
@@ -230,10 +231,14 @@
             here = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
             exchange.give_up(api.Result.MOOT if here else api.Result.CONNECT_FAILED)
             return
-        if connection.closed:
+        if connection.closed or not target.keep:
+            # The upstream drains, went or restarted while the connection came up, or was taken out: an
+            # attempt that began now would be a new one for it.
+            connection.abort()
             exchange.give_up(api.Result.CONNECT_FAILED)
-        elif exchange.done is None:  # given up meanwhile; the connection serves the next one
+        elif exchange.done is None or not exchange.wanted():  # the connection serves the next one
             self._released(target, connection)
+            exchange.give_up(api.Result.MOOT)
         else:
             connection.start(exchange)
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -415,10 +415,10 @@
                 while received(sock)[1] < 30_000_000:  # the kernel counts in ticks
                     await asyncio.sleep(0)
                 for client in table:
-                    table[client] -= 60.0
+                    table[client] -= 2.0 if end == "made room" else frontend.LIMIT_S[Phase.IDLE]
                 used.send(raw_request(start="GET /quote HTTP/1.1").replace(b"pay", b"quote"))
                 if end == "drained":
-                    front._close_idle()
+                    front._stop()
                 elif end == "swept":
                     front._sweep()
                 else:
--- /dev/null
+++ b/tests/test_races.py
@@ -0,0 +1,419 @@
+"""Where two events cross: at shutdown, at close, in retries, while a connection comes up. Each crossing is
+forced. `docs/design/races.md` lists them by state and event, with the test of each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Callable, Iterator
+from contextlib import closing, contextmanager, suppress
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from lanelift import __main__ as program
+from lanelift import interface as api
+from lanelift.net import frontend
+from lanelift.net.body import Store
+from lanelift.net.budget import RESERVE
+from lanelift.net.discovery import read_endpoint
+from lanelift.net.frontend import ClientConnection, Frontend, Phase
+from lanelift.net.parse import message
+from lanelift.net.upstream import Upstreams, number_of
+from lanelift.settings import Json
+from tests.fakes import (
+    SECOND,
+    SETTINGS,
+    Heard,
+    World,
+    answer,
+    read_message,
+    run,
+    world,
+)
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
+REQUEST = message(b"GET /quote HTTP/1.1", [(b"Host", b"h"), (b"X-Request-Id", b"r1")])
+
+
+@pytest.fixture
+def made(monkeypatch: pytest.MonkeyPatch) -> list[Frontend]:
+    """The frontends of the balancers that a test starts."""
+    found: list[Frontend] = []
+
+    class Kept(Frontend):
+        def __init__(self, *args: Any) -> None:
+            super().__init__(*args)
+            found.append(self)
+
+    monkeypatch.setattr(program, "Frontend", Kept)
+    return found
+
+
+async def plain(w: World) -> socket.socket:
+    """A client's bare socket: what it does is done at once, not on a turn of the loop."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, w.address)
+    return sock
+
+
+async def read_all(sock: socket.socket) -> bytes:
+    """All that comes until the end; a reset raises."""
+    got = b""
+    while data := await asyncio.get_running_loop().sock_recv(sock, 65536):
+        got += data
+    return got
+
+
+async def held_connection(front: Frontend) -> ClientConnection:
+    while not front.clients or not any(c.open for c in front.clients):
+        await asyncio.sleep(0)
+    return next(c for c in front.clients if c.open)
+
+
+# ---- close ---------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("when", ["behind the last answer", "at rest", "silent"])
+def test_what_crosses_the_close_of_a_connection_does_not_reset_it(
+        when: str, made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Bytes that come between the last look and the close turned it into a reset, which can take along an
+    answer that its client has not read yet. Nor is what comes then sent on."""
+    async def test() -> None:
+        async with world() as w:
+            with await plain(w) as sock:
+                crossing = REQUEST.replace(b"r1", b"crossing")
+                if when == "behind the last answer":
+                    write = ClientConnection._write
+
+                    def cross(client: ClientConnection, data: bytes | None) -> None:
+                        write(client, data)
+                        sock.send(crossing)
+
+                    sock.send(REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+                    monkeypatch.setattr(ClientConnection, "_write", cross)
+                else:
+                    if when == "at rest":
+                        sock.send(REQUEST)
+                        await asyncio.get_running_loop().sock_recv(sock, 4096)
+                    while not made[0].clients:
+                        await asyncio.sleep(0)
+                    [client] = made[0].clients
+                    phase = Phase.IDLE if when == "at rest" else Phase.NEW
+                    while client.phase is not phase:
+                        await asyncio.sleep(0)
+                    made[0].waiting[phase][client] -= 60.0
+                    made[0]._sweep()
+                    sock.send(crossing)
+                got = await asyncio.wait_for(read_all(sock), 5.0)
+                assert got.startswith(b"HTTP/1.1 200 ") is (when == "behind the last answer")
+            assert (await w.ask("last")).status == 200
+            assert b"crossing" not in b" ".join(m.headers["x-request-id"].encode()
+                                                for m in w.upstreams[0].seen)
+
+    run(test())
+
+
+def test_a_client_that_goes_on_sending_does_not_keep_a_connection_that_has_ended(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(frontend.LIMIT_S, Phase.LINGERING, 0.1)
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            assert (await client.ask("r1", Connection="close")).status == 200
+            with suppress(ConnectionError):
+                while True:
+                    client.writer.write(b"x" * 1000)
+                    await client.writer.drain()
+                    await asyncio.sleep(0.005)
+
+    run(test())
+
+
+def test_what_a_client_sent_ahead_is_not_begun_once_it_has_gone(heard: Heard, made: list[Frontend]) -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.held("r1")
+            client.send("ahead")
+            connection = await held_connection(made[0])
+            while not connection.has_data:
+                await asyncio.sleep(0)
+            connection.eof_received()
+            connection._parse()  # as behind an answer, or once its buffer has room
+            assert (await w.ask("last")).status == 200
+            assert [e.request for e in heard.of(api.Arrival)] == ["r1", "last"]
+
+    run(test())
+
+
+def test_small_writes_are_not_held_back(made: list[Frontend]) -> None:
+    """What the system holds back to fill a segment goes with a reset: so it holds back nothing."""
+    async def test() -> None:
+        async with world() as w:
+            client = await w.held("r1")
+            connection = await held_connection(made[0])
+            assert connection.transport is not None
+            request = connection.open
+            assert request is not None and request.attempts[0] is not None
+            upstream = request.attempts[0].connection
+            assert upstream is not None and upstream.transport is not None
+            for transport in (connection.transport, upstream.transport):
+                sock = transport.get_extra_info("socket")
+                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            client.close()
+
+    run(test())
+
+
+# ---- a client that has gone --------------------------------------------------------------------------------
+
+RETRIES = replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=3, may_cancel=False,
+                                           connect_timeout_ns=20 * SECOND))
+
+
+@pytest.mark.parametrize("how", ["closes", "resets"])
+def test_no_further_attempt_for_a_client_whose_close_lies_unread(how: str, made: list[Frontend]) -> None:
+    """It is not read from, as while a body waits for room or the loop is late: the end lies in the kernel."""
+    async def test() -> None:
+        async with world(2, settings=RETRIES) as w:
+            turned_away = asyncio.Event()
+
+            async def busy() -> bytes:
+                await turned_away.wait()
+                return answer(503, b"", "X-Not-Run: 1")
+
+            for upstream in w.upstreams:
+                upstream.script = [busy]
+            with await plain(w) as sock:
+                sock.send(REQUEST)
+                connection = await held_connection(made[0])
+                assert connection.transport is not None
+                while not any(u.seen for u in w.upstreams):
+                    await asyncio.sleep(0)
+                connection.transport.pause_reading()
+                if how == "resets":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            turned_away.set()
+            while made[0].driver.open:
+                await asyncio.sleep(0)
+            connection.transport.resume_reading()
+            for upstream in w.upstreams:
+                upstream.script = []
+            assert (await w.ask("last")).status == 200
+            assert [m.headers["x-request-id"] for u in w.upstreams for m in u.seen].count("r1") == 1
+
+    run(test())
+
+
+@contextmanager
+def blocked() -> Iterator[tuple[Json, Callable[[], socket.socket]]]:
+    """An upstream whose accept queue is full: connections to it come up only once it is emptied. Gives its
+    entry of the list, and a call that empties the queue and takes the next connection."""
+    with socket.socket() as server:
+        server.bind(("127.0.0.1", 0))
+        server.listen(0)
+        address = server.getsockname()
+        fill = [socket.create_connection(address)]
+        with suppress(TimeoutError):
+            while True:
+                fill.append(socket.create_connection(address, 0.2))
+
+        def admit() -> socket.socket:
+            for sock in fill:
+                server.accept()[0].close()
+                sock.close()
+            server.settimeout(10.0)
+            return server.accept()[0]
+
+        yield {"id": "blocked", "addr": "{}:{}".format(*address), "state": "Ready"}, admit
+
+
+@pytest.mark.parametrize("what", ["its client goes", "its client goes unread", "it drains", "it restarts"])
+def test_a_connection_that_comes_up_too_late_carries_no_attempt(what: str, made: list[Frontend]) -> None:
+    async def test() -> None:
+        with blocked() as (row, admit):
+            async with world(0, settings=RETRIES, known={"version": 1, "full": True, "servers": [row]}) as w:
+                client = await plain(w)
+                with closing(client):
+                    client.send(REQUEST)
+                    connection = await held_connection(made[0])
+                    upstreams = made[0].driver.upstreams
+                    while not upstreams.connecting:
+                        await asyncio.sleep(0)
+                    if what == "its client goes unread":
+                        assert connection.transport is not None
+                        connection.transport.pause_reading()
+                    if what.startswith("its client"):
+                        client.close()
+                    elif what == "it drains":
+                        upstreams.learn([read_endpoint({**row, "state": "Terminating"})], full=False)
+                    else:
+                        upstreams.learn([read_endpoint({**row, "started_ms": 7})], full=False)
+                    accepted = await asyncio.to_thread(admit)
+                    with accepted:
+                        while upstreams.connecting:
+                            await asyncio.sleep(0)
+                        accepted.settimeout(0.2)
+                        with suppress(TimeoutError):
+                            assert accepted.recv(4096) == b""
+
+    run(test())
+
+
+# ---- an idle connection to an upstream -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("what", ["a second answer", "the end", "a reset"])
+def test_an_idle_connection_with_something_unread_carries_no_request(what: str) -> None:
+    """With the loop late, what came lies unread: a late second answer would be taken for the next one's, and
+    the upstream's close would break a request that may not be repeated."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            upstreams = Upstreams(SETTINGS.limits, 4, (), Store(1024))
+            row = {"id": "s-0", "addr": "{}:{}".format(*server.getsockname()), "state": "Ready"}
+            upstreams.learn([read_endpoint(row)], full=True)
+            ended: asyncio.Queue[tuple[api.Result, bytes]] = asyncio.Queue()
+
+            def done(result: api.Result, response: Any, report: Any) -> None:
+                ended.put_nowait((result, response.body if response is not None else b""))
+
+            for body in (b"first", b"second"):  # each on a connection of its own
+                upstreams.send(number_of("s-0"), REQUEST, 5.0, done)
+                link, _ = await asyncio.wait_for(loop.sock_accept(server), 5.0)
+                assert await loop.sock_recv(link, 4096) == REQUEST
+                await loop.sock_sendall(link, answer(200, body))
+                assert await ended.get() == (api.Result.OK, body)
+                if what == "a second answer":
+                    link.send(answer(200, b"stray"))
+                elif what == "the end":
+                    link.shutdown(socket.SHUT_WR)
+                else:
+                    link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    link.close()
+            upstreams.close()
+            link.close()
+
+    run(test())
+
+
+# ---- shutdown --------------------------------------------------------------------------------------------
+
+
+def short_leave(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "LONGEST_NS", SECOND // 10)
+    monkeypatch.setattr(frontend, "LEAVE_NS", SECOND // 10)
+
+
+def test_the_last_answers_go_out_also_where_the_loop_is_late_at_the_end(
+        made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    """The end of the open requests and that of the process come due on one turn: the second must not drop the
+    answers of the first."""
+    short_leave(monkeypatch)
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.held("r1", X_Deadline_Ms=3000)
+            made[0].drain()
+            await asyncio.sleep(0)
+            time.sleep(0.2 + program.LEAVE_S + 0.2)  # the loop stands still over both times
+            assert (await asyncio.wait_for(read_message(client.reader), 2.0)).status == 504
+            await client.ended()
+
+    run(test())
+
+
+def test_who_has_sent_half_a_request_at_the_end_is_told_to_go_elsewhere(
+        made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    short_leave(monkeypatch)
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.writer.write(REQUEST[:-2])
+            while not any(c.has_data for c in made[0].clients):
+                await asyncio.sleep(0)
+            made[0].drain()
+            assert (await asyncio.wait_for(read_message(client.reader), 2.0)).status == 503
+            await client.ended()
+
+    run(test())
+
+
+def test_an_answer_without_a_length_that_the_end_cuts_off_does_not_seem_whole(
+        made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    short_leave(monkeypatch)
+
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + b"x" * 100_000]
+            # To HTTP/1.0, which knows no chunks, an answer whose length was not told ends by its close.
+            monkeypatch.setattr(ClientConnection, "_begin", without_length(ClientConnection._begin))
+            with await plain(w) as sock:
+                sock.send(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+                while not any(c.answer for c in made[0].clients):
+                    await asyncio.sleep(0)
+                made[0].drain()
+                with pytest.raises(ConnectionResetError):
+                    await asyncio.wait_for(read_all(sock), 5.0)
+
+    def without_length(begin: Any) -> Any:
+        def begins(client: ClientConnection, rows: Any, body: Any) -> None:
+            body.length = None
+            begin(client, rows, body)
+
+        return begins
+
+    run(test())
+
+
+def test_told_to_leave_before_it_takes_clients_it_takes_none(
+        made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    listened: list[object] = []
+    monkeypatch.setattr(frontend, "listen", lambda *args: listened.append(args))
+    monkeypatch.setattr(frontend, "DRAIN_S", 0.0)
+    start = Frontend.start
+
+    def drained_first(front: Frontend) -> None:
+        front.drain()
+        start(front)
+
+    monkeypatch.setattr(Frontend, "start", drained_first)
+
+    async def test() -> None:
+        async with world():
+            while not made:
+                await asyncio.sleep(0)
+            await asyncio.wait_for(made[0].left.wait(), 5.0)
+            assert not listened
+
+    run(test())
+
+
+def test_while_it_leaves_idle_clients_make_room_for_those_in_the_queue(
+        made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "KEPT_S", 1000.0)
+    monkeypatch.setattr(frontend, "CROWDED", 9.0)
+    monkeypatch.setattr(frontend, "FULL", 9.0)
+
+    async def test() -> None:
+        async with world(sockets=RESERVE + 2 * 2) as w:  # places for two clients
+            idle = [await w.client(), await w.client()]
+            for number, client in enumerate(idle):
+                assert (await client.ask(f"r{number}")).status == 200
+            waiting = [await w.client(), await w.client()]
+            for number, client in enumerate(waiting):
+                client.send(f"w{number}")
+            made[0].drain()
+            for client in waiting:
+                assert (await asyncio.wait_for(read_message(client.reader), 5.0)).status == 200
+            await asyncio.wait_for(made[0].left.wait(), 5.0)
+
+    run(test())
