Discovery: behind a failed call the next one does not wait; one call at a time

Seen by forced crossings (tests/test_races.py): behind a 503 the next call of one of 200 balancers waited for 20 s (`Discovery._watch` went on with the hold), and fallen silent it hid every change for 21.5 s. Where discovery is asked, `Balancer._list` left up to 8 s between two calls. Connection and answer were each given 2.5 s, the pause 1 s: 8.5 s in all. A list asked for on the side waited for the lock, that is for the hold of the watch.

Change: the watch has named states (whole list, catch up, hold); behind a failure and at a start it catches up first, with an answer at once. Connection and answer share 2 s; the pause is at most 1 s (pushed) or 2 s (asked). One task calls at a time in place of two and a lock. Its connection is looked at before use. A list of a thousand entries that can't be read is one line of the log, not a thousand. Ruled out by a probe: an answer of the old address that lies unread when the move comes is not believed.

The fake discovery now ends a hold in its time; the test of a silent watch makes it mute, as strict as before.

--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -23,7 +23,7 @@
 from lanelift.daemon.saved import SavedList, decoded, load_list, save_list
 from lanelift.leases.fence import Word
 from lanelift.leases.table import written
-from lanelift.net.discovery import HOLD_MS, PACE_S, Discovery
+from lanelift.net.discovery import HOLD_MS, PACE_S, Call, Discovery
 from lanelift.net.driver import Driver
 from lanelift.net.upstream import Endpoint
 from lanelift.store.client import Client, StoreError
@@ -107,7 +107,7 @@
         self.discovery.hold_ms, self.discovery.pace_s = HOLD_MS, PACE_S
         if token != self.put[0]:  # one that is lost and found again goes on counting
             self.number = self.beat = 0
-        self.discovery.whole = True  # what was heard of the other owner is not counted there
+        self.discovery.next = Call.WHOLE  # what was heard of the other owner is not counted there
         self.working = asyncio.get_running_loop().create_task(self._work())
         self.discovery.subscribe(True)
 
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -35,6 +35,9 @@
 START_RATE = 10_000.0  # R starts above anything a proxy carries
 FEEDBACK_NS = SECOND // 2
 ASK_NS = SECOND // 20, 5 * SECOND // 2  # over which first calls for a list are spread: none known, or one
+# The longest pause behind a call for a list that failed: a change counts as told 6 s after discovery had it
+# and could be reached, and two calls take time as well.
+ASK_AGAIN_NS = 2 * SECOND
 SLACK = 0.2  # R comes down only when answers take this much more of their aim than is crowded
 CLIMB = 1.1, 2.0  # of R in one interval: the second while nothing is crowded
 CALM, FEW = -0.1, 8  # stress is so far below crowded, and not one attempt in so many failed or was late
@@ -1109,7 +1112,7 @@
             # Calls are spread and backed off: discovery does not grow with the fleet.
             self.subscribed = False
             self.failures += 1
-            wait = SECOND * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
+            wait = ASK_AGAIN_NS * min(1.0, 2.0 ** (self.failures - 3)) * self.rng.uniform(0.4, 1.0)
             self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
         else:
             self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -9,6 +9,8 @@
 import math
 import random
 import time
+from collections.abc import Coroutine
+from enum import Enum
 from typing import Any
 
 from lanelift import interface as api
@@ -27,10 +29,13 @@
 # What discovery has to tell counts as told 6 s later, or 2 s after a call's hold is over: a call that is
 # silent for so long is given up before that, and the whole list asked for. A connection that died without a
 # word hides the hold's length of changes: of a few balancers it is no longer than those 6 s allow.
-CALL_S, AFTER_HOLD_S = 2.5, 1.5
+AFTER_HOLD_S = 1.5
+# Behind a call that failed, was turned away or was given up, a change counts as told 6 s after discovery has
+# it and can be reached, whatever the hold: so the next call does not wait, connection and answer together are
+# given so long, and two such calls with the longest pause between them fit into those 6 s.
+CALL_S, BACKOFF_S = 2.0, (0.05, 1.0)
 # Between two calls at the least, whatever comes back; a watch may pause for 200 ms.
 PACE_S, PACE_EACH_S, PACE_MOST_S = 0.02, 0.004, 0.15
-BACKOFF_S = (0.05, 1.0)
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 MS = 1_000_000
@@ -69,15 +74,25 @@
 def read_list(raw: Any) -> tuple[int, bool, list[Endpoint]]:
     """A list's version, whether it is whole, and its entries; those that can't be read are skipped."""
     raw = typed(raw, "list", dict)
-    endpoints = []
+    endpoints, skipped = [], []
     for row in need(raw, "servers", list):
         try:
             endpoints.append(read_endpoint(row))
         except Malformed as error:
-            log.warning("discovery: entry skipped: %s", error)
+            skipped.append(error)
+    if skipped:  # one line for a list, however long
+        log.warning("discovery: %d entries skipped, the first for: %s", len(skipped), skipped[0])
     return need(raw, "version", int), maybe(raw, "full", bool, False), endpoints
 
 
+class Call(Enum):
+    """What discovery is asked next."""
+
+    WHOLE = "the whole list"
+    CATCH_UP = "what changed since the list that is known; the answer comes at once"
+    HOLD = "the same, but it waits until there is something"
+
+
 class Discovery:
     def __init__(self, driver: Driver, address: tuple[str, int], seed: int) -> None:
         self.driver = driver
@@ -89,17 +104,16 @@
         self.hold_ms = min(HOLD_MOST_MS, max(HOLD_MS, HOLD_EACH_MS * balancers))
         self.pace_s = min(PACE_MOST_S, max(PACE_S, PACE_EACH_S * balancers))
         self.version = -1
-        self.whole = True  # the next watch begins with the whole list
+        self.next = Call.WHOLE
         self.connection: Connection | None = None
-        self.watching: asyncio.Task[None] | None = None
-        self.fetching: asyncio.Task[None] | None = None
-        self.lock = asyncio.Lock()
+        self.watching = False
+        self.task: asyncio.Task[None] | None = None  # the one that calls: a watch, or for one list
 
     def start(self, known: Json | None) -> None:
         """Begin from the list as last known, and watch at once where changes are pushed."""
         if known is not None:
             self.version, _, endpoints = read_list(known)
-            self.whole = False
+            self.next = Call.CATCH_UP
             self.tell(api.ListKind.CACHED, endpoints)
         if self.push:
             self.subscribe(True)
@@ -108,62 +122,61 @@
         self.driver.learn(kind, endpoints)
 
     def subscribe(self, on: bool) -> None:
-        if self.watching is not None:
-            self.watching.cancel()
-        self.watching = asyncio.get_running_loop().create_task(self._watch()) if on else None
+        self.watching = on
+        self._run(self._watch() if on else None)
+
+    def fetch(self) -> None:
+        """Ask for the whole list; a watch begins anew with it."""
+        self.next = Call.WHOLE
+        self._run(self._watch() if self.watching else self._fetch())
 
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere from now on. What hangs at the old address, or waits to try it again, must
         not hold up the new one. That one counts its versions for itself: its first whole list stands."""
         self.address = address
         self.version = -1
-        self.whole = True
+        self.next = Call.WHOLE
         if self.connection is not None:
             self.connection.abort()
-        if self.watching is not None and not self.watching.done():
-            self.subscribe(True)
-        if self.fetching is not None and not self.fetching.done():
-            self.fetching.cancel()
-            self.fetching = None
+        if self.task is not None and not self.task.done():
             self.fetch()
 
-    def fetch(self) -> None:
-        if self.fetching is None or self.fetching.done():
-            self.fetching = asyncio.get_running_loop().create_task(self._fetch())
-
     def close(self) -> None:
-        for task in (self.watching, self.fetching):
-            if task is not None:
-                task.cancel()
+        self._run(None)
         if self.connection is not None:
             self.connection.abort()
 
+    def _run(self, work: Coroutine[Any, Any, None] | None) -> None:
+        """One call at a time: what was under way is dropped, its answer with it."""
+        if self.task is not None:
+            self.task.cancel()
+        self.task = asyncio.get_running_loop().create_task(work) if work is not None else None
+
     async def _watch(self) -> None:
         """Without a gap: each call follows on the answer before it. The first asks for what changed since the
         list that is known, or was before discovery turned a call away: the whole list, line by line for each
         of forty balancers, would leave it no time for the changes. After any other failure the whole one
         comes first."""
-        wait = BACKOFF_S[0]
+        backoff_s = BACKOFF_S[0]
         while True:
             try:
-                if self.whole:
-                    await self._call(b"/v1/endpoints", CALL_S)
-                    self.whole = False
-                    await asyncio.sleep(PACE_S)
-                while True:
-                    await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, self.hold_ms),
-                                     self.hold_ms / 1000 + AFTER_HOLD_S)
-                    wait = BACKOFF_S[0]
-                    await asyncio.sleep(self.pace_s * self.rng.uniform(0.7, 1.0))
+                call = self.next
+                await self._call(call)
+                self.next = Call.HOLD
+                if call is not Call.WHOLE:
+                    backoff_s = BACKOFF_S[0]
+                await asyncio.sleep(self.pace_s * self.rng.uniform(0.7, 1.0))
             except Exception as error:
-                self.whole = self.whole or not isinstance(error, Busy)
+                known = isinstance(error, Busy) and self.next is not Call.WHOLE
+                self.next = Call.CATCH_UP if known else Call.WHOLE
                 # The old list stands. Balancers must not all come back together.
                 self._failed(error)
                 if not self.push:
+                    self.watching = False
                     self.tell(api.ListKind.FAILED, [])  # the module says when to ask again
                     return
-                await asyncio.sleep(wait * self.rng.uniform(0.5, 1.0))
-                wait = min(2 * wait, BACKOFF_S[1])
+                await asyncio.sleep(backoff_s * self.rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, BACKOFF_S[1])
 
     def _failed(self, error: Exception) -> None:
         """One line for what may happen. What nobody thought of must not end the watch for good, unseen."""
@@ -172,14 +185,18 @@
 
     async def _fetch(self) -> None:
         try:
-            await self._call(b"/v1/endpoints", CALL_S)
+            await self._call(Call.WHOLE)
+            self.next = Call.CATCH_UP
         except Exception as error:
             self._failed(error)
             self.tell(api.ListKind.FAILED, [])
 
-    async def _call(self, target: bytes, wait_s: float) -> None:
-        async with self.lock:  # one connection, and one call at a time on it
-            response = await self._get(target, wait_s)
+    async def _call(self, call: Call) -> None:
+        hold_ms = self.hold_ms if call is Call.HOLD else 1
+        target = b"/v1/endpoints"
+        if call is not Call.WHOLE:
+            target += b"?from=%d&hold_ms=%d" % (self.version, hold_ms)
+        response = await self._get(target, hold_ms / 1000 + AFTER_HOLD_S if call is Call.HOLD else None)
         if response.status == 503:
             raise Busy("answered 503")
         if response.status != 200:
@@ -196,15 +213,22 @@
         if endpoints or full or not self.push:
             self.tell(api.ListKind.FULL if full else api.ListKind.DELTA, endpoints)
 
-    async def _get(self, target: bytes, wait_s: float) -> Response:
+    async def _get(self, target: bytes, wait_s: float | None) -> Response:
+        """One answer; it may take so long, or what is left of `CALL_S` once there is a connection."""
         loop = asyncio.get_running_loop()
-        if self.connection is None or self.connection.closed:
+        by = loop.time() + CALL_S
+        if self.connection is None or not self.connection.clear:
+            if self.connection is not None:
+                self.connection.abort()
             connection = Connection(lambda c: None, lambda c: None)
             try:
-                async with asyncio.timeout(CALL_S):
+                async with asyncio.timeout_at(by):
                     await loop.create_connection(lambda: connection, *self.address)
-            except OSError as error:
-                raise Unanswered(f"no connection: {error or 'timed out'}") from None
+            except BaseException as error:
+                connection.abort()  # it may still come up
+                if isinstance(error, OSError):
+                    raise Unanswered(f"no connection: {error or 'timed out'}") from None
+                raise
             self.connection = connection
         answer: asyncio.Future[tuple[api.Result, Response | None]] = loop.create_future()
 
@@ -215,7 +239,7 @@
         host = f"{self.address[0]}:{self.address[1]}".encode()
         request = message(b"GET %b HTTP/1.1" % target, [(b"Host", host)])
         exchange = Exchange(request, ended, MAX_LIST)
-        exchange.expire_in(wait_s)
+        exchange.expire_in(by - loop.time() if wait_s is None else wait_s)
         self.connection.start(exchange)
         try:
             result, response = await answer
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -174,6 +174,7 @@
         self.down = False
         self.silent = False
         self.busy = False  # it turns calls away
+        self.mute = False  # calls that wait are never answered
 
     def change(self, *rows: Json) -> None:
         self.version += 1
@@ -194,8 +195,13 @@
             return answer(503)
         if "from=" not in message.start[1]:
             return answer(200, json.dumps(self.whole()).encode())
-        known = int(message.start[1].partition("from=")[2].partition("&")[0])
-        await self.until(lambda: self.version > known)
+        query = message.start[1].partition("?")[2].split("&")
+        known, hold_ms = (int(part.partition("=")[2]) for part in query)
+        if self.mute and hold_ms > 1:
+            return await never()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(hold_ms / 1000):
+                await self.until(lambda: self.version > known)
         news = [row for version, row in self.changes if version > known]
         change = {"version": self.version, "full": False, "servers": news}
         return answer(200, json.dumps(change).encode())
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -16,8 +16,9 @@
 import pytest
 
 from lanelift import __main__ as program
+from lanelift import decide
 from lanelift import interface as api
-from lanelift.net import frontend
+from lanelift.net import discovery, frontend
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE
 from lanelift.net.discovery import read_endpoint
@@ -25,9 +26,11 @@
 from lanelift.net.parse import message
 from lanelift.net.upstream import Upstreams, number_of
 from lanelift.settings import Json
+from tests.bench import MS, Desk, of, settings
 from tests.fakes import (
     SECOND,
     SETTINGS,
+    FakeDiscovery,
     Heard,
     World,
     answer,
@@ -417,3 +420,96 @@
             await asyncio.wait_for(made[0].left.wait(), 5.0)
 
     run(test())
+
+
+# ---- lists -----------------------------------------------------------------------------------------------
+
+FLEET = replace(SETTINGS, replicas_of_me=200)  # each call waits for 20 s there
+
+
+@pytest.mark.parametrize("push", [True, False])
+@pytest.mark.parametrize("before", ["turned away", "broken", "given up"])
+def test_a_change_behind_a_failed_call_is_told_whatever_the_next_hold_is(
+        before: str, push: bool, heard: Heard, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The call behind it waited for 20 s: fallen silent, it hid all changes meanwhile."""
+    assert 2 * discovery.CALL_S + discovery.BACKOFF_S[1] <= 6.0
+    assert 2 * discovery.CALL_S + decide.ASK_AGAIN_NS / SECOND <= 6.0
+    monkeypatch.setattr(discovery, "CALL_S", 0.3)
+
+    async def test() -> None:
+        async with world(2, settings=replace(FLEET, discovery_push=push)) as w:
+            lists = w.discovery
+            await w.watching()
+            lists.busy, lists.down = before == "turned away", before == "broken"
+            lists.silent = before == "given up"
+            calls = len(lists.seen)
+            if before == "turned away":
+                lists.change(w.upstreams[0].row())  # ends the call that waits
+            else:
+                lists.close_links()
+            await lists.until(lambda: len(lists.seen) > calls + 1)
+            lists.mute, lists.busy, lists.down, lists.silent = True, False, False, False
+            lists.change(w.upstreams[1].row("Gone"))
+            gone = number_of(w.upstreams[1].name)
+
+            def told() -> bool:
+                [last] = heard.of(api.ListUpdate)[-1:]
+                return (last.kind is api.ListKind.FULL and gone not in [u.id for u in last.upstreams]
+                        or last.kind is api.ListKind.DELTA and gone in [u.id for u in last.upstreams])
+
+            await asyncio.wait_for(heard.until(told), 6.0)
+
+    run(test())
+
+
+def test_where_discovery_is_asked_the_module_asks_again_in_time() -> None:
+    desk = Desk(settings(discovery_push=False))
+    for _ in range(12):
+        desk.give(api.ListUpdate(api.ListKind.FAILED, []))
+        before = desk.now
+        while not of(api.Subscribe, desk.advance(10 * MS)):
+            assert desk.now - before <= decide.ASK_AGAIN_NS + 20 * MS
+
+
+def test_a_list_asked_for_on_the_side_does_not_wait_for_the_watch(heard: Heard, made: list[Frontend]) -> None:
+    """It waited for the one connection, and with it for the hold of the call that was out there."""
+    async def test() -> None:
+        async with world(2, settings=FLEET) as w:
+            await w.watching()
+            lists = made[0].driver.discovery
+            assert lists is not None
+            w.discovery.rows.pop()  # nobody is told
+            lists.fetch()
+            await asyncio.wait_for(heard.until(
+                lambda: [e.kind for e in heard.of(api.ListUpdate) if len(e.upstreams) == 1]), 6.0)
+            await w.tell(w.upstreams[0].row("Terminating"))  # and it goes on being watched
+
+    run(test())
+
+
+def test_an_answer_of_the_old_address_behind_a_move_is_not_believed(
+        made: list[Frontend], heard: Heard) -> None:
+    async def test() -> None:
+        async with world(2) as w:
+            await w.watching()
+            lists = made[0].driver.discovery
+            assert isinstance(lists, discovery.Discovery)
+            other = FakeDiscovery([w.upstreams[1].row()])
+            await other.start()
+            # The old one's answer is written, and lies unread, when the move comes.
+            w.discovery.change(w.upstreams[0].row("Terminating"))
+            while not lists.connection or lists.connection.clear:
+                await asyncio.sleep(0)
+            lists.move(other.address)
+            await other.until(lambda: any("from=1&" in m.start[1] for m in other.seen))
+            assert [e.kind for e in heard.of(api.ListUpdate)] == [api.ListKind.CACHED, api.ListKind.FULL]
+            other.stop()
+
+    run(test())
+
+
+def test_entries_that_can_not_be_read_are_one_line_of_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    bad = [{"id": f"s-{n}", "addr": "a.host:80"} for n in range(1000)]
+    good = {"id": "s-0", "addr": "127.0.0.1:80"}
+    version, full, endpoints = discovery.read_list({"version": 1, "servers": [*bad, good]})
+    assert (version, full, len(endpoints), len(caplog.records)) == (1, False, 1, 1)
