--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,8 @@
 from lanelift.net import driver
 from tests.fakes import Heard
 
+pytest_plugins = ["tests.known_red"]
+
 
 @pytest.fixture
 def heard(monkeypatch: pytest.MonkeyPatch) -> Heard:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,11 +5,13 @@
 import asyncio
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable
+from contextlib import ExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -50,12 +52,12 @@
 
 
 @asynccontextmanager
-async def program(path: Path, told: dict[str, Any],
+async def program(path: Path, told: dict[str, Any], prepare: Callable[[], None] | None = None,
                   **environ: str) -> AsyncIterator[asyncio.subprocess.Process]:
     path.write_text(json.dumps(told))
     given = {name: value for name, value in os.environ.items() if name != "TMPDIR"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lanelift", stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "lanelift", stderr=asyncio.subprocess.PIPE, preexec_fn=prepare,
         env={**given, "BALANCER_CONFIG": str(path), **environ})
     try:
         yield process
@@ -182,13 +184,12 @@
                 assert (got.status, got.body) == (200, b"s-0")
                 client.close()
 
-        environ = {"TMPDIR": str(tmp_path)}
-        async with program(tmp_path / "1.json", told, **environ, BALANCER_MGMT=first) as old:
+        async with program(tmp_path / "1.json", told, TMPDIR=str(tmp_path), BALANCER_MGMT=first) as old:
             assert await manage(first, "/-/upstreams/s-1/disable") == 200
             while await manage(first, "/-/ready", "GET") != 200:
                 await asyncio.sleep(0.01)
             clients = [asyncio.create_task(load(n)) for n in range(4)]
-            async with program(tmp_path / "2.json", told, **environ, BALANCER_MGMT=second) as new:
+            async with program(tmp_path / "2.json", told, TMPDIR=str(tmp_path), BALANCER_MGMT=second) as new:
                 while await manage(second, "/-/ready", "GET") != 200:
                     await asyncio.sleep(0.01)
                 assert await manage(second, "/-/upstreams/s-1/disable") == 200
@@ -209,6 +210,70 @@
     run(test())
 
 
+@pytest.mark.parametrize("how", ["silent", "down", "busy"])
+def test_a_restarted_process_is_ready_by_the_list_it_had_whatever_discovery_does(
+        tmp_path: Path, how: str) -> None:
+    async def test() -> None:
+        upstream = FakeUpstream("s-0")
+        await upstream.start()
+        discovery = FakeDiscovery([upstream.row()])
+        await discovery.start()
+        setattr(discovery, how, True)
+        told = config(discovery=f"127.0.0.1:{discovery.port}", known=discovery.whole())
+        async with program(tmp_path / "config.json", told):
+            client = await connect(listen_address(told))
+            assert (await client.ask("r", path="/ready")).status == 200
+            assert (await client.ask("r1")).status == 200
+        upstream.stop()
+        discovery.stop()
+
+    run(test())
+
+
+def test_idle_clients_fill_their_places_alone_while_discovery_is_down(tmp_path: Path) -> None:
+    """Attempts, the operators' door and discovery keep descriptors of their own, in the system's limit."""
+    sockets = 96
+
+    async def test() -> None:
+        upstreams = [FakeUpstream("s-0"), FakeUpstream("s-1")]
+        for upstream in upstreams:
+            await upstream.start()
+        discovery = FakeDiscovery([upstreams[1].row()])
+        discovery.port = free_port()  # nobody listens there yet
+        known = {"version": 0, "full": True, "servers": [upstreams[0].row()]}
+        door = f"127.0.0.1:{free_port()}"
+        told = config(discovery=f"127.0.0.1:{discovery.port}", known=known, limits={"sockets": sockets})
+        address = listen_address(told)
+
+        def prepare() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
+
+        async with program(tmp_path / "config.json", told, prepare, BALANCER_MGMT=door) as process:
+            first = await connect(address)
+            assert (await first.ask("r0")).body == b"s-0"
+            with ExitStack() as held:
+                for _ in range(3 * sockets):
+                    idle = held.enter_context(socket.socket())
+                    idle.setblocking(False)
+                    idle.connect_ex(address)  # at once, or it waits in the backlog
+                assert (await manage(door, "/-/ready", "GET")) == 200
+                asking = await connect(address)
+                assert (await asking.ask("r1")).body == b"s-0"
+                await discovery.start()
+                await discovery.until(lambda: any("from=" in m.start[1] for m in discovery.seen))
+                asking = await connect(address)
+                assert (await asking.ask("r2")).body == b"s-1"
+                assert (await manage(door, "/-/ready", "GET")) == 200
+            process.kill()
+            assert process.stderr is not None
+            log = (await process.stderr.read()).decode()
+            assert "accept" not in log and "Too many open files" not in log
+        for server in (*upstreams, discovery):
+            server.stop()
+
+    run(test())
+
+
 def check_closing(message: Message, body: bytes) -> None:
     assert (message.status, message.body, message.headers["connection"]) == (200, body, "close")
 
