--- a/lanelift/net/siblings.py
+++ b/lanelift/net/siblings.py
@@ -55,14 +55,21 @@
         if folder is None:
             return
         try:
-            self.own, self.path = tempfile.mkstemp(prefix=PREFIX, dir=folder)
-            fcntl.flock(self.own, fcntl.LOCK_EX)
-            os.pwrite(self.own, self.note.pack(), 0)
+            # Until it is locked, another process takes the file for that of a dead one, and removes it.
+            while not self._make(folder):
+                self.close()
         except OSError as error:
             log.error("other processes of this balancer can't be seen: %s", error)
             self.close()
         self.look()
 
+    def _make(self, folder: Path) -> bool:
+        """Make and lock a file of its own; False if it was gone by then."""
+        self.own, self.path = tempfile.mkstemp(prefix=PREFIX, dir=folder)
+        fcntl.flock(self.own, fcntl.LOCK_EX)
+        os.pwrite(self.own, self.note.pack(), 0)
+        return os.fstat(self.own).st_nlink > 0
+
     @property
     def alone(self) -> bool:
         return not self.others
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,12 +5,14 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
 import struct
 import time
 from collections.abc import Callable, Iterator
 from contextlib import closing, contextmanager, suppress
 from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -24,6 +26,7 @@
 from lanelift.net.discovery import read_endpoint
 from lanelift.net.frontend import ClientConnection, Frontend, Phase
 from lanelift.net.parse import message
+from lanelift.net.siblings import Siblings
 from lanelift.net.upstream import Upstreams, number_of
 from lanelift.settings import Json
 from tests.bench import MS, Desk, of, settings
@@ -422,6 +425,28 @@
     run(test())
 
 
+def test_a_process_whose_file_was_not_locked_yet_is_not_taken_for_a_dead_one(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The other one looked in between, removed the file, and each thought itself alone from then on."""
+    first = Siblings(tmp_path)
+    lock = fcntl.flock
+    looks = [first.look]
+
+    def cross(file: Any, how: int) -> None:
+        if how == fcntl.LOCK_EX and looks:
+            looks.pop()()
+        lock(file, how)
+
+    monkeypatch.setattr(fcntl, "flock", cross)
+    second = Siblings(tmp_path)
+    first.look()
+    assert not looks and len(first.others) == len(second.others) == 1
+    second.close()
+    first.look()
+    assert first.alone
+    first.close()
+
+
 # ---- lists -----------------------------------------------------------------------------------------------
 
 FLEET = replace(SETTINGS, replicas_of_me=200)  # each call waits for 20 s there
