--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -31,9 +31,9 @@
 # word hides the hold's length of changes: of a few balancers it is no longer than those 6 s allow.
 AFTER_HOLD_S = 1.5
 # Behind a call that failed, was turned away or was given up, a change counts as told 6 s after discovery has
-# it and can be reached, whatever the hold: so the next call does not wait, connection and answer together are
-# given so long, and two such calls with the longest pause between them fit into those 6 s.
-CALL_S, BACKOFF_S = 2.0, (0.05, 1.0)
+# it and can be reached, whatever the hold. So the next call waits for less, connection and answer of one that
+# does not wait are given so long together, and either fits into those 6 s with the longest pause before it.
+CATCH_UP_MS, CALL_S, BACKOFF_S = 3_000, 2.0, (0.05, 1.0)
 # Between two calls at the least, whatever comes back; a watch may pause for 200 ms.
 PACE_S, PACE_EACH_S, PACE_MOST_S = 0.02, 0.004, 0.15
 MAX_LIST = 4 * 1024 * 1024
@@ -89,8 +89,8 @@
     """What discovery is asked next."""
 
     WHOLE = "the whole list"
-    CATCH_UP = "what changed since the list that is known; the answer comes at once"
-    HOLD = "the same, but it waits until there is something"
+    CATCH_UP = "what changed since the list that is known, behind a call without an answer"
+    HOLD = "the same, behind an answer: it may wait for long"
 
 
 class Discovery:
@@ -192,11 +192,12 @@
             self.tell(api.ListKind.FAILED, [])
 
     async def _call(self, call: Call) -> None:
-        hold_ms = self.hold_ms if call is Call.HOLD else 1
-        target = b"/v1/endpoints"
+        target, wait_s = b"/v1/endpoints", None
         if call is not Call.WHOLE:
+            hold_ms = self.hold_ms if call is Call.HOLD else min(self.hold_ms, CATCH_UP_MS)
             target += b"?from=%d&hold_ms=%d" % (self.version, hold_ms)
-        response = await self._get(target, hold_ms / 1000 + AFTER_HOLD_S if call is Call.HOLD else None)
+            wait_s = hold_ms / 1000 + AFTER_HOLD_S
+        response = await self._get(target, wait_s)
         if response.status == 503:
             raise Busy("answered 503")
         if response.status != 200:
