A repeat does not begin behind its window; a move of discovery does not wait for a pause

Seen by forced crossings: - a repeat of a keyed request, chosen inside the window in which upstreams drop repeats, was sent when its connection came up, however late (up to `connect_timeout`): `Request.may_send` looks at the time of the decision alone. Now the module says with the send how long it may begin (`Send.begin_ns`, from the first attempt that may have run), and the network code gives it up as never sent if no connection is up by then. - `Discovery.move` asked the new address only if a call was under way; behind a failed one, where discovery is asked, it waited for the module's pause, while its word counts 4 s after SIGHUP.

Both tests fail without the mend.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -151,6 +151,11 @@
         fresh = self.cls.effect is api.Effect.KEYED and now - risky[0].sent_ns < self.cls.window_ns
         return fresh and all(self._same_group(a.server, server) for a in risky)
 
+    def repeat_ns(self, now: int) -> int:
+        """Rule 2: how long a repeat may yet begin, where that has an end; else 0."""
+        risky = [a for a in self.attempts if a.may_have_run] if self.cls.effect is api.Effect.KEYED else []
+        return max(1, risky[0].sent_ns + self.cls.window_ns - now) if risky else 0
+
     def has_turn(self, now: int) -> bool:
         """Is it the first of its key, and has the key rested since the one before it?"""
         return self.turn is None or (self.turn.waiting[0] is self and now >= self.turn_ns)
@@ -1220,6 +1225,7 @@
 
     def _send(self, r: Request, server: Server, now: int) -> None:
         expected = min(max(1.0, self.crowding.expected(r) * server.pace), r.cls.deadline_ns)
+        begin = r.repeat_ns(now)
         r.attempts.append(Attempt(server, now, expected, 1.0, waits=not r.whole))
         if r.whole:
             self._begin(r, len(r.attempts) - 1, now)
@@ -1233,7 +1239,7 @@
                 self._later(max(now + 1, r.aim_ns), "late", r, len(r.attempts) - 1)
             else:
                 timeout = max(1, r.aim_ns - now) if r.whole else r.cls.aim_ns
-        self.actions.append(api.Send(r.id, server.id, timeout))
+        self.actions.append(api.Send(r.id, server.id, timeout, begin))
 
     def _begin(self, r: Request, number: int, now: int) -> None:
         """An upstream has something to do for this attempt from now on."""
--- a/lanelift/interface.py
+++ b/lanelift/interface.py
@@ -269,6 +269,7 @@
     request: str
     upstream: int
     timeout_ns: int = 0  # 0: until the client gives up. It runs from the request's last byte
+    begin_ns: int = 0  # it may not begin later than this, as where a connection comes up late; 0: any time
 
 
 class Refuse(NamedTuple):
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -138,7 +138,7 @@
         self.next = Call.WHOLE
         if self.connection is not None:
             self.connection.abort()
-        if self.task is not None and not self.task.done():
+        if self.task is not None:  # also one that has failed, and waits to be told to ask again
             self.fetch()
 
     def close(self) -> None:
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -298,7 +298,7 @@
                     stream.rewind()
                 request.attempts[number] = self.upstreams.send(
                     action.upstream, outgoing, wait / 1e9 if whole else None, ended, stream,
-                    request.method == b"HEAD", lambda: self._wanted(request))
+                    request.method == b"HEAD", lambda: self._wanted(request), action.begin_ns / 1e9)
             except Exception:  # it still has its one outcome, below
                 self._blame("an attempt could not start", [action])
         if request.attempts[number] is None:
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -60,7 +60,7 @@
     response comes in pieces, and may still fail."""
 
     __slots__ = ("request", "body", "max_body", "store", "head_only", "wanted", "done", "written",
-                 "connection", "timer", "unread_ns")
+                 "connection", "timer", "begin_timer", "unread_ns")
 
     def __init__(self, request: bytes, done: Callable[[Result, Response | None], None],
                  max_body: int = MAX_BODY, body: Body | None = None, store: Store | None = None,
@@ -75,6 +75,7 @@
         self.written = False  # its last byte has left
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.begin_timer: asyncio.TimerHandle | None = None
         self.unread_ns = 0  # how long the end of a whole answer lay here before it was read
 
     def expire_in(self, seconds: float) -> None:
@@ -82,6 +83,15 @@
             self.timer.cancel()
         self.timer = asyncio.get_running_loop().call_later(seconds, self.expire)
 
+    def begin_in(self, seconds: float) -> None:
+        """It must not begin later than this: where no connection is up by then, it was never sent."""
+        if self.connection is None and self.done is not None:
+            self.begin_timer = asyncio.get_running_loop().call_later(seconds, self._not_begun)
+
+    def _not_begun(self) -> None:
+        if self.connection is None:
+            self.give_up(Result.MOOT)
+
     def expire(self) -> None:
         """The wait is over. What was not wholly written can't have run, and the close makes sure of it."""
         self.give_up(Result.TIMEOUT if self.written else Result.CONNECT_FAILED)
@@ -97,9 +107,10 @@
         self.finish(Result.RESET if self.written else Result.CONNECT_FAILED)
 
     def finish(self, result: Result, response: Response | None = None) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        for timer in (self.timer, self.begin_timer):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.begin_timer = None
         self.connection = None
         done, self.done = self.done, None
         if done is not None:
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -139,9 +139,11 @@
     # ---- attempts and probes -----------------------------------------------------------------------------
 
     def send(self, number: int, request: bytes, timeout_s: float | None, done: Done, body: Body | None = None,
-             head_only: bool = False, wanted: Callable[[], bool] = lambda: True) -> Exchange | None:
+             head_only: bool = False, wanted: Callable[[], bool] = lambda: True,
+             begin_s: float = 0.0) -> Exchange | None:
         """Start one attempt; None if there is no such upstream, or operators took it out. The outcome never
-        comes within this call. Without a limit, it waits for a body that is still to come."""
+        comes within this call. Without a limit, it waits for a body that is still to come. With a time to
+        begin it is moot if no connection is up by then."""
         target = self.targets.get(number)
         if target is None or number in self.banned:
             return None
@@ -152,6 +154,8 @@
 
         exchange = Exchange(request, ended, MAX_BODY, body, self.store, head_only, wanted)
         self._start(target, exchange)
+        if begin_s:
+            exchange.begin_in(begin_s)
         if timeout_s is not None:
             exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
         return exchange
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -14,13 +14,14 @@
 from contextlib import closing, contextmanager, suppress
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
 from lanelift import __main__ as program
 from lanelift import decide
 from lanelift import interface as api
+from lanelift.decide import Balancer
 from lanelift.net import discovery, frontend
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE
@@ -30,7 +31,7 @@
 from lanelift.net.siblings import Siblings
 from lanelift.net.upstream import Upstreams, number_of
 from lanelift.settings import Json
-from tests.bench import MS, Desk, of, settings
+from tests.bench import CELL, MS, Desk, arrival, of, settings
 from tests.fakes import (
     SECOND,
     SETTINGS,
@@ -243,11 +244,23 @@
         yield {"id": "blocked", "addr": "{}:{}".format(*address), "state": "Ready"}, admit
 
 
-@pytest.mark.parametrize("what", ["its client goes", "its client goes unread", "it drains", "it restarts"])
-def test_a_connection_that_comes_up_too_late_carries_no_attempt(what: str, made: list[Frontend]) -> None:
+@pytest.mark.parametrize("what", ["its client goes", "its client goes unread", "it drains", "it restarts",
+                                  "it may not be repeated any more"])
+def test_a_connection_that_comes_up_too_late_carries_no_attempt(
+        what: str, made: list[Frontend], heard: Heard, monkeypatch: pytest.MonkeyPatch) -> None:
+    send = Balancer._send
+
+    def hurried(module: Balancer, *args: Any) -> None:
+        send(module, *args)
+        module.actions[-1] = cast(api.Send, module.actions[-1])._replace(begin_ns=100 * MS)
+
+    if what == "it may not be repeated any more":
+        monkeypatch.setattr(Balancer, "_send", hurried)
+
     async def test() -> None:
         with blocked() as (row, admit):
-            async with world(0, settings=RETRIES, known={"version": 1, "full": True, "servers": [row]}) as w:
+            once = replace(RETRIES, limits=replace(RETRIES.limits, max_attempts=1))
+            async with world(0, settings=once, known={"version": 1, "full": True, "servers": [row]}) as w:
                 client = await plain(w)
                 with closing(client):
                     client.send(REQUEST)
@@ -260,6 +273,8 @@
                         connection.transport.pause_reading()
                     if what.startswith("its client"):
                         client.close()
+                    elif what == "it may not be repeated any more":
+                        await heard.until(lambda: heard.results()[:1] == [api.Result.MOOT])
                     elif what == "it drains":
                         upstreams.learn([read_endpoint({**row, "state": "Terminating"})], full=False)
                     else:
@@ -313,6 +328,20 @@
     run(test())
 
 
+def test_a_repeat_is_told_how_long_it_may_begin() -> None:
+    """Chosen inside the window of its key, it began behind it where its connection came up late."""
+    desk = Desk(settings(), servers=3)
+    desk.give(arrival(1, desk.now, CELL, wait_ns=900 * MS))
+    desk.now += 150 * MS
+    sends = of(api.Send, desk.finish("r1", api.Result.RESET)) or of(api.Send, desk.advance(100 * MS))
+    [again] = sends
+    assert isinstance(again, api.Send)
+    first, second = (sent for _, sent in desk.sends["r1"])
+    assert again.begin_ns == first + CELL.window_ns - second
+    [other] = of(api.Send, desk.give(arrival(2, desk.now)))
+    assert isinstance(other, api.Send) and other.begin_ns == 0
+
+
 # ---- shutdown --------------------------------------------------------------------------------------------
 
 
@@ -534,6 +563,29 @@
     run(test())
 
 
+def test_a_move_does_not_wait_for_the_pause_behind_a_failed_call(
+        made: list[Frontend], heard: Heard, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Told to go elsewhere (SIGHUP), discovery's word there counts 4 s later."""
+    monkeypatch.setattr(decide, "ASK_AGAIN_NS", 1000 * SECOND)
+
+    async def test() -> None:
+        rules = replace(FLEET.rules, ask_within_ns=1000 * SECOND)
+        async with world(2, settings=replace(FLEET, discovery_push=False, rules=rules)) as w:
+            w.discovery.down = True
+            monkeypatch.setattr(decide, "ASK_NS", (0, 0))
+            await heard.until(lambda: api.ListKind.FAILED in [e.kind for e in heard.of(api.ListUpdate)])
+            lists = made[0].driver.discovery
+            assert isinstance(lists, discovery.Discovery)
+            other = FakeDiscovery([w.upstreams[1].row()])
+            await other.start()
+            lists.move(other.address)
+            await asyncio.wait_for(heard.until(lambda: [
+                e for e in heard.of(api.ListUpdate) if e.kind is api.ListKind.FULL]), 4.0)
+            other.stop()
+
+    run(test())
+
+
 def test_where_discovery_is_asked_the_module_asks_again_in_time() -> None:
     desk = Desk(settings(discovery_push=False))
     for _ in range(12):
