Frontend: an attribute that nobody reads any more goes

Cause: the look at the kernel took the place of the ticks since a connection was made. Change: made_ns is gone. Result: clients' and races' tests pass.

--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -329,7 +329,6 @@
         self.last = False  # the connection ends behind it
         self.wait_ns = 0  # how long its client waits once the body is whole
         self.asked_ns = 0  # when what is being parsed came
-        self.made_ns = 0  # when the connection was taken
         self.phase: Phase | None = None  # the table of the frontend that it stands in
         self.end_at = 0.0  # overdue since it was first seen so, it ends then, whatever lies unread
         self.lingering = False  # its last answer is given: what it sends is not read any more
@@ -375,7 +374,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.made_ns = time.monotonic_ns()
         self.frontend.wait(self, Phase.NEW)
 
     def data_received(self, data: bytes) -> None:
