Tests: one fixture for the frontends that a test starts

Cause: the tests of races wrote again what those of clients had, with a small variation. Change: it stands once, in conftest.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
+from lanelift import __main__ as program
 from lanelift.decide import Balancer
 from lanelift.net import driver
+from lanelift.net.frontend import Frontend
 from tests.fakes import Heard
 
 pytest_plugins = ["tests.known_red"]
@@ -17,3 +21,17 @@
     heard = Heard()
     monkeypatch.setattr(driver, "Balancer", heard.listen(Balancer))
     return heard
+
+
+@pytest.fixture
+def made(monkeypatch: pytest.MonkeyPatch) -> list[Frontend]:
+    """The frontends of the balancers that a test starts."""
+    found: list[Frontend] = []
+
+    class Kept(Frontend):
+        def __init__(self, *args: Any) -> None:
+            super().__init__(*args)
+            found.append(self)
+
+    monkeypatch.setattr(program, "Frontend", Kept)
+    return found
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -11,7 +11,6 @@
 
 import pytest
 
-from lanelift import __main__ as program
 from lanelift import interface as api
 from lanelift.net import frontend, parse
 from lanelift.net.budget import RESERVE
@@ -31,20 +30,6 @@
 )
 
 
-@pytest.fixture
-def made(monkeypatch: pytest.MonkeyPatch) -> list[frontend.Frontend]:
-    """The frontends of the balancers that a test starts."""
-    found: list[frontend.Frontend] = []
-
-    class Kept(frontend.Frontend):
-        def start(self) -> None:
-            found.append(self)
-            super().start()
-
-    monkeypatch.setattr(program, "Frontend", Kept)
-    return found
-
-
 def test_ready_once_the_module_can_serve() -> None:
     async def test() -> None:
         async with world(known=None) as w:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -50,20 +50,6 @@
 REQUEST = message(b"GET /quote HTTP/1.1", [(b"Host", b"h"), (b"X-Request-Id", b"r1")])
 
 
-@pytest.fixture
-def made(monkeypatch: pytest.MonkeyPatch) -> list[Frontend]:
-    """The frontends of the balancers that a test starts."""
-    found: list[Frontend] = []
-
-    class Kept(Frontend):
-        def __init__(self, *args: Any) -> None:
-            super().__init__(*args)
-            found.append(self)
-
-    monkeypatch.setattr(program, "Frontend", Kept)
-    return found
-
-
 async def plain(w: World) -> socket.socket:
     """A client's bare socket: what it does is done at once, not on a turn of the loop."""
     sock = socket.socket()
