--- /dev/null
+++ b/lanelift/feed/__init__.py
@@ -0,0 +1,1 @@
+"""Which rows each balancer hears: subscriptions, cursors, coalescing, snapshots, digests. Pure."""
