Store: format 3, rows that name only what is there; the feed's words on the wire

Need: state reaches balancers as whole lists and documents. Rows want a kind of write that is checked as one: a route must not come without its tenant, nor a tenant go while a route names it, whoever of two writers was first.

Change: RowsWrite (beside FencedWrite, whose bytes stay) bears with each row the keys that it names; a table `refs` in the state, part of the digest, holds a write to them before anything of it is made. Keys under feed/ are changed by it alone. Formats are proposed one at a time, each once all members know it, so a state of format 1 takes the statements of 2 and 3. State.take_fed and rows() give what changed and what a fan-out begins with. Client.write_rows; requests and replies Feed and Fed.

Found on the way: an upgrade failed on two or more keys under lease/ (UNIQUE constraint of events: all had place 0), and the node with it.

--- a/lanelift/lab/cluster/owners.py
+++ b/lanelift/lab/cluster/owners.py
@@ -336,17 +336,21 @@
 
 
 def play(seed: int, make: type[Holder] = Holder, clocks: bool | None = None,
-         prepare: Callable[[Owners], None] = lambda owners: None) -> Outcome:
-    """A storm, a calm, and the books. `clocks`: owners' and nodes' clocks run at half or twice the rate."""
+         prepare: Callable[[Owners], None] = lambda owners: None, newest: int = 2) -> Outcome:
+    """A storm, a calm, and the books. `clocks`: owners' and nodes' clocks run at half or twice the rate.
+    `newest`: the format of the state that the nodes' programs know. Each further one is an entry of the log,
+    and so another course of the same seed."""
     rng = random.Random(f"{seed}/owners/world")
     size = rng.choice([3, 3, 5])
     wild = rng.random() < 0.3 if clocks is None else clocks
     cluster = Cluster(seed, size)
     cluster.leases = True
+    for node in cluster.nodes.values():
+        node.format = newest
     if rng.random() < 0.3:  # an old program among new ones, for a while
         old = cluster.nodes[rng.randint(1, size)]
         old.format = 1
-        cluster.at(rng.randint(SECOND, 4 * SECOND), lambda: setattr(old, "format", commands.FORMAT))
+        cluster.at(rng.randint(SECOND, 4 * SECOND), lambda: setattr(old, "format", newest))
     owners = Owners(cluster, rng.randint(2, 5), make)
     owners.books.strict = not wild
     if wild:
--- a/lanelift/store/client.py
+++ b/lanelift/store/client.py
@@ -34,6 +34,7 @@
     OpenSession,
     Release,
     Result,
+    RowsWrite,
     Write,
 )
 from lanelift.store.dial import Dial
@@ -275,15 +276,27 @@
                     fences: Sequence[tuple[str, int]] = ()) -> Result:
         """All of it or nothing, once. `fences`: leases, and the tokens that this is written under. Raises
         Conflict, Fenced, Rejected, Unavailable, Undecided."""
+        if not fences:
+            return await self._write(Write, ops, checks, note, author, within_s)
+        return await self._write(FencedWrite, ops, checks, note, author, within_s, fences=tuple(fences))
+
+    async def write_rows(self, ops: Sequence[Op], refs: Sequence[Sequence[str]] = (),
+                         checks: Sequence[tuple[str, int]] = (), note: str = "", author: str = "",
+                         within_s: float = 0.0, fences: Sequence[tuple[str, int]] = ()) -> Result:
+        """As `write`, with rows of the feed among the keys. `refs`: by op, the keys of the rows that this row
+        names, which must be there after the write; empty where none names any. Raises as `write` does."""
+        return await self._write(RowsWrite, ops, checks, note, author, within_s, fences=tuple(fences),
+                                 refs=tuple(map(tuple, refs)))
+
+    async def _write(self, kind: type[Write], ops: Sequence[Op], checks: Sequence[tuple[str, int]], note: str,
+                     author: str, within_s: float, **more: Any) -> Result:
         until = time.monotonic() + (within_s or self.deadline_s)
         async with self.window:
             await self._open_session(until)
             self.number += 1
             number, session = self.number, self.session
-            what = (session, number, self.done, tuple(ops), tuple(checks), author, note,
-                    int(time.time() * 1000))
-            command = FencedWrite(*what, tuple(fences)) if fences else Write(*what)
-            packed = commands.pack(command)
+            packed = commands.pack(kind(session, number, self.done, tuple(ops), tuple(checks), author, note,
+                                        int(time.time() * 1000), **more))
             result = self._result(await self._call(lambda i, ms: Put(i, ms, packed), 0.0, True, until))
             if session == self.session:
                 self._answered(number)
--- a/lanelift/store/commands.py
+++ b/lanelift/store/commands.py
@@ -4,10 +4,12 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from enum import IntEnum
 
 import msgspec
 
+from lanelift.feed.messages import MOST_ROW, PREFIX, split
 from lanelift.store.raft.messages import Array
 from lanelift.store.raft.messages import pack as pack
 
@@ -17,7 +19,9 @@
 MOST_OPS = 256
 MOST_FENCES = 8
 MOST_TEXT = 1024  # of an author or a note
-FORMAT = 2  # the newest format of a state that this program knows; 2: leases, and tokens on writes
+MOST_REFS = 16  # rows that one row names
+# The newest format of a state that this program knows. 2: leases, and tokens on writes; 3: rows of the feed.
+FORMAT = 3
 ANY = -1  # a check or op that does not care about the version
 
 
@@ -55,6 +59,14 @@
     fences: tuple[tuple[str, int], ...] = ()
 
 
+class RowsWrite(FencedWrite, frozen=True, tag=9):
+    """A write of rows of the feed, and of other keys with them; format 3. `refs`: by op, the keys of rows
+    that this row names; empty where none does. After the write each of them must be there, and no row may be
+    gone that another names."""
+
+    refs: tuple[tuple[str, ...], ...] = ()
+
+
 class OpenSession(Command, frozen=True, tag=2):
     """`session` is drawn by the client; opening it twice is harmless."""
 
@@ -103,7 +115,7 @@
     time_ms: int = 0
 
 
-AnyCommand = Write | FencedWrite | OpenSession | CloseSession | Upgrade | Claim | Release | Lapse
+AnyCommand = Write | FencedWrite | RowsWrite | OpenSession | CloseSession | Upgrade | Claim | Release | Lapse
 LEASES = "lease/"  # a lease stands under this key; writes to it are refused from format 2 on
 
 
@@ -144,7 +156,7 @@
 def format_of(command: AnyCommand) -> int:
     """The least format of the state that takes it."""
     if isinstance(command, FencedWrite):
-        return 2
+        return 3 if isinstance(command, RowsWrite) else 2
     return 1 if isinstance(command, Write | OpenSession | CloseSession) else 2
 
 
@@ -153,6 +165,12 @@
     return command.fences if isinstance(command, FencedWrite) else ()
 
 
+def refs_of(command: Write) -> Iterator[tuple[Op, tuple[str, ...]]]:
+    """Each operation, and the keys of the rows that its row names."""
+    refs = command.refs if isinstance(command, RowsWrite) else ()
+    return zip(command.ops, refs or ((),) * len(command.ops), strict=False)
+
+
 def client_may(command: AnyCommand) -> bool:
     """May a client propose it? The rest is for leaders."""
     return not isinstance(command, Upgrade | Lapse)
@@ -175,4 +193,22 @@
         return f"a value has {MOST_VALUE} bytes at most"
     if len(command.author) > MOST_TEXT or len(command.note) > MOST_TEXT:
         return f"author and note have {MOST_TEXT} characters at most"
+    return _wrong_rows(command) if isinstance(command, RowsWrite) else ""
+
+
+def _wrong_rows(command: RowsWrite) -> str:
+    if command.refs and len(command.refs) != len(command.ops):
+        return "refs are told for each operation, or for none"
+    for op, refs in refs_of(command):
+        try:
+            for row in (*([op.key] if op.key.startswith(PREFIX) else ()), *refs):
+                split(row)
+        except ValueError as error:
+            return str(error)
+        if refs and (op.value is None or not op.key.startswith(PREFIX)):
+            return f"{op.key}: only a row that is put names others"
+        if len(refs) > MOST_REFS or len(set(refs)) < len(refs):
+            return f"{op.key}: a row names {MOST_REFS} others at most, each once"
+        if op.key.startswith(PREFIX) and op.value is not None and not 0 < len(op.value) <= MOST_ROW:
+            return f"{op.key}: a row has 1 to {MOST_ROW} bytes"
     return ""
--- a/lanelift/store/durable/state.py
+++ b/lanelift/store/durable/state.py
@@ -19,6 +19,7 @@
 
 import google_crc32c
 
+from lanelift.feed.messages import PREFIX
 from lanelift.leases import table
 from lanelift.leases.expiry import Running
 from lanelift.leases.table import Claimant, Lease
@@ -35,11 +36,14 @@
     OpenSession,
     Release,
     Result,
+    RowsWrite,
     Upgrade,
     Write,
     unpack_command,
 )
+from lanelift.store.durable import rows
 from lanelift.store.durable.journal import Damaged
+from lanelift.store.durable.rows import Event as Event
 from lanelift.store.raft.messages import Entry, Kind, Members, SnapshotMeta, pack, unpack_members
 
 HISTORY = 100  # versions of a key that are kept, where they are
@@ -50,7 +54,7 @@
 WINDOW = 256  # answers that are kept of one session
 CHUNK = 1 << 20
 CANDIDATE_TIMES = 2  # a candidate that shows nothing for so many times its lease's time is gone
-NOT_YET = "not all nodes of the store know leases yet"
+NOT_YET = {2: "not all nodes of the store know leases yet", 3: "not all nodes of the store know rows yet"}
 
 TABLES = """
 CREATE TABLE meta (name TEXT PRIMARY KEY, value) WITHOUT ROWID;
@@ -90,16 +94,6 @@
     note: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class Event:
-    """A change that a watcher is told; `value` is None where the key was deleted."""
-
-    revision: int
-    key: str
-    version: int
-    value: bytes | None
-
-
 Failed = sqlite3.Error
 
 
@@ -126,9 +120,11 @@
         self.sessions = int(db.execute("SELECT count(*) FROM sessions").fetchone()[0])
         self.format = int(self._meta("format"))
         self.tokens = int(self._meta("tokens")) if self.format >= 2 else 0
+        self.rows_from = int(self._meta("rows_from")) if self.format >= 3 else 0  # the upgrade to format 3
         self.leases = {lease.name: lease for lease in self._leases()}  # as they stand, for whoever looks on
         self.touched: set[str] = set()  # keys that changed since last taken
         self.claimed: list[Running] = []  # what was claimed, renewed or ended since last taken
+        self.fed: list[Event] = []  # changes of rows since last taken, in their order
 
     def _meta(self, name: str) -> Any:
         row = self.db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
@@ -145,8 +141,8 @@
         """The entries follow on what was applied; all of them or, where this raises, none."""
         assert entries[0].index == self.applied + 1, "a gap between state and log"
         kept = (self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions, self.format,
-                self.tokens)
-        claimed = len(self.claimed)
+                self.tokens, self.rows_from)
+        claimed, fed = len(self.claimed), len(self.fed)
         self.db.execute("BEGIN IMMEDIATE")
         try:
             results = [self._apply(entry) for entry in entries]
@@ -158,8 +154,8 @@
             if self.db.in_transaction:
                 self.db.execute("ROLLBACK")
             (self.members, self.kept_events, self.kept_bytes, self.forgotten, self.sessions, self.format,
-             self.tokens) = kept
-            del self.claimed[claimed:]
+             self.tokens, self.rows_from) = kept
+            del self.claimed[claimed:], self.fed[fed:]
             self.leases = {lease.name: lease for lease in self._leases()}
             raise
         self.applied, self.term = entries[-1].index, entries[-1].term
@@ -231,9 +227,13 @@
         why = commands.wrong(command)
         if not why and self.format >= 2 and any(op.key.startswith(LEASES) for op in command.ops):
             why = f"what stands under {LEASES} is changed by claims alone"
+        if not why and self.format >= 3 and not isinstance(command, RowsWrite) and any(
+                op.key.startswith(PREFIX) for op in command.ops):
+            why = f"what stands under {PREFIX} is changed by writes of rows alone"
         fences = commands.fences_of(command)
-        if not why and fences and self.format < 2:
-            why = NOT_YET
+        needs = 3 if isinstance(command, RowsWrite) else 2 if fences else 1
+        if not why and self.format < needs:
+            why = NOT_YET[needs]
         if why:
             return Result(Code.REFUSED, index, (), why)
         for name, token in fences:
@@ -248,6 +248,11 @@
             now = self._version(key)
             if now != version:
                 return Result(Code.CONFLICT, index, (now,), key)
+        if isinstance(command, RowsWrite):
+            why = rows.dangling(self.db, command)
+            if why:
+                return Result(Code.REFUSED, index, (), why)
+            rows.note_refs(self.db, command)
         return Result(Code.DONE, index, tuple(
             self._op(op, command, index, place) for place, op in enumerate(command.ops)))
 
@@ -272,6 +277,8 @@
                             (op.key, version, op.value, index, command.time_ms, command.author, command.note))
             self.db.execute("DELETE FROM history WHERE key = ? AND version <= ?", (op.key, version - HISTORY))
         self.touched.add(op.key)
+        if self.format >= 3 and op.key.startswith(PREFIX):
+            self.fed.append(Event(index, op.key, version, op.value))
         self.db.execute("INSERT INTO events VALUES (?, ?, ?, ?, ?)",
                         (index, place, op.key, version, op.value))
         self.kept_events += 1
@@ -282,24 +289,32 @@
 
     def _upgrade(self, command: Upgrade, index: int) -> Result:
         if command.format == 2 and self.format == 1:
-            for statement in TABLES_2.split(";"):
-                self.db.execute(statement)
-            # What anybody wrote there before is no lease.
-            for row in self.db.execute("SELECT key FROM items WHERE key >= ? AND key < ?",
-                                       (LEASES, LEASES + "\U0010ffff")).fetchall():
-                self._op(Op(row[0], None), Write(0, 0, 0, ()), index, 0)
+            self._begin(TABLES_2, LEASES, index)  # what anybody wrote there before is no lease
             self.db.execute("INSERT INTO meta VALUES ('tokens', 0)")
-            self._set(format=2)
             self.format = 2
+        elif command.format == 3 and self.format == 2:
+            self._begin(rows.TABLES_3, PREFIX, index)  # nor a row
+            self.db.execute("INSERT INTO meta VALUES ('rows_from', ?)", (index,))
+            self.format, self.rows_from = 3, index
+        self._set(format=self.format)
         return Result(Code.DONE, index, (self.format,))
 
+    def _begin(self, tables: str, prefix: str, index: int) -> None:
+        """New tables, and nothing under the keys that they are about."""
+        for statement in tables.split(";"):
+            self.db.execute(statement)
+        found = self.db.execute("SELECT key FROM items WHERE key >= ? AND key < ? ORDER BY key",
+                                (prefix, prefix + "\U0010ffff")).fetchall()
+        for place, (key,) in enumerate(found):
+            self._op(Op(key, None), Write(0, 0, 0, ()), index, place)
+
     def _found(self, name: str) -> Lease:
         row = self.db.execute("SELECT value FROM items WHERE key = ?", (LEASES + name,)).fetchone()
         return table.unpack(row[0]) if row else Lease(name)
 
     def _lease(self, command: Claim | Release | Lapse, index: int) -> Result:
         if self.format < 2:
-            return Result(Code.REFUSED, index, (), NOT_YET)
+            return Result(Code.REFUSED, index, (), NOT_YET[2])
         why = ""
         if isinstance(command, Claim):
             why = table.wrong(command.lease, command.holder, command.claim, command.ttl_ms, command.note)
@@ -371,6 +386,10 @@
         taken, self.claimed = self.claimed, []
         return taken
 
+    def take_fed(self) -> list[Event]:
+        taken, self.fed = self.fed, []
+        return taken
+
     def take_touched(self) -> set[str]:
         """With those of a run of entries that was not made after all, it may be."""
         taken, self.touched = self.touched, set()
@@ -423,12 +442,19 @@
                 " ORDER BY place", (last, prefix, prefix + "\U0010ffff")).fetchall()
         return [Event(*row) for row in rows]
 
+    def rows(self) -> rows.Loaded:
+        """What a node that tells rows begins with. Before format 3 there are none."""
+        if self.format < 3:
+            return rows.Loaded(self.applied, [], self.applied, [])
+        return rows.load(self.db, self.applied, max(self.forgotten, self.rows_from))
+
     def digest(self) -> int:
         """A checksum of all that the log decides: the same on every node that applied as much."""
         total = 0
         tables = [("items", "key"), ("versions", "key"), ("history", "key, version"),
                   ("events", "revision, place"), ("sessions", "id"), ("answers", "session, number"),
-                  ("meta", "name"), *([("rounds", "lease, claim")] if self.format >= 2 else [])]
+                  ("meta", "name"), *([("rounds", "lease, claim")] if self.format >= 2 else []),
+                  *([("refs", "key, ref")] if self.format >= 3 else [])]
         for name, order in tables:
             for row in self.db.execute(f"SELECT * FROM {name} ORDER BY {order}"):
                 total = google_crc32c.extend(total, repr(row).encode())
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -261,9 +261,11 @@
         return {n: FORMAT if n == self.identity.node else self.links[n].format if n in self.links else 0
                 for n in self.core.members.all}
 
-    def not_yet(self) -> str:
-        old = ", ".join(f"{n:x}" for n in behind(self.formats(), FORMAT))
-        return f"not all nodes know leases yet: {old}" if old else "the state is being upgraded"
+    def not_yet(self, needs: int) -> str:
+        """Why there can't be a command yet that needs this format of the state."""
+        old = ", ".join(f"{n:x}" for n in behind(self.formats(), needs))
+        what = "rows" if needs >= 3 else "leases"
+        return f"not all nodes know {what} yet: {old}" if old else "the state is being upgraded"
 
     def _drop_waiting(self, term: int) -> None:
         """Writes and reads of a leadership that is over, up to this term."""
--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -285,11 +285,12 @@
                 return self.fail(r.id, Trouble.REFUSED, why)
         if not commands.client_may(command):
             return self.fail(r.id, Trouble.REFUSED, "leaders alone propose that")
-        if commands.format_of(command) > self.node.replica.state.format:
+        needs = commands.format_of(command)
+        if needs > self.node.replica.state.format:
             if self.node.core.role is not Role.LEADER:
                 return self.fail(r.id, Trouble.NOT_LEADER, str(NotLeader(self.node.core.leader)),
                                  self.node.core.leader)
-            return self.fail(r.id, Trouble.BUSY, self.node.not_yet())
+            return self.fail(r.id, Trouble.BUSY, self.node.not_yet(needs))
         try:
             future = self.node.put(r.command)
         except NotLeader as error:
--- a/lanelift/store/steward.py
+++ b/lanelift/store/steward.py
@@ -21,13 +21,13 @@
     def __init__(self) -> None:
         self.term = 0  # of the leadership that it counts for; 0: none
         self.expiry: Expiry | None = None
-        self.asked_ns = 0
+        self.asked = (0, 0)  # for which format, and when it may be asked for again
 
     def leads(self, term: int, state: State, now: int) -> None:
         """This node leads, in this term: a new leader lets every claim run its full time again."""
         if term != self.term:
             state.take_claimed()
-            self.term, self.expiry, self.asked_ns = term, Expiry(state.running(), now), 0
+            self.term, self.expiry, self.asked = term, Expiry(state.running(), now), (0, 0)
 
     def follows(self) -> None:
         self.term, self.expiry = 0, None
@@ -42,9 +42,10 @@
         found: list[AnyCommand] = []
         if self.expiry is None:
             return found
-        if format_now < FORMAT and not behind(formats, FORMAT) and now >= self.asked_ns:
-            self.asked_ns = now + AGAIN_NS
-            found.append(Upgrade(FORMAT))
+        due = format_now + 1  # one after the other: each begins with what the one before it left
+        if due <= FORMAT and not behind(formats, due) and (self.asked[0] != due or now >= self.asked[1]):
+            self.asked = due, now + AGAIN_NS
+            found.append(Upgrade(due))
         found += [Lapse(one.lease, one.claim, one.round) for one in self.expiry.lapsed(now)]
         return found
 
--- a/lanelift/store/wire/protocol.py
+++ b/lanelift/store/wire/protocol.py
@@ -122,7 +122,14 @@
     meta_id: tuple[int, int, int, int] = (0, 0, 0, 0)
 
 
-AnyRequest = Put | Get | Scan | Past | Watch | Unwatch | Status | Manage | Copy
+class Feed(Request, frozen=True, tag=10):
+    """A word to the node's feed (`lanelift/feed/messages.py`). The first one of a connection begins its one
+    subscription; what it hears bears the id of that one, until the connection ends."""
+
+    word: bytes
+
+
+AnyRequest = Put | Get | Scan | Past | Watch | Unwatch | Status | Manage | Copy | Feed
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True, tag=True, forbid_unknown_fields=True):
@@ -193,7 +200,16 @@
     data: bytes
 
 
-AnyReply = Done | Rows | Changes | Failed | Info | Part
+class Fed(Reply, frozen=True, tag=7):
+    """A word of the node's feed. `generation`: of the subscription's scopes, as the node knows them;
+    `sequence`: of the patch within the subscription, from 1 on; 0 where it is none."""
+
+    generation: int
+    sequence: int
+    word: bytes
+
+
+AnyReply = Done | Rows | Changes | Failed | Info | Part | Fed
 
 AnyGreeting = Hello | Welcome | Declined
 _greetings = msgspec.msgpack.Decoder(AnyGreeting)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -277,6 +277,11 @@
     assert not owners.play(seed).broken, f"seed {seed}"
 
 
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_owners_are_served_alike_over_the_newest_format(seed: int) -> None:
+    assert not owners.play(seed, newest=commands.FORMAT).broken, f"seed {seed}"
+
+
 @pytest.mark.parametrize("name", sorted(PLANTS))
 def test_a_planted_bug_of_owners_is_caught(name: str) -> None:
     assert played(name, CAUGHT[name]).broken
--- /dev/null
+++ b/tests/test_store_rows.py
@@ -0,0 +1,222 @@
+"""Rows in the store's state: they name only what is there, are written whole or not at all, and begin with
+format 3."""
+
+from __future__ import annotations
+
+import tarfile
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lanelift.feed.messages import MOST_ROW
+from lanelift.store import commands
+from lanelift.store.commands import (
+    FORMAT,
+    MOST_REFS,
+    Code,
+    FencedWrite,
+    Op,
+    OpenSession,
+    Result,
+    RowsWrite,
+    Upgrade,
+    Write,
+)
+from lanelift.store.durable import state as states
+from lanelift.store.durable.state import Event, State
+from lanelift.store.raft.messages import Entry, Kind
+from lanelift.store.steward import AGAIN_NS, Steward
+from tests.test_leases import KEPT, MEMBERS, Log
+from tests.test_store_state import fresh
+
+ACME, ROUTE = "feed/global/tenant/acme", "feed/service:orders/route/r1"
+OTHER, TIMES = "feed/service:orders/route/r2", "feed/service:orders/upstream/times"
+ALL = ACME, ROUTE, OTHER, TIMES
+
+
+def upgraded(state: State, upto: int = FORMAT) -> Log:
+    log = Log(state)
+    for number in range(2, upto + 1):
+        log.do(Upgrade(number))
+    log.do(OpenSession(7))
+    return log
+
+
+@pytest.fixture
+def log() -> Log:
+    return upgraded(fresh())
+
+
+def plain(log: Log, *ops: Op) -> Result:
+    return log.do(Write(7, log.state.applied, 0, ops))
+
+
+def rows(log: Log, *said: tuple[str, bytes | None, tuple[str, ...]], checks: tuple[tuple[str, int], ...] = (),
+         ) -> Result:
+    """Each is a key, a value (None: delete), and the rows that it names."""
+    return log.do(RowsWrite(7, log.state.applied, 0, tuple(Op(k, v) for k, v, _ in said), checks,
+                            refs=tuple(refs for _, _, refs in said)))
+
+
+def test_a_row_names_only_what_is_there_after_its_write(log: Log) -> None:
+    made = rows(log, (ROUTE, b"r", (ACME,)))
+    assert (made.code, made.text) == (Code.REFUSED, f"{ROUTE} names {ACME}, which is not there")
+    assert log.state.get(ROUTE) is None
+    assert rows(log, (ROUTE, b"r", (ACME,)), (ACME, b"t", ())).code == Code.DONE, "both within one write"
+    made = rows(log, (ACME, None, ()))
+    assert (made.code, made.text) == (Code.REFUSED, f"{ROUTE} still names {ACME}")
+    made = rows(log, (ROUTE, b"r2", (ACME,)), (ACME, None, ()))
+    assert (made.code, made.text) == (Code.REFUSED, f"{ROUTE} names {ACME}, which is not there")
+    assert rows(log, (ACME, b"t2", ())).code == Code.DONE, "a row that is named may change"
+    assert rows(log, (ROUTE, b"r2", ()), (ACME, None, ())).code == Code.DONE, "it names it no more"
+    assert rows(log, (ACME, b"t", ()), (ROUTE, b"r", (ACME,))).versions == (4, 3)
+    assert rows(log, (ACME, None, ()), (ROUTE, None, ())).code == Code.DONE, "both go at once"
+    assert rows(log, (ACME, b"t", ())).code == Code.DONE
+    assert rows(log, (ACME, None, ())).code == Code.DONE, "what is gone names nothing"
+
+
+def test_a_write_of_rows_is_made_whole_or_not_at_all(log: Log) -> None:
+    rows(log, (ACME, b"t", ()))
+    before = log.state.take_fed()
+    assert before == [Event(log.state.applied, ACME, 1, b"t")]
+    assert rows(log, (ACME, b"t2", ()), (ROUTE, b"r", ("feed/global/tenant/none",))).code == Code.REFUSED
+    assert rows(log, (ACME, b"t2", ()), ("config/a", b"x", ()), checks=(("b", 1),)).code == Code.CONFLICT
+    assert (log.state.get(ACME) or pytest.fail()).value == b"t" and log.state.take_fed() == []
+    assert rows(log, (ROUTE, b"r", (ACME,)), ("config/a", b"x", ())).code == Code.DONE, "other keys with it"
+    assert [e.key for e in log.state.take_fed()] == [ROUTE], "and only rows are fed"
+    assert len(log.state.history(ROUTE)) == 0 and len(log.state.history("config/a")) == 1
+
+
+@pytest.mark.parametrize("said, why", [
+    ((("feed/orders/upstream/a", b"x", ()),), "is no row"),
+    ((("feed/global/tenant", b"x", ()),), "is no row"),
+    ((("feed/global/a/b/c", b"x", ()),), "is no row"),
+    (((ACME, b"x", ("config/a",)),), "is no row"),
+    (((ACME, b"", ()),), "a row has 1 to 4096 bytes"),
+    (((ACME, bytes(MOST_ROW + 1), ()),), "a row has 1 to 4096 bytes"),
+    (((ACME, None, (ROUTE,)),), "only a row that is put names others"),
+    ((("config/a", b"x", (ACME,)),), "only a row that is put names others"),
+    (((ACME, b"x", (ROUTE, ROUTE)),), "each once"),
+    (((ACME, b"x", tuple(f"feed/global/t/n{i}" for i in range(MOST_REFS + 1))),), "names 16 others at most")])
+def test_what_is_no_row_is_refused_in_one_line(
+        log: Log, said: tuple[tuple[str, bytes | None, tuple[str, ...]], ...], why: str) -> None:
+    made = rows(log, *said)
+    assert made.code == Code.REFUSED and why in made.text and "\n" not in made.text
+    assert log.do(RowsWrite(7, 999, 0, (Op(ACME, b"x"),), refs=((), ()))).text.startswith("refs are told")
+
+
+def test_rows_are_changed_by_writes_of_rows_alone(log: Log) -> None:
+    fenced = log.do(FencedWrite(7, log.state.applied, 0, (Op(ACME, None),)))
+    for made in (plain(log, Op(ACME, b"x")), fenced):
+        assert (made.code, made.text) == (Code.REFUSED,
+                                          "what stands under feed/ is changed by writes of rows alone")
+    assert rows(log, ("lease/work", b"x", ())).code == Code.REFUSED
+
+
+def test_before_format_3_there_are_no_rows_and_what_stood_there_goes(tmp_path: Path) -> None:
+    log = upgraded(states.create(tmp_path / "state.db", "c", MEMBERS), 2)
+    assert rows(log, (ACME, b"x", ())).text == "not all nodes of the store know rows yet"
+    assert plain(log, Op(ACME, b"x"), Op("feed/b", b"y"), Op("feeds", b"z")).code == Code.DONE
+    assert log.state.take_fed() == [] and log.state.rows().rows == []
+    was = log.state.digest()
+    log.do(Upgrade(3))
+    assert [i.key for i in log.state.scan("feed")] == ["feeds"] and log.state.digest() != was
+    loaded = log.state.rows()
+    assert (loaded.base, loaded.rows, loaded.events) == (log.state.applied, [], []), "nor is it told"
+    assert rows(log, (ACME, b"x", ())).versions == (3,), "versions go on counting"
+    assert log.state.rows().rows == [(ACME, 3, b"x")]
+    log.state.close()
+    assert states.open_state(tmp_path / "state.db").format == 3
+
+
+def test_a_folder_of_format_1_comes_to_format_3_step_by_step(tmp_path: Path) -> None:
+    with tarfile.open(KEPT) as kept:
+        kept.extractall(tmp_path, filter="data")
+    log = Log(states.open_state(tmp_path / "state.db"))
+    log.do(Upgrade(3))
+    assert log.state.format == 1, "no step is left out"
+    steward, formats = Steward(), {1: 3, 2: 3}
+    steward.leads(4, log.state, 0)
+    for number in (2, 3):
+        (due,) = steward.proposals(log.state.format, formats, 0)
+        assert due == Upgrade(number) and steward.proposals(log.state.format, formats, 1) == []
+        assert steward.proposals(log.state.format, formats, AGAIN_NS) == [due], "it may have been lost"
+        assert log.do(due).versions == (number,)
+    assert steward.proposals(log.state.format, formats, 9 * AGAIN_NS) == []
+    log.do(OpenSession(7))
+    assert log.claim("a", 11) == (1, 0) and rows(log, (ACME, b"x", ())).code == Code.DONE
+
+
+def test_an_older_program_among_the_members_holds_back_only_what_it_does_not_know() -> None:
+    steward = Steward()
+    steward.leads(4, fresh(), 0)
+    assert steward.proposals(1, {1: 3, 2: 2}, 0) == [Upgrade(2)]
+    assert steward.proposals(2, {1: 3, 2: 2}, 0) == [] == steward.proposals(2, {1: 3, 2: 0}, 0)
+    assert steward.proposals(2, {1: 3, 2: 3}, 0) == [Upgrade(3)]
+
+
+@pytest.mark.parametrize("upto, prefix", [(2, "lease"), (3, "feed")])
+def test_an_upgrade_takes_away_several_keys_at_once(upto: int, prefix: str) -> None:
+    log = upgraded(fresh(), upto - 1)
+    plain(log, *(Op(f"{prefix}/{name}", b"x") for name in "abc"))
+    log.do(Upgrade(upto))
+    assert log.state.format == upto and log.state.scan(f"{prefix}/") == []
+
+
+def test_a_run_of_entries_that_fails_leaves_no_row_and_no_format_behind() -> None:
+    state = upgraded(fresh(), 2).state
+    at, write = state.applied, RowsWrite(7, 900, 0, (Op(ACME, b"x"),))
+    entries = [Entry(1, at + 1, Kind.COMMAND, commands.pack(Upgrade(3))),
+               Entry(1, at + 2, Kind.COMMAND, commands.pack(write)), Entry(1, at + 3, Kind.MEMBERS, b"\xc1")]
+    with pytest.raises(ValueError):
+        state.apply(entries)
+    assert (state.format, state.rows_from, state.fed, state.applied) == (2, 0, [], at)
+    assert [r.code for r in state.apply(entries[:2])] == [Code.DONE, Code.DONE]
+    assert state.rows_from == at + 1 and [e.key for e in state.take_fed()] == [ACME]
+
+
+def test_what_a_node_begins_to_tell_with(log: Log, monkeypatch: pytest.MonkeyPatch) -> None:
+    for number in range(8):
+        rows(log, (ACME, b"%d" % number, ()), (ROUTE, b"r", (ACME,)) if number % 2 else (ROUTE, None, ()))
+        plain(log, Op("config/a", b"x"))
+    loaded = log.state.rows()
+    assert loaded.base == log.state.rows_from and loaded.revision == log.state.applied
+    assert loaded.rows == [(ACME, 8, b"7"), (ROUTE, 7, b"r")], "what was not there is not deleted"
+    assert loaded.events == log.state.take_fed() and len(loaded.events) == 15
+    monkeypatch.setattr(states, "EVENTS", 5)
+    rows(log, (ACME, b"8", ()))
+    cut = log.state.rows()
+    assert cut.base == log.state.forgotten > loaded.base
+    assert cut.events == [e for e in [*loaded.events, *log.state.take_fed()] if e.revision > cut.base]
+
+
+OPS = st.tuples(st.sampled_from(ALL), st.none() | st.binary(min_size=1, max_size=2),
+                st.sets(st.sampled_from(ALL), max_size=2).map(lambda found: tuple(sorted(found))))
+SAID = st.lists(OPS, min_size=1, max_size=3, unique_by=lambda said: said[0])
+
+
+@given(st.lists(SAID, max_size=20))
+def test_no_row_ever_names_what_is_not_there(said: list[list[tuple[str, bytes | None, tuple[str, ...]]]],
+                                             ) -> None:
+    """Held against books of the test's own."""
+    log, books = upgraded(fresh()), dict[str, tuple[bytes, tuple[str, ...]]]()
+    for write in said:
+        write = [(key, value, refs if value is not None else ()) for key, value, refs in write]
+        after = {**books, **{k: (v, refs) for k, v, refs in write if v is not None}}
+        for key, value, _ in write:
+            if value is None:
+                after.pop(key, None)
+        whole = all(ref in after for _, refs in after.values() for ref in refs)
+        assert rows(log, *write).code == (Code.DONE if whole else Code.REFUSED)
+        books = after if whole else books
+        assert {k: v for k, _, v in log.state.rows().rows} == {k: v for k, (v, _) in books.items()}
+
+
+def test_a_plain_write_and_one_under_a_lease_are_what_older_programs_read() -> None:
+    """Bytes as they were before there were rows: among its nodes may be old ones."""
+    fenced = FencedWrite(5, 1, 0, (Op("k", b"v"),), (), "me", "why", 7, (("work", 1),))
+    assert commands.pack(fenced).hex() == ("9a0805010091" "93a16bc40176ff" "90a26d65a377687907"
+                                           "9192a4776f726b01")
+    assert [commands.format_of(c) for c in (Write(5, 1, 0, ()), fenced, RowsWrite(5, 1, 0, ()))] == [1, 2, 3]
--- a/tests/test_store_state.py
+++ b/tests/test_store_state.py
@@ -172,7 +172,7 @@
     state = states.create(tmp_path / "state.db", "c", MEMBERS)
     state.db.execute("UPDATE meta SET value = 9 WHERE name = 'format'")
     state.close()
-    with pytest.raises(Damaged, match="format 9 is newer than 2"):
+    with pytest.raises(Damaged, match="format 9 is newer than 3"):
         states.open_state(tmp_path / "state.db")
     (tmp_path / "state.db").write_bytes(b"no database" * 1000)
     with pytest.raises(Damaged):
