--- a/lanelift/feed/messages.py
+++ b/lanelift/feed/messages.py
@@ -17,6 +17,8 @@
 MOST_ROW = 4096  # bytes of a row's value
 MOST_SCOPES = 4096  # of one subscription
 MOST_REFUSALS = 16  # that one word holds
+MOST_NAME = 200  # characters of a subscriber's name
+MOST_WHY = 200  # characters
 _KEY = re.compile(r"feed/(global|service:[A-Za-z0-9][A-Za-z0-9._:@-]*)/"
                   r"([A-Za-z0-9][A-Za-z0-9._:@-]*/[A-Za-z0-9][A-Za-z0-9._:@-]*)\Z")
 _SCOPE = re.compile(r"(global|service:[A-Za-z0-9][A-Za-z0-9._:@-]*)\Z")
@@ -26,7 +28,7 @@
     """One message of either side."""
 
 
-class Row(msgspec.Struct, frozen=True, array_like=True):
+class Row(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """`key`: KIND/NAME within its scope; `value` is None where it was deleted. Versions of a key go on
     counting over a deletion."""
 
@@ -63,7 +65,8 @@
 
 
 class Reached(Word, frozen=True, tag=3):
-    """All patches up to this sequence number are in force, but for the rows refused, as they now stand."""
+    """All patches up to this sequence number are in force, but for the rows refused, as they now stand. Parts
+    whose last is not among them are only kept: with them the node's window moves on, and nothing else."""
 
     sequence: int
     refused: tuple[Refusal, ...] = ()
@@ -126,7 +129,7 @@
     """Scope, and KIND/NAME within it. Raises ValueError where the key is no row's."""
     found = _KEY.match(key)
     if found is None:
-        raise ValueError(f"{key[:80]!r} is no row: feed/SCOPE/KIND/NAME, with global or service:NAME as scope")
+        raise ValueError(f"{key[:80]!r} is no row: feed/SCOPE/KIND/NAME, SCOPE global or service:NAME")
     return found[1], found[2]
 
 
