Store: nodes tell the feed, and a client hears it over real connections

Change: Feeding (one a node) owns the fan-out. One write a subscriber and turn of the loop; writable follows the transport, whose buffer is 64 KiB here. A fault of the feed ends its subscriptions and begins it anew; the store goes on. Settings [feed]; connections 2048 in place of 256 (of 2,900 balancers 320 and more come to one of nine nodes), no more than files may be opened; 1024 may wait to be accepted in place of 128, as all of another node's come at once. Status has "feed". The lab starts programs of format 2 too.

--- a/lanelift/lab/cluster/real.py
+++ b/lanelift/lab/cluster/real.py
@@ -64,12 +64,14 @@
         for member in self.members[1:]:
             await self.join(member)
 
-    async def begin(self, member: Member) -> None:
+    async def begin(self, member: Member, old: int = 0) -> None:
+        """`old`: its program knows formats of the state up to this one; 0: all."""
         log = open(self.folder / f"{member.place}.log", "ab")  # noqa: SIM115 (the child keeps it)
+        module = "lanelift.lab.rig.launcher" if old else "lanelift.cli.main"
         try:
             member.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lanelift.cli.main", "store", "run", "--settings", str(member.path),
-                stdout=asyncio.subprocess.PIPE, stderr=log)
+                sys.executable, "-m", module, "store", "run", "--settings", str(member.path),
+                stdout=asyncio.subprocess.PIPE, stderr=log, env={**os.environ, "LANELIFT_LAB_OLD": str(old)})
         finally:
             log.close()
         assert member.process.stdout is not None
@@ -77,14 +79,14 @@
             if not await member.process.stdout.readline():
                 raise Unusable(f"node {member.place} did not start: see {self.folder}/{member.place}.log")
 
-    async def join(self, member: Member, patience_s: float = 30.0) -> None:
+    async def join(self, member: Member, patience_s: float = 30.0, old: int = 0) -> None:
         """With a new folder and number."""
         client = self.client("join", 10.0)
         try:
             status = await client.status()
             member.number = running.prepare(member.settings, status["cluster"], str(member.place)).node
             await self.insist(client, "learn", member.number, member.address, patience_s)
-            await self.begin(member)
+            await self.begin(member, old)
             await self.insist(client, "promote", member.number, "", patience_s)
         finally:
             await client.close()
--- a/lanelift/lab/rig/launcher.py
+++ b/lanelift/lab/rig/launcher.py
@@ -3,21 +3,23 @@
 The lab's doing and no switch of the product: the standard library's clocks and writes are replaced before the
 program is imported. LANELIFT_LAB_RATE: clocks run so many times as fast. SIGUSR1 turns a full disk on and
 off, SIGUSR2 makes clocks jump on by an hour, SIGQUIT writes down where each task stands.
-LANELIFT_LAB_SYNC_MS: each sync takes so much longer. LANELIFT_LAB_OLD=1: it knows the first format of the
-store's state only, as a program from before there were leases.
+LANELIFT_LAB_SYNC_MS: each sync takes so much longer. LANELIFT_LAB_OLD: it knows formats of the store's state
+up to this one: 1 as a program from before there were leases, 2 from before there were rows.
 """
 
 from __future__ import annotations
 
 import asyncio
 import errno
+import functools
+import operator
 import os
 import runpy
 import signal
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import Any, get_args
 
 HOUR_NS = 3_600_000_000_000
 
@@ -95,14 +97,20 @@
     sys.stderr.flush()
 
 
-def grow_old() -> None:
-    """What a program of format 1 said of itself, and could read."""
+def grow_old(newest: int) -> None:
+    """What a program of format 1 or 2 said of itself, and could read."""
     import msgspec
 
     from lanelift.store import commands
-    commands.FORMAT = 1
-    known = commands.Write | commands.OpenSession | commands.CloseSession
+    from lanelift.store.wire import protocol
+    commands.FORMAT = newest
+    known: Any = commands.Write | commands.OpenSession | commands.CloseSession
+    if newest == 2:
+        known |= (commands.FencedWrite | commands.Upgrade | commands.Claim | commands.Release
+                  | commands.Lapse)
     commands._commands = msgspec.msgpack.Decoder(known)
+    asked = [kind for kind in get_args(protocol.AnyRequest) if kind is not protocol.Feed]
+    protocol._requests = msgspec.msgpack.Decoder(functools.reduce(operator.or_, asked))
 
 
 def main() -> None:
@@ -113,8 +121,9 @@
     signal.signal(signal.SIGUSR1, disk.turn)
     signal.signal(signal.SIGUSR2, clocks.jump)
     signal.signal(signal.SIGQUIT, tell_tasks)
-    if os.environ.pop("LANELIFT_LAB_OLD", "0") == "1":
-        grow_old()
+    newest = int(os.environ.pop("LANELIFT_LAB_OLD", "0"))
+    if newest:
+        grow_old(newest)
     sys.argv[0] = "lanelift"
     # Only now is it imported: it takes its clocks as it finds them.
     runpy.run_module("lanelift.cli.main", run_name="__main__", alter_sys=True)
--- /dev/null
+++ b/lanelift/store/feeding.py
@@ -0,0 +1,215 @@
+"""A node's feed: carries the fan-out's words to connections, and the store's changes to the fan-out.
+
+Rows are read from the state once, off the loop, and from then on only what was applied is told on; all that
+comes meanwhile is held, in its order, and done once they are there. After that a change costs one encoding a
+scope and one write for each who hears it; nobody asks the state for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
+
+from lanelift.feed.fanout import BadWord, Fanout, FanoutLimits, FeedChange, Send
+from lanelift.feed.messages import PREFIX
+from lanelift.store.durable.rows import Event, Loaded
+from lanelift.store.durable.state import State
+
+if TYPE_CHECKING:
+    from lanelift.store.node import Node
+
+log = logging.getLogger(__name__)
+
+LEAST_NS = 1_000_000  # between two turns that a timer begins
+Act = Callable[[Fanout, int], None]
+
+
+class Hearer(Protocol):
+    """A subscriber's connection."""
+
+    def tell(self, sends: Sequence[Send]) -> None:
+        """In one write."""
+
+    def end(self, why: str) -> None: ...
+
+
+class Feeding:
+    """One a node. There is no fan-out until somebody asks for the feed, or a row is there."""
+
+    def __init__(self, node: Node, limits: FanoutLimits) -> None:
+        self.node, self.limits = node, limits
+        self.fanout: Fanout | None = None
+        self.hearers: dict[int, Hearer] = {}
+        self.numbers = 0
+        self.failures = 0
+        self.held: list[Act] | None = None  # while rows are loaded: what comes
+        self.stale = False  # a snapshot of the store came while rows were loaded
+        self.turning = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_ns = 0
+        self.last: dict[str, Any] | None = None  # status
+
+    # ---- the store ---------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Before anything is applied."""
+        if self.node.replica.state.scan(PREFIX, "", 1):
+            self._load()
+
+    def applied(self, revision: int, events: Sequence[Event]) -> None:
+        """In the turn of the loop in which it was."""
+        if self.fanout is None and self.held is None:
+            if events:
+                self._load()
+            return  # they are among what is loaded
+        changes = _changes(events)
+
+        def act(fanout: Fanout, now: int) -> None:
+            if revision > fanout.revision:
+                fanout.applied(revision, changes, now)
+        self._do(act)
+
+    def installed(self) -> None:
+        """A snapshot took the place of the state."""
+        if self.held is not None:
+            self.stale = True
+        elif self.fanout is not None:
+            self._load()
+
+    def _load(self) -> None:
+        self.held = []
+        self.node.task(self._loaded())
+
+    async def _loaded(self) -> None:
+        try:
+            await self._loading()
+        except Exception as error:
+            self.held = None
+            if not self.node.failed.done():
+                self._fail(error)
+
+    async def _loading(self) -> None:
+        began = time.monotonic()
+        fanout = self.fanout or Fanout(self.node.identity.cluster, self.limits, time.monotonic_ns())
+        while True:
+            self.stale = False
+            # Nothing is applied until this task goes on: what it has, and what is held from then on, join.
+            loaded = await self.node.query(State.rows)
+            await asyncio.get_running_loop().run_in_executor(None, _fill, fanout, loaded)
+            if not self.stale:
+                break
+        held, self.held = self.held or [], None
+        self.fanout = fanout
+        log.info("feed: %d rows as of revision %d, loaded in %.0f ms", len(loaded.rows), loaded.revision,
+                 (time.monotonic() - began) * 1000)
+        for act in held:
+            self._do(act)
+        self._wake()
+
+    # ---- subscribers -------------------------------------------------------------------------------------
+
+    def begin(self, hearer: Hearer) -> int:
+        """The number of a new subscriber."""
+        self.numbers += 1
+        self.hearers[self.numbers] = hearer
+        if self.fanout is None and self.held is None:
+            self._load()
+        return self.numbers
+
+    def heard(self, number: int, word: bytes) -> None:
+        def act(fanout: Fanout, now: int) -> None:
+            try:
+                if number in self.hearers:
+                    fanout.heard(number, word, now)
+            except BadWord as error:
+                self.hearers[number].end(str(error))
+        self._do(act)
+
+    def writable(self, number: int, on: bool) -> None:
+        self._do(lambda fanout, now: fanout.writable(number, on, now))
+
+    def gone(self, number: int) -> None:
+        if self.hearers.pop(number, None) is not None:
+            self._do(lambda fanout, now: fanout.gone(number, now))
+
+    # ---- the loop's turn ---------------------------------------------------------------------------------
+
+    def _do(self, act: Act) -> None:
+        """At once, or when the rows are there."""
+        if self.held is not None:
+            self.held.append(act)
+        elif self.fanout is not None:
+            try:
+                act(self.fanout, time.monotonic_ns())
+            except Exception as error:
+                self._fail(error)
+            self._wake()
+
+    def _wake(self) -> None:
+        if not self.turning:
+            self.turning = True
+            self.node.loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self.turning = False
+        if self.fanout is None or self.held is not None:
+            return
+        try:
+            self._carry_out(self.fanout)
+        except Exception as error:
+            self._fail(error)
+
+    def _carry_out(self, fanout: Fanout) -> None:
+        now = time.monotonic_ns()
+        if 0 < fanout.wake_ns <= now:
+            fanout.tick(now)
+        by: dict[int, list[Send]] = {}
+        for send in fanout.take_out():
+            by.setdefault(send.subscriber, []).append(send)
+        for number, sends in by.items():
+            hearer = self.hearers.get(number)
+            if hearer is not None:
+                hearer.tell(sends)
+        wake_ns = max(fanout.wake_ns, now + LEAST_NS) if fanout.wake_ns else 0
+        if wake_ns and (self.timer is None or wake_ns < self.timer_ns):
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer_ns = wake_ns
+            self.timer = self.node.loop.call_later((wake_ns - now) / 1e9, self._timed)
+
+    def _timed(self) -> None:
+        self.timer = None
+        self._wake()
+
+    def _fail(self, error: Exception) -> None:
+        """What nobody thought of: the feed begins anew, and the store goes on."""
+        log.exception("the feed fails, and begins anew")
+        self.failures += 1
+        self.fanout = None
+        for hearer in list(self.hearers.values()):
+            hearer.end(f"the node's feed begins anew: {type(error).__name__}")
+
+    def status(self) -> dict[str, Any] | None:
+        """None: nobody asked for the feed yet, and there are no rows."""
+        if self.fanout is not None and self.held is None:
+            self.fanout.tick(time.monotonic_ns())
+            self._wake()
+            self.last = {**msgspec.to_builtins(self.fanout.status()), "failures": self.failures}
+        return self.last
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+def _changes(events: Sequence[Event]) -> list[FeedChange]:
+    return [FeedChange(one.revision, one.key, one.version, one.value) for one in events]
+
+
+def _fill(fanout: Fanout, loaded: Loaded) -> None:
+    fanout.load(loaded.revision, loaded.rows, loaded.base, _changes(loaded.events), time.monotonic_ns())
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -27,6 +27,7 @@
 from lanelift.store.durable.journal import Broken, Damaged, Full, Journal
 from lanelift.store.durable.state import State
 from lanelift.store.durable.vault import DiskVault
+from lanelift.store.feeding import Feeding
 from lanelift.store.link import Link
 from lanelift.store.raft.core import Batch, Busy, NotLeader, Role
 from lanelift.store.raft.members import Change
@@ -114,6 +115,7 @@
         self.failed: asyncio.Future[str] = self.loop.create_future()  # why the node can't go on
         self.figures = Figures()
         self.steward = Steward()
+        self.feeding = Feeding(self, settings.feed)
         self.tls: ssl.SSLContext | None = settings.tls.context(False) if settings.tls else None
         self.heard_leader_s = time.monotonic()
         self.was = (0, 0)  # term and leader, as last told
@@ -134,6 +136,7 @@
         return cls(settings, identity, replica, lock)
 
     def start(self) -> None:
+        self.feeding.start()
         self.wake()
 
     # ---- the loop's turn ---------------------------------------------------------------------------------
@@ -169,7 +172,7 @@
             if batch is None:
                 break
             if batch.on_disk:
-                self._task(self._write(batch))
+                self.task(self._write(batch))
                 break
             core.persisted(batch)
         if not self.applying and core.commit > core.handed:
@@ -178,18 +181,18 @@
                 self._apply_here(entries)
             elif entries:
                 self.applying = True
-                self._task(self._apply(entries))
+                self.task(self._apply(entries))
         self._answer_reads()
         self._note_leader()
         self._lead()
         if core.wants_snapshot and not self.exporting:
             self.exporting = True
-            self._task(self._export())
+            self.task(self._export())
         unsynced = core.applied - self.replica.flushed
         if not self.flushing and unsynced and (self.replica.wants_cut or unsynced > FLUSH_ENTRIES
                                                or time.monotonic() - self.flushed_s > FLUSH_S):
             self.flushing = True
-            self._task(self._flush())
+            self.task(self._flush())
         wake_ns = min(core.wake_ns, self.steward.wake_ns or core.wake_ns)
         if self.timer is None or wake_ns < self.timer_ns:
             if self.timer is not None:
@@ -205,7 +208,7 @@
         self.timer = None
         self.wake()
 
-    def _task(self, work: Any) -> None:
+    def task(self, work: Any) -> None:
         task = self.loop.create_task(self._kept(work))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -346,7 +349,8 @@
         self.figures.batches += 1
         self.figures.entries += len(batch.entries)
         self.core.persisted(batch, installed)
-        if batch.install is not None:
+        if installed and batch.install is not None:
+            self.feeding.installed()
             self.poke()
 
     async def _written(self, batch: Batch) -> bool:
@@ -402,7 +406,7 @@
             results = self.replica.apply(entries)
         except states.Failed:  # the thread tries again, and can wait
             self.applying = True
-            self._task(self._apply(entries))
+            self.task(self._apply(entries))
         else:
             self._applied(entries, results)
 
@@ -416,6 +420,7 @@
                     waiting.future.set_exception(Unknown("another entry took its place"))
         self.core.applied_to(entries[-1].index)
         self.steward.applied(self.replica.state.take_claimed(), time.monotonic_ns())
+        self.feeding.applied(entries[-1].index, self.replica.state.take_fed())
         self.poke(self.replica.state.take_touched())
 
     def poke(self, keys: Collection[str] | None = None) -> None:
@@ -566,12 +571,13 @@
             "sync_p50_ms": round(f.quantile(0.5) * 1000, 3), "sync_p99_ms": round(f.quantile(0.99) * 1000, 3),
             "disk_full_s": round(time.monotonic() - min(f.full.values()), 1) if f.full else 0,
             "late_turns": f.late_turns, "removed": core.removed, "failed": self.failed.done(),
-            "format": self.replica.state.format}
+            "format": self.replica.state.format, "feed": self.feeding.status()}
 
     async def close(self) -> None:
         """Stop: what was promised is on disk."""
         if self.timer is not None:
             self.timer.cancel()
+        self.feeding.close()
         if not self.failed.done():
             self.failed.set_result("")
         self._drop_waiting(1 << 62)
--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -5,14 +5,16 @@
 import asyncio
 import logging
 import os
+import resource
 import socket
 import ssl
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, cast
 
 import msgspec
 
+from lanelift.feed.fanout import Send
 from lanelift.settings import Malformed
 from lanelift.store import commands
 from lanelift.store.commands import Result
@@ -33,6 +35,8 @@
     Declined,
     Done,
     Failed,
+    Fed,
+    Feed,
     Get,
     Hello,
     Info,
@@ -57,10 +61,13 @@
 OPEN_MOST = 512  # requests of one connection on their way
 WATCHES_MOST = 64  # of one connection
 UNREAD_MOST = 8 << 20  # bytes of answers that a client leaves unread: then nothing more is read from it
+FEED_UNREAD = 64 << 10  # bytes on a feed's connection: beyond it its scopes are only marked as changed
+BACKLOG = 1024  # connections that wait to be accepted: all of another node's may come at once
+SPARE = 128  # of the files that this process may open: for the disk and other members
 COPY_BYTES = 512 << 10
 PROGRESS_S = 5.0  # a watch with nothing to tell says so often how far it has looked
 NEEDS: dict[type, str] = {Put: "write", Get: "read", Scan: "read", Past: "read", Watch: "read",
-                          Unwatch: "read", Status: "read", Manage: "admin", Copy: "admin"}
+                          Unwatch: "read", Status: "read", Manage: "admin", Copy: "admin", Feed: "read"}
 
 
 class Server:
@@ -70,6 +77,7 @@
         self.node = node
         self.settings = node.settings
         self.connections: set[Connection] = set()
+        self.most = node.settings.connections
         self.listener: socket.socket | None = None
         self.server: asyncio.Server | None = None
         self.context: ssl.SSLContext | None = None
@@ -83,6 +91,11 @@
 
     async def start(self) -> None:
         """Raises OSError, Malformed."""
+        room = resource.getrlimit(resource.RLIMIT_NOFILE)[0] - SPARE
+        if room < self.most:
+            log.warning("limits.connections: %d in place of %d: this process may open no more files", room,
+                        self.most)
+            self.most = room
         host, port = self.settings.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.listener = socket.socket(family, socket.SOCK_STREAM)
@@ -101,7 +114,7 @@
     async def _open(self) -> None:
         assert self.listener is not None
         self.server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), sock=self.listener.dup(), ssl=self.context, backlog=128,
+            lambda: Connection(self), sock=self.listener.dup(), ssl=self.context, backlog=BACKLOG,
             ssl_handshake_timeout=GREET_S if self.context else None)
 
     async def _keys(self) -> None:
@@ -156,6 +169,8 @@
         self.role = ""  # where a client did
         self.open = 0
         self.watches: dict[int, Watching] = {}
+        self.subscriber = 0  # its number, where it hears the feed
+        self.feed_id = 0  # of the request that began it
         self.tasks: set[asyncio.Task[None]] = set()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -165,7 +180,7 @@
         self.who = f"{peer[0]}:{peer[1]}" if peer else "?"
         self.transport.set_write_buffer_limits(UNREAD_MOST)
         self.server.connections.add(self)
-        if len(self.server.connections) > self.server.settings.connections:
+        if len(self.server.connections) > self.server.most:
             self._decline("there are too many connections")
             return
         self.timer = self.node.loop.call_later(GREET_S, self._late)
@@ -270,6 +285,8 @@
                 self._task(r.id, self._manage(r))
             case Copy():
                 self._task(r.id, self._copy(r))
+            case Feed():
+                self._feed(r)
         return None
 
     def _put(self, r: Put) -> None:
@@ -343,6 +360,24 @@
         else:
             self.send(Part(r.id, meta.id, r.offset, data))
 
+    def _feed(self, r: Feed) -> None:
+        if not self.subscriber:
+            assert self.transport is not None
+            self.transport.set_write_buffer_limits(FEED_UNREAD)
+            self.feed_id = r.id
+            self.subscriber = self.node.feeding.begin(self)
+        self.node.feeding.heard(self.subscriber, r.word)
+
+    def tell(self, sends: Sequence[Send]) -> None:
+        """The feed's words, in one write."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(b"".join(self.sender.frame(protocol.pack(
+                Fed(self.feed_id, one.generation, one.sequence, one.word))) for one in sends))
+
+    def end(self, why: str) -> None:
+        self.fail(self.feed_id, Trouble.REFUSED, why)
+        self._decline(why)
+
     def _task(self, number: int, work: Coroutine[Any, Any, None]) -> None:
         self.open += 1
         task = self.node.loop.create_task(self._answered(number, work))
@@ -373,6 +408,8 @@
             self.transport.pause_reading()
         for watching in self.watches.values():
             watching.paused = True
+        if self.subscriber:
+            self.node.feeding.writable(self.subscriber, False)
 
     def resume_writing(self) -> None:
         if self.transport is not None:
@@ -380,6 +417,8 @@
         for watching in self.watches.values():
             watching.paused = False
             watching.poke()
+        if self.subscriber:
+            self.node.feeding.writable(self.subscriber, True)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -392,6 +431,8 @@
         for watching in self.watches.values():
             watching.stop()
         self.watches.clear()
+        if self.subscriber:
+            self.node.feeding.gone(self.subscriber)
         for task in list(self.tasks):
             task.cancel()
 
--- a/lanelift/store/settings.py
+++ b/lanelift/store/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lanelift.feed.fanout import FanoutLimits
 from lanelift.settings import Malformed, split_address
 from lanelift.store.raft.core import Config
 from lanelift.store.replica import Boundaries
@@ -42,7 +43,27 @@
     log: Size = Size(16 << 20)  # the log is cut when it holds more
     keep: int = 2000  # entries that stay in it, for members that are a little behind
     uncommitted: Size = Size(8 << 20)  # of writes on their way
-    connections: int = 256
+    connections: int = 2048
+
+
+class FeedPart(Part, frozen=True):
+    """What a node spends on those who hear the feed."""
+
+    snapshots: Size = Size(8 << 20)  # bytes a second, of all snapshots together
+    waiting: int = 64  # for snapshots; others are asked to come later
+    window: Size = Size(1 << 20)  # bytes that one has not acknowledged
+    log: Size = Size(32 << 20)  # of changes, in memory, for those who come back
+    bookmark: Duration = Duration(15_000 * MS)  # who has heard nothing for so long is told so
+
+    def limits(self, subscribers: int) -> FanoutLimits:
+        """Raises Malformed."""
+        if min(self.snapshots, self.window, self.log) < 64 << 10 or self.waiting < 1:
+            raise Malformed("feed: snapshots, window and log must be 64KiB at least, and waiting 1")
+        if not 100 * MS <= self.bookmark <= 20_000 * MS:
+            raise Malformed("feed.bookmark: must be 100ms to 20s")
+        return FanoutLimits(snapshot_bytes_s=int(self.snapshots), waiting_most=self.waiting,
+                            window_bytes=int(self.window), log_bytes=int(self.log),
+                            bookmark_ns=int(self.bookmark), subscribers_most=subscribers)
 
 
 class StoreFile(Part, frozen=True):
@@ -56,6 +77,7 @@
     tls: Keys | None = None
     timing: Timing = Timing()
     limits: Sizes = Sizes()
+    feed: FeedPart = FeedPart()
 
 
 class StoreSettings(msgspec.Struct, frozen=True):
@@ -70,6 +92,7 @@
     config: Config
     boundaries: Boundaries
     connections: int
+    feed: FanoutLimits = FanoutLimits()
 
 
 def is_loopback(host: str) -> bool:
@@ -106,4 +129,4 @@
     return StoreSettings(beside / f.folder, listen, f.advertise or f.listen, f.reach,
                          split_address(f.metrics) if f.metrics else None, tls, config,
                          Boundaries(f.limits.keep, 5 * f.limits.keep + 1000, int(f.limits.log)),
-                         f.limits.connections)
+                         f.limits.connections, f.feed.limits(f.limits.connections))
--- /dev/null
+++ b/tests/test_feed_store.py
@@ -0,0 +1,403 @@
+"""The feed between running nodes and balancers' clients: what each hears, over restarts, slow readers, nodes
+that go and stores that are restored."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lanelift.feed.messages import Row
+from lanelift.feed.subscription import Apply, SubscriptionLimits
+from lanelift.lab.cluster.real import RealCluster
+from lanelift.settings import Malformed
+from lanelift.store import run as running
+from lanelift.store.client import Client, Rejected, Undecided
+from lanelift.store.commands import Op
+from lanelift.store.durable import state as states
+from lanelift.store.feedclient import FeedClient
+from lanelift.store.security import Tls
+from lanelift.store.wire import protocol
+from lanelift.store.wire.protocol import Feed, Hello
+from tests.certificates import Authority
+from tests.fakes import Watched
+from tests.test_store_node import Cluster, cluster, greeted, run
+
+ORDERS, CARTS = "service:orders", "service:carts"
+QUICK = SubscriptionLimits(backoff_ns=20_000_000, backoff_most_ns=200_000_000, ack_ns=5_000_000)
+
+
+class Balancer(Watched):
+    """Hears the feed, and writes down what came into force."""
+
+    def __init__(self, addresses: Sequence[str], scopes: Sequence[str], name: str = "b", seed: int = 1,
+                 tls: Tls | None = None, check: Callable[[str, Row], str] = lambda scope, row: "") -> None:
+        super().__init__()
+        self.rows: dict[str, dict[str, bytes]] = {}
+        self.applied: list[Apply] = []
+        self.client = FeedClient(addresses, lambda: tls.context(False) if tls else None, name, scopes, check,
+                                 self.apply, rng=random.Random(seed), limits=QUICK)
+        self.client.start()
+
+    def apply(self, what: Apply) -> None:
+        rows = self.rows.setdefault(what.scope, {})
+        if what.whole:
+            rows.clear()
+        for row in what.rows:
+            if row.value is None:
+                rows.pop(row.key, None)
+            else:
+                rows[row.key] = row.value
+        self.applied.append(what)
+        self.poke()
+
+    def value(self, scope: str, key: str) -> bytes | None:
+        return self.rows.get(scope, {}).get(key)
+
+    async def has(self, scope: str, key: str, value: bytes | None) -> None:
+        async with asyncio.timeout(20):
+            await self.until(lambda: scope in self.rows and self.value(scope, key) == value)
+
+    def wholes(self, scope: str) -> int:
+        return sum(what.whole for what in self.applied if what.scope == scope)
+
+    def goes_forward(self) -> bool:
+        by: dict[str, list[int]] = {}
+        for what in self.applied:
+            by.setdefault(what.scope, []).append(what.revision)
+        return all(seen == sorted(seen) for seen in by.values())
+
+
+def key(scope: str, name: str) -> str:
+    return f"feed/{scope}/upstream/{name}"
+
+
+async def put(client: Client, scope: str, value: bytes | None, *names: str) -> int:
+    """The revision that made it."""
+    async with asyncio.timeout(20):  # a fresh cluster comes to its format by itself
+        while True:
+            try:
+                return (await client.write_rows([Op(key(scope, name), value) for name in names])).revision
+            except Undecided:  # over a change of leaders; said again it does no harm
+                pass
+
+
+async def leave(*balancers: Balancer) -> None:
+    for balancer in balancers:
+        await balancer.client.close()
+
+
+def feed_of(c: Cluster, place: int) -> dict[str, Any]:
+    found: dict[str, Any] | None = c.nodes[place].node.status()["feed"]
+    assert found is not None
+    return found
+
+
+def test_each_hears_its_scopes_from_any_member_a_learner_too(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            client = c.client()
+            made = running.prepare(c.read(3), "c")
+            await c.insist(client, "learn", made.node, c.settings[3].advertise)
+            await c.begin(3)
+            await put(client, ORDERS, b"1", "a", "b")
+            some = [Balancer([c.settings[p].advertise], [ORDERS, "global"], f"b{p}") for p in c.settings]
+            other = Balancer([c.settings[0].advertise], [CARTS], "other")
+            for one in some:
+                await one.has(ORDERS, "upstream/b", b"1")
+            result = await client.write_rows([Op(key(ORDERS, "a"), b"2"), Op("feed/global/tenant/acme", b"t"),
+                                              Op(key(CARTS, "x"), b"9"), Op(key(ORDERS, "b"), None)],
+                                             [("feed/global/tenant/acme",), (), (), ()])
+            for one in some:
+                await one.has(ORDERS, "upstream/a", b"2")
+                await one.has("global", "tenant/acme", b"t")
+                assert one.rows[ORDERS] == {"upstream/a": b"2"} and one.wholes(ORDERS) == 1
+                assert sorted(w.scope for w in one.applied if w.revision == result.revision) == [
+                    "global", ORDERS]
+            await other.has(CARTS, "upstream/x", b"9")
+            assert set(other.rows) == {CARTS}, "nothing of what it did not ask for"
+            other.client.want([ORDERS], [CARTS])
+            await other.has(ORDERS, "upstream/a", b"2")
+            with pytest.raises(Rejected, match="which is not there"):
+                await client.write_rows([Op(key(ORDERS, "c"), b"1")], [("feed/global/tenant/none",)])
+            with pytest.raises(Rejected, match="changed by writes of rows alone"):
+                await client.put(key(ORDERS, "c"), b"1")
+            assert all(feed_of(c, p)["subscribers"] == 1 + (p == 0) for p in c.nodes)
+            await leave(*some, other)
+    run(test)
+
+
+def test_a_node_that_has_no_rows_and_no_subscriber_has_no_feed(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            await c.client().put("config/a", b"1")
+            assert c.nodes[0].node.feeding.fanout is None and c.nodes[0].node.status()["feed"] is None
+    run(test)
+
+
+def test_a_node_that_restarts_goes_on_from_what_it_kept(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await put(client, ORDERS, b"1", "a")
+            one = Balancer([c.settings[0].advertise], [ORDERS])
+            await one.has(ORDERS, "upstream/a", b"1")
+            for number in range(2, 6):
+                await put(client, ORDERS, b"%d" % number, "a")
+            await one.has(ORDERS, "upstream/a", b"5")
+            await c.stop(0)
+            await c.begin(0)
+            await put(client, ORDERS, b"6", "a")
+            await one.has(ORDERS, "upstream/a", b"6")
+            assert one.wholes(ORDERS) == 1 and one.goes_forward()
+            found = feed_of(c, 0)
+            assert (found["snapshots"], found["resumes"]) == (0, 1)
+            await leave(one)
+    run(test)
+
+
+def test_a_log_that_was_cut_under_a_resume_gives_a_snapshot(tmp_path: Path,
+                                                            monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await put(client, ORDERS, b"1", "a", "b")
+            one = Balancer([c.settings[0].advertise], [ORDERS, CARTS])
+            await one.has(ORDERS, "upstream/a", b"1")
+            await c.stop(0)
+            monkeypatch.setattr(states, "EVENTS", 2)
+            await c.begin(0)
+            for number in range(2, 9):
+                await put(client, ORDERS, b"%d" % number, "a")
+            await c.stop(0)
+            await c.begin(0)
+            await one.has(ORDERS, "upstream/a", b"8")
+            assert one.rows[ORDERS] == {"upstream/a": b"8", "upstream/b": b"1"} and one.goes_forward()
+            await leave(one)
+    run(test)
+
+
+def test_a_snapshot_of_the_store_under_a_live_subscriber(tmp_path: Path) -> None:
+    async def test() -> None:
+        small = '[limits]\nkeep = 5\nlog = "64KiB"'
+        async with cluster(tmp_path, 3, extra=small) as c:
+            client = c.client()
+            await put(client, ORDERS, b"1", "a", "gone")
+            last = next(p for p in c.nodes if p != c.leader())
+            one = Balancer([c.settings[last].advertise], [ORDERS, CARTS])
+            await one.has(ORDERS, "upstream/a", b"1")
+            node = c.nodes[last].node
+            step = node.step
+            node.step = lambda sender, message: None  # type: ignore[method-assign]  # its subscriber stays
+            await put(client, ORDERS, None, "gone")
+            for number in range(60):
+                await client.put(f"k/{number}", bytes(3000))
+            await put(client, ORDERS, b"2", "a")
+            leader = c.nodes[c.leader()].node
+            async with asyncio.timeout(20):
+                while leader.core.log.base <= node.core.log.last:
+                    await asyncio.sleep(0.01)
+            node.step = step  # type: ignore[method-assign]
+            await one.has(ORDERS, "upstream/a", b"2")
+            assert one.rows[ORDERS] == {"upstream/a": b"2"} and one.goes_forward()
+            assert node.feeding.fanout is not None and len(node.feeding.hearers) == 1
+            await put(client, CARTS, b"3", "x")
+            await one.has(CARTS, "upstream/x", b"3")
+            await leave(one)
+    run(test)
+
+
+def test_who_stops_reading_holds_nobody_up_and_hears_the_last_value(tmp_path: Path) -> None:
+    """Its window is 64 KiB, and what it is not told 10 MB."""
+    async def test() -> None:
+        async with cluster(tmp_path, 1, extra='[feed]\nwindow = "64KiB"') as c:
+            client = c.client()
+            await put(client, ORDERS, b"0", "a")
+            slow = Balancer([c.settings[0].advertise], [ORDERS], "slow")
+            quick = Balancer([c.settings[0].advertise], [ORDERS], "quick", 2)
+            for one in (slow, quick):
+                await one.has(ORDERS, "upstream/a", b"0")
+            assert slow.client.wire is not None and slow.client.wire.transport is not None
+            slow.client.wire.transport.pause_reading()
+            big, names = bytes(4000), [f"n{i}" for i in range(50)]
+            for number in range(1, 51):
+                await put(client, ORDERS, big, *names)
+                revision = await put(client, ORDERS, b"%d" % number, "a")
+                await quick.has(ORDERS, "upstream/a", b"%d" % number)
+            unread = [one.transport.get_write_buffer_size() for one in c.nodes[0].server.connections
+                      if one.transport is not None]
+            assert max(unread) < 512 << 10 and feed_of(c, 0)["laggards"][0]["name"] == "slow"
+            told = len(slow.applied)
+            slow.client.wire.transport.resume_reading()
+            await slow.has(ORDERS, "upstream/a", b"50")
+            assert len(slow.applied) - told < 10 and slow.applied[-1].revision == revision
+            assert slow.goes_forward() and slow.rows == quick.rows
+            await leave(slow, quick)
+    run(test)
+
+
+def test_a_node_dies_and_nobody_goes_back_in_time(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path) as c:
+            client = c.client()
+            await put(client, ORDERS, b"0", "a")
+            addresses = [c.settings[p].advertise for p in c.settings]
+            some = [Balancer(addresses, [ORDERS], f"b{i}", i) for i in range(12)]
+            for one in some:
+                await one.has(ORDERS, "upstream/a", b"0")
+            assert len({one.client.at for one in some}) == 3, "they are spread"
+            for number in range(1, 21):
+                if number in (5, 12):  # no majority is needed to hear, but it is to write
+                    place = c.leader() if number == 5 else next(p for p in c.nodes if p != c.leader())
+                    await c.stop(place)
+                if number == 10:
+                    await c.begin(next(p for p in c.settings if p not in c.nodes))
+                await put(client, ORDERS, b"%d" % number, "a")
+            for one in some:
+                await one.has(ORDERS, "upstream/a", b"20")
+                assert one.goes_forward() and one.wholes(ORDERS) == 1
+            await leave(*some)
+    run(test)
+
+
+def test_a_restored_store_is_read_anew(tmp_path: Path) -> None:
+    """It is at an earlier revision, under a new name: rows as it has them, and cursors of the old mean
+    nothing."""
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await put(client, ORDERS, b"old", "a")
+            copy = tmp_path / "copy.db"
+            with open(copy, "wb") as file:
+                await client.copy(file.write)
+            for number in range(30):
+                await put(client, ORDERS, b"%d" % number, "a", "b")
+            running.restore(c.read(1), copy, "d")
+            one = Balancer([c.settings[0].advertise, c.settings[1].advertise], [ORDERS], seed=4)
+            await one.has(ORDERS, "upstream/a", b"29")
+            await c.begin(1)
+            await c.stop(0)
+            await one.has(ORDERS, "upstream/a", b"old")
+            assert one.rows[ORDERS] == {"upstream/a": b"old"} and one.wholes(ORDERS) == 2
+            assert one.client.subscription.epoch == "d"
+            await put(c.client(only=1), ORDERS, b"new", "a")
+            await one.has(ORDERS, "upstream/a", b"new")
+            await leave(one)
+    run(test)
+
+
+def test_an_older_program_among_the_members_has_no_rows_and_holds_them_back(tmp_path: Path) -> None:
+    async def test() -> None:
+        old = RealCluster(tmp_path, 2, '[timing]\nheartbeat = "40ms"\nelection = "200ms"\n')
+        client = old.client(deadline_s=1.0)
+        one = Balancer([old.members[1].address, old.members[0].address], [ORDERS], seed=3)
+        try:
+            first = old.members[0]
+            first.number = running.init(first.settings, name="0").node
+            await old.begin(first, 2)
+            await old.join(old.members[1], old=2)
+            await old.kill(first)
+            await old.begin(first)  # one of them is replaced
+            await client.put("config/a", b"1", within_s=20.0)
+            assert (await client.status())["format"] == 2
+            with pytest.raises(Exception, match="not all nodes know rows yet|does not read|Invalid"):
+                await client.write_rows([Op(key(ORDERS, "a"), b"1")])
+            await old.kill(old.members[1])
+            await old.begin(old.members[1])
+            await put(old.client(deadline_s=20.0), ORDERS, b"1", "a")
+            await one.has(ORDERS, "upstream/a", b"1")
+        finally:
+            await leave(one)
+            await client.close()
+            await old.stop()
+    run(test)
+
+
+def test_a_row_that_a_balancer_can_not_take_is_told_and_the_last_good_stands(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            one = Balancer([c.settings[0].advertise], [ORDERS], "picky",
+                           check=lambda scope, row: "it is too new" if row.value == b"new" else "")
+            await put(client, ORDERS, b"1", "a")
+            await one.has(ORDERS, "upstream/a", b"1")
+            await client.write_rows([Op(key(ORDERS, "a"), b"new"), Op(key(ORDERS, "b"), b"2")])
+            await one.has(ORDERS, "upstream/b", b"2")
+            assert one.value(ORDERS, "upstream/a") == b"1"
+            async with asyncio.timeout(20):
+                while not feed_of(c, 0)["refusals"]:
+                    await asyncio.sleep(0.005)
+            (refused,) = feed_of(c, 0)["refused"]
+            assert refused["name"] == "picky" and refused["refusal"][3] == "it is too new"
+            await leave(one)
+    run(test)
+
+
+def test_the_feed_needs_a_certificate_that_may_read(tmp_path: Path) -> None:
+    authority = Authority(tmp_path)
+    node, read = authority.issue("node"), authority.issue("read")
+    authority.issue("admin")
+    foreign = Authority(tmp_path, "foreign").issue("read", name="stranger")
+
+    async def test() -> None:
+        async with cluster(tmp_path, 1, node) as c:
+            await put(c.client(), ORDERS, b"1", "a")
+            one = Balancer([c.settings[0].advertise], [ORDERS], tls=read)
+            other = Balancer([c.settings[0].advertise], [ORDERS], tls=foreign)
+            await one.has(ORDERS, "upstream/a", b"1")
+            async with asyncio.timeout(20):
+                while not other.client.subscription.why:
+                    await asyncio.sleep(0.005)
+            assert not other.applied
+            await leave(one, other)
+    run(test)
+
+
+def test_a_word_that_none_says_ends_its_connection_in_one_line(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            wire, why = await greeted(c, Hello(1, "", 0))
+            assert not why
+            failed = await asyncio.wait_for(wire.ask(Feed(3, 0, b"\xc1")), 5)
+            assert isinstance(failed, protocol.Failed) and "no word of the feed" in failed.text
+            await asyncio.wait_for(wire.ended, 5)
+            assert c.nodes[0].node.feeding.hearers == {}
+            await put(c.client(), ORDERS, b"1", "a")
+    run(test)
+    with pytest.raises(Malformed):
+        FeedClient(["nowhere"], lambda: None, "b", [], lambda scope, row: "", lambda what: None)
+
+
+def test_a_feed_that_fails_begins_anew_and_the_store_goes_on(tmp_path: Path,
+                                                             monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await put(client, ORDERS, b"1", "a")
+            one = Balancer([c.settings[0].advertise], [ORDERS])
+            await one.has(ORDERS, "upstream/a", b"1")
+            fanout = c.nodes[0].node.feeding.fanout
+            assert fanout is not None
+            monkeypatch.setattr(fanout, "applied", lambda *what: 1 / 0)
+            await put(client, ORDERS, b"2", "a")
+            await one.has(ORDERS, "upstream/a", b"2")
+            assert feed_of(c, 0)["failures"] == 1 and one.goes_forward()
+            await leave(one)
+    run(test)
+
+
+def test_all_of_another_nodes_connections_wait_to_be_accepted_at_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            some = [socket.socket() for _ in range(320)]
+            for one in some:  # the loop stands still meanwhile, as one that serves others
+                one.settimeout(0.5)
+                one.connect(c.settings[0].listen)
+            for one in some:
+                one.close()
+    run(test)
