Tests: what comes while a node loads rows, and a reader stopped beyond its connection

Need: mutations of the shell that no test saw: the fan-out's writable and the small write buffer (the kernel's own buffers took all), what is held while rows load, an upgrade proposed with an older member present.

Change: the slow reader also with a window that its connection does not take, and small kernel buffers; a load held up at three points; leadership handed to the newer program before it is asked for rows.

--- a/lanelift/store/feeding.py
+++ b/lanelift/store/feeding.py
@@ -98,7 +98,7 @@
         fanout = self.fanout or Fanout(self.node.identity.cluster, self.limits, time.monotonic_ns())
         while True:
             self.stale = False
-            # Nothing is applied until this task goes on: what it has, and what is held from then on, join.
+            # What is applied before the state is looked at is among this, and held as well; the rest is held.
             loaded = await self.node.query(State.rows)
             await asyncio.get_running_loop().run_in_executor(None, _fill, fanout, loaded)
             if not self.stale:
--- a/tests/test_feed_store.py
+++ b/tests/test_feed_store.py
@@ -17,7 +17,7 @@
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.settings import Malformed
 from lanelift.store import run as running
-from lanelift.store.client import Client, Rejected, Undecided
+from lanelift.store.client import Client, Rejected, Unavailable, Undecided
 from lanelift.store.commands import Op
 from lanelift.store.durable import state as states
 from lanelift.store.feedclient import FeedClient
@@ -161,6 +161,46 @@
     run(test)
 
 
+@pytest.mark.parametrize("again", [False, True])  # a snapshot of the store comes meanwhile, with the change
+def test_what_comes_while_rows_are_loaded_is_neither_lost_nor_told_twice(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, again: bool) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client, node = c.client(), c.nodes[0].node
+            await put(client, ORDERS, b"0", "a")
+            one = Balancer([c.settings[0].advertise], [ORDERS])
+            await one.has(ORDERS, "upstream/a", b"0")
+            may_look, has_looked, may_go_on = asyncio.Event(), asyncio.Event(), asyncio.Event()
+            query = node.query
+
+            async def late(look: Any) -> Any:
+                await may_look.wait()
+                found = await query(look)
+                has_looked.set()
+                await may_go_on.wait()
+                return found
+
+            monkeypatch.setattr(node, "query", late)
+            node.feeding.installed()
+            before = await put(client, ORDERS, b"1", "a", "before")
+            may_look.set()
+            await has_looked.wait()
+            with monkeypatch.context() as patch:
+                if again:
+                    patch.setattr(node.feeding, "applied", lambda *what: None)
+                after = await put(client, ORDERS, b"2", "a", "after")
+            if again:
+                node.feeding.installed()
+            assert node.feeding.held is not None
+            may_go_on.set()
+            await one.has(ORDERS, "upstream/a", b"2")
+            assert set(one.rows[ORDERS]) == {"upstream/a", "upstream/before", "upstream/after"}
+            assert one.applied[-1].revision == after > before and one.goes_forward()
+            assert feed_of(c, 0)["failures"] == 0
+            await leave(one)
+    run(test)
+
+
 def test_a_log_that_was_cut_under_a_resume_gives_a_snapshot(tmp_path: Path,
                                                             monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
@@ -212,10 +252,11 @@
     run(test)
 
 
-def test_who_stops_reading_holds_nobody_up_and_hears_the_last_value(tmp_path: Path) -> None:
-    """Its window is 64 KiB, and what it is not told 10 MB."""
+@pytest.mark.parametrize("window", ["64KiB", "64MiB"])  # within it, and beyond what its connection takes
+def test_who_stops_reading_holds_nobody_up_and_hears_the_last_value(tmp_path: Path, window: str) -> None:
+    """What it is not told are 10 MB."""
     async def test() -> None:
-        async with cluster(tmp_path, 1, extra='[feed]\nwindow = "64KiB"') as c:
+        async with cluster(tmp_path, 1, extra=f'[feed]\nwindow = "{window}"') as c:
             client = c.client()
             await put(client, ORDERS, b"0", "a")
             slow = Balancer([c.settings[0].advertise], [ORDERS], "slow")
@@ -223,6 +264,10 @@
             for one in (slow, quick):
                 await one.has(ORDERS, "upstream/a", b"0")
             assert slow.client.wire is not None and slow.client.wire.transport is not None
+            for transport in (slow.client.wire.transport, *(
+                    one.transport for one in c.nodes[0].server.connections if one.transport is not None)):
+                for what in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, what, 16 << 10)
             slow.client.wire.transport.pause_reading()
             big, names = bytes(4000), [f"n{i}" for i in range(50)]
             for number in range(1, 51):
@@ -303,10 +348,11 @@
             await old.join(old.members[1], old=2)
             await old.kill(first)
             await old.begin(first)  # one of them is replaced
+            await old.insist(client, "transfer", first.number, "", 20.0)
             await client.put("config/a", b"1", within_s=20.0)
-            assert (await client.status())["format"] == 2
-            with pytest.raises(Exception, match="not all nodes know rows yet|does not read|Invalid"):
+            with pytest.raises(Unavailable, match=f"not all nodes know rows yet: {old.members[1].number:x}"):
                 await client.write_rows([Op(key(ORDERS, "a"), b"1")])
+            assert (await client.status())["format"] == 2
             await old.kill(old.members[1])
             await old.begin(old.members[1])
             await put(old.client(deadline_s=20.0), ORDERS, b"1", "a")
