--- a/lanelift/feed/fanout.py
+++ b/lanelift/feed/fanout.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from lanelift.feed.cache import WatchCache
 from lanelift.feed.messages import (
     MOST_NAME,
     MOST_REFUSALS,
@@ -25,16 +26,14 @@
     Later,
     Reached,
     Rescope,
-    Row,
     Subscribe,
     Word,
     is_scope,
     pack,
-    split,
     unpack_ask,
 )
 from lanelift.feed.pacing import MS, NS, Slots, TokenBucket
-from lanelift.feed.scope import UNKNOWN, FeedChange, Patches, Scope, size_of
+from lanelift.feed.scope import UNKNOWN, FeedChange, Patches, Scope
 from lanelift.feed.status import (
     MOST_LAGGARDS,
     MOST_REACHED,
@@ -86,13 +85,9 @@
 class Fanout:
     def __init__(self, epoch: str, limits: FanoutLimits, now: int) -> None:
         self.epoch, self.limits = epoch, limits
-        self.revision = 0
-        self.scopes: dict[str, Scope] = {}
+        self.cache = WatchCache(limits.log_changes, limits.log_bytes, limits.scope_changes)
         self.subscribers: dict[int, Subscriber] = {}
         self.patches = Patches(limits.cache_bytes, limits.part_bytes)
-        self._base = 0  # of scopes of which nothing is known
-        self._log: deque[tuple[Scope, int, int]] = deque()  # changes of all scopes' logs: revision, bytes
-        self._log_bytes = 0
         self._bookmarks: OrderedDict[Subscriber, int] = OrderedDict()  # when the next is due
         self._waiting: deque[Subscriber] = deque()  # for snapshots; none of them is blocked
         self._backlog = 0  # bytes of these
@@ -115,32 +110,19 @@
         if revision < self.revision or not 0 <= base <= revision:
             raise ValueError(f"rows of revision {revision} on a base of {base}, after {self.revision}")
         self._now = now
-        old, stood = self.scopes, self.revision
+        stood = self.revision
         if stood > 0 and base <= stood:
             if revision > stood:
                 self.applied(revision, [one for one in events if stood < one.revision <= revision], now)
             return
-        self.scopes, self._base, self.revision = {}, base, revision
-        self._log.clear()
-        self._log_bytes = 0
         self.patches.clear()
-        for key, version, value in rows:
-            name, short = split(key)
-            self._scope(name).keep(Row(short, version, value))
-        for change in events:
-            if base < change.revision <= revision:
-                name, short = split(change.key)
-                self._note(self._scope(name), change.revision, Row(short, change.version, change.value))
-        for name, before in old.items():
-            scope = self._scope(name)
-            if not scope.log and before.digest == scope.digest:
-                scope.bridge = (before.revision, stood)
-        self._trim(self.scopes.values())
+        old = self.cache.load(revision, rows, base, events)
+        self.cache.trim(self.cache.scopes.values())
         for subscriber in self.subscribers.values():
             if subscriber.parked is None:
                 self._move(subscriber, stood, now)
         for name in old:
-            self._tidy(self.scopes[name])
+            self.cache.tidy(self.cache.scopes[name])
         self._released(now)
         self._pump(now)
 
@@ -149,52 +131,16 @@
         if revision <= self.revision:
             raise ValueError(f"revision {revision} comes after {self.revision}")
         self._now = now
-        self.revision = revision
-        touched: dict[Scope, tuple[int, int]] = {}
-        for change in changes:
-            name, short = split(change.key)
-            scope = self._scope(name)
-            if scope not in touched:
-                touched[scope] = scope.revision, change.revision
-            row = Row(short, change.version, change.value)
-            scope.keep(row)
-            self._note(scope, change.revision, row)
-        for scope, (after, first) in touched.items():
-            self._tell(scope, after, first - 1, now)
-        self._trim(touched)
+        touched = self.cache.apply(revision, changes)
+        for scope, changed in touched.items():
+            self._tell(scope, changed.after, changed.first - 1, now)
+        self.cache.trim(touched)
         self._released(now)
         self._pump(now)
 
-    def _scope(self, name: str) -> Scope:
-        scope = self.scopes.get(name)
-        if scope is None:
-            scope = self.scopes[name] = Scope(name, self._base)
-        return scope
-
-    def _note(self, scope: Scope, revision: int, row: Row) -> None:
-        scope.note(revision, row)
-        size = size_of(row)
-        self._log.append((scope, revision, size))
-        self._log_bytes += size
-
-    def _trim(self, touched: Iterable[Scope]) -> None:
-        """The oldest revisions leave the logs until all are within their bounds. Those who stand at them were
-        told before."""
-        for scope in touched:
-            while scope.logged > self.limits.scope_changes:
-                scope.forget()
-        while len(self._log) > self.limits.log_changes or self._log_bytes > self.limits.log_bytes:
-            scope, revision, size = self._log.popleft()
-            self._log_bytes -= size
-            while scope.log and scope.log[0].revision <= revision:
-                scope.forget()
-            self._tidy(scope)
-
-    def _tidy(self, scope: Scope) -> None:
-        """Away with what nobody asks for; what its log no longer told is remembered for all such."""
-        if scope.idle and self.scopes.get(scope.name) is scope:
-            del self.scopes[scope.name]
-            self._base = max(self._base, scope.base)
+    @property
+    def revision(self) -> int:
+        return self.cache.revision
 
     def _tell(self, scope: Scope, after: int, floor: int, now: int) -> None:
         """A change, to all who watch its scope: those who can take it were at `after`."""
@@ -252,7 +198,7 @@
             raise BadWord(f"{len(cursors)} scopes: {MOST_SCOPES} at most")
         if ask.epoch != self.epoch:
             cursors = dict.fromkeys(cursors, 0)
-        needs = sum(self._needs(name, cursor) for name, cursor in cursors.items())
+        needs = sum(self.cache.needs(name, cursor) for name, cursor in cursors.items())
         if len(self.subscribers) >= self.limits.subscribers_most or (
                 needs and len(self._waiting) >= self.limits.waiting_most):
             self._later += 1
@@ -262,19 +208,12 @@
         subscriber = self.subscribers[number] = Subscriber(number, ask.name)
         self._bookmarks[subscriber] = now + self.limits.bookmark_ns
         if max(cursors.values(), default=0) > self.revision:
-            self._park(subscriber, cursors)
+            self._park(subscriber, cursors, now)
         else:
             self._begin(subscriber, cursors, now)
 
-    def _needs(self, name: str, cursor: int) -> int:
-        """Bytes of a snapshot, or 0 where the log goes on from here."""
-        scope = self.scopes.get(name)
-        if scope is None:
-            return 0 if cursor and cursor >= self._base else 1
-        return 0 if cursor and scope.covers(cursor) else scope.bytes + 1
-
-    def _park(self, subscriber: Subscriber, cursors: dict[str, int]) -> None:
-        subscriber.parked = cursors
+    def _park(self, subscriber: Subscriber, cursors: dict[str, int], now: int) -> None:
+        subscriber.parked, subscriber.parked_at = cursors, now
         if len(self._parked) > 2 * len(self.subscribers) + 64:  # most of them went elsewhere
             self._parked = [one for one in self._parked if one[2].parked is not None]
             heapq.heapify(self._parked)
@@ -300,7 +239,7 @@
                late: Late | None = None) -> None:
         """Among the watchers of a scope, from this cursor; 0: nothing is known. `late`: since when it was
         behind there already."""
-        scope = self._scope(name)
+        scope = self.cache.scope(name)
         scope.watchers[subscriber] = None
         subscriber.scopes[name] = scope
         since, floor = (late.since, late.floor) if late is not None else (now, cursor)
@@ -336,7 +275,7 @@
         scope = subscriber.scopes.pop(name)
         scope.watchers.pop(subscriber, None)
         self._lift(subscriber, name)
-        self._tidy(scope)
+        self.cache.tidy(scope)
 
     def _move(self, subscriber: Subscriber, stood: int, now: int) -> None:
         """Over to the scopes as they were loaded anew; where it was up to date, it was so at `stood`."""
@@ -368,7 +307,7 @@
             subscriber.parked |= add
             cursors, subscriber.parked = subscriber.parked, None
             if max(cursors.values(), default=0) > self.revision:
-                self._park(subscriber, cursors)
+                self._park(subscriber, cursors, now)
             else:
                 self._begin(subscriber, cursors, now)
             return
@@ -584,7 +523,8 @@
             reached=tuple(sorted(reached.items())[:MOST_REACHED]), laggards=laggards,
             refusals=len(refused), refused=tuple(refused[:MOST_REFUSED]),
             parked=sum(subscriber.parked is not None for subscriber in self.subscribers.values()),
-            waiting=len(self._waiting), sent_bytes=self._sent_bytes, sent_words=self._sent_words,
+            waiting=sum(bool(subscriber.pending) for subscriber in self.subscribers.values()),
+            sent_bytes=self._sent_bytes, sent_words=self._sent_words,
             encoded=self.patches.encoded, resumes=self._resumes, snapshots=self._snapshots,
             later=self._later)
 
--- a/lanelift/feed/pacing.py
+++ b/lanelift/feed/pacing.py
@@ -30,7 +30,7 @@
     def ready_at(self, now: int) -> int:
         """When there is something again."""
         self._fill(now)
-        return now if self._left > 0 else now + int((1 - self._left) * NS / self._rate) + 1
+        return now if self._left > 0 else self._at + int((1 - self._left) * NS / self._rate) + 1
 
 
 class Slots:
--- a/lanelift/feed/scope.py
+++ b/lanelift/feed/scope.py
@@ -120,7 +120,7 @@
                 break
             for row in reversed(entry.rows):
                 last.setdefault(row.key, row)
-        return list(last.values())
+        return list(last.values())[::-1]
 
     @property
     def idle(self) -> bool:
--- a/lanelift/feed/status.py
+++ b/lanelift/feed/status.py
@@ -26,8 +26,9 @@
 class FeedStatus(msgspec.Struct, frozen=True):
     """`reached`: revisions and on how many subscribers each is the last in force, the lowest first, 100 at
     most: those that are not counted there have come further. A row that was refused counts as reached and
-    stands in `refusals`. `waiting`: subscribers in the queue for snapshots. The rest are sums since the
-    start; `resumes`: subscriptions, or scopes' returns, that the log served."""
+    stands in `refusals`. `parked`: know more than the node; `waiting`: for snapshots. The rest are sums since
+    the start; `encoded`: patches made; `resumes`, `snapshots`: scopes that went on from the log, or whole;
+    `later`: subscriptions put off."""
 
     epoch: str
     revision: int
--- a/lanelift/feed/subscriber.py
+++ b/lanelift/feed/subscriber.py
@@ -39,7 +39,7 @@
 
     __slots__ = ("number", "name", "generation", "sequence", "acknowledged", "scopes", "dirty", "pending",
                  "pending_bytes", "unacknowledged", "unacknowledged_bytes", "writable", "parked", "refused",
-                 "announce", "queued", "turn")
+                 "announce", "queued", "turn", "parked_at")
 
     def __init__(self, number: int, name: str) -> None:
         self.number, self.name = number, name
@@ -53,6 +53,7 @@
         self.unacknowledged_bytes = 0
         self.writable = True
         self.parked: dict[str, int] | None = None
+        self.parked_at = 0
         self.refused: tuple[Refusal, ...] = ()
         self.announce = True  # a bookmark is owed as soon as all was told
         self.queued = False
@@ -67,7 +68,7 @@
     def lag(self) -> tuple[int, int] | None:
         """Up to where all is in force, and since when it is not where the node is; None: it is there."""
         if self.parked is not None:
-            return min(self.parked.values(), default=0), 0
+            return min(self.parked.values(), default=0), self.parked_at
         behind = [(late.floor, late.since) for late in self.dirty.values()]
         behind += [(late.floor, late.since) for late in self.pending.values()]
         behind += [(one.floor, one.at) for one in self.unacknowledged]
--- a/lanelift/feed/subscription.py
+++ b/lanelift/feed/subscription.py
@@ -46,9 +46,9 @@
     """`dial_ns`: a connection takes so long at most. `silent_ns`: a node that says nothing for so long is
     left; several of its bookmarks. `behind_ns`: so long a node that is behind is waited for. `backoff_ns`
     doubles to `backoff_most_ns`, and any part of it is drawn. `later_most`: so often in a row a node may put
-    it off. `ack_ns`, `ack_bytes`: an acknowledgement waits so long, or for so many bytes. `audit_rows`: so
-    many rows are hashed at one look, every `audit_ns`; a scope of more is looked through in pieces, at a
-    bookmark that tells its digest."""
+    it off, each time for `later_ns` at most. `ack_ns`, `ack_bytes`: an acknowledgement waits so long, or for
+    so many bytes. `audit_rows`: so many rows are hashed at one look, every `audit_ns`; a scope of more is
+    looked through in pieces, at a bookmark that tells its digest."""
 
     dial_ns: int = 5 * NS
     silent_ns: int = 45 * NS
@@ -56,6 +56,7 @@
     backoff_ns: int = 200 * MS
     backoff_most_ns: int = 5 * NS
     later_most: int = 5
+    later_ns: int = 60 * NS
     ack_ns: int = 50 * MS
     ack_bytes: int = 128 << 10
     audit_rows: int = 512
@@ -292,7 +293,7 @@
         if self._laters > self.limits.later_most:
             self._laters = 0
             self._turn += 1
-        self._wait("the node asks to come later", now + max(after_ms, 1) * MS)
+        self._wait("the node asks to come later", now + min(max(after_ms, 1) * MS, self.limits.later_ns))
 
     def _bookmark(self, generation: int, told: Bookmark, now: int) -> None:
         self._tries = self._laters = 0
--- /dev/null
+++ b/lanelift/lab/feed/measure.py
@@ -0,0 +1,213 @@
+"""What the feed's cores cost, without sockets: processor time of a change by who watches, memory by rows and
+by subscribers. `python -m lanelift.lab.feed.measure` prints each series with its fit as a line of JSON; each
+point has a process of its own.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import multiprocessing
+import os
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from statistics import linear_regression
+from typing import Any
+
+from lanelift.feed.fanout import Fanout, FanoutLimits, FeedChange
+from lanelift.feed.messages import Reached, Row, Subscribe, pack
+from lanelift.feed.subscription import Dial, Say, Subscription, SubscriptionLimits
+
+SECOND = 1_000_000_000
+VALUE = 110  # bytes, as those of an upstream
+LIMITS = FanoutLimits(snapshot_bytes_s=1 << 40, snapshot_burst=1 << 40, waiting_most=1 << 20)
+
+
+def resident() -> int:
+    """Bytes of this process."""
+    gc.collect()
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def rows(count: int, scopes: int) -> list[tuple[str, int, bytes]]:
+    rng = Random(count)
+    return [(f"feed/service:orders-{at % scopes}/upstream/{rng.getrandbits(64):016x}", 1 + at,
+             rng.randbytes(VALUE)) for at in range(count)]
+
+
+def loaded(count: int, scopes: int) -> Fanout:
+    fanout = Fanout("epoch", LIMITS, SECOND)
+    fanout.load(count + 1, rows(count, scopes), count + 1, [], SECOND)
+    return fanout
+
+
+def subscribed(fanout: Fanout, count: int, scopes: Callable[[int], list[str]]) -> None:
+    """All of them told, and acknowledged."""
+    for number in range(count):
+        ask = Subscribe(f"balancer-{number}", "epoch", tuple((scope, 0) for scope in scopes(number)))
+        fanout.heard(number, pack(ask), SECOND)
+        acknowledge(fanout)
+
+
+def acknowledge(fanout: Fanout) -> int:
+    last = {send.subscriber: send.sequence for send in fanout.take_out() if send.sequence}
+    words = [(number, pack(Reached(sequence))) for number, sequence in last.items()]
+    began = time.process_time_ns()
+    for number, word in words:
+        fanout.heard(number, word, SECOND)
+    return time.process_time_ns() - began
+
+
+def change(subscribers: int) -> dict[str, float]:
+    """us of a change that all subscribers watch: to tell it, and to hear that it was reached."""
+    fanout = loaded(1_000, 1)
+    subscribed(fanout, subscribers, lambda number: ["service:orders-0"])
+    told = heard = 0
+    turns = 200
+    for at in range(turns):
+        revision = fanout.revision + 1
+        changes = [FeedChange(revision, "feed/service:orders-0/upstream/x", at + 1, bytes(VALUE))]
+        began = time.process_time_ns()
+        fanout.applied(revision, changes, SECOND)
+        sends = fanout.take_out()
+        told += time.process_time_ns() - began
+        assert len(sends) == subscribers
+        words = [(send.subscriber, pack(Reached(send.sequence))) for send in sends]
+        began = time.process_time_ns()
+        for number, word in words:
+            fanout.heard(number, word, SECOND)
+        heard += time.process_time_ns() - began
+    return {"told_us": told / turns / 1_000, "heard_us": heard / turns / 1_000}
+
+
+def rest(subscribers: int) -> dict[str, float]:
+    """us a second of bookmarks, where nothing changes and each has 100 scopes."""
+    fanout = loaded(10_000, 500)
+    subscribed(fanout, subscribers, lambda number: [f"service:orders-{(number * 7 + at) % 500}"
+                                                    for at in range(100)])
+    began = time.process_time_ns()
+    seconds = 120
+    for second in range(2, 2 + seconds):
+        fanout.tick(second * SECOND)
+        fanout.take_out()
+    return {"rest_us_s": (time.process_time_ns() - began) / seconds / 1_000}
+
+
+def resume(subscribers: int) -> dict[str, float]:
+    """us of one subscriber that comes from another node, 100 scopes, from the log; so many come."""
+    fanout = loaded(10_000, 500)
+    asks = [pack(Subscribe(f"balancer-{number}", "epoch", tuple(
+        (f"service:orders-{(number * 7 + at) % 500}", 10_001) for at in range(100))))
+        for number in range(subscribers)]
+    began = time.process_time_ns()
+    for number, ask in enumerate(asks):
+        fanout.heard(number, ask, SECOND)
+    fanout.take_out()
+    return {"resume_us": (time.process_time_ns() - began) / 1_000}
+
+
+def row_memory(count: int) -> dict[str, float]:
+    """Bytes of a node by its rows, beside their values, which its state holds too."""
+    told = rows(count, 2_900)
+    before = resident()
+    fanout = Fanout("epoch", LIMITS, SECOND)
+    fanout.load(count + 1, told, count + 1, [], SECOND)
+    after = resident()
+    assert fanout.revision
+    return {"row_bytes": after - before}
+
+
+def subscriber_memory(count: int) -> dict[str, float]:
+    """Bytes of a node by its subscribers, of 100 scopes each."""
+    fanout = loaded(10_000, 500)
+    before = resident()
+    subscribed(fanout, count, lambda number: [f"service:orders-{(number * 7 + at) % 500}"
+                                              for at in range(100)])
+    return {"subscriber_bytes": resident() - before}
+
+
+def balancer(count: int) -> dict[str, float]:
+    """us of one delta, and bytes, of a balancer by the rows of its one scope."""
+    fanout = loaded(count, 1)
+    before = resident()
+    subscription = Subscription("balancer", ["service:orders-0"], _takes, SubscriptionLimits(), Random(1), 0)
+    now = SECOND
+
+    def turn(now: int) -> int:
+        spent = 0
+        while actions := subscription.take_out():
+            for action in actions:
+                if isinstance(action, Dial):
+                    subscription.connected("epoch", now)
+                elif isinstance(action, Say):
+                    fanout.heard(1, action.word, now)
+            sends = fanout.take_out()
+            began = time.process_time_ns()
+            for send in sends:
+                subscription.heard(send.generation, send.sequence, send.word, now)
+            subscription.tick(now)
+            spent += time.process_time_ns() - began
+        return spent
+
+    turn(now)
+    memory = resident() - before
+    spent, turns = 0, 300
+    for at in range(turns):
+        now += SECOND // 5
+        revision = fanout.revision + 1
+        fanout.applied(revision, [FeedChange(revision, "feed/service:orders-0/upstream/x", at + 1,
+                                             bytes(VALUE))], now)
+        sends = fanout.take_out()
+        began = time.process_time_ns()
+        for send in sends:
+            subscription.heard(send.generation, send.sequence, send.word, now)
+        subscription.tick(now + SECOND // 10)
+        spent += time.process_time_ns() - began
+        spent += turn(now + SECOND // 10)
+    assert subscription.ready and not subscription.mended
+    return {"delta_us": spent / turns / 1_000, "table_bytes": memory}
+
+
+def _takes(scope: str, row: Row) -> str:
+    return ""
+
+
+SUBSCRIBERS = (100, 322, 725, 1_450)
+SERIES: dict[str, tuple[Callable[[int], dict[str, float]], tuple[int, ...]]] = {
+    "change": (change, SUBSCRIBERS),
+    "rest": (rest, SUBSCRIBERS),
+    "resume": (resume, SUBSCRIBERS),
+    "subscriber_memory": (subscriber_memory, SUBSCRIBERS),
+    "row_memory": (row_memory, (16_250, 32_500, 65_000, 130_000)),
+    "balancer": (balancer, (10, 100, 1_000, 5_000)),
+}
+
+
+def _point(name: str, size: int) -> dict[str, float]:
+    return SERIES[name][0](size)
+
+
+def fitted(name: str) -> list[dict[str, Any]]:
+    """One entry a figure: its points, slope, intercept and the largest relative distance from the line."""
+    sizes = SERIES[name][1]
+    found: dict[str, list[tuple[int, float]]] = {}
+    with multiprocessing.get_context("spawn").Pool(1, maxtasksperchild=1) as pool:
+        for size in sizes:
+            for figure, value in pool.apply(_point, (name, size)).items():
+                found.setdefault(figure, []).append((size, value))
+    entries = []
+    for figure, points in found.items():
+        line = linear_regression([x for x, _ in points], [y for _, y in points])
+        residue = max(abs(y - line.slope * x - line.intercept) / max(abs(y), 1e-9) for x, y in points)
+        entries.append({"figure": figure, "points": points, "slope": line.slope,
+                        "intercept": line.intercept, "residue": residue})
+    return entries
+
+
+if __name__ == "__main__":
+    for wanted in sys.argv[1:] or SERIES:
+        for entry in fitted(wanted):
+            print(json.dumps(entry), flush=True)
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,874 @@
+"""The cores of the feed: a node's fan-out and a balancer's subscription, handed to each other by the test."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+
+import pytest
+from msgspec import structs
+
+from lanelift.feed import digest, messages
+from lanelift.feed.fanout import BadWord, Fanout, FanoutLimits, FeedChange, Send
+from lanelift.feed.messages import Behind, Bookmark, Later, Patch, Reached, Refusal, Rescope, Row, Subscribe
+from lanelift.feed.pacing import Slots, TokenBucket
+from lanelift.feed.subscription import (
+    Action,
+    Apply,
+    Dial,
+    HangUp,
+    Say,
+    State,
+    Subscription,
+    SubscriptionLimits,
+)
+
+pack = messages.pack
+S = 1_000_000_000
+MS = 1_000_000
+QUICK = FanoutLimits(snapshot_bytes_s=1 << 40, snapshot_burst=1 << 40)
+LIMITS = SubscriptionLimits(ack_ns=50 * MS)
+A, B = "service:a", "service:b"
+
+
+def change(revision: int, scope: str, name: str, version: int, value: bytes | None) -> FeedChange:
+    return FeedChange(revision, f"feed/{scope}/upstream/{name}", version, value)
+
+
+def fanout(limits: FanoutLimits = QUICK, revision: int = 10, epoch: str = "e", size: int = 1) -> Fanout:
+    """A, B and global hold the rows x and y of version 1, as of revision 10."""
+    made = Fanout(epoch, limits, 0)
+    rows = [(f"feed/{scope}/upstream/{name}", 1, b"1" * size) for scope in (A, B, "global") for name in "xy"]
+    made.load(revision, rows, revision, [], 0)
+    return made
+
+
+def subscribe(node: Fanout, number: int, scopes: Iterable[tuple[str, int]], epoch: str = "e",
+              now: int = 0) -> list[Any]:
+    node.heard(number, pack(Subscribe(f"b{number}", epoch, tuple(scopes))), now)
+    return told(node, number)
+
+
+def told(node: Fanout, number: int | None = None) -> list[Any]:
+    return [messages.unpack_told(send.word) for send in node.take_out() if number in (None, send.subscriber)]
+
+
+def reach(node: Fanout, sends: list[Send], now: int = 0) -> None:
+    for number, sequence in {send.subscriber: send.sequence for send in sends if send.sequence}.items():
+        node.heard(number, pack(Reached(sequence)), now)
+
+
+def taken(node: Fanout, now: int = 0) -> list[Send]:
+    """What goes out, all of it acknowledged at once."""
+    sends: list[Send] = []
+    while more := node.take_out():
+        sends += more
+        reach(node, more, now)
+    return sends
+
+
+def rows_of(patch: Patch) -> dict[str, bytes | None]:
+    return {row.key.split("/")[1]: row.value for row in patch.rows}
+
+
+class Line:
+    """Balancers and the nodes they dial, without delay. `scopes` as the program has them, by what was handed
+    to it."""
+
+    def __init__(self, nodes: list[Fanout], scopes: Iterable[str], refuses: bytes = b"!",
+                 limits: SubscriptionLimits = LIMITS, seed: int = 1, now: int = 0, number: int = 1) -> None:
+        self.nodes, self.now, self.number = nodes, now, number * 1_000
+        self.refuses = refuses
+        self.has: dict[str, dict[str, Row]] = {}
+        self.words: list[Any] = []
+        self.acts: list[Action] = []
+        self.node: Fanout | None = None
+        self.one = Subscription(f"b{number}", list(scopes), self.check, limits, Random(seed), now)
+
+    def check(self, scope: str, row: Row) -> str:
+        return "not known here" if row.value is not None and row.value.startswith(self.refuses) else ""
+
+    def act(self, action: Action) -> None:
+        self.acts.append(action)
+        if isinstance(action, Dial):
+            self.number += 1
+            self.node = self.nodes[action.turn % len(self.nodes)]
+            self.one.connected(self.node.epoch, self.now)
+        elif isinstance(action, HangUp):
+            self.cut()
+        elif isinstance(action, Say):
+            self.words.append(messages.unpack_ask(action.word))
+            if self.node is not None:
+                self.node.heard(self.number, action.word, self.now)
+        else:
+            assert isinstance(action, Apply)
+            rows = {} if action.whole else self.has[action.scope]
+            for row in action.rows:
+                rows[row.key] = row
+            self.has[action.scope] = {key: row for key, row in rows.items() if row.value is not None}
+
+    def cut(self) -> None:
+        if self.node is not None:
+            self.node.gone(self.number, self.now)
+            self.node = None
+
+    def turn(self, most: int = 1_000) -> Line:
+        """Until neither side has anything to say, or so many words of nodes were heard."""
+        while True:
+            actions = self.one.take_out()
+            for action in actions:
+                self.act(action)
+            sends = self.node.take_out() if self.node is not None else []
+            for send in sends:
+                if send.subscriber == self.number:
+                    if not most:
+                        return self
+                    most -= 1
+                    self.one.heard(send.generation, send.sequence, send.word, self.now)
+            if not actions and not sends:
+                return self
+
+    def later(self, ns: int) -> Line:
+        """Through all that is due within this time."""
+        until = self.now + ns
+        self.turn()
+        while True:
+            due = [self.one.wake_ns]
+            if self.node is not None and self.node.wake_ns:
+                due.append(self.node.wake_ns)
+            self.now = min(until, max(self.now, *due) if len(due) == 1 else max(self.now, min(due)))
+            if self.node is not None:
+                self.node.tick(self.now)
+            self.one.tick(self.now)
+            self.turn()
+            if self.now >= until:
+                return self
+
+    def state(self) -> str:
+        return self.one.state.value
+
+    def values(self, scope: str) -> dict[str, bytes | None]:
+        return {key.split("/")[1]: row.value for key, row in self.has[scope].items()}
+
+
+# ---- one change, many who hear it ------------------------------------------------------------------------
+
+
+def test_a_change_is_encoded_once_a_scope_and_not_once_a_watcher() -> None:
+    node = fanout()
+    for number in range(300):
+        subscribe(node, number, [(A, 10), (B, 10)])
+    before = node.status().encoded
+    node.applied(11, [change(11, A, "x", 2, b"2"), change(11, B, "x", 2, b"2")], 0)
+    sends = node.take_out()
+    assert len(sends) == 600 and len({id(send.word) for send in sends}) == 2
+    assert node.status().encoded == before + 2
+    # Those who come back from another node and stand at one place share as well.
+    for number in range(300, 400):
+        subscribe(node, number, [(A, 10)])
+    assert node.status().encoded == before + 2
+
+
+def test_snapshots_are_encoded_once_for_all_who_want_them() -> None:
+    node = fanout()
+    for number in range(50):
+        subscribe(node, number, [(A, 0)])
+    assert node.status().encoded == 1 and node.status().snapshots == 50
+
+
+def test_a_write_over_many_scopes_is_whole_within_each() -> None:
+    node = fanout()
+    line = Line([node], [A, B]).turn()
+    node.applied(11, [change(11, scope, name, 2, b"2") for name in "xy" for scope in (A, B)], 0)
+    patches = [messages.unpack_told(send.word) for send in node.take_out()]
+    assert [(patch.scope, rows_of(patch)) for patch in patches if isinstance(patch, Patch)] == [
+        (A, {"x": b"2", "y": b"2"}), (B, {"x": b"2", "y": b"2"})]
+    assert line.one.ready
+
+
+def test_who_is_slow_holds_nobody_up_and_hears_the_last_value_in_one_delta() -> None:
+    node = fanout(structs.replace(QUICK, window_bytes=2_000))
+    for number in (1, 2):
+        subscribe(node, number, [(A, 10)])
+    heard: Counter[int] = Counter()
+    slow: list[Send] = []
+    for revision in range(11, 511):
+        node.applied(revision, [change(revision, A, "xyz"[revision % 3], revision, b"%d" % revision)], 0)
+        for send in node.take_out():
+            heard[send.subscriber] += 1
+            if send.subscriber == 1:
+                slow.append(send)
+            else:
+                node.heard(2, pack(Reached(send.sequence)), 0)
+        assert node.subscribers[1].unacknowledged_bytes <= 2_000
+    assert heard[2] == 500 and 0 < heard[1] < 50
+    node.heard(1, pack(Reached(slow[-1].sequence)), 0)
+    patch, = told(node, 1)
+    assert rows_of(patch) == {"x": b"510", "y": b"508", "z": b"509"}
+    assert patch.after == slow_revision(slow) and patch.revision == 510
+
+
+def slow_revision(sends: list[Send]) -> int:
+    patch = messages.unpack_told(sends[-1].word)
+    assert isinstance(patch, Patch)
+    return patch.revision
+
+
+def test_who_takes_nothing_is_sent_nothing_until_it_does() -> None:
+    node = fanout()
+    subscribe(node, 1, [(A, 10), (B, 10)])
+    node.writable(1, False, 0)
+    for revision in range(11, 60):
+        node.applied(revision, [change(revision, A, "x", revision, b"%d" % revision)], 0)
+    node.tick(100 * S)
+    assert node.take_out() == []
+    node.writable(1, True, 0)
+    patch, = told(node)
+    assert (patch.scope, rows_of(patch)) == (A, {"x": b"59"})
+
+
+def test_a_row_deleted_and_made_again_meanwhile_is_there_once() -> None:
+    node = fanout()
+    line = Line([node], [A]).turn()
+    node.writable(line.number, False, 0)
+    node.applied(11, [change(11, A, "x", 2, None), change(11, A, "y", 2, None)], 0)
+    node.applied(12, [change(12, A, "x", 3, b"new"), change(12, A, "z", 1, b"z")], 0)
+    node.applied(13, [change(13, A, "z", 2, None)], 0)
+    node.writable(line.number, True, 0)
+    line.turn()
+    assert line.values(A) == {"x": b"new"} and line.one.mended == 0
+    node.applied(14, [change(14, A, "x", 4, None)], 0)
+    assert line.turn().values(A) == {}
+    node.applied(15, [change(15, A, "x", 5, b"again")], 0)
+    assert line.turn().values(A) == {"x": b"again"}
+
+
+def test_a_patch_in_parts_comes_into_force_at_once_and_never_half() -> None:
+    node = fanout(structs.replace(QUICK, part_bytes=200, window_bytes=500))
+    line = Line([node], [A]).turn()
+    node.applied(11, [change(11, A, f"n{number}", 1, b"v" * 90) for number in range(20)], 0)
+    line.acts.clear()
+    line.later(S)
+    applied = [action for action in line.acts if isinstance(action, Apply)]
+    assert [len(action.rows) for action in applied] == [20]
+    assert line.one.mended == 0 and node.status().reached == ((11, 1),)
+
+
+def test_what_changes_while_a_snapshot_is_under_way_follows_it() -> None:
+    limits = structs.replace(QUICK, part_bytes=200, window_bytes=500)
+    node = fanout(limits, size=150)
+    node.applied(11, [change(11, A, f"n{number}", 1, b"v" * 90) for number in range(20)], 0)
+    line = Line([node], [A]).turn()  # the window holds it up in the middle
+    assert not line.one.ready and node.subscribers[line.number].pending
+    node.applied(12, [change(12, A, "n3", 2, None), change(12, A, "new", 1, b"n")], 0)
+    line.later(S)
+    assert line.one.ready and "n3" not in line.values(A) and line.values(A)["new"] == b"n"
+    assert node.status().reached == ((12, 1),)
+
+
+def test_live_deltas_do_not_wait_for_snapshots() -> None:
+    node = fanout(FanoutLimits(snapshot_bytes_s=1_000, snapshot_burst=1), size=3_000)
+    subscribe(node, 1, [(A, 10)])
+    for number in range(2, 12):
+        subscribe(node, number, [(A, 0), (B, 0)])
+    node.take_out()
+    assert node.status().waiting == 10
+    node.applied(11, [change(11, A, "x", 2, b"2")], 0)
+    sent = [send.subscriber for send in node.take_out()]
+    assert sent == [1, 2]  # the second has A already, and waits for B
+
+
+# ---- scopes come and go ----------------------------------------------------------------------------------
+
+
+def test_a_scope_is_added_without_a_gap_and_a_dropped_one_is_heard_of_no_more() -> None:
+    node = fanout()
+    line = Line([node], [A]).turn()
+    line.one.want([B], [], 0)
+    node.applied(11, [change(11, A, "x", 2, b"2"), change(11, B, "x", 2, b"2")], 0)  # before it has heard
+    line.turn()
+    assert line.values(B) == {"x": b"2", "y": b"1"} and line.values(A)["x"] == b"2"
+    line.acts.clear()
+    node.applied(12, [change(12, A, "x", 3, b"3"), change(12, B, "x", 3, b"3")], 0)  # on its way
+    line.one.want([], [A], 0)
+    line.turn()
+    assert {action.scope for action in line.acts if isinstance(action, Apply)} == {B}
+    assert A not in line.one.scopes and A not in node.subscribers[line.number].scopes
+
+
+def test_words_of_before_a_scope_was_dropped_and_wanted_again_do_not_count() -> None:
+    node = fanout()
+    line = Line([node], [A]).turn()
+    node.applied(11, [change(11, A, "x", 2, b"old")], 0)
+    late = node.take_out()
+    line.one.want([], [A], 0)
+    line.one.want([A], [], 0)
+    table = line.one.scopes[A]
+    for send in late:
+        line.one.heard(send.generation, send.sequence, send.word, 0)
+    late_bookmark = pack(Bookmark(99, ((A, 1),)))
+    line.one.heard(1, 0, late_bookmark, 0)
+    assert not table.known and not table.rows and table.cursor == 0
+    line.turn()
+    assert table.known and line.values(A)["x"] == b"old" and line.one.mended == 0
+    # In one word it is the same.
+    line.one.want([A], [A], 0)
+    assert not line.one.scopes[A].known
+    assert line.turn().one.ready
+    node.applied(12, [change(12, A, "x", 3, b"3")], 0)
+    line.later(S)
+    assert line.values(A)["x"] == b"3" and node.status().reached == ((12, 1),)
+
+
+def test_many_changes_of_scopes_under_way_at_once() -> None:
+    node = fanout()
+    line = Line([node], [A])
+    for add, drop in (([B], [A]), ([A, "global"], [B]), ([B], ["global"]), ([], [A]), ([A], [])):
+        line.one.want(add, drop, 0)
+    line.turn()
+    line.one.want(["global"], [B], 0)
+    line.one.want([B], ["global"], 0)
+    line.turn()
+    assert set(line.has) >= {A, B} and line.one.ready and set(line.one.scopes) == {A, B}
+    assert set(node.subscribers[line.number].scopes) == {A, B}
+
+
+def test_what_can_not_be_wanted() -> None:
+    one = Subscription("b", [A], lambda scope, row: "", LIMITS, Random(1), 0)
+    with pytest.raises(ValueError, match="no scope"):
+        one.want(["service:"], [], 0)
+    with pytest.raises(ValueError, match="more than 4096"):
+        one.want([f"service:{number}" for number in range(4_096)], [], 0)
+    assert set(one.scopes) == {A}
+
+
+# ---- another node ----------------------------------------------------------------------------------------
+
+
+def test_a_subscriber_that_knows_more_than_the_node_waits_there_and_goes_on() -> None:
+    ahead, behind = fanout(), fanout()
+    line = Line([ahead, behind], [A, B]).turn()
+    ahead.applied(11, [change(11, A, "x", 2, b"2")], 0)
+    line.turn()
+    line.cut()
+    line.one.lost("node died", 0)
+    line.later(S)
+    assert line.node is behind and line.state() == "parked"
+    assert line.values(A)["x"] == b"2" and behind.status().parked == 1
+    assert line.one.age(line.now) == line.now > 0
+    behind.applied(11, [change(11, A, "x", 2, b"2")], line.now)
+    line.turn()
+    assert line.state() == "following" and line.one.age(line.now) == 0
+    behind.applied(12, [change(12, B, "y", 2, b"2")], line.now)
+    line.later(S)
+    assert line.values(B)["y"] == b"2" and behind.status().reached == ((12, 1),)
+    assert behind.status().snapshots == 0
+
+
+def test_it_does_not_wait_for_ever_and_asks_elsewhere() -> None:
+    nodes = [fanout(), fanout(), fanout()]
+    line = Line(nodes, [A]).turn()
+    nodes[0].applied(11, [change(11, A, "x", 2, b"2")], 0)
+    line.turn()
+    line.cut()
+    line.one.lost("node died", 0)
+    line.later(10 * S)
+    dials = [action.turn % 3 for action in line.acts if isinstance(action, Dial)]
+    assert dials[:4] == [0, 1, 2, 0] and line.node is nodes[0]
+    assert line.values(A)["x"] == b"2"
+    for node in nodes[1:]:
+        assert not node.subscribers
+
+
+def test_a_scope_never_goes_back_though_a_node_offers_it_whole() -> None:
+    line = Line([fanout(revision=20)], [A]).turn()
+    line.one.scopes[A].rows.popitem()  # so it is asked for anew, without a cursor
+    line.nodes.append(fanout(revision=15))
+    line.cut()
+    line.one.scopes[A].known = False
+    line.one.lost("cut", 0)
+    line.acts.clear()
+    line.later(300 * MS)
+    assert any(isinstance(action, HangUp) and "went back" in action.why for action in line.acts)
+    assert not any(isinstance(action, Apply) for action in line.acts)
+    assert line.later(20 * S).one.ready and line.one.scopes[A].cursor == 20
+
+
+def test_a_snapshot_cut_in_the_middle_is_asked_for_again_and_just_that() -> None:
+    node = fanout(structs.replace(QUICK, part_bytes=100), size=60)
+    line = Line([node], [A, B]).turn(most=3)  # both parts of A, and one of B
+    assert line.one.scopes[A].known and not line.one.scopes[B].known and B not in line.has
+    line.cut()
+    line.one.lost("cut", 0)
+    line.words.clear()
+    line.later(S)
+    assert line.words[0].cursors == ((A, 10), (B, 0))
+    assert line.one.ready and node.status().snapshots == 3 and line.one.mended == 0
+
+
+def test_a_log_that_no_longer_covers_a_cursor_gives_a_snapshot_of_that_scope() -> None:
+    node = fanout(structs.replace(QUICK, log_changes=5))
+    for revision in range(11, 31):
+        node.applied(revision, [change(revision, A, "x", revision, b"%d" % revision)], 0)
+    node.applied(31, [change(31, B, "x", 2, b"2")], 0)
+    found = subscribe(node, 1, [(A, 12), (B, 12), ("global", 12)])
+    assert [(one.scope, one.whole, rows_of(one)) for one in found if isinstance(one, Patch)] == [
+        (B, False, {"x": b"2"}), (A, True, {"x": b"30", "y": b"1"})]
+    status = node.status()
+    assert status.resumes == 2 and status.snapshots == 1
+
+
+def test_the_log_of_one_scope_and_of_all_is_bounded() -> None:
+    node = fanout(structs.replace(QUICK, scope_changes=8, log_changes=20, log_bytes=2_000))
+    for revision in range(11, 200):
+        scope = A if revision % 10 else f"service:s{revision}"
+        node.applied(revision, [change(revision, scope, "x", revision, b"." * (revision % 50))], 0)
+        changes, size = node.cache.logged
+        assert changes <= 20 and size <= 2_000
+        assert node.cache.scopes[A].logged <= 8
+
+
+def test_nothing_is_kept_of_scopes_without_rows_that_nobody_watches() -> None:
+    node = fanout(structs.replace(QUICK, log_changes=3))
+    subscribe(node, 1, [(f"service:none-{number}", 0) for number in range(100)])
+    assert len(node.cache.scopes) == 103
+    node.gone(1, 0)
+    assert len(node.cache.scopes) == 3
+    node.applied(11, [change(11, "service:short", "x", 1, b"1")], 0)
+    node.applied(12, [change(12, "service:short", "x", 2, None)], 0)
+    for revision in range(13, 20):
+        node.applied(revision, [change(revision, A, "x", revision, b"1")], 0)
+    assert "service:short" not in node.cache.scopes
+    # Who saw it there is not left with it.
+    patch = subscribe(node, 2, [("service:short", 11)])[0]
+    assert patch.whole and patch.rows == ()
+
+
+def load(node: Fanout, revision: int, base: int, changes: list[FeedChange], now: int = 0) -> None:
+    """A snapshot that holds these changes, of which it tells those past `base`."""
+    rows = {f"feed/{scope.name}/{row.key}": (row.version, row.value)
+            for scope in node.cache.scopes.values() for row in scope.rows.values()}
+    for one in changes:
+        if one.value is None:
+            rows.pop(one.key, None)
+        else:
+            rows[one.key] = (one.version, one.value)
+    node.load(revision, [(key, version, value or b"") for key, (version, value) in rows.items()], base,
+              changes, now)
+
+
+def test_a_snapshot_of_the_store_is_installed_under_live_subscribers() -> None:
+    node = fanout()
+    line = Line([node], [A, B, "global"]).turn()
+    line.later(S)
+    line.acts.clear()
+    load(node, 30, 20, [change(15, A, "x", 2, b"unseen"), change(25, B, "y", 2, b"seen")])
+    line.later(S)
+    applied = {action.scope: action for action in line.acts if isinstance(action, Apply)}
+    assert applied[A].whole and applied[B].whole and "global" not in applied
+    assert line.values(A)["x"] == b"unseen" and line.values(B)["y"] == b"seen"
+    node.applied(31, [change(31, "global", "x", 2, b"2")], 0)
+    line.later(S)
+    assert line.values("global")["x"] == b"2" and line.one.mended == 0
+    assert node.status().reached == ((31, 1),) and node.status().snapshots == 5
+
+
+def test_where_the_log_goes_on_a_snapshot_of_the_store_is_deltas_to_subscribers() -> None:
+    node = fanout()
+    line = Line([node], [A, B]).turn()
+    line.acts.clear()
+    load(node, 30, 5, [change(8, A, "x", 1, b"1"), change(15, A, "x", 2, b"2")])
+    line.turn()
+    assert [(one.scope, one.whole) for one in line.acts if isinstance(one, Apply)] == [(A, False)]
+    with pytest.raises(ValueError, match="revision 12"):
+        node.load(12, [], 1, [], 0)
+    with pytest.raises(ValueError, match="comes after"):
+        node.applied(30, [], 0)
+
+
+def test_a_restored_store_is_read_anew_and_what_there_was_stands_until_then() -> None:
+    line = Line([fanout(revision=50)], [A, B]).turn()
+    line.cut()
+    line.nodes = [fanout(structs.replace(QUICK, snapshot_burst=1, snapshot_bytes_s=60), 12, "restored")]
+    line.nodes[0].applied(13, [change(13, A, "x", 2, b"back")], 0)
+    line.one.lost("cut", 0)
+    line.words.clear()
+    line.later(300 * MS)
+    assert line.words[0] == Subscribe("b1", "restored", ((A, 0), (B, 0)))
+    assert line.values(A)["x"] == b"back" and line.values(B) == {"x": b"1", "y": b"1"}
+    assert not line.one.ready
+    line.later(10 * S)
+    assert line.one.ready and line.one.scopes[B].cursor == 13 and line.one.epoch == "restored"
+    # A cursor of another epoch is none.
+    assert subscribe(fanout(), 9, [(A, 10)], epoch="other")[0].whole
+
+
+# ---- many come at once -----------------------------------------------------------------------------------
+
+
+def test_snapshots_are_paced_and_their_queue_is_bounded() -> None:
+    limits = FanoutLimits(snapshot_bytes_s=100_000, snapshot_burst=20_000, waiting_most=10)
+    node = fanout(limits, size=2_000)
+    subscribe(node, 0, [(A, 10)])  # a live one
+    waits = []
+    for number in range(1, 321):
+        waits += [one.after_ms for one in subscribe(node, number, [(A, 0), (B, 0)]) if
+                  isinstance(one, Later)]
+    status = node.status()
+    assert status.waiting == 10 and status.later == len(waits) == 320 - status.subscribers + 1
+    # They don't come back together: no half second gets more than twice its share.
+    spread = Counter(wait // 500 for wait in waits)
+    assert max(waits) <= limits.later_most_ms and len(spread) > 10
+    assert max(spread.values()) < 2 * len(waits) / (max(waits) / 500)
+    # Who needs no snapshot is served at once, and told when there is something.
+    assert isinstance(subscribe(node, 999, [(A, 10), (B, 10)])[0], Bookmark)
+    node.applied(11, [change(11, B, "x", 2, b"2")], 0)
+    sends = node.take_out()
+    assert {send.subscriber for send in sends} == {1, 2, 999} and len({id(send.word) for send in sends}) == 1
+    # As many bytes as may go, and not more.
+    sent = now = 0
+    while node.status().waiting:
+        now += 10 * MS
+        node.tick(now)
+        sent += sum(len(send.word) for send in taken(node, now))
+        assert sent <= 100_000 * now // S + 5_000
+    assert now < sent * S // 100_000 + 50 * MS and node.status().snapshots == 2 * status.subscribers - 2
+
+
+def test_who_stops_in_the_middle_of_its_snapshot_keeps_no_place_in_the_queue() -> None:
+    node = fanout(structs.replace(QUICK, window_bytes=300, part_bytes=150, waiting_most=2), size=140)
+    for number in range(1, 6):  # none of these acknowledges anything
+        assert not any(isinstance(one, Later) for one in subscribe(node, number, [(A, 0), (B, 0)]))
+        node.writable(number, False, 0)
+    line = Line([node], [A, B]).turn()
+    assert line.later(S).one.ready
+
+
+def test_nine_in_ten_of_many_that_start_at_once_are_ready_within_ten_seconds() -> None:
+    limits = FanoutLimits(snapshot_bytes_s=2 << 20, snapshot_burst=1 << 18, waiting_most=16)
+    node = fanout(limits, size=4_000)
+    lines = [Line([node], [A, B, "global"], number=number, seed=number) for number in range(1, 361)]
+    ready: dict[int, int] = {}
+    for now in range(0, 12 * S, 20 * MS):
+        node.tick(now)
+        for line in lines:
+            line.now = now
+            if line.one.wake_ns <= now:
+                line.one.tick(now)
+            for action in line.one.take_out():
+                line.act(action)
+        by_number = {line.number: line for line in lines}
+        for send in node.take_out():
+            line = by_number[send.subscriber]
+            line.one.heard(send.generation, send.sequence, send.word, now)
+        for line in lines:
+            if line.one.ready:
+                ready.setdefault(line.number // 1_000, now)
+        assert node.status().waiting <= 16 + 1
+    assert len(ready) == 360
+    assert sorted(ready.values())[324] < 10 * S
+    assert node.status().later > 300
+
+
+def test_a_bucket_pays_for_large_pieces_afterwards() -> None:
+    bucket = TokenBucket(1_000, 100, 0)
+    assert bucket.ready(0)
+    bucket.take(1_100, 0)
+    assert not bucket.ready(0) and not bucket.ready(900 * MS)
+    at = bucket.ready_at(0)
+    assert S <= at <= 1_002 * MS and bucket.ready(at)
+    bucket.take(1, at - S)  # a clock that goes back gives nothing
+    assert bucket.ready_at(at) <= at + S
+
+
+def test_slots_are_as_far_apart_as_serving_takes() -> None:
+    slots = Slots(1_000_000, 10, 2_000)
+    assert [slots.draw(500_000, 100_000, 0) for _ in range(3)] == [500, 600, 700]
+    assert slots.draw(0, 100_000, 5 * S) == 10
+    waits = [slots.draw(9_000_000, 100_000, 5 * S) for _ in range(100)]
+    assert min(waits) >= 1_000 and max(waits) <= 2_000 and len(set(waits)) > 90
+
+
+# ---- what is lost is found -------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("how", ["lost", "doubled", "other"])
+@pytest.mark.parametrize("when", ["patch", "bookmark", "audit"])
+def test_a_digest_finds_a_spoilt_row_and_takes_just_that_scope_anew(how: str, when: str) -> None:
+    limits = structs.replace(LIMITS, audit_rows=1) if when == "audit" else LIMITS
+    node = fanout()
+    line = Line([node], [A, B], limits=limits).turn()
+    table = line.one.scopes[A]
+    row = table.rows["upstream/x"]
+    if how == "lost":
+        del table.rows["upstream/x"]
+    elif how == "doubled":
+        table.rows["upstream/xx"] = structs.replace(row, key="upstream/xx")
+    else:
+        table.rows["upstream/x"] = structs.replace(row, value=b"?")
+    line.words.clear()
+    if when == "patch":
+        node.applied(11, [change(11, A, "y", 2, b"2")], 0)
+        line.turn()
+    else:
+        line.later(20 * S)
+    rescopes = [word for word in line.words if isinstance(word, Rescope)]
+    assert rescopes == [Rescope(2, ((A, 0),), ())]
+    assert line.one.mended == 1 and line.one.ready and node.status().snapshots == 3
+    assert table.rows == node.cache.scopes[A].rows and line.values(A) == {
+        "x": b"1", "y": b"2" if when == "patch" else b"1"}
+
+
+def test_a_node_whose_snapshots_are_wrong_is_left() -> None:
+    bad, good = fanout(), fanout()
+    bad.cache.scopes[A].digest ^= 1
+    line = Line([bad, good], [A])
+    line.turn()
+    assert line.node is None and A not in line.has and not bad.subscribers
+    line.later(S)
+    assert line.node is good and line.one.ready
+
+
+def test_a_digest_is_free_of_order_and_sees_doubles() -> None:
+    rows = [Row(f"upstream/{number}", number, b"v") for number in range(9)]
+    assert digest.of_rows(rows) == digest.of_rows(reversed(rows))
+    assert digest.of_rows([*rows, rows[0], rows[0]]) != digest.of_rows(rows)
+    moved = 0
+    for row in rows:
+        moved = digest.moved(moved, None, row)
+    assert moved == digest.of_rows(rows)
+    for row in rows:
+        moved = digest.moved(moved, row, Row(row.key, row.version + 1, None))
+    assert moved == 0
+
+
+# ---- a row that can't be taken ---------------------------------------------------------------------------
+
+
+def test_of_a_refused_row_the_last_good_stands_and_the_refusal_is_told() -> None:
+    node = fanout()
+    line = Line([node], [A]).turn()
+    node.applied(11, [change(11, A, "x", 2, b"!"), change(11, A, "y", 2, b"2"), change(11, A, "z", 1, b"!")],
+                 0)
+    line.later(S)
+    assert line.values(A) == {"x": b"1", "y": b"2"}
+    refused = (Refusal(A, "upstream/x", 2, "not known here"), Refusal(A, "upstream/z", 1, "not known here"))
+    assert line.words[-1].refused == refused
+    status = node.status()
+    assert status.reached == ((11, 1),) and status.refusals == 2
+    assert [(one.name, one.refusal) for one in status.refused] == [("b1", one) for one in refused]
+    # Refused again: still the last good one. A whole scope has it too.
+    node.applied(12, [change(12, A, "x", 3, b"!!")], 0)
+    line.turn()
+    line.one.scopes[A].rows.pop("upstream/y")
+    line.later(20 * S)
+    assert line.one.mended == 1 and line.values(A) == {"x": b"1", "y": b"2"}
+    assert [row.value for row in line.one.scopes[A].standing()] == [b"1", b"2"]
+    # Withdrawn by what can be taken, and by a deletion.
+    node.applied(13, [change(13, A, "x", 4, b"4")], line.now)
+    line.later(S)
+    assert line.values(A)["x"] == b"4" and node.status().refusals == 1
+    node.applied(14, [change(14, A, "z", 2, None)], line.now)
+    line.later(S)
+    assert node.status().refusals == 0 and line.values(A) == {"x": b"4", "y": b"2"}
+
+
+def test_refusals_go_with_their_scope_and_are_told_to_the_next_node() -> None:
+    nodes = [fanout(), fanout()]
+    for node in nodes:
+        node.applied(11, [change(11, A, f"r{number}", 1, b"!") for number in range(30)], 0)
+    line = Line(nodes, [A, B]).turn().later(S)
+    assert nodes[0].status().refusals == 16 and line.has[A].keys() == {"upstream/x", "upstream/y"}
+    line.cut()
+    line.one.lost("cut", line.now)
+    line.later(S)
+    assert line.node is nodes[1] and nodes[1].status().refusals == 16
+    line.one.want([], [A], line.now)
+    line.later(S)
+    assert nodes[1].status().refusals == 0
+
+
+# ---- how far they have come ------------------------------------------------------------------------------
+
+
+def test_the_status_counts_what_is_acknowledged_and_names_who_lags() -> None:
+    node = fanout()
+    for number in range(40):
+        subscribe(node, number, [(A, 10), (B, 10)])
+    assert node.status().reached == ((10, 40),)
+    node.applied(11, [change(11, A, "x", 2, b"2")], 5 * S)
+    node.applied(12, [change(12, B, "x", 2, b"2")], 6 * S)
+    assert node.status().reached == ((10, 40),)  # sent is not in force
+    for number in range(40):
+        if number != 7:
+            node.heard(number, pack(Reached(2 if number > 10 else 1)), 7 * S)
+    status = node.status()
+    assert status.reached == ((10, 1), (11, 10), (12, 29))
+    assert [(lag.name, lag.revision, lag.since_ms) for lag in status.laggards[:2]] == [
+        ("b7", 10, 2_000), ("b0", 11, 1_000)]
+    assert len(status.laggards) == 11
+    node.applied(13, [change(13, "global", "x", 2, b"2")], 8 * S)  # which none of them watches
+    assert node.status().reached == ((10, 1), (11, 10), (13, 29))
+    node.applied(14, [change(14, A, "x", 3, b"3")], 9 * S)
+    assert node.status().reached == ((10, 1), (11, 10), (13, 29))
+
+
+def test_who_is_told_nothing_yet_has_reached_nothing() -> None:
+    node = fanout(FanoutLimits(snapshot_bytes_s=1, snapshot_burst=1))
+    subscribe(node, 1, [(A, 0)])
+    subscribe(node, 2, [(B, 0), (A, 10)])
+    assert node.status().reached == ((0, 2),)
+    assert {lag.name for lag in node.status().laggards} == {"b1", "b2"}
+
+
+@pytest.mark.parametrize(("words", "why"), [
+    ([b"\xc1"], "no word"),
+    ([pack(Bookmark(1, ()))], "no word"),
+    ([pack(Reached(0))], "begins with Subscribe"),
+    ([pack(Subscribe("b", "e", ((A, 0),)))] * 2, "second subscription"),
+    ([pack(Subscribe("", "e", ()))], "name"),
+    ([pack(Subscribe("b", "e", ((A, 0), (A, 0))))], "named twice"),
+    ([pack(Subscribe("b", "e", ((A, -1),)))], "cursor"),
+    ([pack(Subscribe("b", "e", (("zone:a", 0),)))], "no scope"),
+    ([pack(Subscribe("b", "e", tuple((f"service:{at}", 0) for at in range(4_097))))], "4096"),
+    ([pack(Subscribe("b", "e", ())), pack(Reached(1))], "reached 1 of 0"),
+    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x", 1, ""),) * 17))], "16 refusals"),
+    ([pack(Subscribe("b", "e", ())), pack(Rescope(3, (), ()))], "generation 3 after 1"),
+    ([pack(Subscribe("b", "e", ())), pack(Rescope(2, (), (A,)))], "not there"),
+    ([pack(Subscribe("b", "e", ())), pack(Rescope(2, ((A, 11),), ()))], "past revision 10"),
+])
+def test_what_no_balancer_says_closes_its_connection_and_nothing_else(words: list[bytes], why: str) -> None:
+    node = fanout()
+    subscribe(node, 1, [(A, 10)])
+    for word in words[:-1]:
+        node.heard(2, word, 0)
+    with pytest.raises(BadWord, match=why):
+        node.heard(2, words[-1], 0)
+    node.gone(2, 0)
+    node.take_out()
+    node.applied(11, [change(11, A, "x", 2, b"2")], 0)
+    assert [send.subscriber for send in node.take_out()] == [1] and node.status().subscribers == 1
+
+
+# ---- who is idle, and who is silent ----------------------------------------------------------------------
+
+
+def test_who_is_idle_costs_a_bookmark_now_and_then_with_some_digests_in_turn() -> None:
+    node = fanout(structs.replace(QUICK, bookmark_ns=10 * S, bookmark_scopes=2))
+    subscribe(node, 1, [(A, 10), (B, 10), ("global", 10)])
+    assert node.wake_ns == 10 * S
+    node.tick(10 * S - 1)
+    assert node.take_out() == []
+    named = []
+    for turn in (1, 2, 3):
+        node.applied(10 + turn, [], turn * 10 * S)
+        node.tick(turn * 10 * S)
+        bookmark, = told(node)
+        assert bookmark.revision == 10 + turn and len(bookmark.digests) == 2
+        named += [scope for scope, _ in bookmark.digests]
+    assert Counter(named) == {A: 2, B: 2, "global": 2}
+    node.gone(1, 0)
+    assert node.wake_ns == 0
+
+
+def test_a_bookmark_moves_cursors_on_so_that_a_short_log_covers_them() -> None:
+    nodes = [fanout(structs.replace(QUICK, log_changes=3)) for _ in range(2)]
+    line = Line(nodes, [A, B]).turn()
+    for revision in range(11, 31):
+        for node in nodes:
+            node.applied(revision, [change(revision, "global", "x", revision, b"1")], line.now)
+    line.later(20 * S)
+    line.cut()
+    line.one.lost("cut", line.now)
+    line.words.clear()
+    line.later(S)
+    assert line.words[0].cursors == ((A, 30), (B, 30)) and nodes[1].status().snapshots == 0
+
+
+def test_a_node_that_is_silent_is_left_for_the_next() -> None:
+    node = fanout()
+    line = Line([node, fanout()], [A]).turn()
+    sub = line.one
+    assert sub.state is State.FOLLOWING
+    for now in range(0, 60 * S, S):  # the link is dead
+        sub.tick(now)
+    assert sub.take_out()[-2:] != [] and sub.why in ("the node is silent", "the connection took too long")
+    assert sub.age(60 * S) == 60 * S
+
+
+def test_dials_go_round_and_further_and_further_apart() -> None:
+    one = Subscription("b", [A], lambda scope, row: "", LIMITS, Random(7), 0)
+    dials: list[tuple[int, int]] = []
+    now = 0
+    while len(dials) < 40:
+        for action in one.take_out():
+            if isinstance(action, Dial):
+                dials.append((now, action.turn))
+                one.lost("refused", now)
+        now = one.wake_ns
+        one.tick(now)
+    assert [turn for _, turn in dials] == list(range(40))
+    gaps = [later - earlier for (earlier, _), (later, _) in zip(dials, dials[1:], strict=False)]
+    assert max(gaps[:2]) <= LIMITS.backoff_ns * 2 and max(gaps) <= LIMITS.backoff_most_ns + 1
+    assert sum(gaps[-10:]) > sum(gaps[:10])
+
+
+def test_later_is_obeyed_at_the_same_node_but_not_for_ever() -> None:
+    one = Subscription("b", [A], lambda scope, row: "", LIMITS, Random(7), 0)
+    now, turns = 0, []
+    for _ in range(7):
+        dial, = one.take_out()
+        assert isinstance(dial, Dial)
+        turns.append(dial.turn)
+        one.connected("e", now)
+        one.heard(1, 0, pack(Later(700)), now)
+        assert isinstance(one.take_out()[-1], HangUp) and one.wake_ns == now + 700 * MS
+        now = one.wake_ns
+        one.tick(now)
+    assert turns == [0] * 6 + [1]
+    one.connected("e", now)
+    one.heard(1, 0, pack(Later(1 << 40)), now)
+    assert one.wake_ns == now + LIMITS.later_ns
+
+
+@pytest.mark.parametrize(("generation", "sequence", "word", "why"), [
+    (1, 1, b"\xc1", "no word"),
+    (1, 3, pack(Patch(A, 0, 10, True, True, 0, ())), "patch 3 after 0"),
+    (2, 1, pack(Patch(A, 0, 10, True, True, 0, ())), "generation 2 of 1"),
+    (0, 0, pack(Behind(1)), "generation 0 of 1"),
+])
+def test_a_node_that_speaks_nonsense_is_left(generation: int, sequence: int, word: bytes, why: str) -> None:
+    one = Subscription("b", [A], lambda scope, row: "", LIMITS, Random(7), 0)
+    one.take_out()
+    one.connected("e", 0)
+    one.take_out()
+    one.heard(generation, sequence, word, 0)
+    last = one.take_out()[-1]
+    assert isinstance(last, HangUp) and why in last.why and one.state is State.RESTING
+    one.heard(1, 1, pack(Patch(A, 0, 10, True, True, 0, ())), 0)  # what comes after that is nothing
+    assert one.take_out() == [] and not one.ready
+
+
+def test_acknowledgements_are_drawn_together() -> None:
+    node = fanout()
+    line = Line([node], [A]).turn()
+    line.later(S)
+    line.words.clear()
+    for revision in range(11, 61):
+        node.applied(revision, [change(revision, A, "x", revision, b"%d" % revision)], line.now)
+        line.turn()
+    line.later(S)
+    assert line.words == [Reached(51)] and node.status().reached == ((60, 1),)
+
+
+def test_a_gap_is_not_applied_over() -> None:
+    line = Line([fanout()], [A]).turn()
+    word = pack(Patch(A, 12, 13, False, True, 0, (Row("upstream/x", 9, b"9"),)))
+    line.one.heard(1, 2, word, 0)
+    assert line.one.mended == 1 and line.one.scopes[A].rows["upstream/x"].value == b"1"
+    # An old delta, of what is known already, is nothing.
+    line = Line([fanout()], [A]).turn()
+    line.one.heard(1, 2, pack(Patch(A, 3, 9, False, True, 0, (Row("upstream/x", 9, b"9"),))), 0)
+    assert line.one.mended == 0 and line.one.scopes[A].rows["upstream/x"].value == b"1"
--- /dev/null
+++ b/tests/test_feed_fuzz.py
@@ -0,0 +1,108 @@
+"""The feed in virtual time: many seeds without a broken promise, and planted bugs that show."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+
+from lanelift.lab.cluster.checks import Broken
+from lanelift.lab.feed.books import REFUSED, Book, History
+from lanelift.lab.feed.planted import PLANTS, catch, played
+from lanelift.lab.feed.sim import Options, play
+
+SEEDS = 60
+# The first seed that shows each, of those from 1 on.
+CAUGHT = {"cursor-before-last-part": 1, "dropped-scope-applied": 3, "stale-coalescing": 1, "lost-delete": 1,
+          "digest-keeps-deleted": 1, "reached-at-send": 1, "resumed-past-the-log": 1, "never-parked": 1,
+          "lost-under-a-snapshot": 1, "no-window": 1, "stale-coalescing-unseen-by-digests": 1,
+          "lost-delete-unseen-by-digests": 1}
+
+
+@pytest.mark.parametrize("spoil", [False, True])
+def test_nothing_breaks_in_many_storms(spoil: bool) -> None:
+    counts: Counter[str] = Counter()
+    for seed in range(1, SEEDS + 1):
+        outcome = play(seed, Options(spoil=spoil))
+        assert not outcome.broken, f"seed {seed}, {outcome.broken}"
+        counts += outcome.counts
+    # The storms were some.
+    for what in ("cuts", "killed", "restores", "stopped", "rescopes", "Behind", "Later", "loads past the log",
+                 "parts", "resumes", "snapshots", "of another generation", "refusals", "hung up: the"):
+        assert counts[what] > 3, what
+    assert counts["spoilt"] > 50 if spoil else not counts["mended"]
+    assert counts["mended"] > 50 if spoil else not counts["spoilt"]
+    assert counts["encoded"] < counts["Patch"] / 5
+
+
+def test_a_seed_decides_all() -> None:
+    assert play(17) == play(17) != play(18)
+
+
+@pytest.mark.parametrize("name", sorted(PLANTS))
+def test_a_planted_bug_is_caught(name: str) -> None:
+    assert played(name, CAUGHT[name]).broken
+    assert not play(CAUGHT[name]).broken
+
+
+def test_the_first_seed_that_shows_a_bug_is_found_again() -> None:
+    found = catch("dropped-scope-applied", 10)
+    assert found is not None and found.seed == CAUGHT["dropped-scope-applied"]
+    assert found.broken.endswith("which it does not want")
+
+
+# ---- the books themselves --------------------------------------------------------------------------------
+
+
+def history() -> History:
+    made = History("e", 1, {}, {})
+    made.write(2, [("global", "k/x", b"a"), ("global", "k/y", b"a")])
+    made.write(4, [("global", "k/x", None), ("service:a", "k/x", b"a")])
+    made.write(5, [("global", "k/x", REFUSED)])
+    return made
+
+
+def test_the_books_know_each_revision() -> None:
+    made = history()
+    assert [sorted(made.rows("global", at)) for at in range(1, 6)] == [
+        [], ["k/x", "k/y"], ["k/x", "k/y"], ["k/y"], ["k/x", "k/y"]]
+    assert made.rows("global", 5)["k/x"].version == 3
+    assert [made.changed("global", at) for at in range(1, 6)] == [0, 2, 2, 4, 5]
+    assert made.rows("service:b", 5) == {} and made.changed("service:b", 5) == 0
+
+
+def test_the_books_find_what_can_not_be() -> None:
+    made = history()
+    book = Book("b", old=False)
+    book.wanted(["global"], [])
+
+    def whole(at: int) -> None:
+        book.applied(made, "global", True, tuple(made.rows("global", at).values()), at)
+
+    whole(4)
+    x, y = made.rows("global", 2).values()
+    wrong: dict[str, Callable[[], None]] = {
+        "dropped": lambda: book.applied(made, "service:a", True, (), 5),
+        "back in time": lambda: whole(2),
+        "future": lambda: whole(6),
+        "whole": lambda: book.applied(made, "global", True, (y, y), 5),
+        "rows": lambda: book.applied(made, "global", False, (x,), 5),
+        "epoch": lambda: book.applied(History("f", 1, {}, {}), "global", False, (), 1),
+        "reached": lambda: book.reached(made, "global", 99)}
+    for name, call in wrong.items():
+        book.views["global"].epoch, book.views["global"].revision = "e", 4
+        with pytest.raises(Broken) as broken:
+            call()
+        assert broken.value.name == name
+    whole(5)
+    book.reached(made, "global", 99)
+    # An older program has the last that it could take, or none; not one that it can't.
+    old = Book("old", old=True)
+    old.wanted(["global"], [])
+    old.applied(made, "global", True, (y,), 5)
+    old.applied(made, "global", True, (x, y), 5)
+    with pytest.raises(Broken, match="rows"):
+        old.applied(made, "global", True, tuple(made.rows("global", 5).values()), 5)
+    with pytest.raises(Broken, match="rows"):
+        old.applied(made, "global", True, (), 5)
