--- a/lanelift/feed/subscription.py
+++ b/lanelift/feed/subscription.py
@@ -34,7 +34,7 @@
     pack,
     unpack_told,
 )
-from lanelift.feed.table import Check, ScopeTable
+from lanelift.feed.table import Check, ScopeTable, Stage
 
 __all__ = ["Action", "Apply", "Check", "Dial", "HangUp", "Say", "ScopeTable", "State", "Subscription",
            "SubscriptionLimits"]
@@ -317,19 +317,19 @@
         self._ack_bytes += size
         table = self.scopes.get(patch.scope)
         if table is not None and table.generation <= generation:
-            rows = table.staged(patch)
-            if rows is not None:
-                self._take(table, patch, rows, now)
+            stage = table.staged(patch, self._check)
+            if stage is not None:
+                self._take(table, patch, stage, now)
         if self._ack_bytes >= self.limits.ack_bytes and self._ack_at:
             self._acknowledge()
 
-    def _take(self, table: ScopeTable, patch: Patch, rows: list[Row], now: int) -> None:
+    def _take(self, table: ScopeTable, patch: Patch, stage: Stage, now: int) -> None:
         """A patch that is there whole."""
         if patch.whole:
             if patch.revision < table.cursor:
                 self._hang_up(f"{table.scope} went back from {table.cursor} to {patch.revision}", now)
                 return
-            taken = table.whole(rows, patch.revision, patch.digest, self._check)
+            taken = table.whole(stage, patch.digest)
             if taken is None:  # made so: another node is to be asked
                 self._hang_up(f"rows of {table.scope} do not have their digest", now)
                 return
@@ -339,7 +339,7 @@
             if patch.after > table.cursor:
                 self._anew(table, now)
                 return
-            taken = table.delta(rows, patch.revision, patch.digest, self._check)
+            taken = table.delta(stage, patch.digest)
             if taken is None or not self._sound(table):
                 self._anew(table, now)
                 return
--- a/tests/test_feed_fuzz.py
+++ b/tests/test_feed_fuzz.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable
 
 import pytest
+from typer.testing import CliRunner
 
+from lanelift.cli.main import application
 from lanelift.lab.cluster.checks import Broken
 from lanelift.lab.feed.books import REFUSED, Book, History
 from lanelift.lab.feed.planted import PLANTS, catch, played
 from lanelift.lab.feed.sim import Options, play
+from lanelift.lab.topology import Unusable
 
 SEEDS = 60
 # The first seed that shows each, of those from 1 on.
@@ -52,6 +55,20 @@
     assert found.broken.endswith("which it does not want")
 
 
+def test_the_command_plays_seeds_and_plants() -> None:
+    def said(*words: str) -> tuple[int, str]:
+        result = CliRunner().invoke(application(["lab"]), ["lab", "feed-sim", "--seconds", "5", *words])
+        return result.exit_code, result.output
+
+    assert said("--seeds", "2")[1].startswith("2 seeds, 0 broken; ")
+    code, text = said("--seeds", "1", "--planted", "cursor-before-last-part")
+    assert code == 1 and "seed 1, at " in text and "1 seeds, 1 broken" in text
+    code, text = said("--seeds", "4", "--planted", "all")
+    assert "cursor-before-last-part: seed 1" in text and text.count(": ") >= len(PLANTS)
+    result = CliRunner().invoke(application(["lab"]), ["lab", "feed-sim", "--planted", "none"])
+    assert isinstance(result.exception, Unusable)
+
+
 # ---- the books themselves --------------------------------------------------------------------------------
 
 
