Size lab: what one balancer needs by upstreams, tenants, classes and services

Need: the page of capacity is worked out from measured slopes of each role; this is one balancer's.

Change: `lanelift lab size balancer` measures the decision module in processes of its own, plain or as the platform compiles it (--program .compiled): lists whole and one change of them, requests, the worst event, memory, by upstreams, tenants, classes, pools and services; settings and the stored list in bytes and CPU time; the 99th percentile that a balancer adds on sockets; a process that is asked nothing. The pieces of `lab capacity` take the number of upstreams and tenants for it. Between measured sizes a slope goes by its points, as some figures grow faster than any line.

--- a/lanelift/cli/sizelab.py
+++ b/lanelift/cli/sizelab.py
@@ -5,6 +5,7 @@
 import datetime
 import shlex
 import sys
+import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Annotated
@@ -13,16 +14,26 @@
 import typer
 from rich.table import Table
 
+import lanelift
 from lanelift.cli.console import out
+from lanelift.daemon.documents import parsed
+from lanelift.daemon.saved import SavedList, load_list, save_list
+from lanelift.daemon.settings import read_raw
 from lanelift.lab import results
-from lanelift.lab.size import fit
+from lanelift.lab.size import balancer as measure
+from lanelift.lab.size import beside, fit
+from lanelift.lab.size.balancer import Sizes
 from lanelift.lab.size.fit import Slope
 from lanelift.lab.topology import Unusable
+from lanelift.net.upstream import Endpoint
 
 app = typer.Typer(no_args_is_help=True, help="What each role costs by size, a slope at a time.")
+PARTS = ("module", "pools", "services", "settings", "stored", "sockets", "rest")
+HERE = Path(lanelift.__file__).parent.parent
+MOST_LISTENERS = 1000  # upstreams that are played on sockets
 # The size to design for, by what a slope counts: its last column, and how far a plot's line goes.
-SIZES: Mapping[str, float] = {"upstreams": 44_000, "tenants": 73_000, "routes": 9_900, "services": 2_900,
-                              "balancers": 2_900, "subscribers": 2_900}
+SIZES: Mapping[str, float] = {"upstreams": 44_000, "tenants": 73_000, "routes": 9_900, "classes": 9_900,
+                              "services": 2_900, "balancers": 2_900, "subscribers": 2_900}
 
 Json_ = Annotated[Path | None, typer.Option("--json", help="All that was found, as JSON.")]
 Plot = Annotated[Path | None, typer.Option("--plot", help="A picture of the slopes, PNG.")]
@@ -44,15 +55,18 @@
     """A table of slopes, and of what else was measured (`figures`: with their units in their names); then
     what was asked for as files."""
     table = Table(title=title)
-    for column in ("slope", "each", "at none", "unit", "per", "measured", "worst off", "at the size"):
-        table.add_column(column, justify="left" if column in ("slope", "unit", "per") else "right")
+    for column in ("slope", "each", "at none", "unit", "per", "to", "off", "at the size"):
+        words = column in ("slope", "unit", "per")
+        table.add_column(column, justify="left" if words else "right", no_wrap=True)
     for s in slopes:
         size = SIZES.get(s.per, s.measured_to)
         value, extrapolated = s.at(size)
-        table.add_row(s.name, f"{s.slope:.4g}", f"{s.intercept:.4g}", s.unit, s.per,
-                      f"{s.points[0][0]:g} to {s.measured_to:g}", f"{s.residue:.0%}",
-                      f"{value:.4g} at {size:g}{', extrapolated' if extrapolated else ''}")
+        table.add_row(s.name, f"{s.slope:.3g}", f"{s.intercept:.3g}", s.unit, s.per,
+                      f"{s.measured_to:.0f}", f"{s.residue:.0%}",
+                      f"{value:.4g} at {size:.0f}{'*' if extrapolated else ''}")
     out.print(table)
+    out.print("each: in the unit, for one more; to: the largest size measured; off: of the line at its worst"
+              " size; at the size: as measured, or * extrapolated", soft_wrap=True)
     for name, value in (figures or {}).items():
         out.print(f"{name}: {value:.4g}", soft_wrap=True, highlight=False)
     if json_ is not None:
@@ -65,6 +79,86 @@
         fit.record(record, slopes)
 
 
+def _sizes(text: str, repeats: int, seconds: float) -> Sizes:
+    """As measured by default, or these for all."""
+    if repeats < 1 or seconds <= 0:
+        raise Unusable("repeats are 1 at least, seconds over 0")
+    if not text:
+        return Sizes(repeats=repeats, seconds=seconds)
+    try:
+        counts = sorted({int(part) for part in text.split(",")})
+    except ValueError:
+        raise Unusable(f"--sizes: {text!r} are no whole numbers") from None
+    if counts[0] < 1:
+        raise Unusable("--sizes: they begin at 1")
+    return Sizes(counts, counts, counts, counts, [min(count, 20) for count in counts], repeats, seconds)
+
+
+def _encoded(endpoints: list[Endpoint]) -> bytes:
+    return msgspec.json.encode(SavedList(time.time(), save_list(endpoints), 1, 1, 1, "127.0.0.1:8500"))
+
+
+def _decoded(data: bytes) -> list[Endpoint]:
+    return load_list(msgspec.json.decode(data, type=SavedList))
+
+
+@app.command()
+def balancer(
+    parts: Annotated[str, typer.Option(help="With commas between.")] = ",".join(PARTS[:-2]),
+    program: Annotated[Path, typer.Option(
+        help="Where the measured program stands, as .compiled; settings are read by this one.")] = HERE,
+    sizes: Annotated[str, typer.Option(help="In place of the usual ones, with commas between.")] = "",
+    repeats: int = 3,
+    seconds: Annotated[float, typer.Option(help="Of played or real requests, each time.")] = 10.0,
+    rates: Annotated[str, typer.Option(help="Requests a second, on sockets.")] = "86,430",
+    json_: Json_ = None, plot: Plot = None, record: Record = None,
+) -> None:
+    """What one balancer needs by upstreams, tenants, classes and services. Parts besides the usual: sockets
+    (the 99th percentile that it adds to a request) and rest (a process that is asked nothing)."""
+    chosen = [part.strip() for part in parts.split(",")]
+    if unknown := [part for part in chosen if part not in PARTS]:
+        raise Unusable(f"--parts: {unknown[0]!r} is none of {', '.join(PARTS)}")
+    given = _sizes(sizes, repeats, seconds)
+    if len(given.upstreams) < fit.LEAST_SIZES:
+        raise Unusable(f"--sizes: a slope takes {fit.LEAST_SIZES} at least")
+    compiled = measure.is_compiled(program)
+    told = measure.Told(command(), today(), "" if compiled else ".plain")
+    try:
+        asked = [float(part) for part in rates.split(",")]
+    except ValueError:
+        raise Unusable(f"--rates: {rates!r} are no numbers") from None
+
+    def heard(what: str) -> None:
+        out.print(f"[dim]{what}[/dim]", soft_wrap=True)
+
+    # -P: the folder that this is called in has a program too.
+    run = ("env", f"PYTHONPATH={program}", sys.executable, "-P", "-m", "lanelift")
+    slopes: list[Slope] = []
+    figures: dict[str, float] = {}
+    for part in chosen:
+        match part:
+            case "module":
+                slopes += measure.module(program, given, told, heard)
+            case "pools":
+                slopes += measure.pools(program, given, told, heard)
+            case "services":
+                slopes += measure.services(program, given, told, heard)
+            case "settings":
+                reading = measure.Reading(lambda text: parsed("size", text),
+                                          lambda raw: read_raw(raw, "size"))
+                slopes += measure.settings(reading, given, told._replace(suffix=""), heard)
+            case "stored":
+                storing = measure.Storing(_encoded, _decoded)
+                slopes += measure.stored(storing, given, told._replace(suffix=""), heard)
+            case "sockets":
+                counts = [count for count in given.upstreams if count <= MOST_LISTENERS]
+                found, figures = beside.added(run, counts, asked, repeats, seconds, told, heard)
+                slopes += found
+            case "rest":
+                slopes += beside.at_rest(run, given.upstreams, given.tenants, seconds, told, heard)
+    give(f"one balancer, {'compiled' if compiled else 'plain Python'}", slopes, json_, plot, record, figures)
+
+
 @app.command()
 def show(path: Annotated[Path, typer.Argument(help="Recorded slopes.")] = Path("docs/capacity/slopes.json"),
          json_: Json_ = None, plot: Plot = None) -> None:
--- a/lanelift/lab/capacity/measure.py
+++ b/lanelift/lab/capacity/measure.py
@@ -93,24 +93,27 @@
             raise Unusable(f"the measurement broke off: {line.strip() or 'a process ended'}")
         return line
 
-    def upstreams(self) -> list[int]:
-        each = str(UPSTREAMS // SERVERS)
-        started = [self._start(self._other(), sys.executable, "-m", BLAST, "answer", each)
-                   for _ in range(SERVERS)]
+    def upstreams(self, count: int = UPSTREAMS, processes: int = SERVERS) -> list[int]:
+        least, more = divmod(count, processes)
+        started = [self._start(self._other(), sys.executable, "-m", BLAST, "answer", str(least + (n < more)))
+                   for n in range(processes)]
         return [int(port) for process in started for port in self._line(process).split()]
 
     def relay(self, ports: Sequence[int]) -> tuple[subprocess.Popen[str], int]:
         process = self._start(self.core, sys.executable, "-m", RELAY, *map(str, ports))
         return process, int(self._line(process))
 
-    def balancer(self, ports: Sequence[int]) -> tuple[subprocess.Popen[str], int]:
+    def balancer(self, ports: Sequence[int],
+                 tenants: Sequence[Json] = ()) -> tuple[subprocess.Popen[str], int]:
+        """`tenants`: as the platform's settings name them; none: the one that clients come as."""
         port = free_port()
         discovery = free_port()  # an address where no discovery is: the list as known stands
         known = {"version": 1, "full": True, "servers": [
             {"id": f"s-{i}", "addr": f"127.0.0.1:{p}", "state": "Ready"} for i, p in enumerate(ports)]}
-        config = Path(self.folder.name) / "config.json"
+        settings = {**SETTINGS, "realms": [*SETTINGS["realms"], *tenants]}
+        config = Path(self.folder.name) / f"config-{port}.json"
         prepare(config, name="n0", listen=f"127.0.0.1:{port}", discovery=f"127.0.0.1:{discovery}", seed="7",
-                known=known, settings=SETTINGS)
+                known=known, settings=settings)
         with (Path(self.folder.name) / "log").open("w") as log:
             process = self._start(self.core, *self.command, log=log,
                                   env=environment(config, Path(self.folder.name)))
--- a/lanelift/lab/size/fit.py
+++ b/lanelift/lab/size/fit.py
@@ -23,7 +23,7 @@
 
 
 class Estimate(NamedTuple):
-    """What a line gives for a size; `extrapolated`: that size lies outside of what was measured."""
+    """What a slope gives for a size; `extrapolated`: that size lies outside of what was measured."""
 
     value: float
     extrapolated: bool
@@ -34,7 +34,8 @@
 
     `unit` is that of y, as `us`, and `per` is what x counts, as `upstreams`, so `slope` is in unit per one of
     them. `residue` is the largest distance of a point from the line, as a part of the larger of the two;
-    0.1 says that the line is off by a tenth at the worst size. `measured_to` is the largest x."""
+    0.1 says that the line is off by a tenth at the worst size; from a half on it is hardly a line, and what
+    it gives beyond `measured_to`, the largest x, is worth little."""
 
     name: str
     unit: str
@@ -48,7 +49,14 @@
     date: str
 
     def at(self, x: float) -> Estimate:
-        return Estimate(self.intercept + self.slope * x, not self.points[0][0] <= x <= self.measured_to)
+        """Between sizes that were measured what lies between their points; outside of them the line."""
+        xs, ys = zip(*self.points, strict=True)
+        if xs[0] <= x <= xs[-1]:
+            return Estimate(float(np.interp(x, xs, ys)), False)
+        return Estimate(self.line(x), True)
+
+    def line(self, x: float) -> float:
+        return self.intercept + self.slope * x
 
 
 def fit(points: Iterable[Sequence[float]], *, name: str = "", unit: str = "", per: str = "",
--- a/lanelift/lab/size/plot.py
+++ b/lanelift/lab/size/plot.py
@@ -29,7 +29,7 @@
         for x0, x1, style in ((xs[0], xs[-1], "-"), (xs[-1], until, "--")):
             if x1 > x0:
                 between = [x0 * (x1 / x0) ** (i / 40) if x0 > 0 else x1 * i / 40 for i in range(41)]
-                place.plot(between, [slope.at(x).value for x in between], style, color="#455a64", lw=1)
+                place.plot(between, [slope.line(x) for x in between], style, color="#455a64", lw=1)
         if xs[0] > 0 and min(ys) > 0:
             place.set_xscale("log")
             place.set_yscale("log")
--- a/tests/test_size_slopes.py
+++ b/tests/test_size_slopes.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 
+import msgspec
 import pytest
 from typer.testing import CliRunner
 
@@ -30,7 +31,7 @@
 
 def test_the_residue_is_that_of_the_worst_point() -> None:
     found = slope(points=[*FOUR, (100_000.0, 40_010.0)])
-    worst = max(abs(y - found.at(x).value) / max(y, found.at(x).value) for x, y in found.points)
+    worst = max(abs(y - found.line(x)) / max(y, found.line(x)) for x, y in found.points)
     assert found.residue == pytest.approx(worst, rel=1e-3)
     assert 0.1 < found.residue < 0.6
 
@@ -58,6 +59,12 @@
     assert not found.at(10.0).extrapolated and not found.at(10_000.0).extrapolated
 
 
+def test_between_measured_sizes_it_goes_by_them_and_not_by_the_line() -> None:
+    found = slope(points=[(10.0, 1.0), (20.0, 4.0), (40.0, 16.0), (80.0, 64.0)])
+    assert found.at(40.0) == (16.0, False) and found.at(60.0) == (40.0, False)
+    assert found.at(160.0) == (found.line(160.0), True)
+
+
 def test_slopes_are_recorded_by_name_and_alike(tmp_path: Path) -> None:
     path = tmp_path / "docs" / "slopes.json"
     assert fit.read(path) == []
@@ -84,7 +91,32 @@
     fit.record(path, [slope()])
     runner = CliRunner()
     found = runner.invoke(application(["lab"]), ["lab", "size", "show", str(path), "--plot", str(picture)])
-    assert found.exit_code == 0 and "8805 at 44000, extrapolated" in found.output
+    assert found.exit_code == 0 and "8805 at 44000*" in found.output
     assert picture.read_bytes().startswith(b"\x89PNG")
     none = runner.invoke(application(["lab"]), ["lab", "size", "show", str(tmp_path / "none.json")])
     assert isinstance(none.exception, Unusable)
+
+
+def test_a_small_run_of_all_parts_gives_slopes(tmp_path: Path) -> None:
+    path, found = tmp_path / "slopes.json", tmp_path / "found.json"
+    done = CliRunner().invoke(application(["lab"]), [
+        "lab", "size", "balancer", "--sizes", "2,4,6,8", "--repeats", "1", "--seconds", "0.2",
+        "--rates", "100", "--parts", "module,pools,services,settings,stored,sockets,rest",
+        "--record", str(path), "--json", str(found)], catch_exceptions=False)
+    assert done.exit_code == 0, done.output
+    slopes = {s.name: s for s in fit.read(path)}
+    assert msgspec.json.decode(found.read_bytes())["slopes"][0]["name"] in slopes
+    assert {"balancer.list.change.plain", "balancer.second.by-tenants.plain", "balancer.stored.rows",
+            "balancer.sockets.p99-added.at-100.plain", "balancer.rest.by-tenants.plain"} <= set(slopes)
+    assert all(len(s.points) == 4 and s.command.startswith("lanelift ") for s in slopes.values())
+    assert slopes["balancer.stored.rows"].slope > 50  # bytes of an upstream
+
+
+@pytest.mark.parametrize(("given", "why"), [
+    (["--parts", "module,dreams"], "'dreams' is none of"), (["--sizes", "1,2,3"], "takes 4"),
+    (["--sizes", "1,2,x,4"], "no whole numbers"), (["--repeats", "0"], "1 at least"),
+    (["--program", "nowhere"], "no program is there")])
+def test_what_can_not_be_measured_is_one_line(given: list[str], why: str) -> None:
+    done = CliRunner().invoke(application(["lab"]), ["lab", "size", "balancer", "--parts", "stored", *given])
+    assert isinstance(done.exception, Unusable) and why in str(done.exception)
+    assert "\n" not in str(done.exception)
