--- a/lanelift/daemon/saved.py
+++ b/lanelift/daemon/saved.py
@@ -15,8 +15,8 @@
 log = logging.getLogger(__name__)
 
 
-class SavedEndpoint(msgspec.Struct, frozen=True):
-    """An entry of a list, with clock time in place of this process's."""
+class Located(msgspec.Struct, frozen=True):
+    """An upstream, as the module numbers it, and where it is, as all balancers know it."""
 
     id: int
     host: str
@@ -24,6 +24,11 @@
     zone: str
     kind: str
     cell: int
+
+
+class SavedEndpoint(Located, frozen=True):
+    """An entry of a list, with clock time in place of this process's."""
+
     weight: float
     started: float  # Unix time; 0: long ago
     draining: bool
