Rig: a link that is far keeps its pieces apart, however many are on their way

Need: links between regions, for a fleet of hollow balancers. The relay's `delay` waits for each piece anew, and the pieces behind it wait for it: at 20 ms a link passes fifty pieces a second, which holds up a store's log long before distance does. Ruled out: changing `delay`, whose schedules scenarios and their corpus go by.

Change: a kind `far`, by which each piece carries the moment before which it may not pass.

--- a/lanelift/lab/rig/relay.py
+++ b/lanelift/lab/rig/relay.py
@@ -4,7 +4,8 @@
 Bytes are never lost out of the middle of a connection, as TCP would not: they come later, or the connection
 ends. A cut is silent: what is open stays open, what is new never comes up (the kernel's queue for new
 connections is filled), and at its end what was open is reset, as after a failure longer than TCP waits; a
-hold lets all go in a burst.
+hold lets all go in a burst. A delay is drawn anew for each piece, and the pieces behind it wait; on a link
+that is far, all that comes is so long on its way, however much of it is.
 """
 
 from __future__ import annotations
@@ -84,7 +85,8 @@
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
         self.halves = Half(self, TO), Half(self, FROM)
-        self.queues: tuple[deque[bytes], deque[bytes]] = deque(), deque()
+        # With the moment before which each may not pass, on a link that is far.
+        self.queues: tuple[deque[tuple[float, bytes]], deque[tuple[float, bytes]]] = deque(), deque()
         self.sizes = [0, 0]
         self.busy = [False, False]  # a timer will go on
         self.taps = relay.taps()
@@ -92,7 +94,8 @@
         relay.pairs.add(self)
 
     def came(self, way: int, data: bytes) -> None:
-        self.queues[way].append(data)
+        far = self.relay.ways[way].on("far")
+        self.queues[way].append((asyncio.get_running_loop().time() + far.size / 1000 if far else 0.0, data))
         self.sizes[way] += len(data)
         source = self.halves[way].transport
         if self.sizes[way] > QUEUE_MOST and source is not None and not source.is_closing():
@@ -119,12 +122,15 @@
         while queue and not self.busy[way] and not self.over:
             if ways.on("cut", "hold") or target.transport is None or target.paused:
                 return
-            data = queue.popleft()
+            due, data = queue[0]
+            if due and (wait := due - asyncio.get_running_loop().time()) > 0:
+                return self._later(way, wait)
+            queue.popleft()
             trickle = ways.on("trickle")
             if trickle is not None and data:
                 most = max(1, int(trickle.size / 20))
                 if len(data) > most:
-                    queue.appendleft(data[most:])
+                    queue.appendleft((due, data[most:]))
                     data = data[:most]
                 self._later(way, len(data) / trickle.size)
             self.sizes[way] -= len(data)
