Lab: a fleet of hollow balancers at real nodes, of the planned size or any part

Need: 2,900 balancers before 44,000 upstreams in 2,900 services decide the design from now on, and no run of the lab had more than some hundred balancers, each with the whole list.

Change: `lanelift lab size fleet`. A cluster of the lab may have nodes that do not vote.

--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -35,10 +35,11 @@
     app.add_typer(roll.app, name="roll")
     app.add_typer(site.app, name="site")
     if not words or words[0] not in DAEMONS:
-        from lanelift.cli import clusters, lab, rig, sitelab
+        from lanelift.cli import clusters, lab, rig, sitelab, sizelab
         clusters.add_to(lab.app)
         rig.add_to(lab.app)
         sitelab.add_to(lab.app)
+        sizelab.add_to(lab.app)
         app.add_typer(lab.app, name="lab")
     app.command()(version)
     return app
--- a/lanelift/lab/cluster/real.py
+++ b/lanelift/lab/cluster/real.py
@@ -56,13 +56,18 @@
     def client(self, name: str = "lab", deadline_s: float = 5.0) -> Client:
         return Client(self.addresses, name=name, deadline_s=deadline_s)
 
-    async def start(self) -> None:
-        """The first makes the cluster, the others join it and get votes."""
+    def settle(self, member: Member, extra: str) -> None:
+        """More settings of one that does not run."""
+        member.path.write_text(member.path.read_text() + extra)
+        member.settings = read_store(member.path)
+
+    async def start(self, voters: int = 0) -> None:
+        """The first makes the cluster, the others join it; so many get votes, 0: all."""
         first = self.members[0]
         first.number = running.init(first.settings, name="0").node
         await self.begin(first)
         for member in self.members[1:]:
-            await self.join(member)
+            await self.join(member, votes=not voters or member.place < voters)
 
     async def begin(self, member: Member, old: int = 0) -> None:
         """`old`: its program knows formats of the state up to this one; 0: all."""
@@ -79,7 +84,7 @@
             if not await member.process.stdout.readline():
                 raise Unusable(f"node {member.place} did not start: see {self.folder}/{member.place}.log")
 
-    async def join(self, member: Member, patience_s: float = 30.0, old: int = 0) -> None:
+    async def join(self, member: Member, patience_s: float = 30.0, old: int = 0, votes: bool = True) -> None:
         """With a new folder and number."""
         client = self.client("join", 10.0)
         try:
@@ -87,7 +92,8 @@
             member.number = running.prepare(member.settings, status["cluster"], str(member.place)).node
             await self.insist(client, "learn", member.number, member.address, patience_s)
             await self.begin(member, old)
-            await self.insist(client, "promote", member.number, "", patience_s)
+            if votes:
+                await self.insist(client, "promote", member.number, "", patience_s)
         finally:
             await client.close()
 
