--- a/lanelift/cli/sizelab.py
+++ b/lanelift/cli/sizelab.py
@@ -15,6 +15,7 @@
 from rich.table import Table
 
 import lanelift
+from lanelift.cli import sizefleet
 from lanelift.cli.console import out
 from lanelift.daemon.documents import parsed
 from lanelift.daemon.saved import SavedList, load_list, save_list
@@ -169,4 +170,5 @@
 
 
 def add_to(lab: typer.Typer) -> None:
+    sizefleet.add_to(app)
     lab.add_typer(app, name="size")
