--- a/lanelift/cli/sizelab.py
+++ b/lanelift/cli/sizelab.py
@@ -169,6 +169,19 @@
     give(str(path), slopes, json_, plot, None)
 
 
+@app.command()
+def page(docs: Annotated[Path, typer.Argument(help="The folder of CAPACITY.md.")] = Path("docs"),
+         write: Annotated[bool, typer.Option("--write", help="Put the page right.")] = False) -> None:
+    """Work docs/CAPACITY.md out anew from its formulas and the recorded slopes; exit status 1 where it stood
+    otherwise."""
+    from lanelift.lab.size.capacity import recompute
+    if recompute(docs, write):
+        out.print("the page stands as its slopes give it")
+        return
+    out.print("the page was put right" if write else "the page stands otherwise: --write puts it right")
+    raise typer.Exit(0 if write else 1)
+
+
 def add_to(lab: typer.Typer) -> None:
     sizefleet.add_to(app)
     lab.add_typer(app, name="size")
--- a/lanelift/lab/size/capacity.py
+++ b/lanelift/lab/size/capacity.py
@@ -2,9 +2,10 @@
 
 docs/capacity/figures.toml holds the size (`[size]`, numbers by name), what is derived from it (`[derived]`,
 formulas by name, in their order) and the figures (`[[figure]]`: role, situation, what, formula, unit, and
-where there is one a limit). What a balancer carries is counted in the world of that size (`counted`). A formula is arithmetic over those names, `slope("NAME")` (per unit), `base("NAME")`
-(the intercept) and `at("NAME", x)` (the line at x). Nothing is typed twice: the page shows the formula that
-gave the figure, and says from where a slope is extrapolated.
+where there is one a limit). What a balancer carries is counted in the world of that size (`counted`). A
+formula is arithmetic over those names, `slope("NAME")` (per unit), `base("NAME")` (the intercept) and
+`at("NAME", x)` (the line at x). Nothing is typed twice: the page shows the formula that gave the figure, and
+says from where a slope is extrapolated.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 
 from lanelift.lab.size import fit
 from lanelift.lab.size.fit import Slope
-from lanelift.lab.size.world import Shape, draw
+from lanelift.lab.size.world import Service, Shape, draw
 from lanelift.lab.topology import Unusable
 
 BEGIN, END = "<!-- figures -->", "<!-- /figures -->"
@@ -123,8 +124,9 @@
     """What a balancer of that world carries, in the mean (`_mean`) and at the most (`_most`); on how many
     balancers a changed upstream, tenant or route is heard (`_heard_by`); upstreams of a zone."""
     world = draw(shape, seed)
-    of = {"services": lambda s: 1, "upstreams": lambda s: s.size, "tenants": lambda s: s.tenants,
-          "routes": lambda s: s.routes}
+    of: dict[str, Callable[[Service], int]] = {
+        "services": lambda s: 1, "upstreams": lambda s: s.size, "tenants": lambda s: s.tenants,
+        "routes": lambda s: s.routes}
     found: dict[str, float] = {"connections": world.connections}
     for what, count in of.items():
         each = [sum(count(world.services[n]) for n in b.carries) for b in world.balancers]
