Timers that come early no longer turn the loop without a wait

Seen: a process of ours is said to have run for 20 s without a wait. Looked for: whatever turns with no wait in between (the table in design/races). Found: uvloop counts in whole milliseconds and rounds a delay to the nearest. A timer came up to half a millisecond early; who then looked at the clock found nothing due and set the rest anew; a rest under half a millisecond is no timer but a call on the next turn, and so on, hundreds of times, until the clock had moved on by itself. At fault: `SetTimer` in `Driver._carry_out` (each turn a whole `handle`), `Frontend._sweep_at` and `Upstreams._watch_idle`. On a clock that runs by itself this ends within 1 ms. So it is a loop of ours that does not wait, and not shown to be the cause of the 20 s.

Change: the three set their timers by `timers.call_after`, which rounds up to the loop's ticks, one at least.

--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -19,6 +19,7 @@
 from lanelift.net.body import Body
 from lanelift.net.http import Exchange
 from lanelift.net.parse import Headers, Response
+from lanelift.net.timers import call_after
 from lanelift.net.upstream import Endpoint, Report, Upstreams, attempt_request, number_of
 
 log = logging.getLogger(__name__)
@@ -246,7 +247,7 @@
             case api.Probe():
                 self._probe(action.upstream, now)
             case api.SetTimer():
-                self.loop.call_later(action.delay_ns / 1e9, self.post, api.Wake(action.name))
+                call_after(action.delay_ns / 1e9, self.post, api.Wake(action.name))
             case api.Tell():
                 if self.peers is not None:
                     self.peers.tell(action.peer, action.data)
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -21,6 +21,7 @@
 from lanelift.net.kernel import Socket, readable, received
 from lanelift.net.listener import leave_to_successor, listen
 from lanelift.net.parse import MAX_BODY, Headers, Request, RequestReader, Response, Unacceptable, message
+from lanelift.net.timers import call_after
 
 log = logging.getLogger(__name__)
 
@@ -221,11 +222,11 @@
             client.phase = None
 
     def _sweep_at(self, when: float) -> None:
-        # Of a call that is due within the same millisecond uvloop's handle does not know when.
+        # The handle itself knows no more than the loop's ticks.
         if self.timer is None or when < self.timer_at:
             if self.timer is not None:
                 self.timer.cancel()
-            self.timer, self.timer_at = self.loop.call_at(when, self._sweep), when
+            self.timer, self.timer_at = call_after(when - self.loop.time(), self._sweep), when
 
     def _sweep(self) -> None:
         """End what has waited too long, and look again when the next one will have."""
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -14,6 +14,7 @@
 from lanelift.net.body import Body, Store
 from lanelift.net.http import Connection, Exchange
 from lanelift.net.parse import MAX_BODY, Headers, Response, message
+from lanelift.net.timers import call_after
 
 log = logging.getLogger(__name__)
 
@@ -257,8 +258,8 @@
 
     def _watch_idle(self, target: Target) -> None:
         """One timer for each upstream that has idle connections, set for the oldest of them."""
-        target.timer = asyncio.get_running_loop().call_at(target.idle[0].idle_since + self.idle_s,
-                                                          self._sweep, target)
+        due = target.idle[0].idle_since + self.idle_s
+        target.timer = call_after(due - asyncio.get_running_loop().time(), self._sweep, target)
 
     def _sweep(self, target: Target) -> None:
         # A request written to a connection that the upstream is just closing ends as a reset, and may have
