Discovery: what a silent watch hid is asked for by version, at once

Each call was given up 1.5 s behind its hold of 4 s, then the module's pause behind a failed call passed, then each balancer asked for the whole list. Ruled out: dials, the loop, the clock; all other steps are within 25 ms of what the program says. At fault: `Discovery._watch` (whole list behind each end but a 503, pause behind a silence), `AFTER_HOLD_S`.

Change: which call comes next is a state machine without I/O (`net/calls.py`). Behind every end of a call the changes since the known version are asked for; a whole list only where none is known, behind what nobody foresaw, and in turn with the changes where those can't be read. A silent watch is given up 1 s behind its hold and followed at once, also where lists are asked for.

--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -23,7 +23,8 @@
 from lanelift.daemon.saved import SavedList, decoded, load_list, save_list
 from lanelift.leases.fence import Word
 from lanelift.leases.table import written
-from lanelift.net.discovery import HOLD_MS, PACE_S, Call, Discovery
+from lanelift.net.calls import HOLD_MS, PACE_S
+from lanelift.net.discovery import Discovery
 from lanelift.net.driver import Driver
 from lanelift.net.upstream import Endpoint
 from lanelift.store.client import Client, StoreError
@@ -70,7 +71,7 @@
         self.floor = -1  # a version that the next list must reach
         self.floor_s = 0.0
         self.working: asyncio.Task[None] | None = None
-        self.holds = discovery.hold_ms, discovery.pace_s
+        self.holds = discovery.calls.hold_ms, discovery.calls.pace_s
         discovery.tell = self._told
 
     @property
@@ -104,16 +105,16 @@
     def began(self, token: int) -> None:
         self.follower.owns(True, clock_ns())
         # One caller in place of all: it need not spare discovery as one of many would.
-        self.discovery.hold_ms, self.discovery.pace_s = HOLD_MS, PACE_S
+        self.discovery.calls.hold_ms, self.discovery.calls.pace_s = HOLD_MS, PACE_S
         if token != self.put[0]:  # one that is lost and found again goes on counting
             self.number = self.beat = 0
-        self.discovery.next = Call.WHOLE  # what was heard of the other owner is not counted there
+        self.discovery.calls.forget()  # what was heard of the other owner is not counted there
         self.working = asyncio.get_running_loop().create_task(self._work())
         self.discovery.subscribe(True)
 
     def ended(self) -> None:
         self.follower.owns(False, clock_ns())
-        self.discovery.hold_ms, self.discovery.pace_s = self.holds
+        self.discovery.calls.hold_ms, self.discovery.calls.pace_s = self.holds
         self.discovery.subscribe(False)
         if self.working is not None:
             self.working.cancel()
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -10,10 +10,10 @@
 import random
 import time
 from collections.abc import Coroutine
-from enum import Enum
 from typing import Any
 
 from lanelift import interface as api
+from lanelift.net.calls import CALL_S, Call, Calls, End
 from lanelift.net.driver import Driver
 from lanelift.net.http import Connection, Exchange
 from lanelift.net.parse import Response, message
@@ -22,20 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-# Each call is work for the one service of all balancers, whether it tells something or not: the more of them
-# there are, the longer each lets a call wait, and the longer it leaves changes to come together before the
-# next one. One of a few balancers keeps to the first figure of each.
-HOLD_MS, HOLD_EACH_MS, HOLD_MOST_MS = 4_000, 250, 20_000
-# What discovery has to tell counts as told 6 s later, or 2 s after a call's hold is over: a call that is
-# silent for so long is given up before that, and the whole list asked for. A connection that died without a
-# word hides the hold's length of changes: of a few balancers it is no longer than those 6 s allow.
-AFTER_HOLD_S = 1.5
-# Behind a call that failed, was turned away or was given up, a change counts as told 6 s after discovery has
-# it and can be reached, whatever the hold. So the next call waits for less, connection and answer of one that
-# does not wait are given so long together, and either fits into those 6 s with the longest pause before it.
-CATCH_UP_MS, CALL_S, BACKOFF_S = 3_000, 2.0, (0.05, 1.0)
-# Between two calls at the least, whatever comes back; a watch may pause for 200 ms.
-PACE_S, PACE_EACH_S, PACE_MOST_S = 0.02, 0.004, 0.15
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 MS = 1_000_000
@@ -45,11 +31,15 @@
 
 
 class Unanswered(Exception):
-    """A call failed: discovery is down, or said what can't be read."""
+    """A call failed: turned away, broken, or never connected."""
 
 
-class Busy(Unanswered):
-    """It turned the call away: it is there, and knows what it knew."""
+class Silent(Unanswered):
+    """Nothing came in the time of the call."""
+
+
+class Unread(Unanswered):
+    """What came can't be read."""
 
 
 def read_endpoint(row: Any) -> Endpoint:
@@ -85,12 +75,13 @@
     return need(raw, "version", int), maybe(raw, "full", bool, False), endpoints
 
 
-class Call(Enum):
-    """What discovery is asked next."""
-
-    WHOLE = "the whole list"
-    CATCH_UP = "what changed since the list that is known, behind a call without an answer"
-    HOLD = "the same, behind an answer: it may wait for long"
+def end_of(error: Exception) -> End:
+    """How a call ended that raised this."""
+    if isinstance(error, Silent):
+        return End.SILENT
+    if isinstance(error, Unread | Malformed):
+        return End.UNREAD
+    return End.REFUSED if isinstance(error, Unanswered) else End.LOST
 
 
 class Discovery:
@@ -98,13 +89,9 @@
         self.driver = driver
         self.tell = self._tell  # who is told what comes
         self.address = address
-        self.rng = random.Random(seed)
         self.push = driver.settings.discovery_push
-        balancers = driver.settings.replicas_of_me
-        self.hold_ms = min(HOLD_MOST_MS, max(HOLD_MS, HOLD_EACH_MS * balancers))
-        self.pace_s = min(PACE_MOST_S, max(PACE_S, PACE_EACH_S * balancers))
+        self.calls = Calls(driver.settings.replicas_of_me, random.Random(seed))
         self.version = -1
-        self.next = Call.WHOLE
         self.connection: Connection | None = None
         self.watching = False
         self.task: asyncio.Task[None] | None = None  # the one that calls: a watch, or for one list
@@ -113,7 +100,7 @@
         """Begin from the list as last known, and watch at once where changes are pushed."""
         if known is not None:
             self.version, _, endpoints = read_list(known)
-            self.next = Call.CATCH_UP
+            self.calls.knows()
             self.tell(api.ListKind.CACHED, endpoints)
         if self.push:
             self.subscribe(True)
@@ -127,7 +114,7 @@
 
     def fetch(self) -> None:
         """Ask for the whole list; a watch begins anew with it."""
-        self.next = Call.WHOLE
+        self.calls.forget()
         self._run(self._watch() if self.watching else self._fetch())
 
     def move(self, address: tuple[str, int]) -> None:
@@ -135,7 +122,7 @@
         not hold up the new one. That one counts its versions for itself: its first whole list stands."""
         self.address = address
         self.version = -1
-        self.next = Call.WHOLE
+        self.calls.forget()
         if self.connection is not None:
             self.connection.abort()
         if self.task is not None:  # also one that has failed, and waits to be told to ask again
@@ -153,30 +140,19 @@
         self.task = asyncio.get_running_loop().create_task(work) if work is not None else None
 
     async def _watch(self) -> None:
-        """Without a gap: each call follows on the answer before it. The first asks for what changed since the
-        list that is known, or was before discovery turned a call away: the whole list, line by line for each
-        of forty balancers, would leave it no time for the changes. After any other failure the whole one
-        comes first."""
-        backoff_s = BACKOFF_S[0]
+        """Without a gap: each call follows on the answer before it."""
         while True:
             try:
-                call = self.next
-                await self._call(call)
-                self.next = Call.HOLD
-                if call is not Call.WHOLE:
-                    backoff_s = BACKOFF_S[0]
-                await asyncio.sleep(self.pace_s * self.rng.uniform(0.7, 1.0))
+                await self._call()
+                pause_s = self.calls.ended(End.ANSWERED)
             except Exception as error:
-                known = isinstance(error, Busy) and self.next is not Call.WHOLE
-                self.next = Call.CATCH_UP if known else Call.WHOLE
-                # The old list stands. Balancers must not all come back together.
-                self._failed(error)
-                if not self.push:
-                    self.watching = False
-                    self.tell(api.ListKind.FAILED, [])  # the module says when to ask again
-                    return
-                await asyncio.sleep(backoff_s * self.rng.uniform(0.5, 1.0))
-                backoff_s = min(2 * backoff_s, BACKOFF_S[1])
+                pause_s = self.calls.ended(end_of(error))
+                self._failed(error)  # the old list stands
+            if pause_s is None and not self.push:
+                self.watching = False
+                self.tell(api.ListKind.FAILED, [])  # the module says when to ask again
+                return
+            await asyncio.sleep(self.calls.again() if pause_s is None else pause_s)
 
     def _failed(self, error: Exception) -> None:
         """One line for what may happen. What nobody thought of must not end the watch for good, unseen."""
@@ -185,27 +161,23 @@
 
     async def _fetch(self) -> None:
         try:
-            await self._call(Call.WHOLE)
-            self.next = Call.CATCH_UP
+            await self._call()
+            self.calls.knows()
         except Exception as error:
             self._failed(error)
             self.tell(api.ListKind.FAILED, [])
 
-    async def _call(self, call: Call) -> None:
-        target, wait_s = b"/v1/endpoints", None
-        if call is not Call.WHOLE:
-            hold_ms = self.hold_ms if call is Call.HOLD else min(self.hold_ms, CATCH_UP_MS)
-            target += b"?from=%d&hold_ms=%d" % (self.version, hold_ms)
-            wait_s = hold_ms / 1000 + AFTER_HOLD_S
-        response = await self._get(target, wait_s)
-        if response.status == 503:
-            raise Busy("answered 503")
+    async def _call(self) -> None:
+        ask, target = self.calls.ask(), b"/v1/endpoints"
+        if ask.call is not Call.WHOLE:
+            target += b"?from=%d&hold_ms=%d" % (self.version, ask.hold_ms)
+        response = await self._get(target, ask.wait_s)
         if response.status != 200:
             raise Unanswered(f"answered {response.status}")
         try:
             raw = json.loads(response.body)
         except (ValueError, RecursionError) as error:
-            raise Unanswered(f"not JSON: {error}") from None
+            raise Unread(f"not JSON: {error}") from None
         version, full, endpoints = read_list(raw)
         # A list that is older than what is known, or no newer and partial, tells nothing.
         if version < self.version or (version == self.version and not full):
@@ -247,7 +219,8 @@
         finally:
             exchange.give_up(api.Result.CANCELLED)
         if response is None:
-            raise Unanswered(f"no answer: {result.value}")
+            kinds = {api.Result.TIMEOUT: Silent, api.Result.ERROR: Unread}
+            raise kinds.get(result, Unanswered)(f"no answer: {result.value}")
         return response
 
 
