Feed: who is parked stays parked whatever it says; bounds of scopes and refusals

Cause: an acknowledgement of a parked subscriber (it tells its refusals at once) was answered with a bookmark of the node's revision. Found in reading it over: a Rescope that dropped and added the same names passed the bound of scopes by as many; a refusal's scope and key had none; a bookmark that says that more is to come left the balancer's age at 0.

Change: these five. The test of planted bugs asks that each shows within 8 seeds, and the same again by the seed found, in place of a seed each, which moved with the program; the one test of `catch` is part of it now.

--- a/lanelift/feed/fanout.py
+++ b/lanelift/feed/fanout.py
@@ -18,9 +18,9 @@
 from lanelift.feed.cache import WatchCache
 from lanelift.feed.messages import (
     MOST_NAME,
+    MOST_REFUSAL,
     MOST_REFUSALS,
     MOST_SCOPES,
-    MOST_WHY,
     Behind,
     Bookmark,
     Later,
@@ -151,15 +151,15 @@
         if patch is None:
             return
         word, size = patch.parts[0], len(patch.parts[0])
-        whole = len(patch.parts) == 1
+        single = len(patch.parts) == 1
         count = 0
         for subscriber in scope.watchers:
             if name in subscriber.dirty or name in subscriber.pending:
                 continue
             held = subscriber.unacknowledged_bytes
-            if not (whole and subscriber.writable and (held + size <= window or not held)):
+            if not (single and subscriber.writable and (held + size <= window or not held)):
                 subscriber.dirty[name] = Late(after, floor, now)
-                if not whole:
+                if not single:
                     self._flush(subscriber, now)
                 continue
             subscriber.sequence = sequence = subscriber.sequence + 1
@@ -301,7 +301,7 @@
         has = subscriber.scopes if subscriber.parked is None else subscriber.parked
         if any(name not in has for name in ask.drop) or len(set(ask.drop)) < len(ask.drop):
             raise BadWord("a scope is dropped that was not there")
-        if len(has) - len(ask.drop) + sum(name not in has for name in add) > MOST_SCOPES:
+        if len((has.keys() - set(ask.drop)) | add.keys()) > MOST_SCOPES:
             raise BadWord(f"more than {MOST_SCOPES} scopes")
         if max(add.values(), default=0) > self.revision and subscriber.parked is None:
             raise BadWord(f"a scope is added from past revision {self.revision}")
@@ -328,8 +328,9 @@
     def _reached(self, subscriber: Subscriber, ask: Reached, now: int) -> None:
         if not subscriber.acknowledged <= ask.sequence <= subscriber.sequence:
             raise BadWord(f"reached {ask.sequence} of {subscriber.sequence}, after {subscriber.acknowledged}")
-        if len(ask.refused) > MOST_REFUSALS or any(len(one.why) > MOST_WHY for one in ask.refused):
-            raise BadWord(f"more than {MOST_REFUSALS} refusals, or one of more than {MOST_WHY} characters")
+        if len(ask.refused) > MOST_REFUSALS or any(
+                len(one.scope) + len(one.key) + len(one.why) > MOST_REFUSAL for one in ask.refused):
+            raise BadWord(f"over {MOST_REFUSALS} refusals, or one of over {MOST_REFUSAL} characters")
         subscriber.acknowledged = ask.sequence
         under_way = subscriber.unacknowledged
         while under_way and under_way[0].sequence <= ask.sequence:
@@ -347,7 +348,7 @@
         subscriber = self.subscribers.get(number)
         if subscriber is not None and subscriber.writable != on:
             subscriber.writable = on
-            if on and subscriber.parked is None:
+            if on:
                 self._serve(subscriber, now)
         self._pump(now)
 
@@ -389,6 +390,8 @@
 
     def _serve(self, subscriber: Subscriber, now: int) -> None:
         """Everything that it can take now, but for snapshots, which wait for their turn."""
+        if subscriber.parked is not None:
+            return
         self._flush(subscriber, now)
         if subscriber.pending and not subscriber.queued and subscriber.writable:
             subscriber.queued = True
@@ -397,9 +400,6 @@
                 self._waiting.append(subscriber)
             else:  # in the middle of one: it had its turn
                 self._waiting.appendleft(subscriber)
-        self._settled(subscriber)
-
-    def _settled(self, subscriber: Subscriber) -> None:
         if subscriber.announce and subscriber.writable and not subscriber.dirty and not subscriber.pending:
             self._mark(subscriber)
 
@@ -461,8 +461,7 @@
                 self._streamed(subscriber, scope, late.stream.revision, now)
                 if not subscriber.pending:
                     self._dequeue(subscriber)
-                    self._flush(subscriber, now)
-                    self._settled(subscriber)
+                    self._serve(subscriber, now)
 
     def _mark(self, subscriber: Subscriber) -> None:
         """A bookmark: up to where all was told, and digests of some of its scopes, in turn."""
--- a/lanelift/feed/messages.py
+++ b/lanelift/feed/messages.py
@@ -19,6 +19,7 @@
 MOST_REFUSALS = 16  # that one word holds
 MOST_NAME = 200  # characters of a subscriber's name
 MOST_WHY = 200  # characters
+MOST_REFUSAL = 2_000  # with its scope and key
 _KEY = re.compile(r"feed/(global|service:[A-Za-z0-9][A-Za-z0-9._:@-]*)/"
                   r"([A-Za-z0-9][A-Za-z0-9._:@-]*/[A-Za-z0-9][A-Za-z0-9._:@-]*)\Z")
 _SCOPE = re.compile(r"(global|service:[A-Za-z0-9][A-Za-z0-9._:@-]*)\Z")
--- a/lanelift/feed/subscription.py
+++ b/lanelift/feed/subscription.py
@@ -308,8 +308,8 @@
                 self._anew(table_, now)
             elif len(table_.rows) > self.limits.audit_rows:
                 self._begin_audit(table_, now)
-        if told.digests or not self.scopes:
-            self._current = len(mine) == len(self.scopes) and self.ready
+        whole = bool(told.digests) or not self.scopes  # else something is still to be told
+        self._current = whole and len(mine) == len(self.scopes) and self.ready
 
     def _patch(self, generation: int, patch: Patch, size: int, now: int) -> None:
         if not self._ack_at:
--- a/lanelift/lab/feed/measure.py
+++ b/lanelift/lab/feed/measure.py
@@ -83,18 +83,28 @@
 
 
 def rest(subscribers: int) -> dict[str, float]:
-    """us a second of bookmarks, where nothing changes and each has 100 scopes."""
+    """us and bytes a second of bookmarks, where nothing changes and each has 100 scopes."""
     fanout = loaded(10_000, 500)
     subscribed(fanout, subscribers, lambda number: [f"service:orders-{(number * 7 + at) % 500}"
                                                     for at in range(100)])
-    spent = []
+    spent, before = [], fanout.status().sent_bytes
     for round_ in range(20):
         began = time.process_time_ns()
         for second in range(10):
             fanout.tick((2 + round_ * 10 + second) * SECOND)
             fanout.take_out()
         spent.append((time.process_time_ns() - began) / 10_000)
-    return {"rest_us_s": median(spent)}
+    return {"rest_us_s": median(spent), "rest_bytes_s": (fanout.status().sent_bytes - before) / 200}
+
+
+def snapshots(subscribers: int) -> dict[str, float]:
+    """us of so many subscribers that know nothing, each with 100 scopes of 20 rows, acknowledgements too."""
+    fanout = loaded(10_000, 500)
+    began = time.process_time_ns()
+    subscribed(fanout, subscribers, lambda number: [f"service:orders-{(number * 7 + at) % 500}"
+                                                    for at in range(100)])
+    spent = (time.process_time_ns() - began) / 1_000
+    return {"snapshots_us": spent, "snapshots_bytes": fanout.status().sent_bytes}
 
 
 def resume(subscribers: int) -> dict[str, float]:
@@ -191,6 +201,7 @@
     "change": (change, SUBSCRIBERS),
     "rest": (rest, SUBSCRIBERS),
     "resume": (resume, SUBSCRIBERS),
+    "snapshots": (snapshots, SUBSCRIBERS),
     "subscriber_memory": (subscriber_memory, SUBSCRIBERS),
     "row_memory": (row_memory, (16_250, 32_500, 65_000, 130_000)),
     "balancer": (balancer, (64, 128, 256, 512)),
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -383,6 +383,21 @@
     assert behind.status().snapshots == 0
 
 
+def test_who_is_parked_hears_nothing_but_that_whatever_it_says() -> None:
+    node = fanout()
+    assert subscribe(node, 1, [(A, 11), (B, 10)]) == [Behind(10)]
+    node.heard(1, pack(Reached(0, (Refusal(A, "upstream/x", 1, "why"),))), 0)
+    node.writable(1, False, 0)
+    node.writable(1, True, 0)
+    node.heard(1, pack(Rescope(2, (("global", 0),), (B,))), 0)
+    assert told(node) == [Behind(10)] and node.status().refusals == 1
+    node.tick(5 * S)
+    assert told(node) == [Behind(10)] and node.status().reached == ((0, 1),)
+    node.applied(12, [change(12, A, "x", 2, b"2")], 5 * S)
+    assert [(one.scope, one.whole) for one in told(node) if isinstance(one, Patch)] == [
+        (A, False), ("global", True)]
+
+
 def test_it_does_not_wait_for_ever_and_asks_elsewhere() -> None:
     nodes = [fanout(), fanout(), fanout()]
     line = Line(nodes, [A]).turn()
@@ -787,6 +802,26 @@
     assert node.status().reached == ((10, 1), (11, 10), (13, 29))
 
 
+def test_what_is_under_way_of_a_scope_that_was_dropped_holds_nobody_back() -> None:
+    node = fanout()
+    subscribe(node, 1, [(A, 10), (B, 10)])
+    node.applied(11, [change(11, A, "x", 2, b"2")], 0)
+    node.applied(12, [change(12, B, "x", 2, b"2")], 0)
+    node.heard(1, pack(Rescope(2, (), (A,))), 0)
+    assert node.status().reached == ((11, 1),)
+    node.heard(1, pack(Rescope(3, ((B, 12),), ())), 0)
+    assert node.status().reached == ((12, 1),)
+
+
+def test_what_is_told_while_more_is_to_come_does_not_make_it_current() -> None:
+    node = fanout(FanoutLimits(snapshot_bytes_s=1, snapshot_burst=1))
+    line = Line([node], [A]).turn()
+    assert line.one.age(line.now) == 0
+    line.one.want([B], [], 0)
+    line.later(30 * S)
+    assert not line.one.ready and line.one.age(line.now) > 20 * S and line.node is node
+
+
 def test_the_status_is_json() -> None:
     node = fanout()
     line = Line([node], [A]).turn()
@@ -815,8 +850,12 @@
     ([pack(Subscribe("b", "e", (("zone:a", 0),)))], "no scope"),
     ([pack(Subscribe("b", "e", tuple((f"service:{at}", 0) for at in range(4_097))))], "4096"),
     ([pack(Subscribe("b", "e", ())), pack(Reached(1))], "reached 1 of 0"),
-    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x", 1, ""),) * 17))], "16 refusals"),
+    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x", 1, ""),) * 17))], "over 16 refusals"),
+    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x" * 2_000, 1, ""),)))], "over 2000 char"),
     ([pack(Subscribe("b", "e", ())), pack(Rescope(3, (), ()))], "generation 3 after 1"),
+    ([pack(Subscribe("b", "e", tuple((f"service:{at}", 0) for at in range(4_096)))),
+      pack(Rescope(2, tuple((f"service:{at}", 0) for at in range(4_097)),
+                   tuple(f"service:{at}" for at in range(4_096))))], "more than 4096"),
     ([pack(Subscribe("b", "e", ())), pack(Rescope(2, (), (A,)))], "not there"),
     ([pack(Subscribe("b", "e", ())), pack(Rescope(2, ((A, 11),), ()))], "past revision 10"),
 ])
--- a/tests/test_feed_fuzz.py
+++ b/tests/test_feed_fuzz.py
@@ -16,11 +16,7 @@
 from lanelift.lab.topology import Unusable
 
 SEEDS = 60
-# The first seed that shows each, of those from 1 on.
-CAUGHT = {"cursor-before-last-part": 1, "dropped-scope-applied": 3, "stale-coalescing": 1, "lost-delete": 1,
-          "digest-keeps-deleted": 1, "reached-at-send": 1, "resumed-past-the-log": 1, "never-parked": 1,
-          "lost-under-a-snapshot": 1, "no-window": 1, "stale-coalescing-unseen-by-digests": 1,
-          "lost-delete-unseen-by-digests": 1}
+WITHIN = 8  # seeds, of those that the true program passes above, each bug shows
 
 
 @pytest.mark.parametrize("spoil", [False, True])
@@ -45,14 +41,9 @@
 
 @pytest.mark.parametrize("name", sorted(PLANTS))
 def test_a_planted_bug_is_caught(name: str) -> None:
-    assert played(name, CAUGHT[name]).broken
-    assert not play(CAUGHT[name]).broken
-
-
-def test_the_first_seed_that_shows_a_bug_is_found_again() -> None:
-    found = catch("dropped-scope-applied", 10)
-    assert found is not None and found.seed == CAUGHT["dropped-scope-applied"]
-    assert found.broken.endswith("which it does not want")
+    found = catch(name, WITHIN)
+    assert found is not None
+    assert played(name, found.seed) == found and not play(found.seed).broken
 
 
 def test_the_command_plays_seeds_and_plants() -> None:
