--- a/lanelift/feed/fanout.py
+++ b/lanelift/feed/fanout.py
@@ -209,7 +209,6 @@
             after_ms = self._slots.draw(self._backlog, needs, now)
             self._out.append(Send(number, 1, 0, pack(Later(after_ms))))
             return
-        self._put_off.discard(number)
         subscriber = self.subscribers[number] = Subscriber(number, ask.name)
         self._bookmarks[subscriber] = now + self.limits.bookmark_ns
         if max(cursors.values(), default=0) > self.revision:
--- a/lanelift/lab/feed/planted.py
+++ b/lanelift/lab/feed/planted.py
@@ -16,7 +16,7 @@
 from lanelift.lab.feed.sim import Options, Outcome, play
 
 _patch, _rescope, _delta = Subscription._patch, Subscription._rescope, ScopeTable.delta
-_since, _keep = Scope.since, Scope.keep
+_since, _keep, _serve = Scope.since, Scope.keep, Fanout._serve
 
 
 def _cursor_before_last_part(self: Subscription, generation: int, patch: Patch, size: int, now: int) -> None:
@@ -83,6 +83,13 @@
     self._begin(subscriber, cursors, now)
 
 
+def _served_while_parked(self: Fanout, subscriber: Subscriber, now: int) -> None:
+    """What a parked subscriber says is answered with a bookmark."""
+    parked, subscriber.parked = subscriber.parked, None
+    _serve(self, subscriber, now)
+    subscriber.parked = parked
+
+
 def _no_more(self: Fanout, subscriber: Subscriber, scope: Scope, revision: int, now: int) -> None:
     """What changes while a snapshot is under way is not told after it."""
 
@@ -121,6 +128,7 @@
     "reached-at-send": (Plant(Subscriber, "lag", _counted_at_send),),
     "resumed-past-the-log": (Plant(Scope, "covers", _always_covered),),
     "never-parked": (Plant(Fanout, "_park", _never_parked),),
+    "bookmark-while-parked": (Plant(Fanout, "_serve", _served_while_parked),),
     "lost-under-a-snapshot": (Plant(Fanout, "_streamed", _no_more),),
     "no-window": (Plant(Fanout, "_room", _no_window),),
 }
