Tests: the platform's process loads nothing of the feed, and no xxhash

Need: the table of floors says so since the feed has a place in it, and the test did not ask. Change: both are among what must not be loaded. Measured: python -m pytest -q tests/test_daemon.py -k platforms: passed.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -128,5 +128,6 @@
     assert "lanelift.net.frontend" in loaded
     mine = {name for name in loaded if name.startswith("lanelift.")}
     assert not [m for m in mine if m.split(".")[1] in (
-        "cli", "lab", "daemon", "store", "leases", "sites", "gossip", "routing", "units")]
-    assert not loaded & {"typer", "rich", "msgspec", "numpy", "matplotlib", "hdrh", "sqlite3", "click"}
+        "cli", "lab", "daemon", "store", "leases", "sites", "feed", "gossip", "routing", "units")]
+    assert not loaded & {"typer", "rich", "msgspec", "numpy", "matplotlib", "hdrh", "sqlite3", "click",
+                         "xxhash"}
