--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -492,6 +492,7 @@
 
 def test_a_snapshot_of_the_store_is_installed_under_live_subscribers() -> None:
     node = fanout()
+    node.applied(11, [change(11, "service:other", "x", 1, b"1")], 0)  # its log goes, and its bytes with it
     line = Line([node], [A, B, "global"]).turn()
     line.later(S)
     line.acts.clear()
@@ -500,6 +501,7 @@
     applied = {action.scope: action for action in line.acts if isinstance(action, Apply)}
     assert applied[A].whole and applied[B].whole and "global" not in applied
     assert line.values(A)["x"] == b"unseen" and line.values(B)["y"] == b"seen"
+    assert node.cache.logged == (1, len("upstream/y") + len(b"seen") + 24)
     node.applied(31, [change(31, "global", "x", 2, b"2")], 0)
     line.later(S)
     assert line.values("global")["x"] == b"2" and line.one.mended == 0
--- a/tests/test_feed_fuzz.py
+++ b/tests/test_feed_fuzz.py
@@ -9,8 +9,10 @@
 from typer.testing import CliRunner
 
 from lanelift.cli.main import application
+from lanelift.feed.fanout import FanoutLimits
 from lanelift.lab.cluster.checks import Broken
 from lanelift.lab.feed.books import REFUSED, Book, History
+from lanelift.lab.feed.herd import Herd
 from lanelift.lab.feed.planted import PLANTS, catch, played
 from lanelift.lab.feed.sim import Options, play
 from lanelift.lab.topology import Unusable
@@ -114,3 +116,20 @@
         old.applied(made, "global", True, tuple(made.rows("global", 5).values()), 5)
     with pytest.raises(Broken, match="rows"):
         old.applied(made, "global", True, (), 5)
+
+
+# ---- many at once ----------------------------------------------------------------------------------------
+
+
+def test_a_herd_is_ready_soon_and_moves_from_a_dead_node_without_a_snapshot() -> None:
+    limits = FanoutLimits(snapshot_bytes_s=200_000, snapshot_burst=20_000, waiting_most=4)
+    herd = Herd(1, 3, 120, 5, limits, kinds=(("upstream", 2_000, 110),), services=50)
+    started = herd.start()
+    assert started["current"] == 120 and started["later"] > 50 and started["mended"] == 0
+    assert started["snapshots"] == 120 * 6 and started["s_90"] < 10
+    assert started["encoded"] <= 3 * 51
+    # Not sooner than the pace allows.
+    assert started["s_100"] > started["sent_bytes"] / 3 / 200_000 * 0.7
+    moved = herd.node_dies()
+    assert moved["current"] == moved["members"] > 20
+    assert moved["snapshots"] == moved["later"] == moved["mended"] == 0 and moved["s_100"] < 1
