--- a/lanelift/feed/fanout.py
+++ b/lanelift/feed/fanout.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter, OrderedDict, deque
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Sequence
 
 import msgspec
@@ -32,7 +32,7 @@
     pack,
     unpack_ask,
 )
-from lanelift.feed.pacing import MS, NS, Slots, TokenBucket
+from lanelift.feed.pacing import MS, NS
 from lanelift.feed.scope import UNKNOWN, FeedChange, Patches, Scope
 from lanelift.feed.status import (
     MOST_LAGGARDS,
@@ -43,6 +43,7 @@
     Refused,
 )
 from lanelift.feed.subscriber import Late, Subscriber, Unacknowledged
+from lanelift.feed.waiting import Waiting
 
 __all__ = ["BadWord", "Fanout", "FanoutLimits", "FeedChange", "Send"]
 
@@ -89,14 +90,12 @@
         self.subscribers: dict[int, Subscriber] = {}
         self.patches = Patches(limits.cache_bytes, limits.part_bytes)
         self._bookmarks: OrderedDict[Subscriber, int] = OrderedDict()  # when the next is due
-        self._waiting: deque[Subscriber] = deque()  # for snapshots; none of them is blocked
-        self._backlog = 0  # bytes of these
+        self._waiting = Waiting(limits.waiting_most, limits.snapshot_bytes_s, limits.snapshot_burst,
+                                limits.later_least_ms, limits.later_most_ms, now)
         self._parked: list[tuple[int, int, Subscriber]] = []  # heap: revision that it takes, turn
         self._parks = 0
         self._refusing: dict[Subscriber, None] = {}
         self._put_off: set[int] = set()  # connections whose subscription was not taken
-        self._bucket = TokenBucket(limits.snapshot_bytes_s, limits.snapshot_burst, now)
-        self._slots = Slots(limits.snapshot_bytes_s, limits.later_least_ms, limits.later_most_ms)
         self._out: list[Send] = []
         self._now = now
         self._sent_bytes = self._sent_words = self._resumes = self._snapshots = self._later = 0
@@ -202,12 +201,10 @@
         if ask.epoch != self.epoch:
             cursors = dict.fromkeys(cursors, 0)
         needs = sum(self.cache.needs(name, cursor) for name, cursor in cursors.items())
-        if len(self.subscribers) >= self.limits.subscribers_most or (
-                needs and len(self._waiting) >= self.limits.waiting_most):
+        if len(self.subscribers) >= self.limits.subscribers_most or needs and self._waiting.full:
             self._later += 1
             self._put_off.add(number)
-            after_ms = self._slots.draw(self._backlog, needs, now)
-            self._out.append(Send(number, 1, 0, pack(Later(after_ms))))
+            self._out.append(Send(number, 1, 0, pack(Later(self._waiting.later_ms(needs, now)))))
             return
         subscriber = self.subscribers[number] = Subscriber(number, ask.name)
         self._bookmarks[subscriber] = now + self.limits.bookmark_ns
@@ -260,18 +257,13 @@
         """A snapshot of this scope."""
         late.cursor, late.asked, late.size = UNKNOWN, self.revision, scope.bytes
         subscriber.pending[scope.name] = late
-        self._owe(subscriber, late.size)
-
-    def _owe(self, subscriber: Subscriber, size: int) -> None:
-        subscriber.pending_bytes += size
-        if subscriber.queued:
-            self._backlog += size
+        self._waiting.owe(subscriber, late.size)
 
     def _lift(self, subscriber: Subscriber, name: str) -> Late | None:
         """A scope is no longer late."""
         late = subscriber.pending.pop(name, None)
         if late is not None:
-            self._owe(subscriber, -late.size)
+            self._waiting.owe(subscriber, -late.size)
             return late
         return subscriber.dirty.pop(name, None)
 
@@ -283,7 +275,7 @@
 
     def _move(self, subscriber: Subscriber, stood: int, now: int) -> None:
         """Over to the scopes as they were loaded anew; where it was up to date, it was so at `stood`."""
-        self._dequeue(subscriber)
+        self._waiting.leave(subscriber)
         for name in list(subscriber.scopes):
             late = self._lift(subscriber, name)
             if late is None:
@@ -359,7 +351,7 @@
         if subscriber is None:
             return
         subscriber.parked = None
-        self._dequeue(subscriber)
+        self._waiting.leave(subscriber)
         for name in list(subscriber.scopes):
             self._leave(subscriber, name)
         self._bookmarks.pop(subscriber, None)
@@ -392,13 +384,8 @@
         if subscriber.parked is not None:
             return
         self._flush(subscriber, now)
-        if subscriber.pending and not subscriber.queued and subscriber.writable:
-            subscriber.queued = True
-            self._backlog += subscriber.pending_bytes
-            if next(iter(subscriber.pending.values())).stream is None:
-                self._waiting.append(subscriber)
-            else:  # in the middle of one: it had its turn
-                self._waiting.appendleft(subscriber)
+        if subscriber.pending and subscriber.writable:
+            self._waiting.join(subscriber)
         if subscriber.announce and subscriber.writable and not subscriber.dirty and not subscriber.pending:
             self._mark(subscriber)
 
@@ -428,20 +415,14 @@
             first = scope.first_after(revision) if scope.covers(revision) else 0
             subscriber.dirty[scope.name] = Late(revision, (first or revision + 1) - 1, now)
 
-    def _dequeue(self, subscriber: Subscriber) -> None:
-        if subscriber.queued:
-            subscriber.queued = False
-            self._backlog -= subscriber.pending_bytes
-            self._waiting.remove(subscriber)
-
     def _pump(self, now: int) -> None:
         """Snapshots, as fast as they may go. Who can't take more leaves the queue and comes back to it."""
         while self._waiting:
-            subscriber = self._waiting[0]
+            subscriber = self._waiting.first
             if not subscriber.pending or not subscriber.writable:
-                self._dequeue(subscriber)
+                self._waiting.leave(subscriber)
                 continue
-            if not self._bucket.ready(now):
+            if not self._waiting.ready(now):
                 return
             name, late = next(iter(subscriber.pending.items()))
             scope = subscriber.scopes[name]
@@ -449,17 +430,17 @@
                 late.stream = self.patches.whole(scope, late.asked, self.revision)
             word = late.stream.parts[late.index]
             if not self._room(subscriber, len(word)):
-                self._dequeue(subscriber)
+                self._waiting.leave(subscriber)
                 continue
             self._send(subscriber, word, late.floor, name, now)
-            self._bucket.take(len(word), now)
+            self._waiting.spend(len(word), now)
             late.index += 1
             if late.index == len(late.stream.parts):
                 self._snapshots += 1
                 self._lift(subscriber, name)
                 self._streamed(subscriber, scope, late.stream.revision, now)
                 if not subscriber.pending:
-                    self._dequeue(subscriber)
+                    self._waiting.leave(subscriber)
                     self._serve(subscriber, now)
 
     def _mark(self, subscriber: Subscriber) -> None:
@@ -500,7 +481,7 @@
         """When `tick` has something to do; 0: never."""
         due = next(iter(self._bookmarks.values()), 0)
         if self._waiting:
-            ready = self._bucket.ready_at(self._now)
+            ready = self._waiting.ready_at(self._now)
             due = min(due, ready) if due else ready
         return due
 
--- a/lanelift/feed/subscription.py
+++ b/lanelift/feed/subscription.py
@@ -111,6 +111,8 @@
 
 
 class Subscription:
+    """It dials as soon as it is there, and again after each loss, as long as it is asked (`tick`)."""
+
     def __init__(self, name: str, scopes: Collection[str], check: Check, limits: SubscriptionLimits,
                  rng: Random, now: int) -> None:
         self.name, self.limits = name, limits
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -351,6 +351,16 @@
     assert set(node.subscribers[line.number].scopes) == {A, B}
 
 
+def test_each_change_of_scopes_ends_with_a_bookmark_once_all_was_told() -> None:
+    node = fanout()
+    assert [type(word) for word in subscribe(node, 1, [(A, 0)])] == [Patch, Bookmark]
+    node.heard(1, pack(Rescope(2, ((B, 0),), ())), 0)
+    assert [type(word) for word in told(node)] == [Patch, Bookmark]
+    node.heard(1, pack(Rescope(3, (), (A,))), 0)
+    bookmark, = told(node)
+    assert bookmark.digests == ((B, node.cache.scopes[B].digest),)
+
+
 def test_what_can_not_be_wanted() -> None:
     one = Subscription("b", [A], lambda scope, row: "", LIMITS, Random(1), 0)
     with pytest.raises(ValueError, match="no scope"):
