--- a/lanelift/feed/subscription.py
+++ b/lanelift/feed/subscription.py
@@ -111,6 +111,8 @@
 
 
 class Subscription:
+    """It dials as soon as it is there, and again after each loss, as long as it is asked (`tick`)."""
+
     def __init__(self, name: str, scopes: Collection[str], check: Check, limits: SubscriptionLimits,
                  rng: Random, now: int) -> None:
         self.name, self.limits = name, limits
@@ -308,8 +310,8 @@
                 self._anew(table_, now)
             elif len(table_.rows) > self.limits.audit_rows:
                 self._begin_audit(table_, now)
-        if told.digests or not self.scopes:
-            self._current = len(mine) == len(self.scopes) and self.ready
+        whole = bool(told.digests) or not self.scopes  # else something is still to be told
+        self._current = whole and len(mine) == len(self.scopes) and self.ready
 
     def _patch(self, generation: int, patch: Patch, size: int, now: int) -> None:
         if not self._ack_at:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -351,6 +351,16 @@
     assert set(node.subscribers[line.number].scopes) == {A, B}
 
 
+def test_each_change_of_scopes_ends_with_a_bookmark_once_all_was_told() -> None:
+    node = fanout()
+    assert [type(word) for word in subscribe(node, 1, [(A, 0)])] == [Patch, Bookmark]
+    node.heard(1, pack(Rescope(2, ((B, 0),), ())), 0)
+    assert [type(word) for word in told(node)] == [Patch, Bookmark]
+    node.heard(1, pack(Rescope(3, (), (A,))), 0)
+    bookmark, = told(node)
+    assert bookmark.digests == ((B, node.cache.scopes[B].digest),)
+
+
 def test_what_can_not_be_wanted() -> None:
     one = Subscription("b", [A], lambda scope, row: "", LIMITS, Random(1), 0)
     with pytest.raises(ValueError, match="no scope"):
@@ -383,6 +393,21 @@
     assert behind.status().snapshots == 0
 
 
+def test_who_is_parked_hears_nothing_but_that_whatever_it_says() -> None:
+    node = fanout()
+    assert subscribe(node, 1, [(A, 11), (B, 10)]) == [Behind(10)]
+    node.heard(1, pack(Reached(0, (Refusal(A, "upstream/x", 1, "why"),))), 0)
+    node.writable(1, False, 0)
+    node.writable(1, True, 0)
+    node.heard(1, pack(Rescope(2, (("global", 0),), (B,))), 0)
+    assert told(node) == [Behind(10)] and node.status().refusals == 1
+    node.tick(5 * S)
+    assert told(node) == [Behind(10)] and node.status().reached == ((0, 1),)
+    node.applied(12, [change(12, A, "x", 2, b"2")], 5 * S)
+    assert [(one.scope, one.whole) for one in told(node) if isinstance(one, Patch)] == [
+        (A, False), ("global", True)]
+
+
 def test_it_does_not_wait_for_ever_and_asks_elsewhere() -> None:
     nodes = [fanout(), fanout(), fanout()]
     line = Line(nodes, [A]).turn()
@@ -477,6 +502,7 @@
 
 def test_a_snapshot_of_the_store_is_installed_under_live_subscribers() -> None:
     node = fanout()
+    node.applied(11, [change(11, "service:other", "x", 1, b"1")], 0)  # its log goes, and its bytes with it
     line = Line([node], [A, B, "global"]).turn()
     line.later(S)
     line.acts.clear()
@@ -485,6 +511,7 @@
     applied = {action.scope: action for action in line.acts if isinstance(action, Apply)}
     assert applied[A].whole and applied[B].whole and "global" not in applied
     assert line.values(A)["x"] == b"unseen" and line.values(B)["y"] == b"seen"
+    assert node.cache.logged == (1, len("upstream/y") + len(b"seen") + 24)
     node.applied(31, [change(31, "global", "x", 2, b"2")], 0)
     line.later(S)
     assert line.values("global")["x"] == b"2" and line.one.mended == 0
@@ -693,6 +720,33 @@
         "x": b"1", "y": b"2" if when == "patch" else b"1"}
 
 
+def test_a_large_scope_is_looked_through_in_pieces() -> None:
+    node = fanout()
+    node.applied(11, [change(11, A, f"n{number}", 1, b"1") for number in range(100)], 0)
+    line = Line([node], [A], limits=structs.replace(LIMITS, audit_rows=10, audit_ns=20 * MS)).turn()
+    line.later(S)  # the first look finds nothing
+    line.one.scopes[A].rows.popitem()
+    line.words.clear()
+    line.now = 5 * S
+    node.tick(line.now)
+    line.turn()  # hears the digest, and begins
+    looks = 0
+    while not line.words:
+        assert line.one.wake_ns == line.now + (20 * MS if looks else 0)
+        line.now = line.one.wake_ns
+        line.one.tick(line.now)
+        line.turn()
+        looks += 1
+    assert looks == 11 and line.words[0] == Rescope(2, ((A, 0),), ()) and line.one.ready
+    # A change under way ends it; the next bookmark begins it again.
+    line.one.scopes[A].rows.popitem()
+    for revision in range(12, 40):
+        line.later(S // 2)
+        node.applied(revision, [change(revision, A, "n0", revision, b"2")], line.now)
+    line.later(20 * S)
+    assert line.one.mended == 2 and line.one.ready
+
+
 def test_a_node_whose_snapshots_are_wrong_is_left() -> None:
     bad, good = fanout(), fanout()
     bad.cache.scopes[A].digest ^= 1
@@ -780,13 +834,39 @@
     assert status.reached == ((10, 1), (11, 10), (12, 29))
     assert [(lag.name, lag.revision, lag.since_ms) for lag in status.laggards[:2]] == [
         ("b7", 10, 2_000), ("b0", 11, 1_000)]
-    assert len(status.laggards) == 11
+    assert len(status.laggards) == 11 and status.sent_words == 40 + 80  # bookmarks, patches
+    subscribe(node, 40, [(A, 99), (B, 5)], now=7 * S)
+    node.tick(10 * S)
+    assert [(lag.revision, lag.since_ms) for lag in node.status().laggards if lag.name == "b40"] == [
+        (5, 3_000)]
+    assert node.status().parked == 1
+    node.gone(40, 10 * S)
     node.applied(13, [change(13, "global", "x", 2, b"2")], 8 * S)  # which none of them watches
     assert node.status().reached == ((10, 1), (11, 10), (13, 29))
     node.applied(14, [change(14, A, "x", 3, b"3")], 9 * S)
     assert node.status().reached == ((10, 1), (11, 10), (13, 29))
 
 
+def test_what_is_under_way_of_a_scope_that_was_dropped_holds_nobody_back() -> None:
+    node = fanout()
+    subscribe(node, 1, [(A, 10), (B, 10)])
+    node.applied(11, [change(11, A, "x", 2, b"2")], 0)
+    node.applied(12, [change(12, B, "x", 2, b"2")], 0)
+    node.heard(1, pack(Rescope(2, (), (A,))), 0)
+    assert node.status().reached == ((11, 1),)
+    node.heard(1, pack(Rescope(3, ((B, 12),), ())), 0)
+    assert node.status().reached == ((12, 1),)
+
+
+def test_what_is_told_while_more_is_to_come_does_not_make_it_current() -> None:
+    node = fanout(FanoutLimits(snapshot_bytes_s=1, snapshot_burst=1))
+    line = Line([node], [A]).turn()
+    assert line.one.age(line.now) == 0
+    line.one.want([B], [], 0)
+    line.later(30 * S)
+    assert not line.one.ready and line.one.age(line.now) > 20 * S and line.node is node
+
+
 def test_the_status_is_json() -> None:
     node = fanout()
     line = Line([node], [A]).turn()
@@ -815,8 +895,12 @@
     ([pack(Subscribe("b", "e", (("zone:a", 0),)))], "no scope"),
     ([pack(Subscribe("b", "e", tuple((f"service:{at}", 0) for at in range(4_097))))], "4096"),
     ([pack(Subscribe("b", "e", ())), pack(Reached(1))], "reached 1 of 0"),
-    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x", 1, ""),) * 17))], "16 refusals"),
+    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x", 1, ""),) * 17))], "over 16 refusals"),
+    ([pack(Subscribe("b", "e", ())), pack(Reached(0, (Refusal(A, "x" * 2_000, 1, ""),)))], "over 2000 char"),
     ([pack(Subscribe("b", "e", ())), pack(Rescope(3, (), ()))], "generation 3 after 1"),
+    ([pack(Subscribe("b", "e", tuple((f"service:{at}", 0) for at in range(4_096)))),
+      pack(Rescope(2, tuple((f"service:{at}", 0) for at in range(4_097)),
+                   tuple(f"service:{at}" for at in range(4_096))))], "more than 4096"),
     ([pack(Subscribe("b", "e", ())), pack(Rescope(2, (), (A,)))], "not there"),
     ([pack(Subscribe("b", "e", ())), pack(Rescope(2, ((A, 11),), ()))], "past revision 10"),
 ])
