--- a/lanelift/cli/sizelab.py
+++ b/lanelift/cli/sizelab.py
@@ -169,6 +169,19 @@
     give(str(path), slopes, json_, plot, None)
 
 
+@app.command()
+def feed(parts: Annotated[str, typer.Option(help="With commas between; empty: all.")] = "",
+         json_: Json_ = None, plot: Plot = None, record: Record = None) -> None:
+    """What the feed's cores need, without sockets: CPU time and memory by subscribers and rows."""
+    from lanelift.lab.feed import measure as cores
+    chosen = [part.strip() for part in parts.split(",")] if parts else list(cores.SERIES)
+    if unknown := [part for part in chosen if part not in cores.SERIES]:
+        raise Unusable(f"--parts: {unknown[0]!r} is none of {', '.join(cores.SERIES)}")
+    said, day = command(), today()
+    slopes = [slope for part in chosen for slope in cores.fitted(part, said, day)]
+    give("the feed's cores", slopes, json_, plot, record)
+
+
 @app.command()
 def page(docs: Annotated[Path, typer.Argument(help="The folder of CAPACITY.md.")] = Path("docs"),
          write: Annotated[bool, typer.Option("--write", help="Put the page right.")] = False) -> None:
--- a/lanelift/lab/feed/measure.py
+++ b/lanelift/lab/feed/measure.py
@@ -1,25 +1,22 @@
 """What the feed's cores cost, without sockets: processor time of a change by who watches, memory by rows and
-by subscribers. `python -m lanelift.lab.feed.measure` prints each series with its fit as a line of JSON; each
-point has a process of its own.
+by subscribers. `lanelift lab size feed` gives each series with its slope; each point has its own process.
 """
 
 from __future__ import annotations
 
 import gc
-import json
 import multiprocessing
 import os
-import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from statistics import linear_regression, median
-from typing import Any
+from statistics import median
 
 from lanelift.feed.fanout import Fanout, FanoutLimits, FeedChange
 from lanelift.feed.messages import Reached, Row, Subscribe, pack
 from lanelift.feed.subscription import Dial, Say, Subscription, SubscriptionLimits
+from lanelift.lab.size.fit import Slope, fit
 
 SECOND = 1_000_000_000
 VALUE = 110  # bytes, as those of an upstream
@@ -213,24 +210,31 @@
     return SERIES[name][0](size)
 
 
-def fitted(name: str) -> list[dict[str, Any]]:
-    """One entry a figure: its points, slope, intercept and the largest relative distance from the line."""
-    sizes = SERIES[name][1]
+# By what `SERIES` gives: its name among the recorded slopes, its unit, what a size counts.
+NAMES: dict[str, tuple[str, str, str]] = {
+    "told_us": ("feed.change.told", "us", "subscribers"),
+    "heard_us": ("feed.change.acknowledged", "us", "subscribers"),
+    "rest_us_s": ("feed.rest.cpu", "us a second", "subscribers"),
+    "rest_bytes_s": ("feed.rest.bytes", "bytes a second", "subscribers"),
+    "resume_us": ("feed.resume", "us", "subscribers"),
+    "snapshots_us": ("feed.snapshots.cpu", "us", "subscribers"),
+    "snapshots_bytes": ("feed.snapshots.bytes", "bytes", "subscribers"),
+    "subscriber_bytes": ("feed.subscriber.memory", "bytes", "subscribers"),
+    "row_bytes": ("feed.row.memory", "bytes", "rows"),
+    "delta_us": ("feed.delta.taken", "us", "rows"),
+    "table_bytes": ("feed.table.memory", "bytes", "rows"),
+    "whole_us": ("feed.whole.taken", "us", "rows")}
+
+
+def fitted(name: str, command: str = "", date: str = "") -> list[Slope]:
+    """One a figure of this series."""
     found: dict[str, list[tuple[int, float]]] = {}
     with multiprocessing.get_context("spawn").Pool(1, maxtasksperchild=1) as pool:
-        for size in sizes:
+        for size in SERIES[name][1]:
             for figure, value in pool.apply(_point, (name, size)).items():
                 found.setdefault(figure, []).append((size, value))
-    entries = []
+    slopes = []
     for figure, points in found.items():
-        line = linear_regression([x for x, _ in points], [y for _, y in points])
-        residue = max(abs(y - line.slope * x - line.intercept) / max(abs(y), 1e-9) for x, y in points)
-        entries.append({"figure": figure, "points": points, "slope": line.slope,
-                        "intercept": line.intercept, "residue": residue})
-    return entries
-
-
-if __name__ == "__main__":
-    for wanted in sys.argv[1:] or SERIES:
-        for entry in fitted(wanted):
-            print(json.dumps(entry), flush=True)
+        known, unit, per = NAMES[figure]
+        slopes.append(fit(points, name=known, unit=unit, per=per, command=command, date=date))
+    return slopes
--- a/lanelift/lab/size/capacity.py
+++ b/lanelift/lab/size/capacity.py
@@ -52,6 +52,8 @@
     size: dict[str, float]
     derived: dict[str, str]
     figure: list[Figure]
+    plan: dict[str, float] = {}  # the users' size, which no file holds a second time
+    world: dict[str, float] = {}  # what is counted in a world of that size
 
 
 class Worked(msgspec.Struct, frozen=True):
@@ -73,7 +75,7 @@
 
     def __init__(self, sheet: Sheet, slopes: Mapping[str, Slope]) -> None:
         self.slopes = slopes
-        self.names: dict[str, float] = dict(sheet.size)
+        self.names: dict[str, float] = {**sheet.plan, **sheet.world, **sheet.size}
         self.beyond: set[str] = set()
         for name, formula in sheet.derived.items():
             if name in self.names:
@@ -151,8 +153,7 @@
     """Raises Unusable."""
     try:
         sheet = msgspec.convert(tomllib.loads(path.read_text(encoding="utf-8")), Sheet)
-        known = {**users_size(), **counted(Shape(), WORLD_SEED)}
-        return msgspec.structs.replace(sheet, size={**known, **sheet.size})
+        return msgspec.structs.replace(sheet, plan=users_size(), world=counted(Shape(), WORLD_SEED))
     except (OSError, ValueError) as error:
         raise Unusable(f"{path.name}: {error}") from None
 
@@ -185,8 +186,9 @@
     workings = Workings(sheet, slopes)
     worked = work_out(sheet, slopes)
     out = ["## The size", "", "| name | value | from |", "| --- | --- | --- |"]
-    out += [f"| `{name}` | {_number(value)} | the users' plan, the world of seed 1, or a choice above |"
-            for name, value in sheet.size.items()]
+    for told, names in (("the users' plan", sheet.plan), (f"the world of seed {WORLD_SEED}", sheet.world),
+                        ("figures.toml", sheet.size)):
+        out += [f"| `{name}` | {_number(value)} | {told} |" for name, value in names.items()]
     out += [f"| `{name}` | {_number(workings.names[name])} | `{_cell(formula)}` |"
             for name, formula in sheet.derived.items()]
     for role in dict.fromkeys(one.figure.role for one in worked):
