CLI: `lanelift feed status` and `feed wait`: on how many balancers a revision is in force

Need: a change is in force when balancers have it, not when the store does, and operators ask for that in one command that fails.

Change: rollout.py asks every member, adds up what their feeds say and names who lags, by node, revision and time; who can't be told of (a member that does not answer, revisions that a status no longer lists) counts as not there. `lanelift store status` asks the same way.

Measured: pytest tests/test_feed_rollout.py: 6 pass; each of five mutations of the adding up (unlisted, equal revision, silent members, refusals, one node at two addresses) fails it. mypy, ruff, lint-imports clean.

--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -15,7 +15,7 @@
 from lanelift.store.durable.journal import Damaged, Full
 
 # These start without the lab's libraries.
-DAEMONS = ("serve", "store", "config", "lease", "roll", "site", "version")
+DAEMONS = ("serve", "store", "config", "feed", "lease", "roll", "site", "version")
 
 
 def version() -> None:
@@ -25,12 +25,13 @@
 
 def application(words: Sequence[str]) -> typer.Typer:
     """The commands; the lab, whose libraries take half a second to load, only where it may be meant."""
-    from lanelift.cli import config, lease, roll, serve, site, store
+    from lanelift.cli import config, feed, lease, roll, serve, site, store
     app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                       help="A load balancer that keeps its rules, and the lab that shows it under failure.")
     app.command("serve")(serve.serve)
     app.add_typer(store.app, name="store")
     app.add_typer(config.app, name="config")
+    app.add_typer(feed.app, name="feed")
     app.add_typer(lease.app, name="lease")
     app.add_typer(roll.app, name="roll")
     app.add_typer(site.app, name="site")
--- a/lanelift/cli/store.py
+++ b/lanelift/cli/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import logging
 import sys
@@ -20,6 +19,7 @@
 from lanelift.store.client import Client
 from lanelift.store.durable import state as states
 from lanelift.store.durable.vault import STATE
+from lanelift.store.rollout import ASK_S, Members
 from lanelift.store.security import Tls
 from lanelift.store.settings import read_store
 
@@ -155,22 +155,13 @@
            within: Within = 5.0,
            as_json: Annotated[bool, typer.Option("--json", help="All of it, for programs.")] = False) -> None:
     """What each member says of itself, and who leads."""
-    asked = addresses(at)
+    members = Members(addresses(at), lambda address: client(address, certificate, key, authority))
 
-    async def one(address: str) -> dict[str, Any]:
-        made = client(address, certificate, key, authority, within_s=min(within, 2.0))
+    async def work() -> list[dict[str, Any]]:
         try:
-            return await made.status()
-        except Exception as error:
-            return {"address": address, "trouble": str(error)}
+            return await members.statuses(min(within, ASK_S))
         finally:
-            await made.close()
-
-    async def work() -> list[dict[str, Any]]:
-        found = await asyncio.gather(*map(one, asked))
-        # Members that were not named answer as well.
-        known = {m["address"] for s in found for m in s.get("members", ()) if m["address"]} - set(asked)
-        return [*found, *await asyncio.gather(*map(one, sorted(known)))]
+            await members.close()
 
     found = uvloop.run(work())
     if as_json:
--- a/lanelift/store/settings.py
+++ b/lanelift/store/settings.py
@@ -53,7 +53,7 @@
     waiting: int = 64  # for snapshots; others are asked to come later
     window: Size = Size(1 << 20)  # bytes that one has not acknowledged
     log: Size = Size(32 << 20)  # of changes, in memory, for those who come back
-    bookmark: Duration = Duration(15_000 * MS)  # who has heard nothing for so long is told so
+    bookmark: Duration = Duration(5_000 * MS)  # who has heard nothing for so long is told so
 
     def limits(self, subscribers: int) -> FanoutLimits:
         """Raises Malformed."""
