Store: connections are accepted one at a time, at 400 a second

Need: 320 balancers that come back to one node at once, with certificates, made its loop late for others by 420 ms (an election time-out is 500 ms): asyncio accepts all that wait in one turn, and the handshakes follow in the next.

Change: the listener accepts one, and the next 2.5 ms later; 1024 may wait. New certificates are taken by the next that is accepted, without a second listener. Where no files are left it says so once and tries again.

It holds that the loop goes on between two of them; the pace itself, 2.5 ms, no test holds.

--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import os
 import resource
@@ -63,7 +64,10 @@
 UNREAD_MOST = 8 << 20  # bytes of answers that a client leaves unread: then nothing more is read from it
 FEED_UNREAD = 64 << 10  # bytes on a feed's connection: beyond it its scopes are only marked as changed
 BACKLOG = 1024  # connections that wait to be accepted: all of another node's may come at once
+PACE_S = 0.0025  # between two that are accepted: a handshake takes 1 ms and more, and elections wait for none
 SPARE = 128  # of the files that this process may open: for the disk and other members
+NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
+FULL_S = 1.0  # between two tries to accept where there is no room
 COPY_BYTES = 512 << 10
 PROGRESS_S = 5.0  # a watch with nothing to tell says so often how far it has looked
 NEEDS: dict[type, str] = {Put: "write", Get: "read", Scan: "read", Past: "read", Watch: "read",
@@ -79,7 +83,8 @@
         self.connections: set[Connection] = set()
         self.most = node.settings.connections
         self.listener: socket.socket | None = None
-        self.server: asyncio.Server | None = None
+        self.accepting: asyncio.Task[None] | None = None
+        self.greeting: set[asyncio.Task[None]] = set()
         self.context: ssl.SSLContext | None = None
         self.stamp: tuple[tuple[int, int], ...] = ()
         self.watch_keys: asyncio.Task[None] | None = None
@@ -109,13 +114,36 @@
             self.stamp = self.settings.tls.stamp()
             self.context = self.settings.tls.context(True)
             self.watch_keys = asyncio.get_running_loop().create_task(self._keys())
-        await self._open()
+        self.listener.setblocking(False)
+        self.listener.listen(BACKLOG)
+        self.accepting = asyncio.get_running_loop().create_task(self._accept(self.listener))
 
-    async def _open(self) -> None:
-        assert self.listener is not None
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), sock=self.listener.dup(), ssl=self.context, backlog=BACKLOG,
-            ssl_handshake_timeout=GREET_S if self.context else None)
+    async def _accept(self, listener: socket.socket) -> None:
+        """One after the other, no faster than their handshakes leave time for all else."""
+        loop, full = asyncio.get_running_loop(), False
+        while True:
+            try:
+                accepted, _ = await loop.sock_accept(listener)
+                full = False
+            except OSError as error:
+                if not full and error.errno in NO_ROOM:
+                    log.error("store: no connection can be accepted: %s", error.strerror)
+                    full = True
+                await asyncio.sleep(FULL_S if full else PACE_S)
+                continue
+            task = loop.create_task(self._connect(accepted))
+            self.greeting.add(task)
+            task.add_done_callback(self.greeting.discard)
+            await asyncio.sleep(PACE_S)
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: Connection(self), accepted, ssl=self.context,
+                ssl_handshake_timeout=GREET_S if self.context else None)
+        except OSError as error:
+            log.debug("store: a connection: %s", error)
+            accepted.close()
 
     async def _keys(self) -> None:
         """Certificates are replaced while the node runs: new connections take the new ones."""
@@ -138,17 +166,15 @@
             self.stamp = stamp
             return False
         self.stamp, self.context, self.node.tls = stamp, context, client
-        if self.server is not None:
-            self.server.close()
-        await self._open()
         log.info("new certificates are in use")
         return True
 
     async def close(self) -> None:
         if self.watch_keys is not None:
             self.watch_keys.cancel()
-        if self.server is not None:
-            self.server.close()
+        for task in (self.accepting, *self.greeting):
+            if task is not None:
+                task.cancel()
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
--- a/tests/test_feed_store.py
+++ b/tests/test_feed_store.py
@@ -22,6 +22,7 @@
 from lanelift.store.durable import state as states
 from lanelift.store.feedclient import FeedClient
 from lanelift.store.security import Tls
+from lanelift.store.server import Connection
 from lanelift.store.wire import protocol
 from lanelift.store.wire.protocol import Feed, Hello
 from tests.certificates import Authority
@@ -437,13 +438,28 @@
     run(test)
 
 
-def test_all_of_another_nodes_connections_wait_to_be_accepted_at_once(tmp_path: Path) -> None:
+def test_all_of_another_nodes_connections_come_at_once_and_hold_up_nothing_else(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """They wait to be accepted, and between any two of them the loop does what else there is."""
+    turns, made = 0, list[int]()
+    connection_made = Connection.connection_made
+
+    def noted(self: Connection, transport: asyncio.BaseTransport) -> None:
+        made.append(turns)
+        connection_made(self, transport)
+
     async def test() -> None:
+        nonlocal turns
         async with cluster(tmp_path, 1) as c:
+            monkeypatch.setattr(Connection, "connection_made", noted)
             some = [socket.socket() for _ in range(320)]
             for one in some:  # the loop stands still meanwhile, as one that serves others
                 one.settimeout(0.5)
                 one.connect(c.settings[0].listen)
+            while len(made) < 320:
+                await asyncio.sleep(0)
+                turns += 1
+            assert len(set(made)) == 320
             for one in some:
                 one.close()
     run(test)
