Daemon: the box list goes out as rows of the feed where it is switched on

Need: at each change the list's owner put the whole list as one document, and each balancer heard it whole and handed it whole to its module. Change: with `[store] rows = true` the owner compares what it knows with what stands (read once a term) and writes the rows that differ, fenced, at most 256 operations a write; its own word, with discovery's version, rides in each write, so an older list is not believed and followers heed tokens as before. A balancer hears its service's rows through a FeedClient: a whole patch is a whole list for its module, a delta only what changed. Whoever knows rows goes by documents too, by the later owner's word; `documents = true` puts both while others know none. Rolls and sites read rows or document. An upstream that can be no row stops the list with one line. Without `rows` nothing that is written changes.

--- a/lanelift/cli/roll.py
+++ b/lanelift/cli/roll.py
@@ -17,6 +17,7 @@
 from lanelift.cli.store import At, Authority, Cert, Key, client, using
 from lanelift.daemon.roller import Ages, Keys, look
 from lanelift.daemon.rolling import Box, Phase, Roll, State, held_up, wrong
+from lanelift.daemon.rowlist import StoredList
 from lanelift.daemon.saved import decoded
 from lanelift.leases import table
 from lanelift.net.upstream import number_of
@@ -66,7 +67,7 @@
            authority: Authority = None) -> None:
     """Where it stands, and what holds it up."""
     async def work(c: Client) -> None:
-        _, _, roll, view = await look(c, Keys(service), Ages())
+        _, _, roll, view = await look(c, Keys(service), Ages(), StoredList(c, service))
         if roll is None:
             out.print("there never was a roll")
             return
--- a/lanelift/cli/site.py
+++ b/lanelift/cli/site.py
@@ -15,6 +15,7 @@
 from lanelift.cli.console import out
 from lanelift.cli.store import At, Authority, Cert, Key, client, using
 from lanelift.daemon.roller import Ages
+from lanelift.daemon.rowlist import StoredList
 from lanelift.daemon.saved import decoded
 from lanelift.daemon.sitewatch import PlanDoc, SiteKeys, course_of, with_course
 from lanelift.daemon.siteworks import Looked, look
@@ -50,7 +51,7 @@
 
 async def _looked(c: Client, service: str) -> Looked:
     """Raises StoreError, Malformed."""
-    return await look(c, service, None, Ages(), {})
+    return await look(c, service, None, Ages(), {}, StoredList(c, service))
 
 
 @app.command()
--- a/lanelift/daemon/boot.py
+++ b/lanelift/daemon/boot.py
@@ -8,6 +8,8 @@
     folder = "state"                 # for a copy of the document
     lease = "10s"                    # work of the fleet passes on after an owner's silence of so long
     sites = true                     # take part when a site is lost, emptied or comes back; `zone` is needed
+    rows = true                      # the box list goes out as rows of the feed, change by change
+    # documents = true               # and as a document, too, while balancers are there that know no rows
     # reach = {"10.0.0.1:7101" = "127.0.0.1:9001"}   # behind address translation
 """
 
@@ -48,6 +50,8 @@
     rank: int = 0  # the lower, the sooner this one owns it
     reach: dict[str, str] = {}  # where a node or an upstream that is known at one address is dialled instead
     sites: bool = False  # take part in what the fleet does when a site is lost, emptied or comes back
+    rows: bool = False  # the list of upstreams is rows of the feed, in place of a document
+    documents: bool = False  # beside rows: the document, for balancers that know none
     tls: Keys | None = None
 
 
@@ -70,6 +74,12 @@
             raise Malformed(f"{path}: store.lease: must be 500ms to 10m")
         if not 0 <= table.rank < 1000:
             raise Malformed(f"{path}: store.rank: must be 0 to 999")
+        if table.documents and not table.rows:
+            raise Malformed(f"{path}: store.documents: goes with rows alone: without them the list is a"
+                            " document anyway")
+        if table.rows and "server" in rest:
+            raise Malformed(f"{path}: store.rows: the list of upstreams is written down in server: there are"
+                            " no rows of it")
         if table.document and rest:
             raise Malformed(f"{path}: {sorted(rest)[0]}: the rest of the settings stands in the document"
                             f" {table.document}")
@@ -128,7 +138,7 @@
     def companion(self, parts: Parts) -> Keeper:
         return Keeper(self.client(), self.table.service, self.table.balancer, self.table.document, self.cache,
                       parts, self.table.lease / 1e9, self.table.rank, self.table.reach,
-                      self.table.sites)
+                      self.table.sites, self.table.rows, self.table.documents)
 
 
 def read_boot(path: Path) -> Boot | None:
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -7,6 +7,7 @@
     list/SERVICE               the last box list; its one owner puts it
     learnt/SERVICE/BALANCER    what its module learnt; the one process of that name puts it
     site/SERVICE/...           what the fleet does about its sites, where it is switched on
+    feed/service:SERVICE/...   the box list as rows, where they are switched on
 """
 
 from __future__ import annotations
@@ -24,9 +25,10 @@
 
 from lanelift import interface as api
 from lanelift.__main__ import Parts
-from lanelift.daemon.listing import FleetList
+from lanelift.daemon.listing import OLDEST_S, FleetList
 from lanelift.daemon.reach import Reach
 from lanelift.daemon.roller import Reporter, Roller
+from lanelift.daemon.rowlist import RowWriter
 from lanelift.daemon.saved import (
     SavedEndpoint,
     SavedLearnt,
@@ -39,11 +41,13 @@
 )
 from lanelift.daemon.sitewatch import SiteWatch
 from lanelift.daemon.siteworks import SiteWorks
+from lanelift.feed.messages import GLOBAL
 from lanelift.leases.table import Lease
 from lanelift.net.discovery import Discovery
 from lanelift.store.client import Client, Compacted, Conflict, StoreError
 from lanelift.store.commands import Op
 from lanelift.store.documents import PREFIX
+from lanelift.store.feedclient import FeedClient
 from lanelift.store.owner import NotOwner, Owner
 
 log = logging.getLogger(__name__)
@@ -51,7 +55,6 @@
 SAVE_S = 5.0  # between two looks at what is to be saved
 ASK_S = 1.0  # a start waits no longer for the store
 RETRY_S = 0.5
-OLDEST_LIST_S = 24 * 3600.0
 LEASE_S = 10.0
 SILENT = 2  # claims in a row that failed: the store does not answer
 
@@ -59,7 +62,9 @@
 class Keeper:
     def __init__(self, client: Client, service: str, balancer: str, document: str, cache: Path | None,
                  parts: Parts, lease_s: float = LEASE_S, rank: int = 0,
-                 reach: Mapping[str, str] | None = None, sites: bool = False) -> None:
+                 reach: Mapping[str, str] | None = None, sites: bool = False, rows: bool = False,
+                 documents: bool = False) -> None:
+        """`rows`: the box list is rows of the feed; `documents`: beside them it is a document, too."""
         self.client = client
         self.balancer = balancer
         self.document = document
@@ -87,12 +92,22 @@
             rng = random.Random(os.urandom(8))
             self.sites = SiteWatch(parts.driver, client, self.name, service, balancer, rng)
             SiteWorks(client, self.site_owner, service, parts.driver.settings)
+        self.feed: FeedClient | None = None
         discovery = parts.driver.discovery
         if isinstance(discovery, Discovery):
-            self.list = FleetList(parts.driver, discovery, client, self.lister, service, self.reach)
+            writer = RowWriter(client, self.lister, service) if rows else None
+            self.list = FleetList(parts.driver, discovery, client, self.lister, service, self.reach, writer,
+                                  documents or not rows)
             self.lister.began, self.lister.ended = self.list.began, self.list.ended
             discovery.subscribe(False)
             parts.driver.discovery = self.list
+        elif rows:
+            log.warning("store.rows: the list of upstreams is written down in the settings: there are no rows"
+                        " of it")
+        if self.list is not None and self.list.table is not None:
+            self.feed = FeedClient(client.addresses, client.tls, balancer,
+                                   [self.list.table.keys.scope, GLOBAL], self.list.check, self.list.apply,
+                                   reach=client.reach)
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -100,6 +115,9 @@
                  self._watch_roll]
         if self.list is not None:
             works += [self.list.follow, self.list.look]
+        if self.list is not None and self.feed is not None:
+            works.append(self.list.follow_beat)
+            self.feed.start()
         if self.document:
             works.append(self._watch_document)
         owners = [self.name, self.lister, self.roller]
@@ -161,13 +179,17 @@
         """The last list, where discovery has not told one, and what was learnt; from whichever node is
         there."""
         driver = self.parts.driver
+        if self.list is not None and self.list.table is not None:
+            with suppress(TimeoutError):  # the list first: what was learnt is of its upstreams
+                async with asyncio.timeout(ASK_S):
+                    await self.list.table.came.wait()
         found = await self.client.get(*self.keys, stale=True, within_s=ASK_S)
         self._found()
         _, listed, learnt = found.rows
         saved = decoded(listed, SavedList)
         if saved is not None:
             age = time.time() - saved.at
-            if not driver.told.is_set() and not driver.upstreams.targets and age < OLDEST_LIST_S:
+            if not driver.told.is_set() and not driver.upstreams.targets and age < OLDEST_S:
                 endpoints = self.reach.from_here(load_list(saved))
                 driver.learn(api.ListKind.CACHED, endpoints)
                 log.info("store: %d upstreams from a list %.0f s old", len(endpoints), age)
@@ -267,6 +289,8 @@
             task.cancel()
         if self.list is not None:
             self.list.close()
+        if self.feed is not None:
+            await self.feed.close()
         with suppress(StoreError):
             await self.save(0.5)
             await self.reporter.leave()
--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -3,6 +3,10 @@
 
     list/SERVICE      the list, with the owner's token and its count of lists
     listed/SERVICE    that it still stands, some times a minute
+
+With `rows` the list is rows of the feed (`rowlist`) in place of that document, which then stands only beside
+them where `documents` says so. Whoever knows rows goes by both, by the later owner's word: so rows may be
+switched on one balancer after the other.
 """
 
 from __future__ import annotations
@@ -12,20 +16,25 @@
 import os
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 
 import msgspec
 
 from lanelift import interface as api
+from lanelift.daemon import rows
 from lanelift.daemon.follow import Follower
 from lanelift.daemon.reach import Reach
-from lanelift.daemon.saved import SavedList, decoded, load_list, save_list
+from lanelift.daemon.rowlist import RowTable, RowWriter, said
+from lanelift.daemon.saved import SavedEndpoint, SavedList, decoded, load_list, save_list
+from lanelift.feed.messages import Row as FeedRow
+from lanelift.feed.subscription import Apply
 from lanelift.leases.fence import Word
 from lanelift.leases.table import written
 from lanelift.net.discovery import HOLD_MS, PACE_S, Call, Discovery
 from lanelift.net.driver import Driver
 from lanelift.net.upstream import Endpoint
+from lanelift.settings import Malformed
 from lanelift.store.client import Client, StoreError
 from lanelift.store.commands import Op
 from lanelift.store.owner import NotOwner, Owner, clock_ns
@@ -38,6 +47,8 @@
 # A stored list of a later version than discovery tells is left in place so long: then discovery began anew.
 ANEW_S = 30.0
 RETRY_S = 0.5
+REFUSALS_S = 10.0  # rows that this program can't take are told no more often
+OLDEST_S = 24 * 3600.0  # a list that was put longer ago is none to begin with
 
 
 class Standing(msgspec.Struct, frozen=True):
@@ -52,13 +63,21 @@
     """Takes the place of discovery beside a driver."""
 
     def __init__(self, driver: Driver, discovery: Discovery, client: Client, owner: Owner,
-                 service: str, reach: Reach) -> None:
+                 service: str, reach: Reach, writer: RowWriter | None = None, documents: bool = True) -> None:
+        """`writer`: of rows; None: the list is a document alone. `documents`: there is one, too."""
         self.driver = driver
         self.discovery = discovery
         self.client = client
         self.owner = owner
         self.reach = reach
         self.keys = f"list/{service}", f"listed/{service}"
+        self.writer = writer
+        self.table = RowTable(service) if writer is not None else None
+        self.mirrors = False  # does the module have the table's rows, so that a change of them suffices?
+        self.documents = documents
+        self.document_due = False  # beside rows: it is to be put, or taken away
+        self.refused_s = -REFUSALS_S
+        self.bad = ""  # why the list can't be put, as last said
         self.follower = Follower(driver.settings.replicas_of_me, random.Random(os.urandom(8)), clock_ns())
         self.changed = asyncio.Event()
         self.number = self.beat = 0  # of this owner's lists, and of its words that they stand
@@ -96,6 +115,10 @@
             return  # asked by this process itself, and it asks again: the module need not
         if self._older():
             return
+        if kind is not api.ListKind.FAILED:
+            self.mirrors = False
+            if self.writer is not None:
+                self.writer.touch(None if kind is not api.ListKind.DELTA else [e.entry.id for e in endpoints])
         self.driver.learn(kind, self.reach.from_here(endpoints))
         self.changed.set()
 
@@ -107,12 +130,17 @@
         self.discovery.hold_ms, self.discovery.pace_s = HOLD_MS, PACE_S
         if token != self.put[0]:  # one that is lost and found again goes on counting
             self.number = self.beat = 0
+        if self.writer is not None:
+            self.writer.began()
         self.discovery.next = Call.WHOLE  # what was heard of the other owner is not counted there
         self.working = asyncio.get_running_loop().create_task(self._work())
         self.discovery.subscribe(True)
 
     def ended(self) -> None:
         self.follower.owns(False, clock_ns())
+        self.mirrors = False  # rows that came meanwhile changed nothing here
+        if self.table is not None and self.table.said.token > self.put[0]:
+            self._settle(None)  # the next owner's are there already
         self.discovery.hold_ms, self.discovery.pace_s = self.holds
         self.discovery.subscribe(False)
         if self.working is not None:
@@ -132,6 +160,10 @@
                 await self._say()
             except NotOwner:
                 return
+            except Malformed as error:
+                if str(error) != self.bad:  # it stands until discovery says otherwise
+                    log.error("%s: nothing of it is put: %s", self.keys[0], error)
+                self.bad = str(error)
             except StoreError as error:
                 log.warning("%s: not put: %s", self.keys[0], error)
                 self.changed.set()
@@ -148,9 +180,16 @@
     async def _floor(self) -> None:
         """What the owner before this one knew of discovery: read after the token was granted, so nothing that
         it still may say comes behind it."""
-        saved = decoded((await self.client.get(self.keys[0])).rows[0], SavedList)
-        if saved is not None and saved.source == self.source:
-            self.floor, self.floor_s = saved.version, time.monotonic()
+        row = (await self.client.get(self.keys[0])).rows[0]
+        saved = decoded(row, SavedList)
+        known = (saved.token, saved.source, saved.version) if saved is not None else (0, "", -1)
+        if self.writer is not None:
+            word = await self.writer.read()
+            if word is not None:
+                known = max(known, (word.token, word.source, word.version))
+            self.document_due = self.documents or row.value is not None
+        if known[1] == self.source:
+            self.floor, self.floor_s = known[2], time.monotonic()
 
     def _older(self) -> bool:
         """Does discovery tell less than its owner of before knew, and that not for long?"""
@@ -167,33 +206,81 @@
             log.warning("discovery tells version %d, and version %d is stored: it began anew",
                         self.discovery.version, self.floor)
             self.floor = -1
-        servers = save_list(self.reach.as_known(t.endpoint for t in self.driver.upstreams.targets.values()))
         token = self.owner.token()
-        if not servers or not token:
+        if not self.driver.upstreams.targets or not token:
             return
-        if self.overwritten or self.put != (token, self.discovery.version, servers):
-            self.overwritten = False
-            number = self.number + 1
-            saved = SavedList(time.time(), servers, token, number, self.discovery.version, self.source)
-            await self.owner.write([Op(self.keys[0], msgspec.json.encode(saved))])
-            self.number, self.put, self.put_s = number, (token, saved.version, list(servers)), heard
+        put = self._put_document if self.writer is None else self._put_rows
+        if await put(token):
+            self.put_s = heard
         elif time.monotonic() - self.put_s >= BEAT_S:
             self.beat += 1
             standing = Standing(token, self.number, self.beat)
             await self.owner.write([Op(self.keys[1], msgspec.json.encode(standing))])
             self.put_s = heard
 
+    def _known(self, numbers: Iterable[int] | None = None) -> list[Endpoint]:
+        """What is listed of these, or all of it, with the addresses that all know."""
+        targets = self.driver.upstreams.targets
+        found = targets.values() if numbers is None else [targets[n] for n in numbers if n in targets]
+        return self.reach.as_known(t.endpoint for t in found)
+
+    async def _put_document(self, token: int) -> bool:
+        """Where it is another than what was put last; was it?"""
+        servers = save_list(self._known())
+        if not self.overwritten and self.put == (token, self.discovery.version, servers):
+            return False
+        self.overwritten = False
+        await self._write_document(token, self.number + 1, servers)
+        return True
+
+    async def _write_document(self, token: int, number: int, servers: list[SavedEndpoint]) -> None:
+        saved = SavedList(time.time(), servers, token, number, self.discovery.version, self.source)
+        await self.owner.write([Op(self.keys[0], msgspec.json.encode(saved))])
+        self.number, self.put = number, (token, saved.version, list(servers))
+
+    async def _put_rows(self, token: int) -> bool:
+        """Those that differ, and the document where there is to be one beside them; was anything to do?"""
+        assert self.writer is not None
+        wrote = await self.writer.put(self._known, token, self.discovery.version, self.source)
+        self.number, self.put, self.bad = self.writer.number, (token, self.discovery.version, []), ""
+        self.document_due = self.document_due or self.overwritten or (wrote and self.documents)
+        if self.document_due:
+            if self.documents:
+                await self._write_document(token, self.number, save_list(self._known()))
+            else:  # who does not know rows would take it for the list, however old
+                await self.owner.write([Op(self.keys[0], None)])
+            self.document_due = self.overwritten = False
+            return True
+        return wrote
+
     # ---- as one of the others ----------------------------------------------------------------------------
 
     async def follow(self) -> None:
         """Hear the owner's word: first what a majority holds, then each change behind that. Raises
         StoreError."""
-        found = await self.client.get(*self.keys)
+        if self.table is None:
+            found = await self.client.get(*self.keys)
+        else:
+            found = await self.client.get(*self.keys, self.table.keys.list)
         now = clock_ns()
         saved = decoded(found.rows[0], SavedList)
         self.follower.learn(Word(saved.token, saved.number) if saved else Word(), now)
+        if self.table is not None:
+            self.follower.learn(said(found.rows[2]), now)
         self._list(found.rows[0])
-        async for told in self.client.watch("list", found.revision):
+        if self.table is not None:
+            self._settle(None)
+        # With rows, of this service alone: what all services say together is too much for each balancer.
+        await self._hear("list" if self.table is None else self.keys[0], found.revision)
+
+    async def follow_beat(self) -> None:
+        """With rows: hear that the list stands. Raises StoreError."""
+        found = await self.client.get(self.keys[1], stale=True)
+        self._stands(found.rows[0])
+        await self._hear(self.keys[1], found.revision)
+
+    async def _hear(self, prefix: str, revision: int) -> None:
+        async for told in self.client.watch(prefix, revision):
             for change in told.changes:
                 row = Row(change.key, change.value, change.version, change.revision)
                 if change.key == self.keys[0]:
@@ -204,7 +291,8 @@
     def _list(self, row: Row) -> None:
         saved = decoded(row, SavedList)
         if self.owner.working:
-            if (saved is None or not saved.token) and row.version:
+            foreign = saved is None or not saved.token
+            if foreign and row.version and (self.documents or row.value is not None):
                 # A program without owners put its list over this one's, and who starts now would find no
                 # owner's word: it is said again.
                 self.overwritten = True
@@ -212,11 +300,59 @@
             return
         if saved is None or not saved.token:
             return  # of a program without owners
-        if not self.follower.listed(Word(saved.token, saved.number), clock_ns()):
-            log.info("%s: the word of token %s is not heeded: token %s was heard", row.key,
-                     written(saved.token), written(self.follower.receiver.highest.token))
+        if self.table is not None and self.table.said.token >= saved.token:
+            return  # the rows say it
+        if self._heeds(row.key, Word(saved.token, saved.number)):
+            self.mirrors = False
+            self.driver.learn(api.ListKind.FULL, self.reach.from_here(load_list(saved)))
+
+    def _heeds(self, key: str, word: Word) -> bool:
+        if self.follower.listed(word, clock_ns()):
+            return True
+        log.info("%s: the word of token %s is not heeded: token %s was heard", key,
+                 written(word.token), written(self.follower.receiver.highest.token))
+        return False
+
+    def check(self, scope: str, row: FeedRow) -> str:
+        """For the feed: why this program can't go by a row; empty: it can. The feed tells the node."""
+        why = rows.check(scope, row)
+        now = time.monotonic()
+        if why and now - self.refused_s >= REFUSALS_S:
+            self.refused_s = now
+            log.warning("feed: %s of %s at version %d is refused: %s; what was taken before stands",
+                        row.key, scope, row.version, why)
+        return why
+
+    def apply(self, told: Apply) -> None:
+        """Rows came."""
+        if self.table is None or told.scope != self.table.keys.scope:
+            return
+        changed = self.table.take(told.whole, told.rows)
+        self._settle(None if told.whole else changed)
+
+    def _settle(self, changed: list[Endpoint] | None) -> None:
+        """Go by the table, of which this changed; None: anything."""
+        table = self.table
+        if table is None or self.owner.working:
+            return
+        if table.word is None or not table.endpoints:
+            self.mirrors = False  # a list without an upstream is not believed; nor does its owner put one
+            return
+        if not self.follower.receiver.learnt:
+            # No majority was heard yet: good enough to begin with, where there is nothing else.
+            young = time.time() - table.word.at < OLDEST_S
+            if young and not self.driver.told.is_set() and not self.driver.upstreams.targets:
+                self.driver.learn(api.ListKind.CACHED, self.reach.from_here(table.all()))
+                log.info("store: %d upstreams from rows put %.0f s ago", len(table.endpoints),
+                         time.time() - table.word.at)
             return
-        self.driver.learn(api.ListKind.FULL, self.reach.from_here(load_list(saved)))
+        if not self._heeds(table.keys.list, table.said):
+            self.mirrors = False
+        elif changed is None or not self.mirrors:
+            self.mirrors = True
+            self.driver.learn(api.ListKind.FULL, self.reach.from_here(table.all()))
+        elif changed:
+            self.driver.learn(api.ListKind.DELTA, self.reach.from_here(changed))
 
     def _stands(self, row: Row) -> None:
         standing = decoded(row, Standing)
--- a/lanelift/daemon/roller.py
+++ b/lanelift/daemon/roller.py
@@ -32,7 +32,8 @@
     name_of,
     to_ask,
 )
-from lanelift.daemon.saved import SavedList, decoded
+from lanelift.daemon.rowlist import StoredList
+from lanelift.daemon.saved import decoded
 from lanelift.leases import table
 from lanelift.net.disabled import DisabledUpstreams
 from lanelift.net.driver import Driver
@@ -78,12 +79,13 @@
         self.names = f"{LEASES}name/{service}/"
 
 
-async def look(client: Client, keys: Keys, ages: Ages,
+async def look(client: Client, keys: Keys, ages: Ages, stored: StoredList,
                linear: bool = True) -> tuple[Row, Row, Roll | None, View]:
     """The roll's row, the set's, the roll and what is seen. Raises StoreError."""
     stale = not linear
-    found = await client.get(keys.roll, keys.disabled, keys.list, keys.standing, stale=stale)
-    roll_row, disabled_row, list_row, standing = found.rows
+    found = await client.get(keys.roll, keys.disabled, keys.list, keys.standing, stored.keys.list,
+                             stale=stale)
+    roll_row, disabled_row, list_row, standing, word = found.rows
     roll = decoded(roll_row, Roll)
     reports = await client.scan(keys.reports, stale=stale)
     names = await client.scan(keys.names, stale=stale)
@@ -99,12 +101,12 @@
             seen[name] = Seen(report, ages.age_s(row.key, row.version), name in live)
     for name in live - seen.keys():  # it holds its name and says nothing yet
         seen[name] = Seen(Report(0, (), 0.0, 0.0, 0), ages.age_s(keys.reports + name, 0), True)
-    saved = decoded(list_row, SavedList)
+    saved = await stored.of(list_row, word, stale)
     boxes = {s.id: Listed(s.zone, s.started, not s.draining, (s.host, s.port))
              for s in saved.servers} if saved else {}
     # A list is as old as the last word that it stands; one that operators wrote down stands by itself.
     fixed = saved is not None and not saved.source
-    list_age = ages.age_s(keys.standing, standing.version + list_row.version) if saved else 1e9
+    list_age = ages.age_s(keys.standing, standing.version + list_row.version + word.version) if saved else 1e9
     list_age = 0.0 if fixed else list_age
     names_out = frozenset(msgspec.json.decode(disabled_row.value, type=list[str])
                           if disabled_row.value is not None else [])
@@ -118,18 +120,20 @@
         super().__init__(owner, "roll")
         self.client = client
         self.reach = reach
+        self.service = service
         self.keys = Keys(service)
         self.anew()
 
     def anew(self) -> None:
         self.ages = Ages()
+        self.stored = StoredList(self.client, self.service)
         self.blind_s = 0.0  # since when nothing could be seen
         self.owned_s = time.monotonic()  # since when it is owned
         self.asked: dict[str, float] = {}  # restarts by name, and when this owner last asked for them
 
     async def turn(self) -> float:
         """One look and at most one step; seconds until the next. Raises StoreError."""
-        roll_row, disabled_row, roll, view = await look(self.client, self.keys, self.ages)
+        roll_row, disabled_row, roll, view = await look(self.client, self.keys, self.ages, self.stored)
         if roll is None or roll.state is State.ENDED:
             return IDLE_S
         if blind(view):
--- a/lanelift/daemon/siteworks.py
+++ b/lanelift/daemon/siteworks.py
@@ -16,7 +16,8 @@
 from lanelift.daemon import documents, places
 from lanelift.daemon.owned import OwnedWork
 from lanelift.daemon.roller import Ages
-from lanelift.daemon.saved import SavedList, decoded
+from lanelift.daemon.rowlist import StoredList
+from lanelift.daemon.saved import decoded
 from lanelift.daemon.sitewatch import PlanDoc, SiteKeys, Stands, TableRow, TablesDoc
 from lanelift.leases import table as leases
 from lanelift.settings import Malformed
@@ -60,12 +61,13 @@
 
 
 async def look(client: Client, service: str, settings: api.Settings | None, ages: Ages,
-               usual: dict[str, int]) -> Looked:
+               usual: dict[str, int], stored: StoredList) -> Looked:
     """Raises StoreError, Malformed where the operators' document does not read."""
     keys = SiteKeys(service)
     document = f"{places.DOCUMENT}/{service}"
-    found = await client.get(keys.plan, document_key(document), f"list/{service}", f"listed/{service}")
-    plan_row, place_row, list_row, standing = found.rows
+    found = await client.get(keys.plan, document_key(document), f"list/{service}", f"listed/{service}",
+                             stored.keys.list)
+    plan_row, place_row, list_row, standing, word = found.rows
     scanned, names = await client.scan(keys.rows), await client.scan(keys.names)
     live = {row.key.removeprefix(keys.names) for row in names.rows
             if row.value is not None and leases.unpack(row.value).held}
@@ -78,9 +80,9 @@
     described: dict[str, Place] = {}
     if place_row.value is not None:
         described = documents.sites(document, place_row.value.decode())
-    saved = decoded(list_row, SavedList)
+    saved = await stored.of(list_row, word)
     fixed = saved is not None and not saved.source
-    list_age = 0.0 if fixed else ages.age_s("list", standing.version + list_row.version)
+    list_age = 0.0 if fixed else ages.age_s("list", standing.version + list_row.version + word.version)
     ages.keep({"list", *(r.key for r in scanned.rows)})
     listed: dict[str, int] = {}
     cold = []
@@ -126,6 +128,7 @@
     def anew(self) -> None:
         rules = self.settings.rules
         self.ages = Ages()
+        self.stored = StoredList(self.client, self.service)
         self.planner = Planner(Rules(rules.cold_ns / 1e9, rules.cold_from, rules.fall_multiple),
                                time.monotonic_ns())
         self.number = self.beat = 0
@@ -145,7 +148,8 @@
 
     async def turn(self) -> float:
         try:
-            seen = await look(self.client, self.service, self.settings, self.ages, self.usual)
+            seen = await look(self.client, self.service, self.settings, self.ages, self.usual,
+                              self.stored)
         except Malformed as error:
             self._say(str(error))
             return CALM_S
--- a/lanelift/store/owner.py
+++ b/lanelift/store/owner.py
@@ -12,7 +12,7 @@
 import random
 import socket
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 
 from lanelift.leases import table
@@ -88,12 +88,21 @@
     async def write(self, ops: Sequence[Op], checks: Sequence[tuple[str, int]] = (), note: str = "",
                     within_s: float = 0.0) -> Result:
         """All of it, under this lease. Raises NotOwner, and what a client's write raises."""
+        return await self._made(lambda fences: self.client.write(
+            ops, checks, note, self.name, within_s, fences))
+
+    async def write_rows(self, ops: Sequence[Op], refs: Sequence[tuple[str, ...]], note: str = "",
+                         within_s: float = 0.0) -> Result:
+        """The same of rows of the feed; `refs`: by operation, the rows that its row names."""
+        return await self._made(lambda fences: self.client.write_rows(
+            ops, refs, (), note, self.name, within_s, fences))
+
+    async def _made(self, write: Callable[[Sequence[tuple[str, int]]], Awaitable[Result]]) -> Result:
         token = self.token()
         if not token:
             raise NotOwner(f"{self.lease} is not held here")
         try:
-            return await self.client.write(ops, checks, note, self.name, within_s,
-                                           fences=[(self.lease, token)])
+            return await write([(self.lease, token)])
         except Fenced as error:
             self.refused += 1
             log.warning("%s: a write was refused: %s", self.lease, error)
--- a/tests/test_feed_daemon.py
+++ b/tests/test_feed_daemon.py
@@ -2,25 +2,49 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
 
 import msgspec
 import pytest
 
 from lanelift import interface as api
+from lanelift.__main__ import Parts
 from lanelift.daemon import rows
+from lanelift.daemon.boot import read_boot
+from lanelift.daemon.keeper import Keeper
+from lanelift.daemon.listing import FleetList
+from lanelift.daemon.reach import Reach
+from lanelift.daemon.rowlist import RowWriter, StoredList
 from lanelift.daemon.rows import Keys, ListRow, ServiceRow, UpstreamRow, check, differences, pack
 from lanelift.feed.messages import MOST_ROW, Row, split
-from lanelift.net.discovery import read_endpoint
+from lanelift.feed.subscription import Apply
+from lanelift.leases.fence import Word
+from lanelift.net.disabled import DisabledUpstreams
+from lanelift.net.discovery import Discovery, read_endpoint
+from lanelift.net.siblings import Siblings
 from lanelift.net.upstream import Endpoint, number_of
-from lanelift.settings import Malformed
-from lanelift.store.commands import MOST_OPS, Op
+from lanelift.settings import Json, Malformed
+from lanelift.store import run as running
+from lanelift.store.client import Client, Rejected
+from lanelift.store.commands import MOST_OPS, Op, Release, Result
+from lanelift.store.owner import clock_ns
+from lanelift.store.settings import read_store
+from tests.fakes import FakeDiscovery, Watched, free_port, run
+from tests.test_store_daemon import FakeDriver, until
+from tests.test_store_node import Cluster, cluster
 
 KEYS = Keys("orders")
 SCOPE = "service:orders"
 BOX = {"id": "box-7", "addr": "10.1.2.3:8080", "zone": "accra-a", "kind": "m", "cell": 3, "state": "Ready",
-       "weight": 1.0, "started_ms": 1_790_000_000_123}
+       "weight": 1.0, "started_ms": int(time.time() * 1000) - 5_000}
 
 
 def upstream(**change: object) -> Endpoint:
@@ -120,3 +144,480 @@
                 stored[op.key] = 1, op.value
     assert {key: value for key, (_, value) in stored.items()} == wanted
     assert api.State.GONE is rows.gone(7).entry.state
+
+
+# ---- balancers over a store --------------------------------------------------------------------------------
+
+LEASE_S = 0.6
+
+
+def box(name: str, state: str = "Ready", port: int = 9001, **more: object) -> Json:
+    return {**BOX, "id": name, "addr": f"127.0.0.1:{port}", "state": state, **more}
+
+
+class RowDriver(FakeDriver):
+    """Knows what a driver knows after each list."""
+
+    def __init__(self, told: Callable[[], None]) -> None:
+        super().__init__()
+        self.poke = told
+
+    def learn(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
+        self.lists.append((kind, endpoints))
+        if kind is not api.ListKind.FAILED:
+            targets = {} if kind is not api.ListKind.DELTA else self.upstreams.targets
+            targets |= {e.entry.id: SimpleNamespace(endpoint=e) for e in endpoints}
+            self.upstreams.targets = {n: t for n, t in targets.items()
+                                      if t.endpoint.entry.state is not api.State.GONE}
+            self.told.set()
+        self.poke()
+
+
+class Bank(Watched):
+    """A balancer's keeper and list. Without a discovery it knows only what the store says."""
+
+    def __init__(self, c: Cluster, name: str, discovery: FakeDiscovery | None, rows: bool = True,
+                 documents: bool = False) -> None:
+        super().__init__()
+        self.driver = RowDriver(self.poke)
+        address = discovery.address if discovery is not None else ("127.0.0.1", free_port())
+        self.discovery = Discovery(cast(Any, self.driver), address, 1)
+        self.driver.discovery = cast(Any, self.discovery)
+        disabled = DisabledUpstreams(None, name, Siblings(None), cast(Any, self.driver))
+        parts = Parts(cast(Any, None), cast(Any, self.driver), disabled, lambda: None)
+        self.keeper = k = Keeper(c.client(), "orders", name, "", None, parts, LEASE_S, rows=rows,
+                                 documents=documents)
+        assert k.list is not None
+        self.list = k.list
+        k.lister.began, k.lister.ended = self.began, self.ended
+        if discovery is None:  # it does not ask for the list's lease
+            k.lister.start = lambda: None  # type: ignore[method-assign]
+        k.start()
+
+    def began(self, token: int) -> None:
+        self.list.began(token)
+        self.poke()
+
+    def ended(self) -> None:
+        self.list.ended()
+        self.poke()
+
+    @property
+    def known(self) -> dict[int, api.State]:
+        return {n: t.endpoint.entry.state for n, t in self.driver.upstreams.targets.items()}
+
+    async def owns(self) -> Bank:
+        await self.until(lambda: self.keeper.lister.working)
+        return self
+
+    async def knows(self, *rows: Json) -> None:
+        wanted = {e.entry.id: e.entry.state for e in map(read_endpoint, rows)}
+        await self.until(lambda: self.known == wanted)
+
+    async def close(self) -> None:
+        self.discovery.close()
+        await self.keeper.close()
+
+    async def die(self) -> None:
+        """As a process that is killed: nothing is given back."""
+        self.discovery.close()
+        self.list.close()
+        owners = self.keeper.name, self.keeper.lister, self.keeper.roller
+        for task in (*self.keeper.tasks, *(t for owner in owners for t in owner.tasks)):
+            task.cancel()
+        if self.keeper.feed is not None:
+            await self.keeper.feed.close()
+        if self.keeper.client.wire is not None:
+            self.keeper.client.wire.abort()
+
+
+def told(word: ListRow, *boxes: Json, whole: bool = False) -> Apply:
+    """Rows as the feed hands them over."""
+    listed = [read_endpoint(b) for b in boxes]
+    put = [Row(split(KEYS.upstream(e.entry.id))[1], 1,
+               rows.packed(e) if e.entry.state is not api.State.GONE else None) for e in listed]
+    return Apply(SCOPE, whole, (*put, Row("list/orders", 1, pack(word))), 1)
+
+
+def test_what_a_balancer_makes_of_rows() -> None:
+    async def test() -> None:
+        driver, owner = RowDriver(lambda: None), SimpleNamespace(working=0)
+        discovery = Discovery(cast(Any, driver), ("127.0.0.1", 1), 1)
+        writer = RowWriter(cast(Any, None), cast(Any, owner), "orders")
+        follows = FleetList(cast(Any, driver), discovery, cast(Any, None), cast(Any, owner), "orders",
+                            Reach({}), writer)
+
+        def kinds() -> list[tuple[api.ListKind, int]]:
+            found = [(kind, len(endpoints)) for kind, endpoints in driver.lists]
+            driver.lists.clear()
+            return found
+
+        def word(token: int, number: int) -> ListRow:
+            return ListRow(token, number, 1, "a", int(time.time()))
+
+        # Before a majority was heard it is something to begin with, and after it a list.
+        follows.apply(told(word(3, 7), box("s-1"), whole=True))
+        follows.apply(told(word(3, 8), box("s-2")))
+        assert kinds() == [(api.ListKind.CACHED, 1)]
+        follows.follower.learn(Word(3, 7), clock_ns())
+        follows.apply(told(word(3, 9), box("s-3")))
+        follows.apply(told(word(3, 10), box("s-3", "Gone"), box("never there", "Gone")))
+        assert kinds() == [(api.ListKind.FULL, 3), (api.ListKind.DELTA, 1)]
+        # Of an owner of before, as from a node that lags, nothing is taken; nor is a list without any.
+        follows.apply(told(word(2, 99), box("s-4"), whole=True))
+        follows.apply(told(word(3, 11), whole=True))
+        assert kinds() == []
+        follows.apply(told(word(3, 12), box("s-1"), whole=True))
+        assert kinds() == [(api.ListKind.FULL, 1)]
+        # What comes while it owns the list itself, and is the next owner's, counts once it does not.
+        owner.working, follows.put = 4, (4, 1, [])
+        follows.apply(told(word(4, 1), box("s-5")))
+        follows.apply(told(word(5, 1), box("s-6")))
+        assert kinds() == []
+        owner.working = 0
+        follows.ended()
+        assert kinds() == [(api.ListKind.FULL, 3)] and follows.mirrors
+        follows.put = 6, 1, []
+        follows.ended()  # its own rows are no news
+        assert kinds() == [] and not follows.mirrors
+    run(test())
+
+
+class Stored:
+    """The upstreams' rows in the store, and which writes made them, as a watch of all changes tells it."""
+
+    def __init__(self, client: Client) -> None:
+        self.client = client
+        self.rows: dict[int, UpstreamRow] = {}
+        self.token = 0  # of the last owner's word
+        self.writes: dict[int, int] = {}  # revision -> rows that it changed
+        self.revision = 0
+
+    async def until(self, holds: Callable[[], object]) -> None:
+        if holds():
+            return
+        async for told in self.client.watch(KEYS.within, self.revision):
+            self.revision = told.revision
+            for change in told.changes:
+                if change.key == KEYS.list and change.value is not None:
+                    self.token = rows.unpack_list(change.value).token
+                if change.key.startswith(KEYS.upstreams):
+                    self.writes[change.revision] = self.writes.get(change.revision, 0) + 1
+                    number = int(change.key.removeprefix(KEYS.upstreams), 16)
+                    if change.value is None:
+                        del self.rows[number]
+                    else:
+                        self.rows[number] = rows.unpack_upstream(change.value)
+            if holds():
+                return
+
+    async def are(self, *wanted: Json) -> None:
+        """Wait until just these stand."""
+        now = {e.entry.id: rows.row_of(e) for e in map(read_endpoint, wanted)}
+        await self.until(lambda: self.rows == now)
+
+
+@asynccontextmanager
+async def fleet(folder: Path, *boxes: Json) -> AsyncIterator[tuple[Cluster, FakeDiscovery, Stored]]:
+    discovery = FakeDiscovery(boxes)
+    await discovery.start()
+    try:
+        async with cluster(folder, 1) as c:
+            yield c, discovery, Stored(c.client())
+    finally:
+        discovery.stop()
+
+
+def test_a_change_reaches_the_others_as_one_row_and_one_delta(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, *(box(f"s-{n}") for n in range(40))) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            two = Bank(c, "two", None)
+            await two.knows(*discovery.rows)
+            assert two.driver.lists[-1][0] is api.ListKind.FULL
+            lists, writes = len(two.driver.lists), len(stored.writes)
+            await stored.are(*discovery.rows)
+            writes = len(stored.writes)
+            discovery.change(box("s-7", "Terminating"))
+            await two.knows(*discovery.rows)
+            discovery.change(box("s-8", "Gone"), box("s-new"))
+            await two.knows(*discovery.rows)
+            await stored.are(*discovery.rows)
+            assert list(stored.writes.values())[writes:] == [1, 2]
+            drained, went = two.driver.lists[lists:]
+            assert drained == (api.ListKind.DELTA, [read_endpoint(box("s-7", "Terminating"))])
+            assert went[0] is api.ListKind.DELTA and {e.entry.id: e.entry.state for e in went[1]} == {
+                number_of("s-8"): api.State.GONE, number_of("s-new"): api.State.READY}
+            # Whoever only looks reads the same; there is no document.
+            client = c.client()
+            found = await client.get("list/orders", KEYS.list)
+            document, word = found.rows
+            saved = await StoredList(client, "orders").of(document, word)
+            assert saved is not None and {s.id for s in saved.servers} == set(two.known)
+            assert document.value is None and saved.version == discovery.version
+            with pytest.raises(Rejected, match="names"):
+                await client.write_rows([Op(KEYS.service, None)])
+            for bank in (one, two):
+                await bank.close()
+    run(test())
+
+
+def test_a_zone_that_goes_is_a_few_writes_and_the_rest_stands_meanwhile(tmp_path: Path) -> None:
+    async def test() -> None:
+        boxes = [box(f"s-{n}", zone="gone" if n < 600 else "stays") for n in range(700)]
+        async with fleet(tmp_path, *boxes) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            await stored.are(*boxes)
+            assert len(stored.writes) == 3  # of at most 256 operations
+            discovery.change(*({**b, "state": "Gone"} for b in boxes[:600]))
+            await stored.are(*boxes[600:])
+            assert len(stored.writes) == 6 and sum(stored.writes.values()) == 1300
+            await one.close()
+    run(test())
+
+
+def stopped_at(bank: Bank, write: int) -> tuple[asyncio.Event, asyncio.Event]:
+    """The bank's client stops just before its rows' write of this number: set when it does, and to be set for
+    it to go on."""
+    stopped, on, count = asyncio.Event(), asyncio.Event(), 0
+    client = bank.keeper.client
+    write_rows = client.write_rows
+
+    async def stop(*args: Any, **more: Any) -> Result:
+        nonlocal count
+        count += 1
+        if count == write:
+            stopped.set()
+            await on.wait()
+        return await write_rows(*args, **more)
+
+    client.write_rows = stop  # type: ignore[method-assign]
+    return stopped, on
+
+
+def test_what_an_owner_leaves_half_done_the_next_one_completes(tmp_path: Path) -> None:
+    async def test() -> None:
+        boxes = [box(f"s-{n}") for n in range(600)]
+        async with fleet(tmp_path, *boxes) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            stopped, _ = stopped_at(one, 2)
+            await stopped.wait()
+            two = Bank(c, "two", discovery)
+            await stored.until(lambda: len(stored.rows) == 254)
+            await one.die()
+            await two.owns()
+            await stored.are(*boxes)
+            assert list(stored.writes.values()) == [254, 254, 92]  # what stood is not written again
+            three = Bank(c, "three", discovery)
+            await two.close()
+            await three.owns()
+            await stored.until(lambda: stored.token == three.keeper.lister.working)
+            assert len(stored.writes) == 3  # nothing but its own word
+            await three.close()
+    run(test())
+
+
+def test_the_next_owner_does_not_believe_an_older_list(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            discovery.change(box("s-2"))
+            await stored.are(*discovery.rows)
+            await one.close()
+            discovery.version, discovery.rows = 1, [box("s-1")]  # as a replica of it that lags
+            two = await Bank(c, "two", discovery).owns()
+            await until(lambda: two.discovery.version == 1 and two.list.floor == 2)
+            discovery.change(box("s-2"), box("s-3"))
+            await stored.are(*discovery.rows)
+            assert sum(stored.writes.values()) == 3  # s-2 did not go meanwhile
+            await two.close()
+    run(test())
+
+
+def test_a_deposed_owners_write_changes_nothing(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1"), box("s-2")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            await stored.are(*discovery.rows)
+            stopped, on = stopped_at(one, 1)
+            discovery.change(box("s-1", "Terminating"))
+            await stopped.wait()  # it looked at its clock, and its write is still to leave
+            owned = one.list.working
+            assert owned is not None
+            one.list.working = None  # nobody tells it to stop, as where the whole process stands still
+            two = Bank(c, "two", discovery)
+            await c.client().release(Release("work/list/orders", one.keeper.lister.holder.claim), 5.0)
+            await two.owns()
+            discovery.change(box("s-1"), box("s-2", "Gone"))
+            await stored.are(box("s-1"))
+            writes = len(stored.writes)
+            on.set()
+            await asyncio.wait((owned,))
+            assert one.keeper.lister.refused == 1
+            await stored.are(box("s-1"))
+            assert len(stored.writes) == writes
+            await one.close()
+            await two.close()
+    run(test())
+    assert "a write was refused" in caplog.text
+
+
+def test_an_owner_of_before_goes_by_the_rows_of_the_next(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1"), box("s-2")) as (c, first, stored):
+            second = FakeDiscovery([box("s-1"), box("s-3")])
+            await second.start()
+            one = await Bank(c, "one", first).owns()
+            await stored.are(*first.rows)
+            two = Bank(c, "two", second)
+            await two.knows(*first.rows)
+            first.silent = True
+            await c.client().release(Release("work/list/orders", one.keeper.lister.holder.claim), 5.0)
+            await two.owns()
+            await one.knows(*second.rows)
+            lists = len(one.driver.lists)
+            second.change(box("s-3", "Terminating"))
+            await one.knows(*second.rows)
+            assert one.driver.lists[lists:] == [
+                (api.ListKind.DELTA, [read_endpoint(box("s-3", "Terminating"))])]
+            first.silent = False
+            one.discovery.fetch()  # as where the owner is silent
+            await one.knows(*first.rows)
+            second.change(box("s-4"))
+            await one.knows(*second.rows)
+            for bank in (one, two):
+                await bank.close()
+            second.stop()
+    run(test())
+
+
+def test_a_row_that_does_not_read_is_refused_and_what_was_known_stands(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1"), box("s-2")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            two = Bank(c, "two", None)
+            await two.knows(*discovery.rows)
+            client = c.client()
+            key = KEYS.upstream(number_of("s-1"))
+            await client.write_rows([Op(key, pack(("of", "another", "program")))], [()])
+            discovery.change(box("s-2", "Terminating"))
+            await two.knows(box("s-1"), box("s-2", "Terminating"))
+            async with asyncio.timeout(10):
+                while (feed := (await client.status())["feed"])["refusals"] < 2:
+                    await asyncio.sleep(0.01)  # the acknowledgement is on its way
+            told = [(r["name"], *r["refusal"][:2]) for r in feed["refused"]]
+            assert sorted(told) == [(name, SCOPE, split(key)[1]) for name in ("one", "two")]
+            for bank in (one, two):
+                await bank.close()
+    run(test())
+    assert "what was taken before stands" in caplog.text
+
+
+def test_a_restart_takes_the_rows_from_the_node_and_an_upstream_that_cant_be_one_stops_all(
+        tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            await stored.are(*discovery.rows)
+            discovery.change(box("s-2"), box("s-3", zone="z" * MOST_ROW))
+            await until(lambda: bool(one.list.bad))
+            two = Bank(c, "two", None)
+            await two.knows(box("s-1"))
+            discovery.change(box("s-3"))
+            await two.knows(*discovery.rows)
+            module = two.driver.module
+            module.handle(time.monotonic_ns(), [api.ListUpdate(api.ListKind.FULL, [
+                t.endpoint.entry for t in two.driver.upstreams.targets.values()])])
+            module.crowding.taken["q"], module.fleet.servers[number_of("s-2")].pace = 5e6, 3.0
+            await until(lambda: bool(two.keeper.name.token()))
+            await one.close()
+            await two.close()
+            again = Bank(c, "two", None)
+            await again.knows(*discovery.rows)
+            # What was learnt comes behind the list, and is of the same start of each upstream.
+            await until(lambda: bool(again.driver.posted))
+            learnt, = again.driver.posted
+            assert isinstance(learnt, api.Learnt) and learnt.paces[number_of("s-2")] == (
+                3.0, again.driver.upstreams.targets[number_of("s-2")].endpoint.entry.started_ns)
+            await again.close()
+    run(test())
+    assert caplog.text.count("nothing of it is put: upstream") == 1
+
+
+def test_a_restored_store_is_gone_by_from_its_new_owners_word_on(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1"), box("s-2")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            two = Bank(c, "two", None)
+            await two.knows(*discovery.rows)
+            copy = tmp_path / "copy.db"
+            with open(copy, "wb") as file:
+                await c.client().copy(file.write)
+            discovery.change(box("s-2", "Gone"), box("s-3"))
+            await two.knows(*discovery.rows)
+            lists = len(two.driver.lists)
+            await c.stop(0)
+            path = tmp_path / "restored.toml"
+            path.write_text((tmp_path / "0.toml").read_text().replace('"n0"', '"restored"'))
+            c.settings[0] = read_store(path)
+            running.restore(c.settings[0], copy)
+            await c.begin(0)
+            discovery.change(box("s-4"))
+            await two.knows(*discovery.rows)
+            # The copy's rows are older than what was heard: s-2 does not come back for a moment.
+            assert all(number_of("s-2") != e.entry.id or e.entry.state is api.State.GONE
+                       for _, listed in two.driver.lists[lists:] for e in listed)
+            for bank in (one, two):
+                await bank.close()
+    run(test())
+
+
+# ---- beside balancers that know no rows -------------------------------------------------------------------
+
+
+async def document_goes(c: Cluster) -> None:
+    async for told in c.client().watch("list/orders", 0):
+        if any(change.value is None for change in told.changes):
+            return
+
+
+def test_rows_and_documents_beside_each_other_the_later_owners_word_counts(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1")) as (c, discovery, stored):
+            old = await Bank(c, "old", discovery, rows=False).owns()
+            new, plain = Bank(c, "new", None), Bank(c, "plain", None, rows=False)
+            await new.knows(box("s-1"))  # of the document
+            assert not stored.rows
+            await old.close()
+            await new.close()
+            both = await Bank(c, "both", discovery, documents=True).owns()
+            new = Bank(c, "new", None)
+            discovery.change(box("s-2"))
+            await new.knows(*discovery.rows)
+            await plain.knows(*discovery.rows)
+            await both.close()
+            alone = await Bank(c, "alone", discovery).owns()
+            discovery.change(box("s-3"))
+            await new.knows(*discovery.rows)
+            # A document that nobody keeps up would be the list of whoever starts and knows no rows.
+            await document_goes(c)
+            await alone.close()
+            old = await Bank(c, "old", discovery, rows=False).owns()
+            discovery.change(box("s-1", "Gone"))
+            await new.knows(*discovery.rows)
+            for bank in (old, new, plain):
+                await bank.close()
+    run(test())
+
+
+@pytest.mark.parametrize("text, why", [
+    ("documents = true", "store.documents: goes with rows alone"),
+    ("rows = true\n[[server]]\nid = 'a'\naddress = '::1'", "store.rows: the list of upstreams is"),
+    ("rows = 1", "rows"),
+])
+def test_settings_that_contradict_each_other_are_one_line(tmp_path: Path, text: str, why: str) -> None:
+    path = tmp_path / "b.toml"
+    path.write_text(f"[store]\naddresses = ['127.0.0.1:1']\nservice = 'orders'\n{text}\n")
+    with pytest.raises(Malformed, match=rf"{why}[^\n]*\Z"):
+        read_boot(path)
