--- a/lanelift/feed/subscription.py
+++ b/lanelift/feed/subscription.py
@@ -34,7 +34,7 @@
     pack,
     unpack_told,
 )
-from lanelift.feed.table import Check, ScopeTable
+from lanelift.feed.table import Check, ScopeTable, Stage
 
 __all__ = ["Action", "Apply", "Check", "Dial", "HangUp", "Say", "ScopeTable", "State", "Subscription",
            "SubscriptionLimits"]
@@ -46,16 +46,17 @@
     """`dial_ns`: a connection takes so long at most. `silent_ns`: a node that says nothing for so long is
     left; several of its bookmarks. `behind_ns`: so long a node that is behind is waited for. `backoff_ns`
     doubles to `backoff_most_ns`, and any part of it is drawn. `later_most`: so often in a row a node may put
-    it off. `ack_ns`, `ack_bytes`: an acknowledgement waits so long, or for so many bytes. `audit_rows`: so
-    many rows are hashed at one look, every `audit_ns`; a scope of more is looked through in pieces, at a
-    bookmark that tells its digest."""
+    it off, each time for `later_ns` at most. `ack_ns`, `ack_bytes`: an acknowledgement waits so long, or for
+    so many bytes. `audit_rows`: so many rows are hashed at one look, every `audit_ns`; a scope of more is
+    looked through in pieces, at a bookmark that tells its digest."""
 
     dial_ns: int = 5 * NS
-    silent_ns: int = 45 * NS
+    silent_ns: int = 16 * NS
     behind_ns: int = 3 * NS
     backoff_ns: int = 200 * MS
     backoff_most_ns: int = 5 * NS
     later_most: int = 5
+    later_ns: int = 60 * NS
     ack_ns: int = 50 * MS
     ack_bytes: int = 128 << 10
     audit_rows: int = 512
@@ -292,7 +293,7 @@
         if self._laters > self.limits.later_most:
             self._laters = 0
             self._turn += 1
-        self._wait("the node asks to come later", now + max(after_ms, 1) * MS)
+        self._wait("the node asks to come later", now + min(max(after_ms, 1) * MS, self.limits.later_ns))
 
     def _bookmark(self, generation: int, told: Bookmark, now: int) -> None:
         self._tries = self._laters = 0
@@ -307,8 +308,8 @@
                 self._anew(table_, now)
             elif len(table_.rows) > self.limits.audit_rows:
                 self._begin_audit(table_, now)
-        if told.digests or not self.scopes:
-            self._current = len(mine) == len(self.scopes) and self.ready
+        whole = bool(told.digests) or not self.scopes  # else something is still to be told
+        self._current = whole and len(mine) == len(self.scopes) and self.ready
 
     def _patch(self, generation: int, patch: Patch, size: int, now: int) -> None:
         if not self._ack_at:
@@ -316,19 +317,19 @@
         self._ack_bytes += size
         table = self.scopes.get(patch.scope)
         if table is not None and table.generation <= generation:
-            rows = table.staged(patch)
-            if rows is not None:
-                self._take(table, patch, rows, now)
+            stage = table.staged(patch, self._check)
+            if stage is not None:
+                self._take(table, patch, stage, now)
         if self._ack_bytes >= self.limits.ack_bytes and self._ack_at:
             self._acknowledge()
 
-    def _take(self, table: ScopeTable, patch: Patch, rows: list[Row], now: int) -> None:
+    def _take(self, table: ScopeTable, patch: Patch, stage: Stage, now: int) -> None:
         """A patch that is there whole."""
         if patch.whole:
             if patch.revision < table.cursor:
                 self._hang_up(f"{table.scope} went back from {table.cursor} to {patch.revision}", now)
                 return
-            taken = table.whole(rows, patch.revision, patch.digest, self._check)
+            taken = table.whole(stage, patch.digest)
             if taken is None:  # made so: another node is to be asked
                 self._hang_up(f"rows of {table.scope} do not have their digest", now)
                 return
@@ -338,7 +339,7 @@
             if patch.after > table.cursor:
                 self._anew(table, now)
                 return
-            taken = table.delta(rows, patch.revision, patch.digest, self._check)
+            taken = table.delta(stage, patch.digest)
             if taken is None or not self._sound(table):
                 self._anew(table, now)
                 return
