Daemon: with rows, discovery's word that nothing changed is a beat of the list

Cause: an answer without a change is not told on (`Discovery._call`, where changes are pushed), so `_say` took discovery for silent and gave no beat. Seen: one owner and one follower on a quiet list, no beat in 18 s, the follower "alone" from 12 s on, asking for whole lists. At 2,900 balancers that is ten calls a second a service, each a whole list for a module. Change: discovery notes its last answer, and with rows it counts. Documents keep to changes, as before: there the fault stands. Also: the list is not put together every 5 s where it is not this keeper's to put.

`test_the_owner_says_of_the_rows_that_they_stand` timed out without the change and takes 1.5 s with it; a test by processes: one without a discovery serves by rows alone.

--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -268,12 +268,13 @@
         """What this process owns. Raises StoreError."""
         driver = self.parts.driver
         _, listed, learnt = self.keys
-        servers = save_list(self.reach.as_known(t.endpoint for t in driver.upstreams.targets.values()))
-        if self.list is None and servers and servers != self.saved and self.lister.token():
-            saved = SavedList(time.time(), servers, self.lister.token())
-            with suppress(NotOwner):
-                await self.lister.write([Op(listed, msgspec.json.encode(saved))], within_s=within_s)
-                self.saved = servers
+        if self.list is None and self.lister.token():
+            servers = save_list(self.reach.as_known(t.endpoint for t in driver.upstreams.targets.values()))
+            if servers and servers != self.saved:
+                saved = SavedList(time.time(), servers, self.lister.token())
+                with suppress(NotOwner):
+                    await self.lister.write([Op(listed, msgspec.json.encode(saved))], within_s=within_s)
+                    self.saved = servers
         known = driver.balancer.learnt()
         if known.taken and self.name.token():
             with suppress(NotOwner):
--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -197,9 +197,13 @@
                 and time.monotonic() - self.floor_s < ANEW_S)
 
     async def _say(self) -> None:
-        if self.discovery.version < 0 or (self.heard_s <= self.put_s and not self.overwritten):
-            return  # discovery said nothing since
         heard = self.heard_s
+        if self.writer is not None:
+            # That nothing changed is a word, too: without it the others count the owner as silent after 12 s
+            # of a quiet day, and ask by themselves, each for a whole list. (Documents keep to changes.)
+            heard = max(heard, self.discovery.answered_s)
+        if self.discovery.version < 0 or (heard <= self.put_s and not self.overwritten):
+            return  # discovery said nothing since
         if self._older():
             return
         if self.discovery.version < self.floor:
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -104,6 +104,7 @@
         self.hold_ms = min(HOLD_MOST_MS, max(HOLD_MS, HOLD_EACH_MS * balancers))
         self.pace_s = min(PACE_MOST_S, max(PACE_S, PACE_EACH_S * balancers))
         self.version = -1
+        self.answered_s = 0.0  # when it last said something, be it that nothing changed
         self.next = Call.WHOLE
         self.connection: Connection | None = None
         self.watching = False
@@ -207,6 +208,7 @@
         except (ValueError, RecursionError) as error:
             raise Unanswered(f"not JSON: {error}") from None
         version, full, endpoints = read_list(raw)
+        self.answered_s = time.monotonic()
         # A list that is older than what is known, or no newer and partial, tells nothing.
         if version < self.version or (version == self.version and not full):
             endpoints, full = [], False
--- a/tests/test_feed_daemon.py
+++ b/tests/test_feed_daemon.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
+import sys
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -17,7 +19,7 @@
 
 from lanelift import interface as api
 from lanelift.__main__ import Parts
-from lanelift.daemon import rows
+from lanelift.daemon import listing, rows
 from lanelift.daemon.boot import read_boot
 from lanelift.daemon.keeper import Keeper
 from lanelift.daemon.listing import FleetList
@@ -26,6 +28,7 @@
 from lanelift.daemon.rows import Keys, ListRow, ServiceRow, UpstreamRow, check, differences, pack
 from lanelift.feed.messages import MOST_ROW, Row, split
 from lanelift.feed.subscription import Apply
+from lanelift.lab.cluster.real import RealCluster
 from lanelift.leases.fence import Word
 from lanelift.net.disabled import DisabledUpstreams
 from lanelift.net.discovery import Discovery, read_endpoint
@@ -37,8 +40,8 @@
 from lanelift.store.commands import MOST_OPS, Op, Release, Result
 from lanelift.store.owner import clock_ns
 from lanelift.store.settings import read_store
-from tests.fakes import FakeDiscovery, Watched, free_port, run
-from tests.test_store_daemon import FakeDriver, until
+from tests.fakes import FakeDiscovery, FakeUpstream, Watched, free_port, run
+from tests.test_store_daemon import FakeDriver, answered, until
 from tests.test_store_node import Cluster, cluster
 
 KEYS = Keys("orders")
@@ -362,6 +365,23 @@
     run(test())
 
 
+def test_the_owner_says_of_the_rows_that_they_stand(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            two = Bank(c, "two", None)
+            await two.knows(*discovery.rows)
+            for _ in range(2):
+                heard = two.list.follower.heard_ns
+                await until(lambda: two.list.follower.heard_ns > heard)  # noqa: B023
+            assert len(stored.writes) <= 1 and not two.list.follower.alone
+            for bank in (one, two):
+                await bank.close()
+    monkeypatch.setattr(listing, "BEAT_S", 0.05)
+    monkeypatch.setattr(listing, "HOLD_MS", 50)
+    run(test())
+
+
 def test_a_zone_that_goes_is_a_few_writes_and_the_rest_stands_meanwhile(tmp_path: Path) -> None:
     async def test() -> None:
         boxes = [box(f"s-{n}", zone="gone" if n < 600 else "stays") for n in range(700)]
@@ -573,6 +593,58 @@
     run(test())
 
 
+def test_a_process_that_can_reach_no_discovery_serves_by_the_rows(tmp_path: Path) -> None:
+    async def begin(store: RealCluster, name: str, discovery: int, port: int) -> asyncio.subprocess.Process:
+        path = tmp_path / f"{name}.toml"
+        path.write_text(f"listen = '127.0.0.1:{port}'\ndiscovery = '127.0.0.1:{discovery}'\n"
+                        "[[class]]\nname = 'quote'\neffect = 'safe'\naim = '2s'\ndeadline = '3s'\n"
+                        f"[store]\naddresses = ['{store.addresses[0]}']\nservice = 'orders'\n"
+                        f"balancer = '{name}'\nrank = {0 if name == 'one' else 9}\nrows = true\n")
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanelift.cli.main", "serve", "--settings", str(path),
+            stderr=asyncio.subprocess.DEVNULL)
+
+    async def test() -> None:
+        first, second = FakeUpstream("s-0"), FakeUpstream("s-1")
+        discovery = FakeDiscovery([])
+        store = RealCluster(tmp_path, 1)
+        processes = []
+        for server in (first, second, discovery):
+            await server.start()
+        discovery.rows = [first.row()]
+        try:
+            await store.start()
+            processes.append(await begin(store, "one", discovery.port, free_port()))
+            client = store.client()
+            stored = Stored(client)
+            await stored.are(first.row())
+            port = free_port()
+            processes.append(await begin(store, "two", free_port(), port))
+            asked = await answered(port)
+            async with asyncio.timeout(10):
+                for number in itertools.count():  # it refuses until it knows of an upstream
+                    if (await asked.ask(f"r{number}")).body == b"s-0":
+                        break
+                    await asyncio.sleep(0.01)
+            discovery.change(first.row("Gone"), second.row())
+            await stored.are(second.row())
+            revision = max(stored.writes)
+            async with asyncio.timeout(10):
+                while any(at < revision for at, _ in (await client.status())["feed"]["reached"]):
+                    await asyncio.sleep(0.01)
+            assert (await asked.ask("last")).body == b"s-1"
+            await client.close()
+        finally:
+            for process in processes:
+                process.kill()
+                await process.wait()
+            await store.stop()
+            for server in (first, second, discovery):
+                server.stop()
+
+    run(test())
+
+
 # ---- beside balancers that know no rows -------------------------------------------------------------------
 
 
