Tests: what rolls see of rows, and rows behind address translation

Need: two ways that rows take had no test. Change: a look of a roll before and after a change of rows, and the dialled address of an upstream that came as a row. Measured: both fail with their line planted wrong (a stored list that is never read anew; addresses as all know them); `pytest tests/test_feed_daemon.py`: 49 passed in 20 s.

--- a/tests/test_feed_daemon.py
+++ b/tests/test_feed_daemon.py
@@ -19,11 +19,12 @@
 
 from lanelift import interface as api
 from lanelift.__main__ import Parts
-from lanelift.daemon import listing, rows
+from lanelift.daemon import listing, roller, rows
 from lanelift.daemon.boot import read_boot
 from lanelift.daemon.keeper import Keeper
 from lanelift.daemon.listing import FleetList
 from lanelift.daemon.reach import Reach
+from lanelift.daemon.roller import Ages, look
 from lanelift.daemon.rowlist import RowWriter, StoredList
 from lanelift.daemon.rows import Keys, ListRow, ServiceRow, UpstreamRow, check, differences, pack
 from lanelift.feed.messages import MOST_ROW, Row, split
@@ -248,7 +249,7 @@
         discovery = Discovery(cast(Any, driver), ("127.0.0.1", 1), 1)
         writer = RowWriter(cast(Any, None), cast(Any, owner), "orders")
         follows = FleetList(cast(Any, driver), discovery, cast(Any, None), cast(Any, owner), "orders",
-                            Reach({}), writer)
+                            Reach({"127.0.0.1:9001": "127.0.0.2:19001"}), writer)
 
         def kinds() -> list[tuple[api.ListKind, int]]:
             found = [(kind, len(endpoints)) for kind, endpoints in driver.lists]
@@ -266,6 +267,8 @@
         follows.apply(told(word(3, 9), box("s-3")))
         follows.apply(told(word(3, 10), box("s-3", "Gone"), box("never there", "Gone")))
         assert kinds() == [(api.ListKind.FULL, 3), (api.ListKind.DELTA, 1)]
+        dialled = driver.upstreams.targets[number_of("s-1")].endpoint
+        assert (dialled.host, dialled.port) == ("127.0.0.2", 19001)
         # Of an owner of before, as from a node that lags, nothing is taken; nor is a list without any.
         follows.apply(told(word(2, 99), box("s-4"), whole=True))
         follows.apply(told(word(3, 11), whole=True))
@@ -338,9 +341,10 @@
             two = Bank(c, "two", None)
             await two.knows(*discovery.rows)
             assert two.driver.lists[-1][0] is api.ListKind.FULL
-            lists, writes = len(two.driver.lists), len(stored.writes)
             await stored.are(*discovery.rows)
-            writes = len(stored.writes)
+            lists, writes = len(two.driver.lists), len(stored.writes)
+            client, looks = c.client(), StoredList(c.client(), "orders")
+            assert len((await look(client, roller.Keys("orders"), Ages(), looks))[3].boxes) == 40
             discovery.change(box("s-7", "Terminating"))
             await two.knows(*discovery.rows)
             discovery.change(box("s-8", "Gone"), box("s-new"))
@@ -351,13 +355,11 @@
             assert drained == (api.ListKind.DELTA, [read_endpoint(box("s-7", "Terminating"))])
             assert went[0] is api.ListKind.DELTA and {e.entry.id: e.entry.state for e in went[1]} == {
                 number_of("s-8"): api.State.GONE, number_of("s-new"): api.State.READY}
-            # Whoever only looks reads the same; there is no document.
-            client = c.client()
-            found = await client.get("list/orders", KEYS.list)
-            document, word = found.rows
-            saved = await StoredList(client, "orders").of(document, word)
-            assert saved is not None and {s.id for s in saved.servers} == set(two.known)
-            assert document.value is None and saved.version == discovery.version
+            # Whoever only looks sees the same; there is no document.
+            view = (await look(client, roller.Keys("orders"), Ages(), looks))[3]
+            assert {n: b.ready for n, b in view.boxes.items()} == {
+                n: state is api.State.READY for n, state in two.known.items()}
+            assert (await client.get("list/orders")).rows[0].value is None
             with pytest.raises(Rejected, match="names"):
                 await client.write_rows([Op(KEYS.service, None)])
             for bank in (one, two):
