--- a/lanelift/store/durable/journal.py
+++ b/lanelift/store/durable/journal.py
@@ -125,6 +125,15 @@
     return (sequence, payload) if _sum(salt, sequence, payload) == checksum else None
 
 
+def _more(data: bytes) -> bool:
+    """Does anything stand behind a segment's head? Then the head was synced, whatever of it, or of the salt
+    that all its sums are over, no longer reads."""
+    if len(data) < START + FRAME.size:
+        return False
+    mark, length, _, _ = FRAME.unpack_from(data, START)
+    return bool(mark == MARK and START + FRAME.size + length < len(data))
+
+
 def _later(data: bytes, at: int, salt: bytes, sequence: int) -> int:
     """Where after `at` a whole frame stands that is no older than `sequence`; -1: nowhere."""
     at = data.find(MARK, at + 1)
@@ -181,7 +190,8 @@
             salt = data[len(MAGIC):START]
             first = _frame_at(data, START, salt) if data.startswith(MAGIC) else None
             if first is None:
-                if number == numbers[-1] and found is not None and _later(data, 0, salt, self.sequence) < 0:
+                begun = found is not None and not _more(data) and _later(data, 0, salt, self.sequence) < 0
+                if number == numbers[-1] and begun and found is not None:
                     found.cut += len(data)
                     if repair:
                         self.files.remove(segment.name)  # it was being begun
--- a/tests/test_store_journal.py
+++ b/tests/test_store_journal.py
@@ -103,6 +103,31 @@
     assert bool(cut) is not marked
 
 
+def test_no_flipped_bit_passes_for_a_segment_that_was_being_begun() -> None:
+    """Of its salt neither: no frame of it reads then."""
+    def two() -> Disk:
+        disk = Disk()
+        j = journal(disk, 400)
+        j.create()
+        while len(disk.names()) < 2:
+            j.write(None, entries(j.last + 1, 1))
+        j.write(None, entries(j.last + 1, 1))
+        return disk
+
+    name, last = sorted(two().names())[-1], opened(two()).last
+    whole = two().read(name)
+    newest = whole.rindex(journals.MARK)
+    for at in range(newest):
+        flipped = two()
+        flipped.files[name].seen[at] ^= 1
+        with pytest.raises(Damaged):
+            opened(flipped)
+    for length in range(newest):  # torn it is another matter: what was not synced is no promise
+        torn = two()
+        torn.files[name].seen = bytearray(whole[:length])
+        assert opened(torn).last < last
+
+
 def test_segments_follow_on_each_other_and_old_ones_go() -> None:
     disk = Disk()
     j = journal(disk, 400)
