--- a/lanelift/lab/cluster/owners.py
+++ b/lanelift/lab/cluster/owners.py
@@ -21,7 +21,7 @@
 
 from lanelift.lab.cluster.checks import Broken
 from lanelift.lab.cluster.plans import CALM, Outcome, Storm, describe, level, mend
-from lanelift.lab.cluster.sim import MS, SECOND, Cluster, agreed
+from lanelift.lab.cluster.sim import MS, SECOND, Cluster, agreed, committed
 from lanelift.leases import table
 from lanelift.leases.fence import Receiver, Word
 from lanelift.leases.holder import Ask, Holder, Phase
@@ -38,7 +38,6 @@
     Result,
     Upgrade,
 )
-from lanelift.store.raft.messages import Kind
 
 LEASE = "work/list"
 KEY = "list/orders"
@@ -400,11 +399,7 @@
     by_token: dict[int, int] = {}
     taken = refused = owner = 0
     told: dict[int, int] = {}  # claim: the last token that it was told
-    for index in range(1, cluster.checks.highest + 1):
-        entry, packed = cluster.checks.committed.get(index), cluster.checks.results.get(index)
-        if entry is None or packed is None or entry.kind != Kind.COMMAND:
-            continue
-        command, result = commands.unpack_command(entry.data), commands.unpack_result(packed)
+    for _, command, result in committed(cluster):
         if isinstance(command, Upgrade):
             upgraded = True
         if isinstance(command, Claim) and result.code == Code.DONE and result.versions[0]:
--- a/lanelift/lab/cluster/sim.py
+++ b/lanelift/lab/cluster/sim.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -15,12 +15,13 @@
 from lanelift.lab.cluster.checks import Broken, Checks
 from lanelift.lab.cluster.disk import Disk, MemoryVault, PowerLost
 from lanelift.store import commands, replica
-from lanelift.store.commands import AnyCommand
+from lanelift.store.commands import AnyCommand, Result
 from lanelift.store.durable import journal as journals
 from lanelift.store.durable.journal import Damaged, Full, Journal
+from lanelift.store.durable.state import Event, State
 from lanelift.store.raft.core import Batch, Busy, Config, Core, NotLeader, Role
 from lanelift.store.raft.members import Change, Refused
-from lanelift.store.raft.messages import AnyMessage, Members, Piece, pack, unpack_message
+from lanelift.store.raft.messages import AnyMessage, Kind, Members, Piece, pack, unpack_message
 from lanelift.store.replica import Boundaries, Identity, Replica
 from lanelift.store.steward import Steward
 
@@ -78,6 +79,8 @@
         self.order = 0
         self.network = Network()
         self.leases = False  # a leader proposes what it does by itself: the state's next format, and lapses
+        # What a node applied, and which rows it said were changed by it.
+        self.fed: Callable[[Node, State, list[Event]], None] = lambda node, state, events: None
         self.checks = Checks()
         self.nodes: dict[int, Node] = {}
         self.make = make
@@ -265,6 +268,7 @@
             return
         if batch.install is not None:
             self.counts["snapshots taken"] += installed
+            self.fed(node, r.state, [])
         r.core.persisted(batch, installed)
         self.turn(node)
 
@@ -281,6 +285,7 @@
                     answer("unknown", None)
         r.core.applied_to(entries[-1].index)
         node.steward.applied(r.state.take_claimed(), self.clock(node))
+        self.fed(node, r.state, r.state.take_fed())
         node.applying = False
         if r.wants_cut:
             try:
@@ -403,14 +408,22 @@
         return [n for n in self.nodes.values() if n.replica is not None]
 
 
+def committed(cluster: Cluster) -> Iterator[tuple[int, AnyCommand, Result]]:
+    """Every command of the committed log, its index, and how it was answered where it was applied."""
+    for index in range(1, cluster.checks.highest + 1):
+        entry, packed = cluster.checks.committed.get(index), cluster.checks.results.get(index)
+        if entry is not None and packed is not None and entry.kind == Kind.COMMAND:
+            yield index, commands.unpack_command(entry.data), commands.unpack_result(packed)
+
+
 def agreed(cluster: Cluster) -> None:
     """At the end: all members hold the same state. Raises Broken."""
     digests: dict[tuple[int, int], list[int]] = {}
     for node in cluster.up():
         assert node.replica is not None
         state = node.replica.state
-        if not state.applied:
-            continue  # a newcomer that nobody spoke to knows no members, a founder does
+        if not state.members.all:
+            continue  # a newcomer, before the first entry that tells of any; a founder knows some
         digests.setdefault((state.applied, state.digest()), []).append(node.id)
     if len({applied for applied, _ in digests}) < len(digests):
         raise Broken("state machine safety", f"states differ after the same entries: {digests}")
--- a/tests/test_store_rows.py
+++ b/tests/test_store_rows.py
@@ -3,14 +3,17 @@
 
 from __future__ import annotations
 
+import sqlite3
 import tarfile
 from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
 from lanelift.feed.messages import MOST_ROW
+from lanelift.lab.cluster import rowed
 from lanelift.store import commands
 from lanelift.store.commands import (
     FORMAT,
@@ -24,6 +27,7 @@
     Upgrade,
     Write,
 )
+from lanelift.store.durable import rows as stored
 from lanelift.store.durable import state as states
 from lanelift.store.durable.state import Event, State
 from lanelift.store.raft.messages import Entry, Kind
@@ -220,3 +224,51 @@
     assert commands.pack(fenced).hex() == ("9a0805010091" "93a16bc40176ff" "90a26d65a377687907"
                                            "9192a4776f726b01")
     assert [commands.format_of(c) for c in (Write(5, 1, 0, ()), fenced, RowsWrite(5, 1, 0, ()))] == [1, 2, 3]
+
+
+# ---- over a simulated cluster ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", range(1, 31))
+def test_whatever_fails_rows_are_those_of_the_log_everywhere(seed: int) -> None:
+    outcome = rowed.play(seed)
+    assert not outcome.broken, f"seed {seed}"
+    assert outcome.counts["rows written"] > 20 and outcome.counts["rows refused"] > 5
+
+
+def deleted_though_named(db: sqlite3.Connection, command: RowsWrite) -> str:
+    kept = tuple(op for op in command.ops if op.value is not None)
+    refs = tuple(names for op, names in zip(command.ops, command.refs, strict=True) if op.value is not None)
+    return DANGLING(db, structs.replace(command, ops=kept, refs=refs))
+
+
+def refs_pile_up(db: sqlite3.Connection, command: RowsWrite) -> None:
+    db.executemany("INSERT OR IGNORE INTO refs VALUES (?, ?)",
+                   [(op.key, ref) for op, refs in commands.refs_of(command) for ref in refs])
+
+
+def each_alone(db: sqlite3.Connection, command: RowsWrite) -> str:
+    pairs = zip(command.ops, command.refs, strict=True)
+    return next(filter(None, (DANGLING(db, structs.replace(command, ops=(op,), refs=(refs,)))
+                              for op, refs in pairs)), "")
+
+
+def deaf_to_deletions(self: State) -> list[Event]:
+    return [event for event in TAKE_FED(self) if event.value is not None]
+
+
+def made_again(self: State, command: Write, index: int) -> Result:
+    return self._write(command, index)
+
+
+DANGLING, TAKE_FED = stored.dangling, State.take_fed
+PLANTS: dict[str, tuple[object, str, object]] = {
+    "deleted though named": (stored, "dangling", deleted_though_named),
+    "refs pile up": (stored, "note_refs", refs_pile_up), "each alone": (stored, "dangling", each_alone),
+    "deaf to deletions": (State, "take_fed", deaf_to_deletions), "made again": (State, "_once", made_again)}
+
+
+@pytest.mark.parametrize("name", sorted(PLANTS))
+def test_a_planted_bug_of_rows_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(*PLANTS[name])
+    assert any(rowed.play(seed).broken for seed in range(1, 6))
