--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -92,6 +92,7 @@
         self.push = driver.settings.discovery_push
         self.calls = Calls(driver.settings.replicas_of_me, random.Random(seed))
         self.version = -1
+        self.answered_s = 0.0  # when it last said something, be it that nothing changed
         self.connection: Connection | None = None
         self.watching = False
         self.task: asyncio.Task[None] | None = None  # the one that calls: a watch, or for one list
@@ -179,6 +180,7 @@
         except (ValueError, RecursionError) as error:
             raise Unread(f"not JSON: {error}") from None
         version, full, endpoints = read_list(raw)
+        self.answered_s = time.monotonic()
         # A list that is older than what is known, or no newer and partial, tells nothing.
         if version < self.version or (version == self.version and not full):
             endpoints, full = [], False
--- a/tests/test_feed_daemon.py
+++ b/tests/test_feed_daemon.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
+import sys
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -17,15 +19,17 @@
 
 from lanelift import interface as api
 from lanelift.__main__ import Parts
-from lanelift.daemon import rows
+from lanelift.daemon import listing, roller, rows
 from lanelift.daemon.boot import read_boot
 from lanelift.daemon.keeper import Keeper
 from lanelift.daemon.listing import FleetList
 from lanelift.daemon.reach import Reach
+from lanelift.daemon.roller import Ages, look
 from lanelift.daemon.rowlist import RowWriter, StoredList
 from lanelift.daemon.rows import Keys, ListRow, ServiceRow, UpstreamRow, check, differences, pack
 from lanelift.feed.messages import MOST_ROW, Row, split
 from lanelift.feed.subscription import Apply
+from lanelift.lab.cluster.real import RealCluster
 from lanelift.leases.fence import Word
 from lanelift.net.disabled import DisabledUpstreams
 from lanelift.net.discovery import Discovery, read_endpoint
@@ -37,8 +41,8 @@
 from lanelift.store.commands import MOST_OPS, Op, Release, Result
 from lanelift.store.owner import clock_ns
 from lanelift.store.settings import read_store
-from tests.fakes import FakeDiscovery, Watched, free_port, run
-from tests.test_store_daemon import FakeDriver, until
+from tests.fakes import FakeDiscovery, FakeUpstream, Watched, free_port, run
+from tests.test_store_daemon import FakeDriver, answered, until
 from tests.test_store_node import Cluster, cluster
 
 KEYS = Keys("orders")
@@ -245,7 +249,7 @@
         discovery = Discovery(cast(Any, driver), ("127.0.0.1", 1), 1)
         writer = RowWriter(cast(Any, None), cast(Any, owner), "orders")
         follows = FleetList(cast(Any, driver), discovery, cast(Any, None), cast(Any, owner), "orders",
-                            Reach({}), writer)
+                            Reach({"127.0.0.1:9001": "127.0.0.2:19001"}), writer)
 
         def kinds() -> list[tuple[api.ListKind, int]]:
             found = [(kind, len(endpoints)) for kind, endpoints in driver.lists]
@@ -263,6 +267,8 @@
         follows.apply(told(word(3, 9), box("s-3")))
         follows.apply(told(word(3, 10), box("s-3", "Gone"), box("never there", "Gone")))
         assert kinds() == [(api.ListKind.FULL, 3), (api.ListKind.DELTA, 1)]
+        dialled = driver.upstreams.targets[number_of("s-1")].endpoint
+        assert (dialled.host, dialled.port) == ("127.0.0.2", 19001)
         # Of an owner of before, as from a node that lags, nothing is taken; nor is a list without any.
         follows.apply(told(word(2, 99), box("s-4"), whole=True))
         follows.apply(told(word(3, 11), whole=True))
@@ -335,9 +341,10 @@
             two = Bank(c, "two", None)
             await two.knows(*discovery.rows)
             assert two.driver.lists[-1][0] is api.ListKind.FULL
-            lists, writes = len(two.driver.lists), len(stored.writes)
             await stored.are(*discovery.rows)
-            writes = len(stored.writes)
+            lists, writes = len(two.driver.lists), len(stored.writes)
+            client, looks = c.client(), StoredList(c.client(), "orders")
+            assert len((await look(client, roller.Keys("orders"), Ages(), looks))[3].boxes) == 40
             discovery.change(box("s-7", "Terminating"))
             await two.knows(*discovery.rows)
             discovery.change(box("s-8", "Gone"), box("s-new"))
@@ -348,13 +355,11 @@
             assert drained == (api.ListKind.DELTA, [read_endpoint(box("s-7", "Terminating"))])
             assert went[0] is api.ListKind.DELTA and {e.entry.id: e.entry.state for e in went[1]} == {
                 number_of("s-8"): api.State.GONE, number_of("s-new"): api.State.READY}
-            # Whoever only looks reads the same; there is no document.
-            client = c.client()
-            found = await client.get("list/orders", KEYS.list)
-            document, word = found.rows
-            saved = await StoredList(client, "orders").of(document, word)
-            assert saved is not None and {s.id for s in saved.servers} == set(two.known)
-            assert document.value is None and saved.version == discovery.version
+            # Whoever only looks sees the same; there is no document.
+            view = (await look(client, roller.Keys("orders"), Ages(), looks))[3]
+            assert {n: b.ready for n, b in view.boxes.items()} == {
+                n: state is api.State.READY for n, state in two.known.items()}
+            assert (await client.get("list/orders")).rows[0].value is None
             with pytest.raises(Rejected, match="names"):
                 await client.write_rows([Op(KEYS.service, None)])
             for bank in (one, two):
@@ -362,6 +367,23 @@
     run(test())
 
 
+def test_the_owner_says_of_the_rows_that_they_stand(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with fleet(tmp_path, box("s-1")) as (c, discovery, stored):
+            one = await Bank(c, "one", discovery).owns()
+            two = Bank(c, "two", None)
+            await two.knows(*discovery.rows)
+            for _ in range(2):
+                heard = two.list.follower.heard_ns
+                await until(lambda: two.list.follower.heard_ns > heard)  # noqa: B023
+            assert len(stored.writes) <= 1 and not two.list.follower.alone
+            for bank in (one, two):
+                await bank.close()
+    monkeypatch.setattr(listing, "BEAT_S", 0.05)
+    monkeypatch.setattr(listing, "HOLD_MS", 50)
+    run(test())
+
+
 def test_a_zone_that_goes_is_a_few_writes_and_the_rest_stands_meanwhile(tmp_path: Path) -> None:
     async def test() -> None:
         boxes = [box(f"s-{n}", zone="gone" if n < 600 else "stays") for n in range(700)]
@@ -573,6 +595,58 @@
     run(test())
 
 
+def test_a_process_that_can_reach_no_discovery_serves_by_the_rows(tmp_path: Path) -> None:
+    async def begin(store: RealCluster, name: str, discovery: int, port: int) -> asyncio.subprocess.Process:
+        path = tmp_path / f"{name}.toml"
+        path.write_text(f"listen = '127.0.0.1:{port}'\ndiscovery = '127.0.0.1:{discovery}'\n"
+                        "[[class]]\nname = 'quote'\neffect = 'safe'\naim = '2s'\ndeadline = '3s'\n"
+                        f"[store]\naddresses = ['{store.addresses[0]}']\nservice = 'orders'\n"
+                        f"balancer = '{name}'\nrank = {0 if name == 'one' else 9}\nrows = true\n")
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanelift.cli.main", "serve", "--settings", str(path),
+            stderr=asyncio.subprocess.DEVNULL)
+
+    async def test() -> None:
+        first, second = FakeUpstream("s-0"), FakeUpstream("s-1")
+        discovery = FakeDiscovery([])
+        store = RealCluster(tmp_path, 1)
+        processes = []
+        for server in (first, second, discovery):
+            await server.start()
+        discovery.rows = [first.row()]
+        try:
+            await store.start()
+            processes.append(await begin(store, "one", discovery.port, free_port()))
+            client = store.client()
+            stored = Stored(client)
+            await stored.are(first.row())
+            port = free_port()
+            processes.append(await begin(store, "two", free_port(), port))
+            asked = await answered(port)
+            async with asyncio.timeout(10):
+                for number in itertools.count():  # it refuses until it knows of an upstream
+                    if (await asked.ask(f"r{number}")).body == b"s-0":
+                        break
+                    await asyncio.sleep(0.01)
+            discovery.change(first.row("Gone"), second.row())
+            await stored.are(second.row())
+            revision = max(stored.writes)
+            async with asyncio.timeout(10):
+                while any(at < revision for at, _ in (await client.status())["feed"]["reached"]):
+                    await asyncio.sleep(0.01)
+            assert (await asked.ask("last")).body == b"s-1"
+            await client.close()
+        finally:
+            for process in processes:
+                process.kill()
+                await process.wait()
+            await store.stop()
+            for server in (first, second, discovery):
+                server.stop()
+
+    run(test())
+
+
 # ---- beside balancers that know no rows -------------------------------------------------------------------
 
 
