--- a/lanelift/cli/sizelab.py
+++ b/lanelift/cli/sizelab.py
@@ -29,6 +29,7 @@
 
 app = typer.Typer(no_args_is_help=True, help="What each role costs by size, a slope at a time.")
 PARTS = ("module", "pools", "services", "settings", "stored", "sockets", "rest")
+FILES = ("--json", "--plot", "--record")
 HERE = Path(lanelift.__file__).parent.parent
 MOST_LISTENERS = 1000  # upstreams that are played on sockets
 # The size to design for, by what a slope counts: its last column, and how far a plot's line goes.
@@ -41,9 +42,12 @@
     help="Slopes go into this file, in place of those of the same names.")]
 
 
-def command() -> str:
-    """The command as it was given."""
-    return shlex.join(["lanelift", *sys.argv[1:]])
+def command(words: Sequence[str] = ()) -> str:
+    """The command as it was given, but for where its results go."""
+    words = words or sys.argv[1:]
+    kept = [word for i, word in enumerate(words) if word.partition("=")[0] not in FILES
+            and (i == 0 or words[i - 1] not in FILES)]
+    return shlex.join(["lanelift", *kept])
 
 
 def today() -> str:
--- a/lanelift/lab/size/plot.py
+++ b/lanelift/lab/size/plot.py
@@ -40,6 +40,6 @@
     for place in list(axes.flat)[len(slopes):]:
         place.set_visible(False)
     out = io.BytesIO()
-    figure.savefig(out, format="png", dpi=110, metadata={"Software": None})
+    figure.savefig(out, format="png", dpi=70, metadata={"Software": None})
     plt.close(figure)
     return out.getvalue()
--- a/tests/test_size_slopes.py
+++ b/tests/test_size_slopes.py
@@ -9,6 +9,7 @@
 from typer.testing import CliRunner
 
 from lanelift.cli.main import application
+from lanelift.cli.sizelab import command
 from lanelift.lab.size import fit
 from lanelift.lab.topology import Unusable
 
@@ -120,3 +121,8 @@
     done = CliRunner().invoke(application(["lab"]), ["lab", "size", "balancer", "--parts", "stored", *given])
     assert isinstance(done.exception, Unusable) and why in str(done.exception)
     assert "\n" not in str(done.exception)
+
+
+def test_the_record_tells_the_command_and_not_where_results_went() -> None:
+    words = ["lab", "size", "balancer", "--json", "a b.json", "--seconds", "2", "--plot=c.png", "--record", "d"]
+    assert command(words) == "lanelift lab size balancer --seconds 2"
