--- a/lanelift/store/feeding.py
+++ b/lanelift/store/feeding.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from lanelift.feed.fanout import BadWord, Fanout, FanoutLimits, FeedChange, Send
-from lanelift.feed.messages import PREFIX
+from lanelift.feed.messages import PREFIX, Bookmark, unpack_told
 from lanelift.store.durable.rows import Event, Loaded
 from lanelift.store.durable.state import State
 
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 LEAST_NS = 1_000_000  # between two turns that a timer begins
+LEADERLESS_MS = 5_000  # so long without a leader: what this node knows may be old
 Act = Callable[[Fanout, int], None]
 
 
@@ -48,6 +49,7 @@
         self.numbers = 0
         self.failures = 0
         self.held: list[Act] | None = None  # while rows are loaded: what comes
+        self.alone = False  # it has had no leader for long
         self.stale = False  # a snapshot of the store came while rows were loaded
         self.turning = False
         self.timer: asyncio.TimerHandle | None = None
@@ -81,6 +83,17 @@
         elif self.fanout is not None:
             self._load()
 
+    def led(self, leaderless_ms: int) -> None:
+        """How long this node has known of no leader. Cut off, it would say in good faith that there is
+        nothing newer: balancers are sent elsewhere, once, and those that come back, as they reach nobody
+        else, are told what it knows, and not that it is all there is."""
+        alone, self.alone = self.alone, leaderless_ms > LEADERLESS_MS
+        if self.alone and not alone and self.hearers:
+            log.warning("feed: no leader for %d ms, %d balancers are sent elsewhere", leaderless_ms,
+                        len(self.hearers))
+            for hearer in list(self.hearers.values()):
+                hearer.end("this node knows of no leader")
+
     def _load(self) -> None:
         self.held = []
         self.node.task(self._loaded())
@@ -170,6 +183,8 @@
             fanout.tick(now)
         by: dict[int, list[Send]] = {}
         for send in fanout.take_out():
+            if self.alone and isinstance(unpack_told(send.word), Bookmark):
+                continue
             by.setdefault(send.subscriber, []).append(send)
         for number, sends in by.items():
             hearer = self.hearers.get(number)
--- a/lanelift/store/metrics.py
+++ b/lanelift/store/metrics.py
@@ -20,6 +20,10 @@
     "writes_waiting": "proposals in flight", "reads_waiting": "reads that wait for a majority",
     "uncommitted_bytes": "bytes proposed and not committed", "leaderless_ms": "since when no leader is known",
     "disk_full_s": "since when the disk takes nothing"}
+FEED_GAUGES = {"subscribers": "balancers that hear this node", "waiting": "in the queue for snapshots",
+               "parked": "know more than this node", "refusals": "rows that balancers refuse"}
+FEED_COUNTERS = {"sent_bytes": "bytes told", "snapshots": "scopes sent whole", "later": "asked to come later",
+                 "resumes": "scopes that went on from the log", "failures": "times that the feed began anew"}
 COUNTERS = {"elections": "times this node stood for election", "batches": "batches synced",
             "entries": "entries written", "late_turns": "turns of the loop that came late"}
 
@@ -40,6 +44,11 @@
         for part in (0.5, 0.99):
             sync.add_metric([str(part)], self.node.figures.quantile(part))
         yield sync
+        feed = status["feed"] or {}
+        for name, what in FEED_GAUGES.items():
+            yield GaugeMetricFamily(f"lanelift_feed_{name}", what, value=float(feed.get(name, 0)))
+        for name, what in FEED_COUNTERS.items():
+            yield CounterMetricFamily(f"lanelift_feed_{name}", what, value=float(feed.get(name, 0)))
         leases = list(self.node.replica.state.leases.values())
         for name, what, values in (
                 ("held", "1 where somebody holds the lease", [float(lease.held) for lease in leases]),
--- a/lanelift/store/node.py
+++ b/lanelift/store/node.py
@@ -185,6 +185,7 @@
         self._answer_reads()
         self._note_leader()
         self._lead()
+        self.feeding.led(self.behind_ms())
         if core.wants_snapshot and not self.exporting:
             self.exporting = True
             self.task(self._export())
--- a/tests/test_feed_rollout.py
+++ b/tests/test_feed_rollout.py
@@ -15,6 +15,7 @@
 from lanelift.feed.messages import Refusal
 from lanelift.feed.status import FeedStatus, Laggard, Refused
 from lanelift.store.commands import Op
+from lanelift.store.metrics import Collector
 from lanelift.store.rollout import add_up
 from tests.test_feed_store import ORDERS, Balancer, feed_of, key, leave, put
 from tests.test_store_node import Cluster, cluster, run
@@ -44,6 +45,8 @@
             assert f"revision {revision} is in force on 6 of 6 balancers" in plain(shown)
             told = json.loads((await feed(c, "status", "--json")).output)
             assert sorted(m["feed"]["subscribers"] for m in told["members"]) == [1, 2, 3]
+            told_of = {m.name: m.samples[0].value for m in Collector(c.nodes[2].node).collect() if m.samples}
+            assert told_of["lanelift_feed_subscribers"] == 3 and told_of["lanelift_feed_sent_bytes"] > 100
             assert told["rollout"]["balancers"] == 6 and told["rollout"]["silent"] == []
             early = await feed(c, "wait", str(revision + 1000), "--within", "200ms")
             assert early.exit_code == 1 and f"is itself at {revision}" in str(early.exception)
--- a/tests/test_feed_store.py
+++ b/tests/test_feed_store.py
@@ -12,10 +12,12 @@
 
 import pytest
 
+from lanelift.feed.fanout import Send
 from lanelift.feed.messages import Row
 from lanelift.feed.subscription import Apply, SubscriptionLimits
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.settings import Malformed
+from lanelift.store import feeding
 from lanelift.store import run as running
 from lanelift.store.client import Client, Rejected, Unavailable, Undecided
 from lanelift.store.commands import Op
@@ -37,12 +39,13 @@
     """Hears the feed, and writes down what came into force."""
 
     def __init__(self, addresses: Sequence[str], scopes: Sequence[str], name: str = "b", seed: int = 1,
-                 tls: Tls | None = None, check: Callable[[str, Row], str] = lambda scope, row: "") -> None:
+                 tls: Tls | None = None, check: Callable[[str, Row], str] = lambda scope, row: "",
+                 near: int = 0) -> None:
         super().__init__()
         self.rows: dict[str, dict[str, bytes]] = {}
         self.applied: list[Apply] = []
         self.client = FeedClient(addresses, lambda: tls.context(False) if tls else None, name, scopes, check,
-                                 self.apply, rng=random.Random(seed), limits=QUICK)
+                                 self.apply, rng=random.Random(seed), near=near, limits=QUICK)
         self.client.start()
 
     def apply(self, what: Apply) -> None:
@@ -311,6 +314,51 @@
     run(test)
 
 
+def test_a_node_that_is_cut_off_sends_balancers_elsewhere_and_claims_nothing(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feeding, "LEADERLESS_MS", 300)
+
+    async def test() -> None:
+        async with cluster(tmp_path, extra='[feed]\nbookmark = "100ms"') as c:
+            client = c.client()
+            await put(client, ORDERS, b"1", "a")
+            last = next(p for p in c.nodes if p != c.leader())
+            here, others = c.settings[last].advertise, [c.settings[p].advertise for p in c.nodes if p != last]
+            free = Balancer([here, *others], [ORDERS], "free", near=1)
+            bound = Balancer([here], [ORDERS], "bound")  # it reaches nobody else
+            for one in (free, bound):
+                await one.has(ORDERS, "upstream/a", b"1")
+            node = c.nodes[last].node
+            step = node.step
+            node.step = lambda sender, message: None  # type: ignore[method-assign]
+            await put(client, ORDERS, b"2", "a")
+            await free.has(ORDERS, "upstream/a", b"2")
+            assert free.client.at != here and free.goes_forward()
+            assert free.client.subscription.why == f"{here}: this node knows of no leader"
+            told, tell = list[int](), Connection.tell
+
+            def noted(self: Connection, sends: Sequence[Send]) -> None:
+                if self.node is node:
+                    told.extend(one.sequence for one in sends)
+                tell(self, sends)
+            monkeypatch.setattr(Connection, "tell", noted)
+            fanout = node.feeding.fanout
+            assert fanout is not None
+            async with asyncio.timeout(20):
+                while not fanout.subscribers:
+                    await asyncio.sleep(0.005)
+                (back,) = fanout.subscribers.values()
+                came = fanout.status().sent_words
+                while fanout.status().sent_words < came + 3:  # bookmarks, as the fan-out thinks
+                    await asyncio.sleep(0.02)
+            assert told == [] and back.name == "bound" and bound.value(ORDERS, "upstream/a") == b"1"
+            node.step = step  # type: ignore[method-assign]
+            await bound.has(ORDERS, "upstream/a", b"2")
+            assert bound.wholes(ORDERS) == 1
+            await leave(free, bound)
+    run(test)
+
+
 def test_a_restored_store_is_read_anew(tmp_path: Path) -> None:
     """It is at an earlier revision, under a new name: rows as it has them, and cursors of the old mean
     nothing."""
