Feed: `wait` asks each member by itself, and a node that loads rows counts its balancers

Change: while rows are loaded the status counts the connected balancers as having nothing. `wait` asks each member in a loop of its own, with 2 s for an answer, and does not end before each was heard of or has not answered.

--- a/lanelift/store/feeding.py
+++ b/lanelift/store/feeding.py
@@ -14,9 +14,11 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
+from msgspec import structs
 
 from lanelift.feed.fanout import BadWord, Fanout, FanoutLimits, FeedChange, Send
 from lanelift.feed.messages import PREFIX, Bookmark, unpack_told
+from lanelift.feed.status import FeedStatus
 from lanelift.store.durable.rows import Event, Loaded
 from lanelift.store.durable.state import State
 
@@ -214,9 +216,16 @@
         if self.fanout is not None and self.held is None:
             self.fanout.tick(time.monotonic_ns())
             self._wake()
-            self.last = {**msgspec.to_builtins(self.fanout.status()), "failures": self.failures}
+            self.last = self._told(self.fanout.status())
+        elif self.held is not None and self.last is None:  # nobody has anything of it yet
+            empty, count = Fanout(self.node.identity.cluster, self.limits, 0).status(), len(self.hearers)
+            return self._told(structs.replace(empty, subscribers=count,
+                                              reached=((0, count),) if count else ()))
         return self.last
 
+    def _told(self, status: FeedStatus) -> dict[str, Any]:
+        return {**msgspec.to_builtins(status), "failures": self.failures}
+
     def close(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/lanelift/store/rollout.py
+++ b/lanelift/store/rollout.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from contextlib import suppress
 from typing import Any
 
 import msgspec
@@ -13,7 +14,7 @@
 from lanelift.store.client import Client, StoreError
 
 ASK_S = 2.0  # a member that has not answered by then is told as one that does not
-POLL_S, LOOK_S = 0.05, 0.5  # between two looks of one who waits, and how long one may take
+POLL_S = 0.05  # between two questions of one who waits
 NAMED = 5  # balancers that one line names
 Statuses = Sequence[Mapping[str, Any]]
 
@@ -32,14 +33,14 @@
     async def statuses(self, within_s: float = ASK_S) -> list[dict[str, Any]]:
         """Of one that does not answer: its `address` and `trouble`."""
         asked = list(self.clients)
-        found = await asyncio.gather(*(self._status(address, within_s) for address in asked))
-        known = {m["address"] for s in found for m in s.get("members", ()) if m["address"]}
-        others = sorted(known - set(asked))
-        for address in others:
-            self.clients[address] = self.make(address)
-        return [*found, *await asyncio.gather(*(self._status(address, within_s) for address in others))]
+        found = await asyncio.gather(*(self.status(address, within_s) for address in asked))
+        others = sorted({address for s in found for address in known(s)} - set(asked))
+        return [*found, *await asyncio.gather(*(self.status(address, within_s) for address in others))]
 
-    async def _status(self, address: str, within_s: float) -> dict[str, Any]:
+    async def status(self, address: str, within_s: float = ASK_S) -> dict[str, Any]:
+        """Of one; its `address` and `trouble` where it does not answer."""
+        if address not in self.clients:
+            self.clients[address] = self.make(address)
         try:
             return await self.clients[address].status(within_s)
         except (StoreError, OSError) as error:
@@ -50,6 +51,11 @@
             await client.close()
 
 
+def known(status: Mapping[str, Any]) -> set[str]:
+    """Addresses of the members that it tells of."""
+    return {member["address"] for member in status.get("members", ()) if member["address"]}
+
+
 class Late(msgspec.Struct, frozen=True):
     """A balancer on which a revision is not in force. `since_ms`: it has not been where its node is."""
 
@@ -138,15 +144,41 @@
 
 async def wait(members: Members, revision: int, within_s: float, balancers: int = 0,
                despite_refusals: bool = False) -> tuple[Rollout, float]:
-    """Until it is in force everywhere, and how many seconds that took. Raises NotInForce."""
+    """Until it is in force everywhere, and how many seconds that took. Each member is asked again and again
+    by itself, so that one that does not answer holds up nothing. Raises NotInForce."""
     began = time.monotonic()
-    until = began + within_s
-    while True:
-        left = until - time.monotonic()
-        found = add_up(await members.statuses(max(0.1, min(LOOK_S, left))), revision)
-        wrong = found.wrong(balancers, despite_refusals)
-        if not wrong:
-            return found, time.monotonic() - began
-        if time.monotonic() >= until:
-            raise NotInForce(f"{wrong} (after {within_s:g} s)")
-        await asyncio.sleep(min(POLL_S, max(0.0, until - time.monotonic())))
+    latest: dict[str, dict[str, Any]] = {}
+    asking: dict[str, asyncio.Task[None]] = {}
+    told = asyncio.Event()
+
+    async def ask(address: str) -> None:
+        while True:
+            latest[address] = status = await members.status(address)
+            for other in known(status):
+                if other not in asking:
+                    asking[other] = asyncio.create_task(ask(other))
+            told.set()
+            await asyncio.sleep(POLL_S)
+
+    for address in members.clients:
+        asking[address] = asyncio.create_task(ask(address))
+    wrong = ""
+    try:
+        while True:
+            left = began + within_s - time.monotonic()
+            whole = latest.keys() == asking.keys()
+            if left <= 0 and whole:
+                raise NotInForce(f"{wrong} (after {within_s:g} s)")
+            with suppress(TimeoutError):
+                async with asyncio.timeout(left if left > 0 else None):  # each is heard of once
+                    await told.wait()
+            told.clear()
+            if latest.keys() == asking.keys():
+                found = add_up(list(latest.values()), revision)
+                wrong = found.wrong(balancers, despite_refusals)
+                if not wrong:
+                    return found, time.monotonic() - began
+    finally:
+        for task in asking.values():
+            task.cancel()
+        await asyncio.gather(*asking.values(), return_exceptions=True)
--- a/tests/test_feed_store.py
+++ b/tests/test_feed_store.py
@@ -195,7 +195,7 @@
                 after = await put(client, ORDERS, b"2", "a", "after")
             if again:
                 node.feeding.installed()
-            assert node.feeding.held is not None
+            assert node.feeding.held is not None and list(feed_of(c, 0)["reached"][0]) == [0, 1]
             may_go_on.set()
             await one.has(ORDERS, "upstream/a", b"2")
             assert set(one.rows[ORDERS]) == {"upstream/a", "upstream/before", "upstream/after"}
