Lab: a fleet's nodes keep their ports, and what a node counts outlives its restart

Cause: a fleet of 2,900 did not start, as node 0 found its port taken: ports of nodes are drawn before some 250 relays get theirs from the kernel, which may give one of the same. And what the nodes' feeds count was a difference over all of them, which a node that began anew made negative.

Change: the fleet binds the ports of its nodes and holds them, without listening; nodes bind them too. Counts are taken node by node. The worst minute of a phase shorter than one is over its length.

`python -m pytest -q tests/test_lab_size.py`: a port can't be bound by others and a node binds it; without the holding the first bind succeeds. The taken port itself was not kept in a log: that it was the port is inferred from the node's end at its start.

--- a/lanelift/lab/size/figures.py
+++ b/lanelift/lab/size/figures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from lanelift.lab.results import spread
@@ -67,16 +68,17 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def worst_minute(seconds: Sequence[tuple[int, int]]) -> float:
-    """Most bytes a second over any minute; of what is shorter, as if the rest of its minute were quiet."""
+def worst_minute(seconds: Sequence[tuple[int, int]], length_s: float) -> float:
+    """Most bytes a second over any minute, or over all of what is shorter."""
+    window = min(MINUTE_S, length_s)
     most = total = first = 0
     for second, size in seconds:
         total += size
-        while seconds[first][0] <= second - MINUTE_S:
+        while seconds[first][0] <= second - window:
             total -= seconds[first][1]
             first += 1
         most = max(most, total)
-    return most / MINUTE_S
+    return most / window
 
 
 def traffic(flows: Mapping[str, tuple[Sequence[int], Sequence[tuple[int, int]]]], balancers: int,
@@ -86,7 +88,7 @@
     length_s = length_s if length_s >= MOMENT_S else MINUTE_S
     own = {name: row for name, row in flows.items() if ">" not in name}
     sums = [sum(row[0]) / length_s for row in own.values()]
-    minutes = [worst_minute(row[1]) for row in own.values()]
+    minutes = [worst_minute(row[1], length_s) for row in own.values()]
     middle, late, most = spread(sums)
     to_nodes = sum(row[0][0] for row in own.values())
     between = sum(sum(row[0]) for name, row in flows.items() if ">" in name)
@@ -97,6 +99,16 @@
             "to_nodes": round(to_nodes / length_s / count, 1), "between_nodes": round(between / length_s, 1)}
 
 
+def gained(before: Mapping[int, Counter[str]], after: Mapping[int, Counter[str]]) -> Json:
+    """What the nodes counted meanwhile, summed; of one that began anew, what it counted since."""
+    found: Counter[str] = Counter()
+    for place, counts in after.items():
+        since = before.get(place, Counter())
+        anew = any(counts[what] < count for what, count in since.items())
+        found.update(counts if anew else {what: count - since[what] for what, count in counts.items()})
+    return dict(found)
+
+
 def used(before: Mapping[str, Usage], after: Mapping[str, Usage], length_s: float, balancers: int) -> Json:
     """Parts of a core and MB. Names begin with what they are: a node, hollow balancers, or links."""
     def cpu(kind: str) -> list[float]:
--- a/lanelift/lab/size/fleet.py
+++ b/lanelift/lab/size/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
@@ -65,6 +66,15 @@
     party: Party
 
 
+def _kept(address: tuple[str, int]) -> socket.socket:
+    """A node's port, bound and not listened at: no relay's listener and no connection of anybody is given it
+    until the node binds it too, nor while the node is dead."""
+    found = socket.socket()
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    found.bind(address)
+    return found
+
+
 @dataclass(eq=False)
 class Fleet:
     plan: Plan
@@ -83,6 +93,7 @@
         self.plan.check()
         self.world = draw(self.plan.shape, self.plan.seed)
         self.cluster = RealCluster(self.folder, self.plan.nodes)
+        self.kept = [_kept(m.settings.listen) for m in self.cluster.members]
         by_size = sorted(range(self.plan.shape.regions), key=lambda r: (-len(self.world.zones_of(r)), r))
         self.region_of_node = [by_size[n % len(by_size)] for n in range(self.plan.nodes)]
         client = self.cluster.client("writer", 30.0)
@@ -159,6 +170,8 @@
             self.writer.client.wire.abort()
         await self.cluster.stop()
         self.cluster.end()
+        for kept in self.kept:
+            kept.close()
 
     # ---- balancers ---------------------------------------------------------------------------------------
 
@@ -262,9 +275,9 @@
     async def leader(self) -> Member:
         return await self.cluster.leader()
 
-    async def told(self) -> Counter[str]:
-        """What the feeds of all nodes that are up count since their start, summed."""
-        found: Counter[str] = Counter()
+    async def told(self) -> dict[int, Counter[str]]:
+        """What the feed of each node that is up counts since its start."""
+        found = {}
         for member in self.cluster.members:
             if member.up and self.plan.rows:
                 client = Client([member.address], name="status", deadline_s=3.0)
@@ -274,5 +287,5 @@
                     continue
                 finally:
                     await client.close()
-                found.update({what: feed.get(what, 0) for what in COUNTED})
+                found[member.place] = Counter({what: feed.get(what, 0) for what in COUNTED})
         return found
--- a/lanelift/lab/size/phases.py
+++ b/lanelift/lab/size/phases.py
@@ -11,7 +11,7 @@
 from dataclasses import asdict, dataclass, field
 
 from lanelift.lab.results import spread
-from lanelift.lab.size.figures import in_force, part, traffic, used
+from lanelift.lab.size.figures import gained, in_force, part, traffic, used
 from lanelift.lab.size.fleet import Fleet, Group
 from lanelift.lab.size.writer import Change, stepped
 from lanelift.settings import Json
@@ -74,7 +74,7 @@
                      "behind": behind, "in_force": in_force(changes, marks, self.carriers(living)),
                      "bytes_s": traffic(flows, len(fleet.live), took),
                      "use": used(before, after, took, len(fleet.live)),
-                     "feed": {what: count - told[what] for what, count in (await fleet.told()).items()}}
+                     "feed": gained(told, await fleet.told())}
         if behind or row["in_force"]["never"]:
             self.wrong.append(f"{name}: {behind} balancers were behind after {self.times.patience:g} s")
         self.marks = marks
--- a/tests/test_lab_size.py
+++ b/tests/test_lab_size.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import Counter
 from dataclasses import replace
 from pathlib import Path
@@ -15,9 +16,9 @@
 from lanelift.cli.main import application
 from lanelift.lab.rig.relay import Relay
 from lanelift.lab.size import world as worlds
-from lanelift.lab.size.figures import Marks, in_force, traffic, worst_minute
+from lanelift.lab.size.figures import Marks, gained, in_force, traffic, worst_minute
 from lanelift.lab.size.fleet import Fleet, Plan
-from lanelift.lab.size.hollow import seal
+from lanelift.lab.size.hollow import Hollow, Told, seal
 from lanelift.lab.size.page import page
 from lanelift.lab.size.phases import FAULTS, PHASES, Run, Times, play
 from lanelift.lab.size.world import LEAST, Shape, World, carriers, draw
@@ -105,7 +106,8 @@
 
 
 def test_bytes_are_counted_by_balancer_and_by_minute() -> None:
-    assert worst_minute([(0, 600), (59, 600), (60, 1200), (200, 60)]) == 30.0
+    assert worst_minute([(0, 600), (59, 600), (60, 1200), (200, 60)], 200) == 30.0
+    assert worst_minute([(0, 600), (19, 600)], 20) == 60.0
     flows = {"b1": ([100, 300], [(0, 400)]), "b2": ([0, 0], []), "node0>node1": ([50, 50], [])}
     found = traffic(flows, 2, 20.0)
     assert (found["mean"], found["most"], found["to_nodes"], found["between_nodes"]) == (10, 20, 2.5, 5)
@@ -113,6 +115,12 @@
     assert traffic(flows, 2, 0.5)["mean"] == round(200 / 60, 1), "a moment's bytes are no rate"
 
 
+def test_what_nodes_counted_is_summed_and_one_that_began_anew_counts_from_there() -> None:
+    before = {0: Counter(words=5, later=1), 1: Counter(words=9)}
+    after = {0: Counter(words=7, later=1), 1: Counter(words=2), 2: Counter(words=1)}
+    assert gained(before, after) == {"words": 5, "later": 0}
+
+
 def test_writes_hold_no_more_than_a_write_may() -> None:
     small = [("s", Op(f"k{n}", b"x")) for n in range(2 * OPS + 1)]
     assert [len(p) for p in packs(small)] == [OPS, OPS, 1]
@@ -126,6 +134,31 @@
     assert len({seal(*row) for row in rows}) == len(rows)
 
 
+class Still(Hollow):
+    """Told by hand."""
+
+    def start(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
+def test_what_is_older_than_what_a_balancer_had_is_counted_as_gone_back() -> None:
+    told = Told(1, "b", "z", {}, [], 0, False)
+    marks: list[tuple[int, str, int, int]] = []
+    one = Still(told, Written(), {}, 0.0, 0.0, marks)
+    one.inforce("a", True, [("k", 2, b"x"), ("l", 1, b"y")], 5, [])
+    one.inforce("a", False, [("k", 3, b"z"), ("l", 2, None)], 6, [])
+    assert one.back == 0 and one.ready_ns
+    assert one.sums() == {"a": seal("k", 3, b"z")}
+    one.inforce("a", False, [("k", 3, b"z")], 5, [])
+    assert one.back == 1, "a revision before the one that it had"
+    one.inforce("a", False, [("l", 1, b"y")], 7, [])
+    assert one.back == 2, "a version before the one that was deleted"
+    one.inforce("a", True, [("k", 1, b"x")], 8, [])
+    assert one.back == 3
+    assert [m[2] for m in marks] == [5, 6, 5, 7, 8]
+
+
 # ---- relays ------------------------------------------------------------------------------------------------
 
 
@@ -199,6 +232,19 @@
     assert usual["bytes_s"]["whole_mean"] > 0 and usual["in_force"]["most_s"] > 0
 
 
+def test_a_nodes_port_is_given_to_nobody_else(tmp_path: Path) -> None:
+    fleet = small(tmp_path, True)
+    for member in fleet.cluster.members:
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(member.settings.listen)
+        with socket.socket() as node:  # as a node does
+            node.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            node.bind(member.settings.listen)
+            node.listen()
+    for kept in fleet.kept:
+        kept.close()
+
+
 def test_a_balancer_with_other_rows_than_the_store_is_found(tmp_path: Path) -> None:
     async def stray() -> list[str]:
         fleet = small(tmp_path, True, 1)
