--- a/lanelift/lab/size/__init__.py
+++ b/lanelift/lab/size/__init__.py
@@ -1,1 +1,1 @@
-"""The fleet at the planned size: what each role costs, measured in slopes and with hollow balancers."""
+"""What each role costs by size, and the fleet at the size to design for: slopes, and hollow balancers."""
