--- a/lanelift/feed/fanout.py
+++ b/lanelift/feed/fanout.py
@@ -10,31 +10,30 @@
 from __future__ import annotations
 
 import heapq
-from collections import Counter, OrderedDict, deque
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Sequence
 
 import msgspec
 
+from lanelift.feed.cache import WatchCache
 from lanelift.feed.messages import (
     MOST_NAME,
+    MOST_REFUSAL,
     MOST_REFUSALS,
     MOST_SCOPES,
-    MOST_WHY,
     Behind,
     Bookmark,
     Later,
     Reached,
     Rescope,
-    Row,
     Subscribe,
     Word,
     is_scope,
     pack,
-    split,
     unpack_ask,
 )
-from lanelift.feed.pacing import MS, NS, Slots, TokenBucket
-from lanelift.feed.scope import UNKNOWN, FeedChange, Patches, Scope, size_of
+from lanelift.feed.pacing import MS, NS
+from lanelift.feed.scope import UNKNOWN, FeedChange, Patches, Scope
 from lanelift.feed.status import (
     MOST_LAGGARDS,
     MOST_REACHED,
@@ -44,6 +43,7 @@
     Refused,
 )
 from lanelift.feed.subscriber import Late, Subscriber, Unacknowledged
+from lanelift.feed.waiting import Waiting
 
 __all__ = ["BadWord", "Fanout", "FanoutLimits", "FeedChange", "Send"]
 
@@ -67,8 +67,8 @@
     log_changes: int = 50_000
     log_bytes: int = 32 << 20
     scope_changes: int = 4_096
-    bookmark_ns: int = 15 * NS
-    bookmark_scopes: int = 32
+    bookmark_ns: int = 5 * NS
+    bookmark_scopes: int = 8
     window_bytes: int = 1 << 20
     cache_bytes: int = 16 << 20
     subscribers_most: int = 4_096
@@ -86,21 +86,16 @@
 class Fanout:
     def __init__(self, epoch: str, limits: FanoutLimits, now: int) -> None:
         self.epoch, self.limits = epoch, limits
-        self.revision = 0
-        self.scopes: dict[str, Scope] = {}
+        self.cache = WatchCache(limits.log_changes, limits.log_bytes, limits.scope_changes)
         self.subscribers: dict[int, Subscriber] = {}
         self.patches = Patches(limits.cache_bytes, limits.part_bytes)
-        self._base = 0  # of scopes of which nothing is known
-        self._log: deque[tuple[Scope, int, int]] = deque()  # changes of all scopes' logs: revision, bytes
-        self._log_bytes = 0
         self._bookmarks: OrderedDict[Subscriber, int] = OrderedDict()  # when the next is due
-        self._waiting: deque[Subscriber] = deque()  # for snapshots; none of them is blocked
-        self._backlog = 0  # bytes of these
+        self._waiting = Waiting(limits.waiting_most, limits.snapshot_bytes_s, limits.snapshot_burst,
+                                limits.later_least_ms, limits.later_most_ms, now)
         self._parked: list[tuple[int, int, Subscriber]] = []  # heap: revision that it takes, turn
         self._parks = 0
         self._refusing: dict[Subscriber, None] = {}
-        self._bucket = TokenBucket(limits.snapshot_bytes_s, limits.snapshot_burst, now)
-        self._slots = Slots(limits.snapshot_bytes_s, limits.later_least_ms, limits.later_most_ms)
+        self._put_off: set[int] = set()  # connections whose subscription was not taken
         self._out: list[Send] = []
         self._now = now
         self._sent_bytes = self._sent_words = self._resumes = self._snapshots = self._later = 0
@@ -115,86 +110,38 @@
         if revision < self.revision or not 0 <= base <= revision:
             raise ValueError(f"rows of revision {revision} on a base of {base}, after {self.revision}")
         self._now = now
-        old, stood = self.scopes, self.revision
+        stood = self.revision
         if stood > 0 and base <= stood:
             if revision > stood:
                 self.applied(revision, [one for one in events if stood < one.revision <= revision], now)
             return
-        self.scopes, self._base, self.revision = {}, base, revision
-        self._log.clear()
-        self._log_bytes = 0
         self.patches.clear()
-        for key, version, value in rows:
-            name, short = split(key)
-            self._scope(name).keep(Row(short, version, value))
-        for change in events:
-            if base < change.revision <= revision:
-                name, short = split(change.key)
-                self._note(self._scope(name), change.revision, Row(short, change.version, change.value))
-        for name, before in old.items():
-            scope = self._scope(name)
-            if not scope.log and before.digest == scope.digest:
-                scope.bridge = (before.revision, stood)
-        self._trim(self.scopes.values())
+        old = self.cache.load(revision, rows, base, events)
+        self.cache.trim(self.cache.scopes.values())
         for subscriber in self.subscribers.values():
             if subscriber.parked is None:
                 self._move(subscriber, stood, now)
         for name in old:
-            self._tidy(self.scopes[name])
+            self.cache.tidy(self.cache.scopes[name])
         self._released(now)
         self._pump(now)
 
     def applied(self, revision: int, changes: Sequence[FeedChange], now: int) -> None:
-        """What the store changed up to `revision`, whole revisions, in order. Raises ValueError."""
+        """What the store changed up to `revision`, whole revisions, in order; said also where none of it were
+        rows, for who comes from a node that is further is parked until this one is. Raises ValueError."""
         if revision <= self.revision:
             raise ValueError(f"revision {revision} comes after {self.revision}")
         self._now = now
-        self.revision = revision
-        touched: dict[Scope, tuple[int, int]] = {}
-        for change in changes:
-            name, short = split(change.key)
-            scope = self._scope(name)
-            if scope not in touched:
-                touched[scope] = scope.revision, change.revision
-            row = Row(short, change.version, change.value)
-            scope.keep(row)
-            self._note(scope, change.revision, row)
-        for scope, (after, first) in touched.items():
-            self._tell(scope, after, first - 1, now)
-        self._trim(touched)
+        touched = self.cache.apply(revision, changes)
+        for scope, changed in touched.items():
+            self._tell(scope, changed.after, changed.first - 1, now)
+        self.cache.trim(touched)
         self._released(now)
         self._pump(now)
 
-    def _scope(self, name: str) -> Scope:
-        scope = self.scopes.get(name)
-        if scope is None:
-            scope = self.scopes[name] = Scope(name, self._base)
-        return scope
-
-    def _note(self, scope: Scope, revision: int, row: Row) -> None:
-        scope.note(revision, row)
-        size = size_of(row)
-        self._log.append((scope, revision, size))
-        self._log_bytes += size
-
-    def _trim(self, touched: Iterable[Scope]) -> None:
-        """The oldest revisions leave the logs until all are within their bounds. Those who stand at them were
-        told before."""
-        for scope in touched:
-            while scope.logged > self.limits.scope_changes:
-                scope.forget()
-        while len(self._log) > self.limits.log_changes or self._log_bytes > self.limits.log_bytes:
-            scope, revision, size = self._log.popleft()
-            self._log_bytes -= size
-            while scope.log and scope.log[0].revision <= revision:
-                scope.forget()
-            self._tidy(scope)
-
-    def _tidy(self, scope: Scope) -> None:
-        """Away with what nobody asks for; what its log no longer told is remembered for all such."""
-        if scope.idle and self.scopes.get(scope.name) is scope:
-            del self.scopes[scope.name]
-            self._base = max(self._base, scope.base)
+    @property
+    def revision(self) -> int:
+        return self.cache.revision
 
     def _tell(self, scope: Scope, after: int, floor: int, now: int) -> None:
         """A change, to all who watch its scope: those who can take it were at `after`."""
@@ -203,15 +150,15 @@
         if patch is None:
             return
         word, size = patch.parts[0], len(patch.parts[0])
-        whole = len(patch.parts) == 1
+        single = len(patch.parts) == 1
         count = 0
         for subscriber in scope.watchers:
             if name in subscriber.dirty or name in subscriber.pending:
                 continue
             held = subscriber.unacknowledged_bytes
-            if not (whole and subscriber.writable and (held + size <= window or not held)):
+            if not (single and subscriber.writable and (held + size <= window or not held)):
                 subscriber.dirty[name] = Late(after, floor, now)
-                if not whole:
+                if not single:
                     self._flush(subscriber, now)
                 continue
             subscriber.sequence = sequence = subscriber.sequence + 1
@@ -237,7 +184,8 @@
                 raise BadWord("a second subscription on one connection")
             self._subscribe(number, ask, now)
         elif subscriber is None:
-            raise BadWord("a subscription begins with Subscribe")
+            if number not in self._put_off:  # who is may not have heard of it yet
+                raise BadWord("a subscription begins with Subscribe")
         elif isinstance(ask, Rescope):
             self._rescope(subscriber, ask, now)
         else:
@@ -252,29 +200,21 @@
             raise BadWord(f"{len(cursors)} scopes: {MOST_SCOPES} at most")
         if ask.epoch != self.epoch:
             cursors = dict.fromkeys(cursors, 0)
-        needs = sum(self._needs(name, cursor) for name, cursor in cursors.items())
-        if len(self.subscribers) >= self.limits.subscribers_most or (
-                needs and len(self._waiting) >= self.limits.waiting_most):
+        needs = sum(self.cache.needs(name, cursor) for name, cursor in cursors.items())
+        if len(self.subscribers) >= self.limits.subscribers_most or needs and self._waiting.full:
             self._later += 1
-            after_ms = self._slots.draw(self._backlog, needs, now)
-            self._out.append(Send(number, 1, 0, pack(Later(after_ms))))
+            self._put_off.add(number)
+            self._out.append(Send(number, 1, 0, pack(Later(self._waiting.later_ms(needs, now)))))
             return
         subscriber = self.subscribers[number] = Subscriber(number, ask.name)
         self._bookmarks[subscriber] = now + self.limits.bookmark_ns
         if max(cursors.values(), default=0) > self.revision:
-            self._park(subscriber, cursors)
+            self._park(subscriber, cursors, now)
         else:
             self._begin(subscriber, cursors, now)
 
-    def _needs(self, name: str, cursor: int) -> int:
-        """Bytes of a snapshot, or 0 where the log goes on from here."""
-        scope = self.scopes.get(name)
-        if scope is None:
-            return 0 if cursor and cursor >= self._base else 1
-        return 0 if cursor and scope.covers(cursor) else scope.bytes + 1
-
-    def _park(self, subscriber: Subscriber, cursors: dict[str, int]) -> None:
-        subscriber.parked = cursors
+    def _park(self, subscriber: Subscriber, cursors: dict[str, int], now: int) -> None:
+        subscriber.parked, subscriber.parked_at = cursors, now
         if len(self._parked) > 2 * len(self.subscribers) + 64:  # most of them went elsewhere
             self._parked = [one for one in self._parked if one[2].parked is not None]
             heapq.heapify(self._parked)
@@ -300,7 +240,7 @@
                late: Late | None = None) -> None:
         """Among the watchers of a scope, from this cursor; 0: nothing is known. `late`: since when it was
         behind there already."""
-        scope = self._scope(name)
+        scope = self.cache.scope(name)
         scope.watchers[subscriber] = None
         subscriber.scopes[name] = scope
         since, floor = (late.since, late.floor) if late is not None else (now, cursor)
@@ -317,18 +257,13 @@
         """A snapshot of this scope."""
         late.cursor, late.asked, late.size = UNKNOWN, self.revision, scope.bytes
         subscriber.pending[scope.name] = late
-        self._owe(subscriber, late.size)
-
-    def _owe(self, subscriber: Subscriber, size: int) -> None:
-        subscriber.pending_bytes += size
-        if subscriber.queued:
-            self._backlog += size
+        self._waiting.owe(subscriber, late.size)
 
     def _lift(self, subscriber: Subscriber, name: str) -> Late | None:
         """A scope is no longer late."""
         late = subscriber.pending.pop(name, None)
         if late is not None:
-            self._owe(subscriber, -late.size)
+            self._waiting.owe(subscriber, -late.size)
             return late
         return subscriber.dirty.pop(name, None)
 
@@ -336,17 +271,17 @@
         scope = subscriber.scopes.pop(name)
         scope.watchers.pop(subscriber, None)
         self._lift(subscriber, name)
-        self._tidy(scope)
+        self.cache.tidy(scope)
 
     def _move(self, subscriber: Subscriber, stood: int, now: int) -> None:
         """Over to the scopes as they were loaded anew; where it was up to date, it was so at `stood`."""
-        self._dequeue(subscriber)
+        self._waiting.leave(subscriber)
         for name in list(subscriber.scopes):
             late = self._lift(subscriber, name)
             if late is None:
                 self._place(subscriber, name, stood, now)
             else:
-                self._place(subscriber, name, max(late.cursor, 0), now, late)
+                self._place(subscriber, name, 0, now, late)  # older than all that still counts
         subscriber.announce = True
         self._serve(subscriber, now)
 
@@ -357,7 +292,7 @@
         has = subscriber.scopes if subscriber.parked is None else subscriber.parked
         if any(name not in has for name in ask.drop) or len(set(ask.drop)) < len(ask.drop):
             raise BadWord("a scope is dropped that was not there")
-        if len(has) - len(ask.drop) + sum(name not in has for name in add) > MOST_SCOPES:
+        if len((has.keys() - set(ask.drop)) | add.keys()) > MOST_SCOPES:
             raise BadWord(f"more than {MOST_SCOPES} scopes")
         if max(add.values(), default=0) > self.revision and subscriber.parked is None:
             raise BadWord(f"a scope is added from past revision {self.revision}")
@@ -368,7 +303,7 @@
             subscriber.parked |= add
             cursors, subscriber.parked = subscriber.parked, None
             if max(cursors.values(), default=0) > self.revision:
-                self._park(subscriber, cursors)
+                self._park(subscriber, cursors, now)
             else:
                 self._begin(subscriber, cursors, now)
             return
@@ -384,8 +319,9 @@
     def _reached(self, subscriber: Subscriber, ask: Reached, now: int) -> None:
         if not subscriber.acknowledged <= ask.sequence <= subscriber.sequence:
             raise BadWord(f"reached {ask.sequence} of {subscriber.sequence}, after {subscriber.acknowledged}")
-        if len(ask.refused) > MOST_REFUSALS or any(len(one.why) > MOST_WHY for one in ask.refused):
-            raise BadWord(f"more than {MOST_REFUSALS} refusals, or one of more than {MOST_WHY} characters")
+        if len(ask.refused) > MOST_REFUSALS or any(
+                len(one.scope) + len(one.key) + len(one.why) > MOST_REFUSAL for one in ask.refused):
+            raise BadWord(f"over {MOST_REFUSALS} refusals, or one of over {MOST_REFUSAL} characters")
         subscriber.acknowledged = ask.sequence
         under_way = subscriber.unacknowledged
         while under_way and under_way[0].sequence <= ask.sequence:
@@ -403,17 +339,19 @@
         subscriber = self.subscribers.get(number)
         if subscriber is not None and subscriber.writable != on:
             subscriber.writable = on
-            if on and subscriber.parked is None:
+            if on:
                 self._serve(subscriber, now)
         self._pump(now)
 
     def gone(self, number: int, now: int) -> None:
+        """Its connection ended."""
         self._now = now
+        self._put_off.discard(number)
         subscriber = self.subscribers.pop(number, None)
         if subscriber is None:
             return
         subscriber.parked = None
-        self._dequeue(subscriber)
+        self._waiting.leave(subscriber)
         for name in list(subscriber.scopes):
             self._leave(subscriber, name)
         self._bookmarks.pop(subscriber, None)
@@ -443,17 +381,11 @@
 
     def _serve(self, subscriber: Subscriber, now: int) -> None:
         """Everything that it can take now, but for snapshots, which wait for their turn."""
+        if subscriber.parked is not None:
+            return
         self._flush(subscriber, now)
-        if subscriber.pending and not subscriber.queued and subscriber.writable:
-            subscriber.queued = True
-            self._backlog += subscriber.pending_bytes
-            if next(iter(subscriber.pending.values())).stream is None:
-                self._waiting.append(subscriber)
-            else:  # in the middle of one: it had its turn
-                self._waiting.appendleft(subscriber)
-        self._settled(subscriber)
-
-    def _settled(self, subscriber: Subscriber) -> None:
+        if subscriber.pending and subscriber.writable:
+            self._waiting.join(subscriber)
         if subscriber.announce and subscriber.writable and not subscriber.dirty and not subscriber.pending:
             self._mark(subscriber)
 
@@ -483,20 +415,14 @@
             first = scope.first_after(revision) if scope.covers(revision) else 0
             subscriber.dirty[scope.name] = Late(revision, (first or revision + 1) - 1, now)
 
-    def _dequeue(self, subscriber: Subscriber) -> None:
-        if subscriber.queued:
-            subscriber.queued = False
-            self._backlog -= subscriber.pending_bytes
-            self._waiting.remove(subscriber)
-
     def _pump(self, now: int) -> None:
         """Snapshots, as fast as they may go. Who can't take more leaves the queue and comes back to it."""
         while self._waiting:
-            subscriber = self._waiting[0]
+            subscriber = self._waiting.first
             if not subscriber.pending or not subscriber.writable:
-                self._dequeue(subscriber)
+                self._waiting.leave(subscriber)
                 continue
-            if not self._bucket.ready(now):
+            if not self._waiting.ready(now):
                 return
             name, late = next(iter(subscriber.pending.items()))
             scope = subscriber.scopes[name]
@@ -504,19 +430,18 @@
                 late.stream = self.patches.whole(scope, late.asked, self.revision)
             word = late.stream.parts[late.index]
             if not self._room(subscriber, len(word)):
-                self._dequeue(subscriber)
+                self._waiting.leave(subscriber)
                 continue
             self._send(subscriber, word, late.floor, name, now)
-            self._bucket.take(len(word), now)
+            self._waiting.spend(len(word), now)
             late.index += 1
             if late.index == len(late.stream.parts):
                 self._snapshots += 1
                 self._lift(subscriber, name)
                 self._streamed(subscriber, scope, late.stream.revision, now)
                 if not subscriber.pending:
-                    self._dequeue(subscriber)
-                    self._flush(subscriber, now)
-                    self._settled(subscriber)
+                    self._waiting.leave(subscriber)
+                    self._serve(subscriber, now)
 
     def _mark(self, subscriber: Subscriber) -> None:
         """A bookmark: up to where all was told, and digests of some of its scopes, in turn."""
@@ -556,11 +481,12 @@
         """When `tick` has something to do; 0: never."""
         due = next(iter(self._bookmarks.values()), 0)
         if self._waiting:
-            ready = self._bucket.ready_at(self._now)
+            ready = self._waiting.ready_at(self._now)
             due = min(due, ready) if due else ready
         return due
 
     def take_out(self) -> list[Send]:
+        """Words in order. One may be for a connection that has gone meanwhile."""
         out, self._out = self._out, []
         return out
 
@@ -584,7 +510,8 @@
             reached=tuple(sorted(reached.items())[:MOST_REACHED]), laggards=laggards,
             refusals=len(refused), refused=tuple(refused[:MOST_REFUSED]),
             parked=sum(subscriber.parked is not None for subscriber in self.subscribers.values()),
-            waiting=len(self._waiting), sent_bytes=self._sent_bytes, sent_words=self._sent_words,
+            waiting=sum(bool(subscriber.pending) for subscriber in self.subscribers.values()),
+            sent_bytes=self._sent_bytes, sent_words=self._sent_words,
             encoded=self.patches.encoded, resumes=self._resumes, snapshots=self._snapshots,
             later=self._later)
 
--- a/lanelift/feed/subscriber.py
+++ b/lanelift/feed/subscriber.py
@@ -4,13 +4,15 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
+
+import msgspec
+from msgspec import structs
 
 from lanelift.feed.messages import Refusal
 from lanelift.feed.scope import Encoded, Scope
 
 
-class Unacknowledged(NamedTuple):
+class Unacknowledged(msgspec.Struct, frozen=True, gc=False):
     """A patch under way. `floor`: up to this revision the scope was in force before it."""
 
     sequence: int
@@ -39,7 +41,7 @@
 
     __slots__ = ("number", "name", "generation", "sequence", "acknowledged", "scopes", "dirty", "pending",
                  "pending_bytes", "unacknowledged", "unacknowledged_bytes", "writable", "parked", "refused",
-                 "announce", "queued", "turn")
+                 "announce", "queued", "turn", "parked_at")
 
     def __init__(self, number: int, name: str) -> None:
         self.number, self.name = number, name
@@ -53,6 +55,7 @@
         self.unacknowledged_bytes = 0
         self.writable = True
         self.parked: dict[str, int] | None = None
+        self.parked_at = 0
         self.refused: tuple[Refusal, ...] = ()
         self.announce = True  # a bookmark is owed as soon as all was told
         self.queued = False
@@ -67,7 +70,7 @@
     def lag(self) -> tuple[int, int] | None:
         """Up to where all is in force, and since when it is not where the node is; None: it is there."""
         if self.parked is not None:
-            return min(self.parked.values(), default=0), 0
+            return min(self.parked.values(), default=0), self.parked_at
         behind = [(late.floor, late.since) for late in self.dirty.values()]
         behind += [(late.floor, late.since) for late in self.pending.values()]
         behind += [(one.floor, one.at) for one in self.unacknowledged]
@@ -76,7 +79,7 @@
     def disregard(self, scope: str) -> None:
         """What is under way of a scope that was dropped, or is taken anew, holds back nothing any more."""
         if any(one.scope == scope for one in self.unacknowledged):
-            self.unacknowledged = deque(one._replace(floor=FAR) if one.scope == scope else one
+            self.unacknowledged = deque(structs.replace(one, floor=FAR) if one.scope == scope else one
                                         for one in self.unacknowledged)
 
 
--- a/tests/test_feed_store.py
+++ b/tests/test_feed_store.py
@@ -12,16 +12,19 @@
 
 import pytest
 
+from lanelift.feed.fanout import Send
 from lanelift.feed.messages import Row
 from lanelift.feed.subscription import Apply, SubscriptionLimits
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.settings import Malformed
+from lanelift.store import feeding
 from lanelift.store import run as running
-from lanelift.store.client import Client, Rejected, Undecided
+from lanelift.store.client import Client, Rejected, Unavailable, Undecided
 from lanelift.store.commands import Op
 from lanelift.store.durable import state as states
 from lanelift.store.feedclient import FeedClient
 from lanelift.store.security import Tls
+from lanelift.store.server import Connection
 from lanelift.store.wire import protocol
 from lanelift.store.wire.protocol import Feed, Hello
 from tests.certificates import Authority
@@ -36,12 +39,13 @@
     """Hears the feed, and writes down what came into force."""
 
     def __init__(self, addresses: Sequence[str], scopes: Sequence[str], name: str = "b", seed: int = 1,
-                 tls: Tls | None = None, check: Callable[[str, Row], str] = lambda scope, row: "") -> None:
+                 tls: Tls | None = None, check: Callable[[str, Row], str] = lambda scope, row: "",
+                 near: int = 0) -> None:
         super().__init__()
         self.rows: dict[str, dict[str, bytes]] = {}
         self.applied: list[Apply] = []
         self.client = FeedClient(addresses, lambda: tls.context(False) if tls else None, name, scopes, check,
-                                 self.apply, rng=random.Random(seed), limits=QUICK)
+                                 self.apply, rng=random.Random(seed), near=near, limits=QUICK)
         self.client.start()
 
     def apply(self, what: Apply) -> None:
@@ -161,6 +165,46 @@
     run(test)
 
 
+@pytest.mark.parametrize("again", [False, True])  # a snapshot of the store comes meanwhile, with the change
+def test_what_comes_while_rows_are_loaded_is_neither_lost_nor_told_twice(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, again: bool) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client, node = c.client(), c.nodes[0].node
+            await put(client, ORDERS, b"0", "a")
+            one = Balancer([c.settings[0].advertise], [ORDERS])
+            await one.has(ORDERS, "upstream/a", b"0")
+            may_look, has_looked, may_go_on = asyncio.Event(), asyncio.Event(), asyncio.Event()
+            query = node.query
+
+            async def late(look: Any) -> Any:
+                await may_look.wait()
+                found = await query(look)
+                has_looked.set()
+                await may_go_on.wait()
+                return found
+
+            monkeypatch.setattr(node, "query", late)
+            node.feeding.installed()
+            before = await put(client, ORDERS, b"1", "a", "before")
+            may_look.set()
+            await has_looked.wait()
+            with monkeypatch.context() as patch:
+                if again:
+                    patch.setattr(node.feeding, "applied", lambda *what: None)
+                after = await put(client, ORDERS, b"2", "a", "after")
+            if again:
+                node.feeding.installed()
+            assert node.feeding.held is not None
+            may_go_on.set()
+            await one.has(ORDERS, "upstream/a", b"2")
+            assert set(one.rows[ORDERS]) == {"upstream/a", "upstream/before", "upstream/after"}
+            assert one.applied[-1].revision == after > before and one.goes_forward()
+            assert feed_of(c, 0)["failures"] == 0
+            await leave(one)
+    run(test)
+
+
 def test_a_log_that_was_cut_under_a_resume_gives_a_snapshot(tmp_path: Path,
                                                             monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
@@ -212,10 +256,11 @@
     run(test)
 
 
-def test_who_stops_reading_holds_nobody_up_and_hears_the_last_value(tmp_path: Path) -> None:
-    """Its window is 64 KiB, and what it is not told 10 MB."""
+@pytest.mark.parametrize("window", ["64KiB", "64MiB"])  # within it, and beyond what its connection takes
+def test_who_stops_reading_holds_nobody_up_and_hears_the_last_value(tmp_path: Path, window: str) -> None:
+    """What it is not told are 10 MB."""
     async def test() -> None:
-        async with cluster(tmp_path, 1, extra='[feed]\nwindow = "64KiB"') as c:
+        async with cluster(tmp_path, 1, extra=f'[feed]\nwindow = "{window}"') as c:
             client = c.client()
             await put(client, ORDERS, b"0", "a")
             slow = Balancer([c.settings[0].advertise], [ORDERS], "slow")
@@ -223,6 +268,10 @@
             for one in (slow, quick):
                 await one.has(ORDERS, "upstream/a", b"0")
             assert slow.client.wire is not None and slow.client.wire.transport is not None
+            for transport in (slow.client.wire.transport, *(
+                    one.transport for one in c.nodes[0].server.connections if one.transport is not None)):
+                for what in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, what, 16 << 10)
             slow.client.wire.transport.pause_reading()
             big, names = bytes(4000), [f"n{i}" for i in range(50)]
             for number in range(1, 51):
@@ -265,6 +314,51 @@
     run(test)
 
 
+def test_a_node_that_is_cut_off_sends_balancers_elsewhere_and_claims_nothing(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feeding, "LEADERLESS_MS", 300)
+
+    async def test() -> None:
+        async with cluster(tmp_path, extra='[feed]\nbookmark = "100ms"') as c:
+            client = c.client()
+            await put(client, ORDERS, b"1", "a")
+            last = next(p for p in c.nodes if p != c.leader())
+            here, others = c.settings[last].advertise, [c.settings[p].advertise for p in c.nodes if p != last]
+            free = Balancer([here, *others], [ORDERS], "free", near=1)
+            bound = Balancer([here], [ORDERS], "bound")  # it reaches nobody else
+            for one in (free, bound):
+                await one.has(ORDERS, "upstream/a", b"1")
+            node = c.nodes[last].node
+            step = node.step
+            node.step = lambda sender, message: None  # type: ignore[method-assign]
+            await put(client, ORDERS, b"2", "a")
+            await free.has(ORDERS, "upstream/a", b"2")
+            assert free.client.at != here and free.goes_forward()
+            assert free.client.subscription.why == f"{here}: this node knows of no leader"
+            told, tell = list[int](), Connection.tell
+
+            def noted(self: Connection, sends: Sequence[Send]) -> None:
+                if self.node is node:
+                    told.extend(one.sequence for one in sends)
+                tell(self, sends)
+            monkeypatch.setattr(Connection, "tell", noted)
+            fanout = node.feeding.fanout
+            assert fanout is not None
+            async with asyncio.timeout(20):
+                while not fanout.subscribers:
+                    await asyncio.sleep(0.005)
+                (back,) = fanout.subscribers.values()
+                came = fanout.status().sent_words
+                while fanout.status().sent_words < came + 3:  # bookmarks, as the fan-out thinks
+                    await asyncio.sleep(0.02)
+            assert told == [] and back.name == "bound" and bound.value(ORDERS, "upstream/a") == b"1"
+            node.step = step  # type: ignore[method-assign]
+            await bound.has(ORDERS, "upstream/a", b"2")
+            assert bound.wholes(ORDERS) == 1
+            await leave(free, bound)
+    run(test)
+
+
 def test_a_restored_store_is_read_anew(tmp_path: Path) -> None:
     """It is at an earlier revision, under a new name: rows as it has them, and cursors of the old mean
     nothing."""
@@ -303,10 +397,11 @@
             await old.join(old.members[1], old=2)
             await old.kill(first)
             await old.begin(first)  # one of them is replaced
+            await old.insist(client, "transfer", first.number, "", 20.0)
             await client.put("config/a", b"1", within_s=20.0)
-            assert (await client.status())["format"] == 2
-            with pytest.raises(Exception, match="not all nodes know rows yet|does not read|Invalid"):
+            with pytest.raises(Unavailable, match=f"not all nodes know rows yet: {old.members[1].number:x}"):
                 await client.write_rows([Op(key(ORDERS, "a"), b"1")])
+            assert (await client.status())["format"] == 2
             await old.kill(old.members[1])
             await old.begin(old.members[1])
             await put(old.client(deadline_s=20.0), ORDERS, b"1", "a")
@@ -391,13 +486,28 @@
     run(test)
 
 
-def test_all_of_another_nodes_connections_wait_to_be_accepted_at_once(tmp_path: Path) -> None:
+def test_all_of_another_nodes_connections_come_at_once_and_hold_up_nothing_else(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """They wait to be accepted, and between any two of them the loop does what else there is."""
+    turns, made = 0, list[int]()
+    connection_made = Connection.connection_made
+
+    def noted(self: Connection, transport: asyncio.BaseTransport) -> None:
+        made.append(turns)
+        connection_made(self, transport)
+
     async def test() -> None:
+        nonlocal turns
         async with cluster(tmp_path, 1) as c:
+            monkeypatch.setattr(Connection, "connection_made", noted)
             some = [socket.socket() for _ in range(320)]
             for one in some:  # the loop stands still meanwhile, as one that serves others
                 one.settimeout(0.5)
                 one.connect(c.settings[0].listen)
+            while len(made) < 320:
+                await asyncio.sleep(0)
+                turns += 1
+            assert len(set(made)) == 320
             for one in some:
                 one.close()
     run(test)
