Lab: documents of a fleet are read some at a time at its end

Change: sixteen at a time, as writes are.

`python -m pytest -q tests/test_lab_size.py -k documents`: 1 passed.

--- a/lanelift/lab/size/writer.py
+++ b/lanelift/lab/size/writer.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from typing import TypeVar
 
 from lanelift import interface as api
 from lanelift.feed import messages as feed
@@ -17,9 +18,10 @@
 from lanelift.store.client import Client
 from lanelift.store.commands import Op, Result
 
+T = TypeVar("T")
 OPS = 256  # of a write
 BYTES = 512 << 10  # of a write's values
-AHEAD = 16  # writes on their way
+AHEAD = 16  # writes, or reads, on their way
 WITHIN_S = 60.0
 # Of the values of rows that have no types yet: settings of all, a route, a tenant.
 SETTINGS_BYTES, ROUTE_BYTES, TENANT_BYTES = 200, 75, 40
@@ -98,14 +100,14 @@
         return Change(label, at, time.monotonic_ns(), dict.fromkeys(scopes, result.revision))
 
     @staticmethod
-    async def _all(writes: Sequence[Callable[[], Awaitable[Change]]]) -> list[Change]:
+    async def _all(works: Sequence[Callable[[], Awaitable[T]]]) -> list[T]:
         """Some at a time."""
         ahead = asyncio.Semaphore(AHEAD)
 
-        async def one(write: Callable[[], Awaitable[Change]]) -> Change:
+        async def one(work: Callable[[], Awaitable[T]]) -> T:
             async with ahead:
-                return await write()
-        return list(await asyncio.gather(*(one(w) for w in writes)))
+                return await work()
+        return list(await asyncio.gather(*(one(w) for w in works)))
 
 
 def packs(ops: Sequence[tuple[str, Op]]) -> list[list[tuple[str, Op]]]:
@@ -147,12 +149,13 @@
             [Op(PROBE, str(self.probes).encode())], within_s=WITHIN_S))
 
     async def truth(self) -> dict[str, int]:
-        found = {}
         keys = {PROBE: PROBE} | {s.name: f"list/{s.name}" for s in self.world.services}
-        for scope, key in keys.items():
+
+        async def stands(key: str) -> int:
             row = (await self.client.get(key, within_s=WITHIN_S)).rows[0]
-            found[scope] = seal(key, row.version, row.value or b"")
-        return found
+            return seal(key, row.version, row.value or b"")
+        seals = await self._all([lambda k=key: stands(k) for key in keys.values()])  # type: ignore[misc]
+        return dict(zip(keys, seals, strict=True))
 
 
 class RowWriter(Writer):
