--- a/lanelift/cli/sizelab.py
+++ b/lanelift/cli/sizelab.py
@@ -199,6 +199,8 @@
     raise typer.Exit(0 if write else 1)
 
 
+sizefleet.add_to(app)
+
+
 def add_to(lab: typer.Typer) -> None:
-    sizefleet.add_to(app)
     lab.add_typer(app, name="size")
