--- a/lanelift/cli/main.py
+++ b/lanelift/cli/main.py
@@ -35,11 +35,12 @@
     app.add_typer(roll.app, name="roll")
     app.add_typer(site.app, name="site")
     if not words or words[0] not in DAEMONS:
-        from lanelift.cli import clusters, lab, rig, sitelab, sizelab
+        from lanelift.cli import clusters, lab, rig, sitelab, sizelab, sizestore
         clusters.add_to(lab.app)
         rig.add_to(lab.app)
         sitelab.add_to(lab.app)
         sizelab.add_to(lab.app)
+        sizestore.add_to(sizelab.app)
         app.add_typer(lab.app, name="lab")
     app.command()(version)
     return app
--- /dev/null
+++ b/lanelift/lab/size/keepers.py
@@ -0,0 +1,129 @@
+"""Balancers as the store sees them, many in one process: the daemon's own keeper over a driver that has
+nothing to do. What they commit at rest is what the store bears before anything happens."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+from lanelift import interface as api
+from lanelift.__main__ import Parts
+from lanelift.daemon import documents as checks
+from lanelift.daemon.keeper import Keeper
+from lanelift.lab.cluster.real import RealCluster
+from lanelift.lab.size.crowd import Crowd
+from lanelift.lab.size.series import Series
+from lanelift.lab.size.storecommits import real
+from lanelift.lab.size.storenode import Heard, used
+from lanelift.net.disabled import DisabledUpstreams
+from lanelift.net.siblings import Siblings
+from lanelift.net.upstream import Endpoint
+from lanelift.store import documents
+
+NAMED_S = 60.0
+SETTLE_S = 6.0  # after all names are held: works are owned by then, and first words said
+POLL_S = 0.02
+SITE = '[[site]]\nname = "a"\nbears = "1000/s"\n'
+LEARNT = api.Learnt(0, 86.0, {f"tenant-{n}": 1.0 for n in range(20)}, {"lookup": 2e7, "book": 4e7}, 1e6, 0.5,
+                    1.0, {n: (1.0, 0) for n in range(16)})
+TENANTS = {"t": api.Tenant("t", 1.0, 80.0)}
+
+
+class StillDriver:
+    """What a keeper needs of a driver, of a balancer that holds a list and serves nothing."""
+
+    def __init__(self, balancers: int) -> None:
+        self.told = asyncio.Event()
+        self.settings = api.Settings(zone="a", classes={"q": api.RequestClass("q")}, tenants=TENANTS,
+                                     replicas_of_me=balancers)
+        self.discovery = None
+        self.tap: Callable[[int, Sequence[api.Event]], None] = lambda now, events: None
+        self.requests: dict[str, Any] = {}
+        boxes = [Endpoint(api.Upstream(n, api.State.READY, "a"), "127.0.0.1", 9000 + n) for n in range(16)]
+        self.upstreams = SimpleNamespace(
+            targets={e.entry.id: SimpleNamespace(endpoint=e) for e in boxes}, probe=self.probe)
+        self.balancer = SimpleNamespace(learnt=lambda: LEARNT, requests={}, crowding=SimpleNamespace(
+            taken=dict(LEARNT.taken)), rate=SimpleNamespace(sent=86.0, served=86.0))
+
+    def learn(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
+        self.upstreams.targets = {e.entry.id: SimpleNamespace(endpoint=e) for e in endpoints}
+
+    def post(self, event: api.Event) -> None:
+        pass
+
+    def listed(self, name: str) -> bool:
+        return True
+
+    def ban(self, name: str, on: bool) -> None:
+        pass
+
+    def probe(self, number: int, done: Callable[[api.Result, Any], None]) -> bool:
+        done(api.Result.OK, None)
+        return True
+
+
+def keeper(cluster: RealCluster, service: str, name: str, balancers: int) -> Keeper:
+    driver = cast(Any, StillDriver(balancers))
+    disabled = DisabledUpstreams(None, name, Siblings(None), driver)
+    return Keeper(cluster.client(name), service, name, "", None,
+                  Parts(cast(Any, None), driver, disabled, lambda: None), sites=True)
+
+
+async def at_rest(folder: Path, sizes: Sequence[int], apart: bool, seconds: float, heard: Heard,
+                  settle_s: float = SETTLE_S) -> list[Series]:
+    """N balancers with sites and nothing to do. `apart`: each the only one of its service, else all of one.
+    Commits, changes that watchers may hear (those of what is learnt and of sites besides), and CPU of the
+    nodes, each a second. What is no change is a renewal."""
+    name = "store.rest.apart" if apart else "store.rest.together"
+    commits, changes, learnt, sited, size, leader_cpu, follower_cpu = (
+        Series(f"{name}_{what}", unit, "balancers") for what, unit in (
+            ("commits", "commits a second"), ("changes", "changes a second"),
+            ("learnt", "changes a second"), ("site", "changes a second"), ("bytes", "bytes a second"),
+            ("leader_cpu", "us a second"), ("follower_cpu", "us a second")))
+    async with real(folder / name) as cluster:
+        for count in sizes:
+            client = cluster.client("look")
+            services = [f"of-{count}-{n}" for n in range(count if apart else 1)]
+            keepers: list[Keeper] = []
+            crowd = Crowd(cluster.addresses[0], "")
+            try:
+                for service in services:
+                    await documents.put(client, f"sites/{service}", SITE, checks.check, 0, "lab")
+                keepers = [keeper(cluster, services[n % len(services)], f"b{n}", 1 if apart else count)
+                           for n in range(count)]
+                for one in keepers:
+                    one.start()
+                async with asyncio.timeout(NAMED_S):
+                    while not all(k.name.token() for k in keepers):
+                        await asyncio.sleep(POLL_S)
+                await asyncio.sleep(settle_s)
+                leader = await cluster.leader()
+                nodes = [leader, *(m for m in cluster.members if m is not leader)]
+                first = (await client.status())["applied"]
+                await crowd.grow(1, first)
+                told, bytes_, kinds, before = crowd.told, crowd.bytes, crowd.kinds, used(nodes)
+                began = time.perf_counter()
+                await asyncio.sleep(seconds)
+                took = time.perf_counter() - began
+                spent = [1e6 * (a - b) / took for a, b in zip(used(nodes), before, strict=True)]
+                commits.add(count, ((await client.status())["applied"] - first) / took)
+                changes.add(count, (crowd.told - told) / took)
+                kinds = crowd.kinds - kinds
+                learnt.add(count, kinds["learnt"] / took)
+                sited.add(count, kinds["site"] / took)
+                size.add(count, (crowd.bytes - bytes_) / took)
+                leader_cpu.add(count, spent[0])
+                follower_cpu.add(count, sum(spent[1:]) / len(spent[1:]))
+                owned = sum(bool(k.name.token()) for k in keepers)
+                heard(f"{count} balancers, {'each its own service' if apart else 'one service'}: {owned}"
+                      f" names held, {commits.points[-1][1]:.1f} commits/s,"
+                      f" {changes.points[-1][1]:.1f} changes/s")
+            finally:
+                await asyncio.gather(*(k.close() for k in keepers))
+                await crowd.close()
+                await client.close()
+    return [commits, changes, learnt, sited, size, leader_cpu, follower_cpu]
