--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import os
+import resource
 import socket
 import ssl
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, cast
 
 import msgspec
 
+from lanelift.feed.fanout import Send
 from lanelift.settings import Malformed
 from lanelift.store import commands
 from lanelift.store.commands import Result
@@ -33,6 +36,8 @@
     Declined,
     Done,
     Failed,
+    Fed,
+    Feed,
     Get,
     Hello,
     Info,
@@ -57,10 +62,16 @@
 OPEN_MOST = 512  # requests of one connection on their way
 WATCHES_MOST = 64  # of one connection
 UNREAD_MOST = 8 << 20  # bytes of answers that a client leaves unread: then nothing more is read from it
+FEED_UNREAD = 64 << 10  # bytes on a feed's connection: beyond it its scopes are only marked as changed
+BACKLOG = 1024  # connections that wait to be accepted: all of another node's may come at once
+PACE_S = 0.0025  # between two that are accepted: a handshake takes 1 ms and more, and elections wait for none
+SPARE = 128  # of the files that this process may open: for the disk and other members
+NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
+FULL_S = 1.0  # between two tries to accept where there is no room
 COPY_BYTES = 512 << 10
 PROGRESS_S = 5.0  # a watch with nothing to tell says so often how far it has looked
 NEEDS: dict[type, str] = {Put: "write", Get: "read", Scan: "read", Past: "read", Watch: "read",
-                          Unwatch: "read", Status: "read", Manage: "admin", Copy: "admin"}
+                          Unwatch: "read", Status: "read", Manage: "admin", Copy: "admin", Feed: "read"}
 
 
 class Server:
@@ -70,8 +81,10 @@
         self.node = node
         self.settings = node.settings
         self.connections: set[Connection] = set()
+        self.most = node.settings.connections
         self.listener: socket.socket | None = None
-        self.server: asyncio.Server | None = None
+        self.accepting: asyncio.Task[None] | None = None
+        self.greeting: set[asyncio.Task[None]] = set()
         self.context: ssl.SSLContext | None = None
         self.stamp: tuple[tuple[int, int], ...] = ()
         self.watch_keys: asyncio.Task[None] | None = None
@@ -83,6 +96,11 @@
 
     async def start(self) -> None:
         """Raises OSError, Malformed."""
+        room = resource.getrlimit(resource.RLIMIT_NOFILE)[0] - SPARE
+        if room < self.most:
+            log.warning("limits.connections: %d in place of %d: this process may open no more files", room,
+                        self.most)
+            self.most = room
         host, port = self.settings.listen
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.listener = socket.socket(family, socket.SOCK_STREAM)
@@ -96,13 +114,36 @@
             self.stamp = self.settings.tls.stamp()
             self.context = self.settings.tls.context(True)
             self.watch_keys = asyncio.get_running_loop().create_task(self._keys())
-        await self._open()
+        self.listener.setblocking(False)
+        self.listener.listen(BACKLOG)
+        self.accepting = asyncio.get_running_loop().create_task(self._accept(self.listener))
 
-    async def _open(self) -> None:
-        assert self.listener is not None
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), sock=self.listener.dup(), ssl=self.context, backlog=128,
-            ssl_handshake_timeout=GREET_S if self.context else None)
+    async def _accept(self, listener: socket.socket) -> None:
+        """One after the other, no faster than their handshakes leave time for all else."""
+        loop, full = asyncio.get_running_loop(), False
+        while True:
+            try:
+                accepted, _ = await loop.sock_accept(listener)
+                full = False
+            except OSError as error:
+                if not full and error.errno in NO_ROOM:
+                    log.error("store: no connection can be accepted: %s", error.strerror)
+                    full = True
+                await asyncio.sleep(FULL_S if full else PACE_S)
+                continue
+            task = loop.create_task(self._connect(accepted))
+            self.greeting.add(task)
+            task.add_done_callback(self.greeting.discard)
+            await asyncio.sleep(PACE_S)
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: Connection(self), accepted, ssl=self.context,
+                ssl_handshake_timeout=GREET_S if self.context else None)
+        except OSError as error:
+            log.debug("store: a connection: %s", error)
+            accepted.close()
 
     async def _keys(self) -> None:
         """Certificates are replaced while the node runs: new connections take the new ones."""
@@ -125,17 +166,15 @@
             self.stamp = stamp
             return False
         self.stamp, self.context, self.node.tls = stamp, context, client
-        if self.server is not None:
-            self.server.close()
-        await self._open()
         log.info("new certificates are in use")
         return True
 
     async def close(self) -> None:
         if self.watch_keys is not None:
             self.watch_keys.cancel()
-        if self.server is not None:
-            self.server.close()
+        for task in (self.accepting, *self.greeting):
+            if task is not None:
+                task.cancel()
         if self.listener is not None:
             self.listener.close()
         for connection in list(self.connections):
@@ -156,6 +195,8 @@
         self.role = ""  # where a client did
         self.open = 0
         self.watches: dict[int, Watching] = {}
+        self.subscriber = 0  # its number, where it hears the feed
+        self.feed_id = 0  # of the request that began it
         self.tasks: set[asyncio.Task[None]] = set()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -165,7 +206,7 @@
         self.who = f"{peer[0]}:{peer[1]}" if peer else "?"
         self.transport.set_write_buffer_limits(UNREAD_MOST)
         self.server.connections.add(self)
-        if len(self.server.connections) > self.server.settings.connections:
+        if len(self.server.connections) > self.server.most:
             self._decline("there are too many connections")
             return
         self.timer = self.node.loop.call_later(GREET_S, self._late)
@@ -270,6 +311,8 @@
                 self._task(r.id, self._manage(r))
             case Copy():
                 self._task(r.id, self._copy(r))
+            case Feed():
+                self._feed(r)
         return None
 
     def _put(self, r: Put) -> None:
@@ -285,11 +328,12 @@
                 return self.fail(r.id, Trouble.REFUSED, why)
         if not commands.client_may(command):
             return self.fail(r.id, Trouble.REFUSED, "leaders alone propose that")
-        if commands.format_of(command) > self.node.replica.state.format:
+        needs = commands.format_of(command)
+        if needs > self.node.replica.state.format:
             if self.node.core.role is not Role.LEADER:
                 return self.fail(r.id, Trouble.NOT_LEADER, str(NotLeader(self.node.core.leader)),
                                  self.node.core.leader)
-            return self.fail(r.id, Trouble.BUSY, self.node.not_yet())
+            return self.fail(r.id, Trouble.BUSY, self.node.not_yet(needs))
         try:
             future = self.node.put(r.command)
         except NotLeader as error:
@@ -342,6 +386,24 @@
         else:
             self.send(Part(r.id, meta.id, r.offset, data))
 
+    def _feed(self, r: Feed) -> None:
+        if not self.subscriber:
+            assert self.transport is not None
+            self.transport.set_write_buffer_limits(FEED_UNREAD)
+            self.feed_id = r.id
+            self.subscriber = self.node.feeding.begin(self)
+        self.node.feeding.heard(self.subscriber, r.word)
+
+    def tell(self, sends: Sequence[Send]) -> None:
+        """The feed's words, in one write."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(b"".join(self.sender.frame(protocol.pack(
+                Fed(self.feed_id, one.generation, one.sequence, one.word))) for one in sends))
+
+    def end(self, why: str) -> None:
+        self.fail(self.feed_id, Trouble.REFUSED, why)
+        self._decline(why)
+
     def _task(self, number: int, work: Coroutine[Any, Any, None]) -> None:
         self.open += 1
         task = self.node.loop.create_task(self._answered(number, work))
@@ -372,6 +434,8 @@
             self.transport.pause_reading()
         for watching in self.watches.values():
             watching.paused = True
+        if self.subscriber:
+            self.node.feeding.writable(self.subscriber, False)
 
     def resume_writing(self) -> None:
         if self.transport is not None:
@@ -379,6 +443,8 @@
         for watching in self.watches.values():
             watching.paused = False
             watching.poke()
+        if self.subscriber:
+            self.node.feeding.writable(self.subscriber, True)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -391,6 +457,8 @@
         for watching in self.watches.values():
             watching.stop()
         self.watches.clear()
+        if self.subscriber:
+            self.node.feeding.gone(self.subscriber)
         for task in list(self.tasks):
             task.cancel()
 
