Size lab: what a node's feed costs, by turns with today's watch

Subscribers acknowledge and keep nothing, so the node stays what is measured. What watchers and subscribers share stands once.

--- a/lanelift/cli/sizestore.py
+++ b/lanelift/cli/sizestore.py
@@ -16,7 +16,7 @@
 from lanelift.cli.console import out
 from lanelift.cli.sizelab import Json_, Plot, Record, give, today
 from lanelift.daemon.keeper import Keeper
-from lanelift.lab.size import keepers, sessions, storecommits, storenode
+from lanelift.lab.size import keepers, sessions, storecommits, storefeed, storenode
 from lanelift.lab.size.series import Series
 from lanelift.lab.topology import Unusable
 from lanelift.store.client import Client
@@ -44,11 +44,16 @@
     held: tuple[int, ...] = (1_000, 4_000, 16_000, 44_000)  # by a node that begins anew
     missed: tuple[int, ...] = (500, 2_000, 8_000, 16_000, 39_000)
     sessions: tuple[int, ...] = (500, 1_000, 1_500, 2_000, 2_100, 2_900)
+    subscribers: tuple[int, ...] = (100, 300, 1000, 2000)
+    bookmarks_s: float = 30.0  # two of a node's bookmarks
+    upstreams: int = 44_000
+    returning: tuple[int, ...] = (40, 100, 200, 400)
+    scopes: tuple[int, ...] = (10, 30, 100, 300)
 
 
 SMALL = Sizes((2, 4, 6, 8), 2, 0.2, (1, 2, 3, 4), (100, 200, 300, 400), (1, 2, 3, 4), (2, 4, 6, 8), 0.1,
               (1, 2, 3, 4), 0.5, 1.0, (100, 200, 300, 400), (10, 20, 30, 40), (5, 10, 15, 20),
-              (5, 10, 15, 20))
+              (5, 10, 15, 20), (2, 4, 6, 8), 0.2, 200, (2, 4, 6, 8), (2, 4, 6, 8))
 
 Measure = Callable[[Path, Sizes, storenode.Heard], Awaitable[list[Series]]]
 
@@ -76,6 +81,11 @@
     "catchup": lambda where, s, heard: storecommits.catch_up(where, s.held, s.missed, heard),
     "rest": _rest,
     "sessions": _sessions,
+    "feed": lambda where, s, heard: storefeed.hearing(where, s.subscribers, s.changes, s.bookmarks_s,
+                                                     s.rest_s, s.upstreams, heard),
+    "feed-rows": lambda where, s, heard: storefeed.held_rows(where, s.rows, heard),
+    "feed-return": lambda where, s, heard: storefeed.returning(where, s.returning, s.scopes, s.upstreams,
+                                                              heard),
 }
 
 
--- a/lanelift/lab/size/keepers.py
+++ b/lanelift/lab/size/keepers.py
@@ -117,13 +117,13 @@
                 nodes = [leader, *(m for m in cluster.members if m is not leader)]
                 first = (await client.status())["applied"]
                 await crowd.grow(1, first)
-                told, bytes_, kinds, before = crowd.told, crowd.bytes, crowd.kinds, used(nodes)
+                told, bytes_, kinds, before = crowd.heard, crowd.bytes, crowd.kinds, used(nodes)
                 began = time.perf_counter()
                 await asyncio.sleep(seconds)
                 took = time.perf_counter() - began
                 spent = [1e6 * (a - b) / took for a, b in zip(used(nodes), before, strict=True)]
                 commits.add(count, ((await client.status())["applied"] - first) / took)
-                changes.add(count, (crowd.told - told) / took)
+                changes.add(count, (crowd.heard - told) / took)
                 kinds = crowd.kinds - kinds
                 learnt.add(count, kinds["learnt"] / took)
                 sited.add(count, kinds["site"] / took)
--- a/lanelift/lab/size/storenode.py
+++ b/lanelift/lab/size/storenode.py
@@ -47,10 +47,10 @@
     delays = []
     for number in range(changes):
         if crowd is not None:
-            crowd.expect(1)
+            crowd.expect()
         began = time.perf_counter()
         await client.put(f"{PREFIX}u{number % 16}", ROW)
-        delays.append(await crowd.heard(began) if crowd is not None else time.perf_counter() - began)
+        delays.append(await crowd.last(began) if crowd is not None else time.perf_counter() - began)
     return delays
 
 
--- a/tests/test_size_store.py
+++ b/tests/test_size_store.py
@@ -13,10 +13,12 @@
 
 from lanelift.cli import sizestore
 from lanelift.cli.main import application
-from lanelift.lab.size import keepers, process, sessions, storecommits, storenode
+from lanelift.lab.size import keepers, process, sessions, storecommits, storefeed, storenode
 from lanelift.lab.size.crowd import Crowd
 from lanelift.lab.size.process import Meter
 from lanelift.lab.size.series import Series
+from lanelift.lab.size.storefeed import Audience
+from lanelift.store.commands import Op
 from lanelift.store.durable import state as states
 from tests.fakes import run
 from tests.test_store_node import cluster
@@ -50,15 +52,15 @@
             crowd.expect(2)
             await client.put("rows/a", b"1")
             await client.put("elsewhere/a", b"1")
-            assert not crowd.all_told.is_set()
+            assert not crowd.all_heard.is_set()
             await client.put("rows/b", b"2")
-            assert await crowd.heard(0.0) > 0
-            assert crowd.told == 6 and crowd.kinds == {"rows": 6}
+            assert await crowd.last(0.0) > 0
+            assert crowd.heard == 6 and crowd.kinds == {"rows": 6}
             await crowd.grow(4, (await client.get("rows/a")).revision)
-            crowd.expect(1)
+            crowd.expect()
             await client.put("rows/a", b"3")
-            await crowd.heard(0.0)
-            assert crowd.told == 10 and [w.kinds["rows"] for w in crowd.watchers] == [3, 3, 3, 1]
+            await crowd.last(0.0)
+            assert crowd.heard == 10 and [w.kinds["rows"] for w in crowd.all] == [3, 3, 3, 1]
             await crowd.close()
     run(test())
 
@@ -117,6 +119,7 @@
             # What was learnt is put each 5 s, sites' rows more often; the rest of the commits are renewals.
             name = "store.rest.apart" if apart else "store.rest.together"
             assert figures[f"{name}_learnt"] > 0 and figures[f"{name}_site"] > 0
+            assert figures[f"{name}_learnt"] + figures[f"{name}_site"] <= figures[f"{name}_changes"]
             assert figures[f"{name}_commits"] > figures[f"{name}_changes"]
     run(test())
     assert [line.split(" names held")[0].split(": ")[1] for line in heard] == ["2", "2"]
@@ -129,6 +132,74 @@
     assert [y for _, y in found[0].points] == [0.0, 0.0, 1.0]
 
 
+def test_an_audience_hears_each_change_once_and_knows_when_it_has_all(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with cluster(tmp_path, 1) as c:
+            client = c.client()
+            await storefeed.takes_rows(client)
+            revision = await storefeed.fill_rows(client, 0, 40)
+            audience = Audience(c.settings[0].advertise)
+            await audience.grow(3, 0, lambda number: storefeed.carried(number, 5))
+            snapshots = audience.bytes
+            assert audience.heard == 15  # a whole one of each scope
+            audience.expect()
+            await client.write_rows([Op("feed/global/setting/x", b"1")])
+            await audience.last(0.0)
+            assert audience.heard == 18
+            await audience.grow(4, revision, lambda number: [storefeed.SHARED])
+            assert audience.heard == 19  # what changed since
+            await audience.close()
+            assert not audience.all
+            await audience.grow(3, (await client.get("feed/global/setting/x")).revision,
+                                lambda number: storefeed.carried(number, 5))
+            assert audience.heard == 19 and audience.bytes < snapshots
+            await audience.close()
+    run(test())
+
+
+def test_who_is_put_off_comes_again(tmp_path: Path) -> None:
+    scopes = [f"service:s{n}" for n in range(10)]
+
+    async def test() -> None:
+        async with cluster(tmp_path, 1, extra='[feed]\nwaiting = 1\n') as c:
+            client = c.client()
+            await storefeed.takes_rows(client)
+            for scope in scopes:  # 1.6 MB, and 1 MiB goes out at once; a patch comes in two parts
+                await client.write_rows([Op(f"feed/{scope}/upstream/u{n}", b"r" * 4000) for n in range(40)])
+            audience = Audience(c.settings[0].advertise)
+            await audience.grow(5, 0, lambda number: scopes)
+            assert audience.later > 0
+            assert audience.heard == 50 and all(s.bytes > 1_600_000 for s in audience.all)
+            await audience.close()
+    run(test())
+
+
+def test_a_real_node_tells_its_feed_beside_a_watch(tmp_path: Path) -> None:
+    async def test() -> None:
+        found = await storefeed.hearing(tmp_path, (2, 4), 2, 0.1, 0.1, 300, print)
+        feed = sized([one for one in found if one.per == "subscribers"], (2, 4))
+        watch = sized([one for one in found if one.per == "watchers"], (2, 4))
+        for two, four in (feed["feed.change_bytes"], watch["store.watch.change_bytes"]):
+            assert two > 200 and four == 2 * two
+        assert min(feed["feed.last_delay"]) > 0
+    run(test())
+
+
+def test_rows_that_a_real_node_holds_for_its_feed_and_who_comes_back_to_them(tmp_path: Path) -> None:
+    async def test() -> None:
+        held = sized(await storefeed.held_rows(tmp_path / "held", (300, 2000), print), (300, 2000))
+        assert held["feed.row_put_cpu"][0] < held["feed.row_put_cpu"][1]
+        found = await storefeed.returning(tmp_path / "return", (2, 4), (3, 30), 3000, print)
+        back = sized([one for one in found if one.per == "subscribers"], (2, 4))
+        assert all(y == 0 for y in back["feed.resume_later"])
+        for size in (0, 1):
+            assert 0 < back["feed.resume_bytes"][size] < back["feed.snapshot_bytes"][size]
+        scopes = sized([one for one in found if one.per == "scopes"], (3, 30))
+        few, many = scopes["feed.scopes_snapshot_bytes"]
+        assert few < many
+    run(test())
+
+
 def lab(*words: str) -> tuple[int, str]:
     result = CliRunner().invoke(application(["lab"]), ["lab", "size", "store", *words])
     return result.exit_code, str(result.exception) if result.exception else result.output
