--- a/lanelift/lab/capacity/blast.py
+++ b/lanelift/lab/capacity/blast.py
@@ -129,19 +129,23 @@
 
 
 def ask(port: int, connections: int, number: int) -> None:
-    """Clients that take their orders, `SECONDS RATE`, from standard input, and answer each with a line."""
-    clients = Clients(port, connections, number)
+    """Clients that take their orders, `SECONDS RATE`, from standard input, and answer each with a line. They
+    connect at the first one: while others are still being started a connection would stand unused, and be
+    closed."""
+    clients: Clients | None = None
     print("ready", flush=True)
     for line in sys.stdin:
         seconds, per_s = map(float, line.split())
         try:
+            clients = clients or Clients(port, connections, number)
             found = clients.burst(seconds, per_s)
         except (TimeoutError, OSError) as error:
             print(f"error {error}", flush=True)
             return
         times = found.histogram.encode().decode()
         print(f"{found.answers} {found.wrong} {found.seconds} {times}", flush=True)
-    clients.close()
+    if clients is not None:
+        clients.close()
 
 
 if __name__ == "__main__":
