--- a/lanelift/lab/size/capacity.py
+++ b/lanelift/lab/size/capacity.py
@@ -44,6 +44,7 @@
     unit: str
     mechanism: str
     limit: str = ""
+    ruled_out: bool = False  # of a way that is not taken: told, and not ranked
 
 
 class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -202,7 +203,8 @@
             beyond = f" (extrapolated: {', '.join(one.extrapolated)})" if one.extrapolated else ""
             out.append(f"| {f.situation} | {f.what} | {_number(one.value)} {f.unit}{beyond} | {limit} | "
                        f"{_number(one.factor)} | `{_cell(f.formula)}` | {f.mechanism} |")
-    ranked = sorted((one for one in worked if one.factor > 1), key=lambda one: -one.factor)
+    ranked = sorted((one for one in worked if one.factor > 1 and not one.figure.ruled_out),
+                    key=lambda one: -one.factor)
     out += ["", "## Over the limit, ranked", "", "| times | role | what | situation | carried by |",
             "| --- | --- | --- | --- | --- |"]
     out += [f"| {_number(one.factor)} | {one.figure.role} | {one.figure.what} | {one.figure.situation} | "
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -52,7 +52,8 @@
     both = Sheet({}, {}, [Figure("node", "peak", "small", "3", "MB", "feed", "2"),
                           Figure("node", "peak", "large", "30", "MB", "missing", "2"),
                           Figure("node", "peak", "fine", "1", "MB", "feed", "2"),
-                          Figure("node", "peak", "free", "9", "MB", "feed")])
+                          Figure("node", "peak", "free", "9", "MB", "feed"),
+                          Figure("node", "peak", "worst", "99", "MB", "not taken", "2", True)])
     out = capacity.lines(both, {})
     ranking = out[out.index("## Over the limit, ranked"):out.index("## Slopes")]
     assert [line.split("|")[3].strip() for line in ranking if line.startswith("| 1")] == ["large", "small"]
