Store: what a connection reads of the state has a file of its own

Need: server.py had grown to 550 lines, with two things in it.

Change: watches, rows and pages move to store/reading.py as they were.

--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -9,7 +9,6 @@
 import resource
 import socket
 import ssl
-import time
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, cast
 
@@ -20,18 +19,17 @@
 from lanelift.store import commands
 from lanelift.store.commands import Result
 from lanelift.store.durable.journal import Full
-from lanelift.store.durable.state import Compacted, Item, State
+from lanelift.store.durable.state import State
 from lanelift.store.node import Late, Node, Unknown
 from lanelift.store.raft.core import Busy, NotLeader, Role
 from lanelift.store.raft.members import Refused as ChangeRefused
 from lanelift.store.raft.messages import SnapshotMeta, unpack_message
+from lanelift.store.reading import Watching, row, scan
 from lanelift.store.security import may, role_of
 from lanelift.store.wire import protocol
 from lanelift.store.wire.frames import NONCE, Receiver, Refused, Sender
 from lanelift.store.wire.protocol import (
     AnyRequest,
-    Change,
-    Changes,
     Copy,
     Declined,
     Done,
@@ -69,7 +67,6 @@
 NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 FULL_S = 1.0  # between two tries to accept where there is no room
 COPY_BYTES = 512 << 10
-PROGRESS_S = 5.0  # a watch with nothing to tell says so often how far it has looked
 NEEDS: dict[type, str] = {Put: "write", Get: "read", Scan: "read", Past: "read", Watch: "read",
                           Unwatch: "read", Status: "read", Manage: "admin", Copy: "admin", Feed: "read"}
 
@@ -461,90 +458,3 @@
             self.node.feeding.gone(self.subscriber)
         for task in list(self.tasks):
             task.cancel()
-
-
-class Watching:
-    """One watch: tells every change behind a revision, as fast as its client reads and no faster. A client
-    that falls behind what is kept is told so, and has to read anew."""
-
-    def __init__(self, connection: Connection, r: Watch) -> None:
-        self.connection = connection
-        self.id = r.id
-        self.prefix = r.prefix
-        self.after = r.after
-        self.told = time.monotonic()
-        self.paused = self.stopped = False
-        self.looking: asyncio.Task[None] | None = None
-        self.again = False
-        connection.node.watchers[self] = self.prefix, self.poke
-        self.timer = connection.node.loop.call_later(PROGRESS_S, self._progress)
-        self.poke()
-
-    def poke(self) -> None:
-        if self.stopped or self.paused:
-            return
-        if self.looking is not None and not self.looking.done():
-            self.again = True
-            return
-        self.looking = self.connection.node.loop.create_task(self._look())
-
-    def _progress(self) -> None:
-        self.timer = self.connection.node.loop.call_later(PROGRESS_S, self._progress)
-        if time.monotonic() - self.told > PROGRESS_S / 2 and not self.paused:
-            self.told = 0.0
-            self.poke()
-
-    async def _look(self) -> None:
-        node = self.connection.node
-        while not self.stopped and not self.paused:
-            self.again = False
-            try:
-                events, applied = await node.query(lambda s: (s.events(self.prefix, self.after), s.applied))
-            except Late:
-                return  # its connection closes
-            except Compacted as error:
-                self.connection.fail(self.id, Trouble.COMPACTED, str(error))
-                self.connection.watches.pop(self.id, None)
-                self.stop()
-                return
-            if events:
-                # A page may end before what is applied; then there is more to tell.
-                upto = events[-1].revision
-                changes = tuple(Change(e.revision, e.key, e.version, e.value) for e in events)
-                self._tell(Changes(self.id, changes, upto))
-                continue
-            if applied > self.after:
-                self.after = applied
-            if self.told == 0.0:
-                self._tell(Changes(self.id, (), self.after))
-            if not self.again:
-                return
-
-    def _tell(self, changes: Changes) -> None:
-        self.after, self.told = changes.revision, time.monotonic()
-        if not self.stopped:
-            self.connection.send(changes)
-
-    def stop(self) -> None:
-        self.stopped = True
-        self.timer.cancel()
-        self.connection.node.watchers.pop(self, None)
-
-
-def row(item: Item | None, key: str) -> Row:
-    if item is None:
-        return Row(key, None, 0, 0)
-    return Row(item.key, item.value, item.version, item.revision, item.time_ms, item.author, item.note)
-
-
-def scan(state: State, prefix: str, after: str, most: int) -> tuple[tuple[Row, ...], bool]:
-    """A page: so many keys at most, and no more bytes than one answer takes."""
-    most = max(1, min(most, 1000))
-    found: list[Row] = []
-    size = 0
-    for item in state.scan(prefix, after, most):
-        size += len(item.value or b"") + len(item.key)
-        if found and size > protocol.PAGE_BYTES:
-            return tuple(found), True
-        found.append(row(item, item.key))
-    return tuple(found), len(found) == most
