Feed: a balancer whose machine vanished is counted for 30 s, not for a quarter hour

Need: where a machine or its network goes without a word, TCP keeps the connection for some 15 minutes. For so long such balancers would lag in the status, `lanelift feed wait` would fail because of them, and they would hold places among a node's connections; a lost zone leaves 145 at once.

Change: TCP_USER_TIMEOUT of 30 s on connections that hear the feed. It ends those too that have long read nothing; they come back and go on from their cursors.

Measured: pytest tests/test_feed_store.py tests/test_feed_rollout.py: 25 pass; with 300 s in place of the 0.3 s of the new test it fails (TimeoutError).

--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -61,6 +61,7 @@
 WATCHES_MOST = 64  # of one connection
 UNREAD_MOST = 8 << 20  # bytes of answers that a client leaves unread: then nothing more is read from it
 FEED_UNREAD = 64 << 10  # bytes on a feed's connection: beyond it its scopes are only marked as changed
+GONE_MS = 30_000  # its machine acknowledges nothing for so long: it is gone, whatever TCP's own patience
 BACKLOG = 1024  # connections that wait to be accepted: all of another node's may come at once
 PACE_S = 0.0025  # between two that are accepted: a handshake takes 1 ms and more, and elections wait for none
 SPARE = 128  # of the files that this process may open: for the disk and other members
@@ -387,6 +388,9 @@
         if not self.subscriber:
             assert self.transport is not None
             self.transport.set_write_buffer_limits(FEED_UNREAD)
+            if hasattr(socket, "TCP_USER_TIMEOUT"):
+                self.transport.get_extra_info("socket").setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, GONE_MS)
             self.feed_id = r.id
             self.subscriber = self.node.feeding.begin(self)
         self.node.feeding.heard(self.subscriber, r.word)
--- a/tests/test_feed_store.py
+++ b/tests/test_feed_store.py
@@ -17,7 +17,7 @@
 from lanelift.feed.subscription import Apply, SubscriptionLimits
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.settings import Malformed
-from lanelift.store import feeding
+from lanelift.store import feeding, server
 from lanelift.store import run as running
 from lanelift.store.client import Client, Rejected, Unavailable, Undecided
 from lanelift.store.commands import Op
@@ -32,7 +32,8 @@
 from tests.test_store_node import Cluster, cluster, greeted, run
 
 ORDERS, CARTS = "service:orders", "service:carts"
-QUICK = SubscriptionLimits(backoff_ns=20_000_000, backoff_most_ns=200_000_000, ack_ns=5_000_000)
+QUICK = SubscriptionLimits(backoff_ns=20_000_000, backoff_most_ns=200_000_000, ack_ns=5_000_000,
+                           silent_ns=60_000_000_000)
 
 
 class Balancer(Watched):
@@ -290,6 +291,31 @@
     run(test)
 
 
+def test_a_machine_that_vanished_is_not_counted_for_long(tmp_path: Path,
+                                                         monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its connection was never closed: here nobody reads it, and it takes nothing more."""
+    monkeypatch.setattr(server, "GONE_MS", 300)
+
+    async def test() -> None:
+        async with cluster(tmp_path, 1, extra='[feed]\nwindow = "64MiB"') as c:
+            client = c.client()
+            await put(client, ORDERS, b"0", "a")
+            one = Balancer([c.settings[0].advertise], [ORDERS])
+            await one.has(ORDERS, "upstream/a", b"0")
+            wire = one.client.wire
+            assert wire is not None and wire.transport is not None
+            wire.transport.pause_reading()
+            async with asyncio.timeout(20):
+                while feed_of(c, 0)["subscribers"]:
+                    await put(client, ORDERS, bytes(4000), *(f"n{i}" for i in range(50)))
+            wire.transport.resume_reading()  # it was asleep only
+            revision = await put(client, ORDERS, b"1", "a")
+            await one.has(ORDERS, "upstream/a", b"1")
+            assert one.applied[-1].revision == revision and one.goes_forward()
+            await leave(one)
+    run(test)
+
+
 def test_a_node_dies_and_nobody_goes_back_in_time(tmp_path: Path) -> None:
     async def test() -> None:
         async with cluster(tmp_path) as c:
