Lab: a hollow balancer that is stopped ends its modules' timers

`python -m pytest -q tests/test_lab_size.py`: 24 passed in 31 s; the new test fails where closing leaves the modules.

--- a/lanelift/lab/size/hollow.py
+++ b/lanelift/lab/size/hollow.py
@@ -95,8 +95,9 @@
     @abstractmethod
     def start(self) -> None: ...
 
-    @abstractmethod
-    async def close(self) -> None: ...
+    async def close(self) -> None:
+        for module in self.modules.values():
+            module.close()
 
     def inforce(self, scope: str, whole: bool, rows: Iterable[tuple[str, int, bytes | None]], revision: int,
                 entries: Sequence[api.Upstream]) -> None:
@@ -160,6 +161,7 @@
         return self.codec.endpoint(row.value).entry
 
     async def close(self) -> None:
+        await super().close()
         await self.client.close()
 
 
@@ -194,6 +196,7 @@
         self.inforce(scope, True, [(row.key, row.version, row.value)], revision, entries)
 
     async def close(self) -> None:
+        await super().close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/test_lab_size.py
+++ b/tests/test_lab_size.py
@@ -22,7 +22,7 @@
 from lanelift.lab.size.page import page
 from lanelift.lab.size.phases import FAULTS, PHASES, Run, Times, play
 from lanelift.lab.size.world import LEAST, Shape, World, carriers, draw
-from lanelift.lab.size.writer import OPS, Change, packs
+from lanelift.lab.size.writer import OPS, Change, endpoint, packs
 from lanelift.lab.topology import Unusable
 from lanelift.store.commands import Op
 
@@ -139,7 +139,22 @@
 
     def start(self) -> None: ...
 
-    async def close(self) -> None: ...
+
+def test_a_hollow_balancers_module_decides_on_requests_of_a_model_until_it_is_closed() -> None:
+    async def live() -> Still:
+        told = Told(1, "b", "z00", {"s": 3}, [], 0, True)
+        one = Still(told, Written(), {}, 1000.0, 0.0, [])
+        entries = [endpoint(u).entry for u in draw(SMALL, 1).upstreams[:4]]
+        one.inforce("service:s", True, [], 1, entries)
+        module = one.modules["s"]
+        async with asyncio.timeout(20):
+            while module.sent < 20 or len(module.open) > 200:
+                await asyncio.sleep(0)
+        await one.close()
+        assert module.timers and all(t.cancelled() for t in module.timers)
+        return one
+
+    assert asyncio.run(live()).modules["s"].closed
 
 
 def test_what_is_older_than_what_a_balancer_had_is_counted_as_gone_back() -> None:
