Size lab: one place reads what a process has used

Need: processor time and memory of another process were read in three places of the size lab, in ticks of 10 ms in one, by its live threads alone in another. Change: parties and beside call process.py.

--- a/lanelift/lab/size/beside.py
+++ b/lanelift/lab/size/beside.py
@@ -17,6 +17,7 @@
 from lanelift.lab.capacity.measure import WARM_S, Run
 from lanelift.lab.size.balancer import Heard, Series, Told
 from lanelift.lab.size.fit import Slope
+from lanelift.lab.size.process import cpu_s, resident_kb
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Json
 
@@ -97,18 +98,6 @@
             for slope in series[rate].slope("added", f"sockets.p99-added.at-{rate:g}", "ms")], figures
 
 
-def ran_ns(pid: int) -> int:
-    """CPU time of a process so far, all its threads."""
-    return sum(int(path.read_text().split()[0]) for path in Path(f"/proc/{pid}/task").glob("*/schedstat"))
-
-
-def resident_kb(pid: int) -> float:
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS"):
-            return float(line.split()[1])
-    raise Unusable("a balancer ended while it was measured")
-
-
 def at_rest(command: Sequence[str], upstreams: Sequence[int], tenant_counts: Sequence[int], seconds: float,
             told: Told, heard: Heard) -> list[Slope]:
     """CPU time a second of balancers that are asked nothing while discovery is away, and the memory of the
@@ -122,11 +111,13 @@
                 listed = range(FIRST_PORT, FIRST_PORT + (count if per == "upstreams" else 16))
                 started[count], _ = run.balancer(listed, tenants(count if per == "tenants" else 10))
             time.sleep(min(seconds, SETTLE_S))
-            before = {count: ran_ns(process.pid) for count, process in started.items()}
+            before = {count: cpu_s(process.pid) for count, process in started.items()}
             time.sleep(seconds)
             for count, process in started.items():
-                spent = (ran_ns(process.pid) - before[count]) / seconds
-                series.by_size[count] = {"ms": spent / 1e6, "kb": resident_kb(process.pid)}
+                spent, held = (cpu_s(process.pid) - before[count]) / seconds, resident_kb(process.pid)
+                if not held:
+                    raise Unusable("a balancer ended while it was measured")
+                series.by_size[count] = {"ms": 1e3 * spent, "kb": held}
         heard(f"at rest, by {per}")
         slopes += [*series.slope("ms", f"rest.by-{per}", "ms"),
                    *series.slope("kb", f"process.memory.by-{per}", "MB", 1 / 1024)]
--- a/lanelift/lab/size/parties.py
+++ b/lanelift/lab/size/parties.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -16,14 +15,13 @@
 
 import uvloop
 
+from lanelift.lab.size.process import cpu_s, resident_kb
 from lanelift.lab.sockets.conductor import die_with_parent
 from lanelift.lab.topology import Unusable
 from lanelift.settings import Json
 
 ANSWER_S = 120.0  # a party that has not answered by then ends the run
 LINE_MOST = 64 << 20
-TICK_S = 1 / os.sysconf("SC_CLK_TCK")
-PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
 @dataclass(frozen=True)
@@ -38,12 +36,9 @@
 def usage(pid: int) -> Usage:
     """Zeros for a process that is gone."""
     try:
-        words = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        status = Path(f"/proc/{pid}/status").read_text()
-    except (FileNotFoundError, ProcessLookupError):
+        return Usage(cpu_s(pid), resident_kb(pid) << 10, resident_kb(pid, "VmHWM") << 10)
+    except OSError:
         return Usage(0.0, 0, 0)
-    peak = next((int(line.split()[1]) << 10 for line in status.splitlines() if line.startswith("VmHWM:")), 0)
-    return Usage((int(words[11]) + int(words[12])) * TICK_S, int(words[21]) * PAGE, peak)
 
 
 class Party:
--- a/lanelift/lab/size/process.py
+++ b/lanelift/lab/size/process.py
@@ -13,12 +13,18 @@
     return time.clock_gettime((~pid << 3) | 2)  # what clock_getcpuclockid(3) gives on Linux
 
 
+def resident_kb(pid: int, line: str = "VmRSS") -> int:
+    """KB of 1,024 bytes, or the most so far by `VmHWM`; 0 of a process that has ended and stands in its
+    table yet. Raises OSError where there is none."""
+    for said in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if said.startswith(f"{line}:"):
+            return int(said.split()[1])
+    return 0
+
+
 def memory_mb(pid: int) -> float:
     """Resident, MB of 10**6 bytes."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024 / 1e6
-    return 0.0
+    return resident_kb(pid) * 1024 / 1e6
 
 
 def written_bytes(pid: int) -> int:
