--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -20,6 +20,9 @@
 
 FLEETS = 1, 6, 30, 200
 CHANGES_S, WHOLE_S = 0.015, 0.435  # what an answer costs the service, as seen on a day with 15 upstreams
+# A call that comes later than `WATCH_GAP_S` behind the last answer begins a new watch, and cost as much as a
+# whole list on another day with 15 upstreams, seed 218648781889.
+NEW_WATCH_S, WATCH_GAP_S = 0.375, 0.2
 LINE_S = 0.5  # it turns away what would wait for longer
 SLACK_S = 0.05
 MOVE_TERM_S = 4.0  # what another discovery has counts so long behind SIGHUP
@@ -34,6 +37,7 @@
     rng: random.Random
     push: bool
     known_s: float | None = None  # when it knew of the change
+    answered_s: float = -1.0  # the last answer
     failures: int = 0
     begun_s: float = 0.0
     term_s: float = 0.0
@@ -60,6 +64,7 @@
     seed: int
     trouble: str = ""
     back_s: float = 0.0
+    new_watch_s: float = CHANGES_S  # what the first answer of a new watch costs the service
     free_s: float = 0.0  # when the service has done what is in its line
     queue: list[tuple[float, int, Callable[[float], None]]] = field(default_factory=list)
     order: Iterator[int] = field(default_factory=itertools.count)  # of what happens in one moment
@@ -78,6 +83,8 @@
     def call(self, caller: Caller, now: float) -> None:
         ask = caller.calls.ask()
         cost_s = WHOLE_S if ask.call is Call.WHOLE else CHANGES_S
+        if ask.call is not Call.WHOLE and now > caller.answered_s + WATCH_GAP_S:
+            cost_s = self.new_watch_s
         self.wholes += ask.call is Call.WHOLE
         if now < self.back_s:
             end_s, end = {
@@ -97,7 +104,7 @@
     def ended(self, caller: Caller, end: End, now: float) -> None:
         pause_s = caller.pause_s(end)
         if end is End.ANSWERED:
-            caller.known_s = now
+            caller.known_s = caller.answered_s = now
         else:
             self.at(now + pause_s, partial(self.call, caller))
 
@@ -146,6 +153,14 @@
         assert fleet.wholes == 0
 
 
+def test_six_balancers_know_in_time_also_where_a_new_watch_costs_as_much_as_a_list() -> None:
+    """Six that give up together are 2.25 s of the service's time; it turns away who would wait for 0.5 s."""
+    for push in (True, False):
+        for seed in range(200):
+            fleet = Fleet(6, push, seed, new_watch_s=NEW_WATCH_S)
+            assert fleet.silence() <= SLACK_S
+
+
 @pytest.mark.parametrize("trouble", ["turned away", "broken", "never connected", "unread"])
 @pytest.mark.parametrize("push", [True, False])
 @pytest.mark.parametrize("balancers", FLEETS)
