Discovery: holds of a fleet in slots, silences followed by calls without a hold

Behind a change all watches begin together, with holds within a tenth, so six were given up within 0.2 s, and each new watch took the service 0.375 s. At fault: HOLD_MS and SPREAD in net/calls.py, and decide's pause behind a refusal that knew nothing of the term. Ruled out: a late loop, a dial that hangs, whole lists (none was asked for). Change: each balancer's hold has a slot of its own; behind a silence what was missed is asked for without a hold (its answer says that nothing was, too), and again after 0.1 to 0.2 s, until 4 s behind the term. Other paths of the class: a catch-up that falls silent in turn; the list's owner in daemon/listing.py. All orders of five ends hold.

--- a/lanelift/daemon/listing.py
+++ b/lanelift/daemon/listing.py
@@ -31,7 +31,6 @@
 from lanelift.feed.subscription import Apply
 from lanelift.leases.fence import Word
 from lanelift.leases.table import written
-from lanelift.net.calls import HOLD_MS, PACE_S
 from lanelift.net.discovery import Discovery
 from lanelift.net.driver import Driver
 from lanelift.net.upstream import Endpoint
@@ -90,7 +89,6 @@
         self.floor = -1  # a version that the next list must reach
         self.floor_s = 0.0
         self.working: asyncio.Task[None] | None = None
-        self.holds = discovery.calls.hold_ms, discovery.calls.pace_s
         discovery.tell = self._told
 
     @property
@@ -127,8 +125,7 @@
 
     def began(self, token: int) -> None:
         self.follower.owns(True, clock_ns())
-        # One caller in place of all: it need not spare discovery as one of many would.
-        self.discovery.calls.hold_ms, self.discovery.calls.pace_s = HOLD_MS, PACE_S
+        self.discovery.calls.speak_for_all(True)
         if token != self.put[0]:  # one that is lost and found again goes on counting
             self.number = self.beat = 0
         if self.writer is not None:
@@ -142,7 +139,7 @@
         self.mirrors = False  # rows that came meanwhile changed nothing here
         if self.table is not None and self.table.said.token > self.put[0]:
             self._settle(None)  # the next owner's are there already
-        self.discovery.calls.hold_ms, self.discovery.calls.pace_s = self.holds
+        self.discovery.calls.speak_for_all(False)
         self.discovery.subscribe(False)
         if self.working is not None:
             self.working.cancel()
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -90,7 +90,7 @@
         self.tell = self._tell  # who is told what comes
         self.address = address
         self.push = driver.settings.discovery_push
-        self.calls = Calls(driver.settings.replicas_of_me, random.Random(seed))
+        self.calls = Calls(driver.settings.replicas_of_me, driver.settings.me, random.Random(seed))
         self.version = -1
         self.answered_s = 0.0  # when it last said something, be it that nothing changed
         self.connection: Connection | None = None
@@ -145,9 +145,9 @@
         while True:
             try:
                 await self._call()
-                pause_s = self.calls.ended(End.ANSWERED)
+                pause_s = self.calls.ended(End.ANSWERED, time.monotonic())
             except Exception as error:
-                pause_s = self.calls.ended(end_of(error))
+                pause_s = self.calls.ended(end_of(error), time.monotonic())
                 self._failed(error)  # the old list stands
             if pause_s is None and not self.push:
                 self.watching = False
@@ -169,7 +169,7 @@
             self.tell(api.ListKind.FAILED, [])
 
     async def _call(self) -> None:
-        ask, target = self.calls.ask(), b"/v1/endpoints"
+        ask, target = self.calls.ask(time.monotonic()), b"/v1/endpoints"
         if ask.call is not Call.WHOLE:
             target += b"?from=%d&hold_ms=%d" % (self.version, ask.hold_ms)
         response = await self._get(target, ask.wait_s)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -42,9 +42,9 @@
     begun_s: float = 0.0
     term_s: float = 0.0
 
-    def pause_s(self, end: End) -> float:
+    def pause_s(self, end: End, now: float) -> float:
         """Before its next call; where lists are asked for, the module's pause behind one that failed."""
-        pause_s = self.calls.ended(end)
+        pause_s = self.calls.ended(end, now)
         if pause_s is not None:
             self.failures = 0 if end is End.ANSWERED else self.failures
             return pause_s
@@ -72,16 +72,16 @@
 
     def __post_init__(self) -> None:
         rng = random.Random(self.seed)
-        self.callers = [Caller(Calls(self.balancers, random.Random(rng.random())), rng, self.push)
-                        for _ in range(self.balancers)]
+        self.callers = [Caller(Calls(self.balancers, me, random.Random(rng.random())), rng, self.push)
+                        for me in range(self.balancers)]
         for caller in self.callers:
-            caller.calls.ended(End.ANSWERED)  # its list is known
+            caller.calls.ended(End.ANSWERED, 0.0)  # its list is known
 
     def at(self, when_s: float, what: Callable[[float], None]) -> None:
         heapq.heappush(self.queue, (when_s, next(self.order), what))
 
     def call(self, caller: Caller, now: float) -> None:
-        ask = caller.calls.ask()
+        ask = caller.calls.ask(now)
         cost_s = WHOLE_S if ask.call is Call.WHOLE else CHANGES_S
         if ask.call is not Call.WHOLE and now > caller.answered_s + WATCH_GAP_S:
             cost_s = self.new_watch_s
@@ -102,7 +102,7 @@
         self.at(end_s, partial(self.ended, caller, end))
 
     def ended(self, caller: Caller, end: End, now: float) -> None:
-        pause_s = caller.pause_s(end)
+        pause_s = caller.pause_s(end, now)
         if end is End.ANSWERED:
             caller.known_s = caller.answered_s = now
         else:
@@ -121,12 +121,24 @@
         began = [(0.01 + CHANGES_S * i, caller) for i, caller in enumerate(self.callers)]
         silent_s = began[-1][0]
         for begun_s, caller in began:
-            ask = caller.calls.ask()
+            ask = caller.calls.ask(begun_s)
             assert ask.call is Call.HOLD and ask.wait_s is not None
             caller.term_s = max(silent_s + calls.TERM_S, begun_s + ask.hold_ms / 1000 + calls.HOLD_TERM_S)
             self.at(begun_s + ask.wait_s, partial(self.ended, caller, End.SILENT))
         return self.latest()
 
+    def silence_at_random(self) -> float:
+        """The same, of watches that began each at its own time."""
+        silent_s = 100.0
+        for caller in self.callers:
+            pace = caller.calls.pace
+            begun_s = silent_s - caller.rng.random() * pace.hold_ms(caller.calls.me, caller.rng) / 1000
+            ask = caller.calls.ask(begun_s)
+            assert ask.wait_s is not None
+            caller.term_s = max(silent_s + calls.TERM_S, begun_s + ask.hold_ms / 1000 + calls.HOLD_TERM_S)
+            self.at(max(silent_s, begun_s + ask.wait_s), partial(self.ended, caller, End.SILENT))
+        return self.latest()
+
     def move(self) -> float:
         """Told to go elsewhere: versions count anew there, so each asks for a whole list."""
         for caller in self.callers:
@@ -159,6 +171,7 @@
         for seed in range(200):
             fleet = Fleet(6, push, seed, new_watch_s=NEW_WATCH_S)
             assert fleet.silence() <= SLACK_S
+            assert Fleet(6, push, seed, new_watch_s=NEW_WATCH_S).silence_at_random() <= SLACK_S
 
 
 @pytest.mark.parametrize("trouble", ["turned away", "broken", "never connected", "unread"])
@@ -181,11 +194,11 @@
 
 
 @pytest.mark.parametrize(("was", "known", "end", "then"), [
-    (Call.HOLD, True, End.SILENT, Call.CATCH_UP),
+    (Call.HOLD, True, End.SILENT, Call.CHECK),
     (Call.HOLD, True, End.REFUSED, Call.CATCH_UP),
     (Call.HOLD, True, End.UNREAD, Call.CATCH_UP),
     (Call.HOLD, True, End.LOST, Call.WHOLE),
-    (Call.CATCH_UP, True, End.SILENT, Call.CATCH_UP),
+    (Call.CATCH_UP, True, End.SILENT, Call.CHECK),
     (Call.CATCH_UP, True, End.REFUSED, Call.CATCH_UP),
     (Call.CATCH_UP, True, End.UNREAD, Call.WHOLE),
     (Call.WHOLE, True, End.UNREAD, Call.CATCH_UP),
@@ -196,21 +209,69 @@
     (Call.WHOLE, False, End.ANSWERED, Call.HOLD),
 ])
 def test_what_is_asked_behind_each_end(was: Call, known: bool, end: End, then: Call) -> None:
-    watch = Calls(6, random.Random(1))
+    watch = Calls(6, 0, random.Random(1))
     watch.next, watch.known = was, known
-    pause_s = watch.ended(end)
+    watch.ask(0.0)
+    pause_s = watch.ended(end, 0.0)
     assert watch.next is then
     # Only a watch that fell silent is followed at once: behind other ends calls must not come at once.
-    assert (pause_s is not None) == (end is End.ANSWERED or (was, end) == (Call.HOLD, End.SILENT))
+    watched = was in (Call.HOLD, Call.CATCH_UP)
+    assert (pause_s is not None) == (end is End.ANSWERED or watched and end is End.SILENT)
+
+
+# How a call behind a silence may end, and how long that takes at the most.
+ENDS = {"answered": (End.ANSWERED, 0.9), "turned away": (End.REFUSED, 0.004),
+        "never connected": (End.REFUSED, calls.CALL_S), "silent again": (End.SILENT, calls.CHECK_S),
+        "unread": (End.UNREAD, 0.9), "lost": (End.LOST, 0.01)}
+
+
+@pytest.mark.parametrize("watched", [Call.HOLD, Call.CATCH_UP])
+@pytest.mark.parametrize("balancers", FLEETS)
+def test_behind_a_silence_it_asks_again_in_each_order_of_ends(balancers: int, watched: Call) -> None:
+    """All orders of five ends. Its term is reckoned from the call, stands until an answer comes, and no pause
+    is longer than that between two checks until the recovery is given up."""
+    for order in itertools.product(ENDS, repeat=5):
+        watch = Calls(balancers, balancers - 1, random.Random(1))
+        watch.next, watch.known = watched, True
+        ask = watch.ask(0.0)
+        assert ask.wait_s is not None
+        term_s = max(calls.TERM_S, ask.hold_ms / 1000 + calls.HOLD_TERM_S)
+        now = ask.wait_s
+        pause_s = watch.ended(End.SILENT, now)
+        for end, took_s in (ENDS[name] for name in order):
+            assert watch.term_s == term_s
+            if pause_s is None:
+                assert now > term_s + calls.RECOVER_S
+                pause_s = watch.again()
+            assert pause_s <= watch.pace.recheck_s or now > term_s + calls.RECOVER_S
+            now += pause_s
+            ask = watch.ask(now)
+            assert ask.hold_ms == 0  # a hold would keep what was missed, if nothing was
+            now += took_s
+            pause_s = watch.ended(end, now)
+            if end is End.ANSWERED:
+                assert watch.term_s is None and watch.next is Call.HOLD
+                break
+
+
+def test_a_second_silence_does_not_put_off_the_term_of_the_first() -> None:
+    watch = Calls(6, 0, random.Random(1))
+    watch.next, watch.known = Call.CATCH_UP, True
+    ask = watch.ask(0.0)
+    watch.ended(End.SILENT, 4.0)
+    watch.next = Call.HOLD
+    watch.ask(5.0)
+    watch.ended(End.SILENT, 10.0)
+    assert watch.term_s == max(calls.TERM_S, ask.hold_ms / 1000 + calls.HOLD_TERM_S)
 
 
 @pytest.mark.parametrize("balancers", FLEETS)
 def test_a_second_is_left_behind_each_call_that_is_given_up(balancers: int) -> None:
-    watch = Calls(balancers, random.Random(1))
+    watch = Calls(balancers, balancers - 1, random.Random(1))
     for call in (Call.HOLD, Call.CATCH_UP):
         for _ in range(1000):
             watch.next = call
-            ask = watch.ask()
+            ask = watch.ask(0.0)
             assert ask.wait_s is not None
             term_s = max(calls.TERM_S, ask.hold_ms / 1000 + calls.HOLD_TERM_S)
             assert ask.wait_s + 1.0 <= term_s + 1e-9
--- a/tests/test_feed_daemon.py
+++ b/tests/test_feed_daemon.py
@@ -31,6 +31,7 @@
 from lanelift.feed.subscription import Apply
 from lanelift.lab.cluster.real import RealCluster
 from lanelift.leases.fence import Word
+from lanelift.net import calls
 from lanelift.net.disabled import DisabledUpstreams
 from lanelift.net.discovery import Discovery, read_endpoint
 from lanelift.net.siblings import Siblings
@@ -380,7 +381,9 @@
             for bank in (one, two):
                 await bank.close()
     monkeypatch.setattr(listing, "BEAT_S", 0.05)
-    monkeypatch.setattr(listing, "HOLD_MS", 50)
+    monkeypatch.setattr(calls, "HOLD_MS", 50)
+    monkeypatch.setattr(calls, "HOLD_LEAST_MS", 50)
+    monkeypatch.setattr(calls, "SPREAD_EACH_MS", 0)
     run(test())
 
 
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -92,8 +92,11 @@
 @pytest.mark.parametrize("push", [True, False])
 def test_a_watch_that_fell_silent_is_given_up_before_its_changes_count_as_told(
         push: bool, monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
-    assert calls.HOLD_MS / 1000 + calls.GRACE_S < 6
+    most_ms = calls.Pace.of(1).most_hold_ms
+    assert most_ms / 1000 + calls.GRACE_S < 6
     monkeypatch.setattr(calls, "HOLD_MS", 100)
+    monkeypatch.setattr(calls, "HOLD_LEAST_MS", 100)
+    monkeypatch.setattr(calls, "SPREAD_EACH_MS", 0)
     monkeypatch.setattr(calls, "CATCH_UP_MS", 50)
     monkeypatch.setattr(calls, "GRACE_S", 0.1)
 
@@ -142,7 +145,7 @@
                 SETTINGS.limits, 4, (), Store(1)))
             watch = discovery.Discovery(driver, ("127.0.0.1", 1), 1)
             assert balancers / (watch.calls.hold_ms / 1000) < calls_s
-            assert watch.calls.pace_s < 0.2  # a watch that pauses longer has ended
+            assert watch.calls.pace.pause_s < 0.2  # a watch that pauses longer has ended
 
     run(test())
 
