--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -117,6 +117,37 @@
     run(test())
 
 
+@pytest.mark.parametrize("push", [True, False])
+def test_by_a_list_that_is_older_than_its_term_nothing_is_sent(
+        push: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a silent watch hid counts as told by then: one of the upstreams may drain, and none tells."""
+    for name, value in (("HOLD_MS", 100), ("HOLD_LEAST_MS", 100), ("SPREAD_EACH_MS", 0), ("TERM_S", 0.3),
+                        ("HOLD_TERM_S", 0.1), ("GRACE_S", 0.1), ("CHECK_S", 0.1)):
+        monkeypatch.setattr(calls, name, value)
+
+    async def test() -> None:
+        rules = replace(SETTINGS.rules, stop_sending_within_ns=SECOND // 2)
+        async with world(settings=replace(SETTINGS, discovery_push=push, rules=rules)) as w:
+            await w.watching()
+            w.discovery.silent = True
+            answers = []
+            for number in range(60):
+                answers.append((await w.ask(f"r{number}", X_Deadline_Ms=100)).status)
+                if answers[-1] != 200:
+                    break
+                await asyncio.sleep(0.05)
+            assert answers[0] == 200 and answers[-1] == 503
+            sent = len(w.upstreams[0].seen)
+            assert (await w.ask("again", X_Deadline_Ms=100)).status == 503
+            assert len(w.upstreams[0].seen) == sent
+            w.discovery.silent = False
+            w.discovery.change(w.upstreams[0].row())
+            await w.watching()
+            assert (await w.ask("last")).status == 200
+
+    run(test())
+
+
 def test_a_list_that_is_known_is_brought_up_to_date_by_its_changes_also_after_calls_were_turned_away(
         heard: Heard) -> None:
     """Forty balancers that each ask for sixty lines at a start, and again after each 503, leave discovery no
