Lists: nothing new is sent by one that is older than a hidden change may go unknown

Cause: a list was trusted however old it was; what six or thirty watches can't learn in time after a silence was sent by all the same. Draining upstreams answer as before (trace of: dozens of 200), so no answer tells them apart.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -569,6 +569,7 @@
         self.banned: set[int] = set()  # by operators, listed or not
         self.back: dict[int, int] = {}  # put back by them, and when
         self.plan = api.Plan()
+        self.trusted = True  # the list is not older than a change may go unknown
         self.alone: dict[int, Server] = {}  # those left alone for now
         self.ready: list[Server] = []  # usable ones, by their spot on the ring
         self.mine: list[Server] = []  # the same in this proxy's own order
@@ -732,7 +733,9 @@
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def fit(self, s: Server, now: int) -> bool:
-        if not s.usable or now < s.barred_ns or s.part < 1.0 and self.rng.random() >= s.part:
+        if not s.usable or not self.trusted or now < s.barred_ns:
+            return False
+        if s.part < 1.0 and self.rng.random() >= s.part:
             return False
         # One that failed or is still cold is tried with one request at a time.
         # Where upstreams are asked for their load before each send, own counts add nothing to it.
@@ -879,6 +882,8 @@
                 self.requests[e.request].begun = True
             elif type(e) is api.BodyWhole:
                 self._whole(e, now)
+            elif type(e) is api.ListTrust:
+                self.fleet.trusted = e.trusted
             elif type(e) is api.Ban:
                 self.fleet.ban(e, now)
             elif type(e) is api.Learnt:
@@ -1230,6 +1235,9 @@
         jammed = False
         able = pool.able(now) if pool.line else 0
         while pool.line:
+            if not fleet.trusted:
+                jammed = True  # nowhere may be sent to: who waits may still be sent once the list is known
+                break
             r = pool.line[0]
             if r.asked and now < r.asked_ns + self.look_ns and any(s.load_ns < r.asked_ns for s in r.asked):
                 break  # who waits for an answer to a question is not held up by a want of room
--- a/lanelift/interface.py
+++ b/lanelift/interface.py
@@ -154,6 +154,12 @@
     upstreams: Sequence[Upstream] = ()
 
 
+class ListTrust(NamedTuple):
+    """May the list be gone by? Not where it is older than a change may go unknown: any upstream may drain."""
+
+    trusted: bool
+
+
 class Arrival(NamedTuple):
     """A client's request; the proxy now owes it one final answer."""
 
@@ -257,8 +263,8 @@
     cold: Mapping[int, float] = {}  # cold upstream -> requests a second that this proxy may send it
 
 
-Event = (ListUpdate | Arrival | BodyWhole | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage
-         | Wake | Ban | Learnt | Plan)
+Event = (ListUpdate | ListTrust | Arrival | BodyWhole | Outcome | AnswerBegun | ClientGone | ProbeResult
+         | PeerMessage | Wake | Ban | Learnt | Plan)
 
 # ---- actions -------------------------------------------------------------------------------------------
 
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -16,6 +16,7 @@
 from lanelift.net.calls import CALL_S, Call, Calls, End
 from lanelift.net.driver import Driver
 from lanelift.net.http import Connection, Exchange
+from lanelift.net.listage import ListAge
 from lanelift.net.parse import Response, message
 from lanelift.net.upstream import Endpoint, number_of
 from lanelift.settings import Json, Malformed, maybe, need, split_address, typed, word
@@ -91,6 +92,7 @@
         self.address = address
         self.push = driver.settings.discovery_push
         self.calls = Calls(driver.settings.replicas_of_me, driver.settings.me, random.Random(seed))
+        self.age = ListAge(driver)
         self.version = -1
         self.answered_s = 0.0  # when it last said something, be it that nothing changed
         self.connection: Connection | None = None
@@ -138,6 +140,8 @@
         """One call at a time: what was under way is dropped, its answer with it."""
         if self.task is not None:
             self.task.cancel()
+        if work is None:
+            self.age.close()
         self.task = asyncio.get_running_loop().create_task(work) if work is not None else None
 
     async def _watch(self) -> None:
@@ -149,6 +153,8 @@
             except Exception as error:
                 pause_s = self.calls.ended(end_of(error), time.monotonic())
                 self._failed(error)  # the old list stands
+                if self.calls.term_s is not None:
+                    self.age.fell_silent(self.calls.term_s)
             if pause_s is None and not self.push:
                 self.watching = False
                 self.tell(api.ListKind.FAILED, [])  # the module says when to ask again
@@ -185,6 +191,7 @@
         if version < self.version or (version == self.version and not full):
             endpoints, full = [], False
         self.version = max(self.version, version)
+        self.age.answered()
         if endpoints or full or not self.push:
             self.tell(api.ListKind.FULL if full else api.ListKind.DELTA, endpoints)
 
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -144,6 +144,11 @@
             self.told.set()
         self.post(api.ListUpdate(kind, [e.entry for e in endpoints]))
 
+    def trust(self, on: bool) -> None:
+        """May the list be gone by? While not, nothing new begins at any upstream."""
+        self.upstreams.trusted = on
+        self.post(api.ListTrust(on))
+
     async def can_serve(self, seconds: float) -> bool:
         """Wait for that, so long at the most."""
         with suppress(TimeoutError):
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -69,6 +69,7 @@
         self.columns = frozenset(columns)
         self.probe_path = b"/status/load" if columns else b"/health"
         self.targets: dict[int, Target] = {}
+        self.trusted = True  # the list is not older than a change may go unknown
         self.banned: set[int] = set()  # by operators: not probed, and no connection to one is kept
         self.listed: dict[int, None] = {}  # every upstream that a list named, the newest last
         self.connections = 0  # those open and those being opened
