--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -67,6 +67,23 @@
     run(test())
 
 
+def test_the_head_of_a_body_in_pieces_tells_no_more_than_its_client_waits() -> None:
+    deadline_ms = 400
+
+    async def test() -> None:
+        async with world(settings=PATIENT) as w:
+            client = await w.client()
+            client.send("r1", "pay", "POST", X_Deadline_Ms=deadline_ms, Content_Length=LONG)
+            client.writer.write(b"x" * (LONG - 1))
+            await until_connected(w)
+            client.writer.write(b"x")
+            assert (await read_message(client.reader)).status == 200
+            assert told_ms(w.upstreams[0].seen[0]) <= deadline_ms
+            client.close()
+
+    run(test())
+
+
 def test_the_last_byte_of_a_body_is_not_written_when_its_head_tells_too_much_by_then(
         heard: Heard, monkeypatch: pytest.MonkeyPatch) -> None:
     """Its upstream reads slowly: the client's time runs on from its last byte, while that waits here."""
