Rules: one module says what may be sent, repeated, finished, refused, told now

Change: lanelift/rules.py (pure) answers with Allowed or Denied(reason); an attempt (net/attempt.py) makes its bytes when its connection is up, from what is left then, and is asked again before the last byte of a body; a denial there is counted and logged (net/denials.py). The module asks the same rules: decisions the same to the byte. An attempt that can't start for an exception has its outcome all the same. Other paths of the class: retries, second copies, sends on idle connections, all through OutgoingAttempt.begin; probes tell no time. The red test of the last byte had paused discovery's connection by mistake: it now pauses the upstream's.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -18,7 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PYTHON = ROOT / ".venv/bin/python"
 COMPILED = ROOT / ".compiled"
-HOT = ("lanelift/decide.py", "lanelift/interface.py", "lanelift/net/parse.py")
+HOT = ("lanelift/decide.py", "lanelift/interface.py", "lanelift/rules.py", "lanelift/net/parse.py")
 # What the platform's `run` and `sim` need; the operators' larger program is installed by pip.
 PACKAGE = ("lanelift/*.py", "lanelift/net/*.py")
 LONGEST_S = 600
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -16,6 +16,8 @@
 from operator import attrgetter
 
 from lanelift import interface as api
+from lanelift import rules
+from lanelift.rules import Denied, Reason
 
 SECOND = 1_000_000_000
 BY_SPOT, BY_TURN, BY_WAY = attrgetter("spot"), attrgetter("turn"), attrgetter("way")
@@ -139,19 +141,26 @@
         return sum(a.result is None for a in self.attempts)
 
     def may_send(self, server: Server, now: int, limits: api.Limits) -> bool:
-        if self.over or self.begun or now >= self.deadline_ns or len(self.attempts) >= limits.max_attempts:
-            return False
-        if not server.usable or self.out >= (2 if limits.second_copies else 1):
-            return False
-        if not open_to(server.entry, self.cls) or not self.has_turn(now):
-            return False
-        if self.attempts and not self.again:
-            return False
+        return not isinstance(self.verdict(server, now, limits), Denied)
+
+    def verdict(self, server: Server, now: int, limits: api.Limits) -> rules.Verdict:
+        """May it be sent to this upstream now?"""
+        attempt = rules.Attempt(now, self.deadline_ns, len(self.attempts), self.out, self.over,
+                                stream_begun=self.begun, body_at_hand=self.again or not self.attempts)
+        verdict = rules.may_attempt(attempt, limits, rules.most_out(limits))
+        if isinstance(verdict, Denied):
+            return verdict
+        if not server.usable:
+            return rules.DENIED[Reason.UPSTREAM]
+        if not open_to(server.entry, self.cls):
+            return rules.DENIED[Reason.PLACE]
+        if not self.has_turn(now):
+            return rules.DENIED[Reason.TURN]
         risky = [a for a in self.attempts if a.may_have_run]
-        if not risky or self.cls.effect is api.Effect.SAFE:
-            return True
-        fresh = self.cls.effect is api.Effect.KEYED and now - risky[0].sent_ns < self.cls.window_ns
-        return fresh and all(self._same_group(a.server, server) for a in risky)
+        if not risky:
+            return rules.ALLOWED
+        same_group = all(self._same_group(a.server, server) for a in risky)
+        return rules.may_repeat(self.cls, now - risky[0].sent_ns, same_group)
 
     def repeat_ns(self, now: int) -> int:
         """Rule 2: how long a repeat may yet begin, where that has an end; else 0."""
@@ -163,9 +172,8 @@
         return self.turn is None or (self.turn.waiting[0] is self and now >= self.turn_ns)
 
     def may_refuse(self) -> bool:
-        everywhere = self.cls.effect is api.Effect.KEYED and self.cls.scope is api.Scope.ALL
-        return (self.cls.effect is api.Effect.SAFE or everywhere
-                or not any(a.may_have_run for a in self.attempts))
+        may_have_run = any(a.may_have_run for a in self.attempts)
+        return not isinstance(rules.may_refuse(self.cls, may_have_run), Denied)
 
     def _same_group(self, x: Server, y: Server) -> bool:
         if self.cls.scope is api.Scope.ALL:
--- a/lanelift/net/body.py
+++ b/lanelift/net/body.py
@@ -42,8 +42,8 @@
 
     A body that is kept can be read again from its start as long as it was never full: `whole_again`."""
 
-    __slots__ = ("length", "store", "keep", "source", "changed", "pieces", "next", "held", "ended", "failed",
-                 "paused", "dropped")
+    __slots__ = ("length", "store", "keep", "source", "changed", "pieces", "next", "taken", "held", "ended",
+                 "failed", "paused", "dropped")
 
     def __init__(self, length: int | None, store: Store, keep: bool = False) -> None:
         self.length = length  # as its sender announced it
@@ -53,6 +53,7 @@
         self.changed: Callable[[], None] | None = None
         self.pieces: list[bytes] = []
         self.next = 0  # the first that was not taken
+        self.taken = 0  # bytes
         self.held = 0
         self.ended = False
         self.failed = False
@@ -95,6 +96,13 @@
         """It is whole, and all of it was taken."""
         return self.ended and self.next == len(self.pieces)
 
+    @property
+    def ends_next(self) -> bool:
+        """Is what is taken next its last piece, or the mark of its end?"""
+        if self.length is None:
+            return self.ended and len(self.pieces) - self.next <= 1
+        return self.next < len(self.pieces) and self.taken + len(self.pieces[self.next]) >= self.length
+
     @property
     def whole_again(self) -> bool:
         return not (self.dropped or self.failed)
@@ -105,6 +113,7 @@
             return None
         piece = self.pieces[self.next]
         self.next += 1
+        self.taken += len(piece)
         # What may be wanted again is let go only when it stands in the way.
         if not self.keep or self.paused:
             self._let_go()
@@ -117,7 +126,7 @@
     def rewind(self) -> None:
         """Read it from its start again."""
         assert self.whole_again
-        self.next = 0
+        self.next = self.taken = 0
         self.changed = None
 
     def drop(self) -> None:
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -11,38 +11,23 @@
 import time
 from collections.abc import Callable, Sequence
 from contextlib import suppress
-from dataclasses import dataclass, field
 from typing import Protocol
 
 from lanelift import interface as api
 from lanelift.decide import Balancer
-from lanelift.net.body import Body
-from lanelift.net.http import Exchange
-from lanelift.net.parse import Headers, Response
+from lanelift.net.attempt import OutgoingAttempt
+from lanelift.net.denials import Denials
+from lanelift.net.parse import Response
+from lanelift.net.requests import Client, OpenRequest
 from lanelift.net.timers import call_after
-from lanelift.net.upstream import Endpoint, Report, Upstreams, attempt_request, number_of
+from lanelift.net.upstream import Endpoint, Report, Timing, Upstreams, number_of
+from lanelift.rules import Denied
 
 log = logging.getLogger(__name__)
 
 OVERDUE_S = 0.008  # after its deadline a request that the module has not ended is ended here
 
 
-class Client(Protocol):
-    """Whoever waits for the one final answer."""
-
-    def served(self, response: Response) -> None: ...
-
-    def refused(self, retry_after_ns: int) -> None: ...
-
-    def failed(self, status: int) -> None: ...
-
-    def abort(self) -> None: ...
-
-    @property
-    def gone(self) -> bool:
-        """Has it closed its connection, as far as the kernel knows?"""
-
-
 class Discovery(Protocol):
     def subscribe(self, on: bool) -> None: ...
 
@@ -53,24 +38,6 @@
     def tell(self, peer: int, data: bytes) -> None: ...
 
 
-@dataclass(slots=True, eq=False)
-class OpenRequest:
-    arrival: api.Arrival
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    client: Client
-    stream: Body | None = None  # the body, where it comes in pieces
-    attempts: list[Exchange | None] = field(default_factory=list)  # None: over, or never sent
-    sent: int = 0  # attempts without an outcome
-    over: bool = False  # answered, or its client has gone
-    timed_out: bool = False  # the last outcome was a time-out
-    whole_ns: int = 0  # when the last byte of such a body came
-    timeout_ns: int = 0  # of the attempt that waits for it
-    overdue: asyncio.TimerHandle | None = None
-
-
 class Driver:
     def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams) -> None:
         self.settings = settings
@@ -79,6 +46,7 @@
         self.peers: Peers | None = None
         self.loop = asyncio.get_running_loop()
         self.balancer = Balancer(settings, seed, time.monotonic_ns())
+        self.denials = Denials()
         self.requests: dict[str, OpenRequest] = {}
         self.open = 0  # requests that are owed an answer
         self.waiting: list[api.Event] = []
@@ -271,14 +239,10 @@
             log.error("send for request %s, which is not open", action.request)
             return
         number = len(request.attempts)
+        attempt = self._attempt(request, number, action, now)
+        verdict = attempt.verdict(now)
         request.attempts.append(None)
         request.sent += 1
-        limits = self.settings.limits
-        left = request.arrival.deadline_ns - now
-        stream = request.stream
-        legal = (self._wanted(request) and left > 0 and number < limits.max_attempts
-                 and request.sent <= (2 if limits.second_copies and stream is None else 1)
-                 and (stream is None or stream.whole_again))
 
         def ended(result: api.Result, response: Response | None = None, report: Report = None) -> None:
             exchange = request.attempts[number]
@@ -287,35 +251,33 @@
             took = time.monotonic_ns() - began - (exchange.unread_ns if exchange is not None else 0)
             self._ended(request, number, action.upstream, result, max(0, took), response, report)
 
-        if legal and action.timeout_ns < 0:
+        if isinstance(verdict, Denied):
+            attempt.denied(verdict, "decided")
+            ended(api.Result.MOOT)
+        elif action.timeout_ns < 0:
             ended(api.Result.TIMEOUT)
-            return
-        if legal:
-            whole = request.arrival.whole
-            longest = self.settings.classes[request.arrival.class_name].deadline_ns
-            wait = min(action.timeout_ns or longest, longest)
-            if whole:
-                wait = self._wait(request, wait)
-            request.timeout_ns = action.timeout_ns
+        else:
             try:
-                outgoing = attempt_request(request.method, request.target, request.headers, request.body,
-                                           max(1, wait // 1_000_000), stream)
-                if stream is not None:
-                    stream.rewind()
                 request.attempts[number] = self.upstreams.send(
-                    action.upstream, outgoing, wait / 1e9 if whole else None, ended, stream,
-                    request.method == b"HEAD", lambda: self._wanted(request), action.begin_ns / 1e9)
+                    action.upstream, attempt, ended, self._timing(attempt, now, action.begin_ns),
+                    request.stream, request.method == b"HEAD")
             except Exception:  # it still has its one outcome, below
                 self._blame("an attempt could not start", [action])
-        if request.attempts[number] is None:
-            ended(api.Result.MOOT)
-
-    def _wanted(self, request: OpenRequest) -> bool:
-        """Asked ahead of each attempt, and again when its connection is up: does anybody still wait for it? A
-        client's close may lie unread for as long as the loop is late, or its connection is not read from."""
-        if not request.over and request.client.gone:
-            self.client_gone(request)
-        return not request.over
+            if request.attempts[number] is None:
+                ended(api.Result.MOOT)
+
+    def _attempt(self, request: OpenRequest, number: int, action: api.Send, now: int) -> OutgoingAttempt:
+        longest = self.settings.classes[request.arrival.class_name].deadline_ns
+        timeout_ns = min(action.timeout_ns or longest, longest)
+        request.timeout_ns = action.timeout_ns
+        return OutgoingAttempt(request, number, self.settings.limits, self.denials, self.client_gone,
+                               timeout_ns, now + timeout_ns, now + action.begin_ns if action.begin_ns else 0)
+
+    def _timing(self, attempt: OutgoingAttempt, now: int, begin_ns: int) -> Timing:
+        """Without a limit, it waits for a body that is still to come."""
+        if not attempt.request.arrival.whole:
+            return Timing(None, begin_ns / 1e9)
+        return Timing(self._wait(attempt.request, attempt.until_ns - now) / 1e9, begin_ns / 1e9)
 
     def _ended(self, request: OpenRequest, number: int, upstream: int, result: api.Result, took_ns: int,
                response: Response | None, report: Report) -> None:
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -16,11 +16,12 @@
 
 from lanelift import interface as api
 from lanelift.net.body import Body, Store
-from lanelift.net.driver import Driver, OpenRequest
+from lanelift.net.driver import Driver
 from lanelift.net.http import LAST_CHUNK, Reading, chunk, end_to_end
 from lanelift.net.kernel import Socket, readable, received
 from lanelift.net.listener import leave_to_successor, listen
 from lanelift.net.parse import MAX_BODY, Headers, Request, RequestReader, Response, Unacceptable, message
+from lanelift.net.requests import OpenRequest
 from lanelift.net.timers import call_after
 
 log = logging.getLogger(__name__)
@@ -540,7 +541,8 @@
             self._answer(error.status, [], f"{error}\n".encode(), last=stream is not None)
             return
         headers = [row for row in end_to_end(head.headers) if row[0] not in NOT_OURS]
-        request = OpenRequest(arrival, head.method, head.target, headers, head.body, self, stream)
+        request = OpenRequest(arrival, head.method, head.target, headers, head.body, self,
+                              max(0, self.wait_ns - ANSWER_NS), stream)
         self.open = request
         if stream is None:
             self.frontend.busy(self)
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -8,12 +8,14 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import cast
+from dataclasses import dataclass
+from typing import Protocol, cast
 
 from lanelift.interface import Result
 from lanelift.net.body import PIECE, Body, Store
 from lanelift.net.kernel import readable, received
 from lanelift.net.parse import MAX_BODY, Response, ResponseReader
+from lanelift.rules import ALLOWED, Denied, Reason, Verdict
 
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
                         b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -55,18 +57,41 @@
         raise NotImplementedError
 
 
+class Outgoing(Protocol):
+    """A request on its way out. It is asked at the last moment, and makes its bytes then."""
+
+    def begin(self, usable: Verdict) -> bytes | Denied:
+        """All of it but a body in pieces, to be written now. `usable`: may the other side be sent something
+        new?"""
+
+    def may_finish(self) -> bool:
+        """May the last byte of a body in pieces be written now?"""
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """A request that is the same whenever it is written."""
+
+    data: bytes
+
+    def begin(self, usable: Verdict) -> bytes | Denied:
+        return self.data
+
+    def may_finish(self) -> bool:
+        return True
+
+
 class Exchange:
     """A request and its end, told exactly once: OK with a response, or why there is none. The body of a long
     response comes in pieces, and may still fail."""
 
-    __slots__ = ("request", "body", "max_body", "store", "head_only", "wanted", "done", "written",
+    __slots__ = ("request", "body", "max_body", "store", "head_only", "done", "written",
                  "connection", "timer", "begin_timer", "unread_ns")
 
-    def __init__(self, request: bytes, done: Callable[[Result, Response | None], None],
+    def __init__(self, request: bytes | Outgoing, done: Callable[[Result, Response | None], None],
                  max_body: int = MAX_BODY, body: Body | None = None, store: Store | None = None,
-                 head_only: bool = False, wanted: Callable[[], bool] = lambda: True) -> None:
-        self.request = request
-        self.wanted = wanted  # asked when a connection has come up: does anybody still wait for it?
+                 head_only: bool = False) -> None:
+        self.request: Outgoing = Ready(request) if isinstance(request, bytes) else request
         self.body = body  # follows on the request, in pieces
         self.max_body = max_body
         self.store = store  # a longer answer comes in pieces
@@ -149,13 +174,21 @@
         return (transport is not None and not self.closed and not transport.is_closing()
                 and not readable(transport.get_extra_info("socket")))
 
-    def start(self, exchange: Exchange) -> None:
+    def start(self, exchange: Exchange, usable: Verdict = ALLOWED) -> None:
+        """Write it, if it may still begin. Else it ends as never sent, on the loop's next turn, and the
+        connection is free for the next one."""
         assert self.transport is not None
+        data = exchange.request.begin(usable)
+        if isinstance(data, Denied):
+            self.released(self)
+            result = Result.CONNECT_FAILED if data.reason is Reason.UPSTREAM else Result.MOOT
+            asyncio.get_running_loop().call_soon(exchange.give_up, result)
+            return
         self.exchange, exchange.connection = exchange, self
         self.reader.expect(exchange.max_body, exchange.store, exchange.head_only)
         self.writable = True
         exchange.written = exchange.body is None  # unless the transport says that it could not take all
-        self.transport.write(exchange.request)
+        self.transport.write(data)
         if exchange.body is not None:
             exchange.body.changed = self._pump
             self._pump()
@@ -186,6 +219,9 @@
             self.abort()  # its last byte will never be written
             return
         while self.writable:
+            if body.ends_next and not exchange.request.may_finish():
+                self.abort()  # its last byte will never be written
+                return
             piece = body.take()
             if piece is None:
                 break
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -12,9 +12,10 @@
 
 from lanelift import interface as api
 from lanelift.net.body import Body, Store
-from lanelift.net.http import Connection, Exchange
-from lanelift.net.parse import MAX_BODY, Headers, Response, message
+from lanelift.net.http import Connection, Exchange, Outgoing
+from lanelift.net.parse import MAX_BODY, Response, message
 from lanelift.net.timers import call_after
+from lanelift.rules import Verdict, may_use
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +50,15 @@
         return self.host, self.port, self.entry.started_ns
 
 
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """How long an attempt may take, in seconds from now on, None: without a limit; and within how long it has
+    to begin, 0: at any time."""
+
+    timeout_s: float | None
+    begin_s: float = 0.0
+
+
 @dataclass(slots=True, eq=False)
 class Target:
     """An upstream's address and its idle connections, the newest last."""
@@ -140,12 +150,10 @@
 
     # ---- attempts and probes -----------------------------------------------------------------------------
 
-    def send(self, number: int, request: bytes, timeout_s: float | None, done: Done, body: Body | None = None,
-             head_only: bool = False, wanted: Callable[[], bool] = lambda: True,
-             begin_s: float = 0.0) -> Exchange | None:
+    def send(self, number: int, request: bytes | Outgoing, done: Done, timing: Timing,
+             body: Body | None = None, head_only: bool = False) -> Exchange | None:
         """Start one attempt; None if there is no such upstream, or operators took it out. The outcome never
-        comes within this call. Without a limit, it waits for a body that is still to come. With a time to
-        begin it is moot if no connection is up by then."""
+        comes within this call. With a time to begin it is moot if no connection is up by then."""
         target = self.targets.get(number)
         if target is None or number in self.banned:
             return None
@@ -154,12 +162,12 @@
             report = self._report(response.header(b"x-load")) if response is not None else None
             done(outcome(result, response), response, report)
 
-        exchange = Exchange(request, ended, MAX_BODY, body, self.store, head_only, wanted)
+        exchange = Exchange(request, ended, MAX_BODY, body, self.store, head_only)
         self._start(target, exchange)
-        if begin_s:
-            exchange.begin_in(begin_s)
-        if timeout_s is not None:
-            exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
+        if timing.begin_s:
+            exchange.begin_in(timing.begin_s)
+        if timing.timeout_s is not None:
+            exchange.expire_in(timing.timeout_s)  # last: what could not start must not come to a second end
         return exchange
 
     def probe(self, number: int, done: Callable[[api.Result, Report], None]) -> bool:
@@ -193,7 +201,7 @@
         loop = asyncio.get_running_loop()
         connection = self._idle(target, loop.time())
         if connection is not None:
-            connection.start(exchange)
+            connection.start(exchange, self._usable(target))
             return
         if self.connections >= self.max_connections and not self._make_room():
             self._short()
@@ -204,6 +212,9 @@
         self.connecting.add(task)
         task.add_done_callback(self.connecting.discard)
 
+    def _usable(self, target: Target) -> Verdict:
+        return may_use(target.keep, self.trusted)
+
     def _idle(self, target: Target, now: float) -> Connection | None:
         """The newest that has settled: the others may come to rest and close. Failing that, the oldest."""
         settled = next((c for c in reversed(target.idle) if now - c.idle_since >= SETTLE_S), None)
@@ -237,16 +248,19 @@
             here = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
             exchange.give_up(api.Result.MOOT if here else api.Result.CONNECT_FAILED)
             return
-        if connection.closed or not target.keep:
-            # The upstream drains, went or restarted while the connection came up, or was taken out: an
-            # attempt that began now would be a new one for it.
-            connection.abort()
+        if connection.closed:
             exchange.give_up(api.Result.CONNECT_FAILED)
-        elif exchange.done is None or not exchange.wanted():  # the connection serves the next one
+        elif exchange.done is None:  # it is over by now: the connection serves the next one
             self._released(target, connection)
-            exchange.give_up(api.Result.MOOT)
         else:
-            connection.start(exchange)
+            # The upstream may drain, have gone or restarted, or been disabled while the connection came up:
+            # an attempt that began now would be a new one for it.
+            try:
+                connection.start(exchange, self._usable(target))
+            except Exception:  # its request is owed an end all the same
+                log.exception("an attempt could not start")
+                connection.abort()
+                exchange.give_up(api.Result.RESET if exchange.written else api.Result.MOOT)
 
     def _released(self, target: Target, connection: Connection) -> None:
         if not target.keep:
@@ -327,15 +341,3 @@
         if name in columns and math.isfinite(figure) and figure >= 0:
             report[name] = figure
     return report or None
-
-
-def attempt_request(method: bytes, target: bytes, headers: Headers, body: bytes, wait_ms: int,
-                    stream: Body | None = None) -> bytes:
-    """The client's request as it goes on: with its own length, and how long this balancer will wait."""
-    rows = [*headers, (b"X-Deadline-Ms", b"%d" % wait_ms)]
-    if stream is not None:
-        rows.append((b"Transfer-Encoding", b"chunked") if stream.length is None
-                    else (b"Content-Length", b"%d" % stream.length))
-    elif body or method not in (b"GET", b"HEAD"):
-        rows.append((b"Content-Length", b"%d" % len(body)))
-    return message(b"%b %b HTTP/1.1" % (method, target), rows, body)
--- a/tests/test_deadlines.py
+++ b/tests/test_deadlines.py
@@ -7,13 +7,22 @@
 from collections.abc import Iterator
 from contextlib import closing
 from dataclasses import replace
+from unittest import mock
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lanelift import interface as api
+from lanelift.net.attempt import OutgoingAttempt
+from lanelift.net.body import Body, Store
+from lanelift.net.denials import Denials
 from lanelift.net.frontend import Frontend
 from lanelift.net.http import Connection, Exchange
-from tests.fakes import SECOND, SETTINGS, Heard, Message, World, answer, read_message, run, world
+from lanelift.net.parse import Response
+from lanelift.net.requests import OpenRequest
+from lanelift.rules import ALLOWED, Denied, Verdict
+from tests.fakes import MS, SECOND, SETTINGS, Heard, Message, World, answer, read_message, run, world
 from tests.test_races import blocked, held_connection, plain
 
 SLACK_MS = 150  # a process may be held up for so long between reading its clock and writing
@@ -27,9 +36,9 @@
     times: list[int] = []
     start = Connection.start
 
-    def noted(connection: Connection, exchange: Exchange) -> None:
+    def noted(connection: Connection, exchange: Exchange, *usable: Verdict) -> None:
         times.append(time.monotonic_ns())
-        start(connection, exchange)
+        start(connection, exchange, *usable)
 
     monkeypatch.setattr(Connection, "start", noted)
     yield times
@@ -87,27 +96,30 @@
 def test_the_last_byte_of_a_body_is_not_written_when_its_head_tells_too_much_by_then(
         heard: Heard, monkeypatch: pytest.MonkeyPatch) -> None:
     """Its upstream reads slowly: the client's time runs on from its last byte, while that waits here."""
-    started: list[Connection] = []
+    started: list[tuple[Connection, Body]] = []
     start = Connection.start
 
-    def keep(connection: Connection, exchange: Exchange) -> None:
-        start(connection, exchange)
-        started.append(connection)
+    def keep(connection: Connection, exchange: Exchange, *usable: Verdict) -> None:
+        if exchange.body is not None:
+            started.append((connection, exchange.body))
+        start(connection, exchange, *usable)
 
     monkeypatch.setattr(Connection, "start", keep)
+    go_on = Connection.resume_writing
 
     async def test() -> None:
         async with world(settings=PATIENT) as w:
             client = await w.client()
             client.send("r1", "pay", "POST", X_Deadline_Ms=500, Content_Length=LONG)
             client.writer.write(b"x" * (LONG - 1))
-            while not started:
+            while not started or started[0][1].taken < LONG - 1:
                 await asyncio.sleep(0)
-            started[0].pause_writing()
+            started[0][0].pause_writing()
             client.writer.write(b"x")
+            monkeypatch.setattr(Connection, "resume_writing", lambda connection: None)
             await heard.until(lambda: heard.of(api.BodyWhole))
             await asyncio.sleep(0.3)  # time that goes by is what is tested
-            started[0].resume_writing()
+            go_on(started[0][0])
             assert (await read_message(client.reader)).status in (502, 503, 504)
             await w.upstreams[0].until(lambda: w.upstreams[0].ended)
             assert not w.upstreams[0].seen  # none whole
@@ -152,3 +164,57 @@
     run(test())
 
 
+
+
+class StillThere:
+    """A client that waits."""
+
+    gone = False
+
+    def served(self, response: Response) -> None: ...
+
+    def refused(self, retry_after_ns: int) -> None: ...
+
+    def failed(self, status: int) -> None: ...
+
+    def abort(self) -> None: ...
+
+
+milliseconds = st.integers(0, 4000)
+
+
+@settings(deadline=None, max_examples=300)
+@given(wait_ms=st.integers(1, 4000), timeout_ms=st.integers(0, 4000), in_pieces=st.booleans(),
+       decided_ms=milliseconds, connect_ms=milliseconds, body_ms=milliseconds, write_ms=milliseconds,
+       held_up_ms=st.integers(0, SLACK_MS), late_ms=st.integers(0, 50), number=st.integers(0, 1))
+def test_whatever_delays_an_attempt_it_tells_no_more_than_its_client_has_left(
+        wait_ms: int, timeout_ms: int, in_pieces: bool, decided_ms: int, connect_ms: int, body_ms: int,
+        write_ms: int, held_up_ms: int, late_ms: int, number: int) -> None:
+    """First tries, retries and second copies. `body_ms`: from the head to the last byte of a body that comes
+    in pieces, `write_ms`: from there to its write, `held_up_ms`: from the look at the clock to the write."""
+    start_ns = 10 * SECOND
+    wait_ns, whole = wait_ms * MS, not in_pieces
+    deadline_ns = start_ns + wait_ns if whole else start_ns + 600 * SECOND
+    arrival = api.Arrival("r1", "pay", "ash", deadline_ns, asked_ns=start_ns, whole=whole)
+    body = Body(10, Store(1024), True) if in_pieces else None
+    request = OpenRequest(arrival, b"POST", b"/pay", [], b"", StillThere(), wait_ns, body,
+                          attempts=[None] * (number + 1), sent=number + 1)
+    limits = api.Limits(max_attempts=2, second_copies=not in_pieces)
+    now_ns = start_ns + decided_ms * MS
+    timeout_ns = (timeout_ms or 4000) * MS
+    attempt = OutgoingAttempt(request, number, limits, Denials(), lambda r: None, timeout_ns,
+                              now_ns + timeout_ns, 0)
+    clock = now_ns + connect_ms * MS
+    with mock.patch("lanelift.net.attempt.time.monotonic_ns", lambda: clock):
+        data = attempt.begin(ALLOWED)
+        if isinstance(data, Denied):
+            return
+        [told] = [int(row.partition(b":")[2]) for row in data.split(b"\r\n") if row.startswith(b"X-Deadline")]
+        if whole:
+            assert told <= (deadline_ns - clock) / MS - held_up_ms + SLACK_MS
+            return
+        asked_ns = clock + body_ms * MS  # its last byte: the client's time runs from there
+        clock = asked_ns + (late_ms + write_ms) * MS
+        request.arrival = arrival._replace(deadline_ns=asked_ns + wait_ns, asked_ns=asked_ns, whole=True)
+        if attempt.may_finish():
+            assert told <= (asked_ns + wait_ns - clock) / MS + SLACK_MS - 50
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -29,7 +29,7 @@
 from lanelift.net.frontend import ClientConnection, Frontend, Phase
 from lanelift.net.parse import message
 from lanelift.net.siblings import Siblings
-from lanelift.net.upstream import Upstreams, number_of
+from lanelift.net.upstream import Timing, Upstreams, number_of
 from lanelift.settings import Json
 from tests.bench import CELL, MS, Desk, arrival, of, settings
 from tests.fakes import (
@@ -297,7 +297,7 @@
                 ended.put_nowait((result, response.body if response is not None else b""))
 
             for body in (b"first", b"second"):  # each on a connection of its own
-                upstreams.send(number_of("s-0"), REQUEST, 5.0, done)
+                upstreams.send(number_of("s-0"), REQUEST, done, Timing(5.0))
                 link, _ = await asyncio.wait_for(loop.sock_accept(server), 5.0)
                 assert await loop.sock_recv(link, 4096) == REQUEST
                 await loop.sock_sendall(link, answer(200, body))
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -18,7 +18,7 @@
 from lanelift.net.discovery import read_endpoint
 from lanelift.net.driver import Driver
 from lanelift.net.parse import message
-from lanelift.net.upstream import Upstreams, number_of
+from lanelift.net.upstream import Timing, Upstreams, number_of
 from lanelift.settings import Malformed, split_address
 from tests.fakes import SECOND, SETTINGS, FakeUpstream, Heard, never, run, world
 
@@ -311,8 +311,8 @@
         ended: asyncio.Queue[api.Result] = asyncio.Queue()
         request = message(b"GET /quote HTTP/1.1", [(b"Host", b"h")])
         for seconds in (0.3, 5.0):
-            upstreams.send(number_of("s-0"), request, seconds,
-                           lambda result, *rest: ended.put_nowait(result))
+            upstreams.send(number_of("s-0"), request,
+                           lambda result, *rest: ended.put_nowait(result), Timing(seconds))
         assert [await ended.get(), await ended.get()] == [api.Result.MOOT, api.Result.TIMEOUT]
         upstreams.close()
         upstream.stop()
