--- a/deploy/build.py
+++ b/deploy/build.py
@@ -18,10 +18,19 @@
 ROOT = Path(__file__).resolve().parent.parent
 PYTHON = ROOT / ".venv/bin/python"
 COMPILED = ROOT / ".compiled"
-HOT = ("lanelift/decide.py", "lanelift/interface.py", "lanelift/rules.py", "lanelift/net/parse.py")
+HOT = ("lanelift/decide/*.py", "lanelift/interface.py", "lanelift/rules.py", "lanelift/net/parse.py")
 # What the platform's `run` and `sim` need; the operators' larger program is installed by pip.
-PACKAGE = ("lanelift/*.py", "lanelift/net/*.py")
+PACKAGE = ("lanelift/*.py", "lanelift/decide/*.py", "lanelift/net/*.py")
 LONGEST_S = 600
+# What compiled modules have to do before they are taken: one request through the decisions.
+TRIAL = """
+from lanelift import interface as api
+from lanelift.decide import Balancer
+balancer = Balancer(api.Settings(classes={"read": api.RequestClass("read")}), seed=1, now=0)
+balancer.handle(0, [api.ListUpdate(api.ListKind.FULL, [api.Upstream(7)])])
+sent = balancer.handle(1, [api.Arrival("r1", "read", "", deadline_ns=1_000_000_000)])
+assert any(isinstance(action, api.Send) for action in sent)
+"""
 
 
 def environment() -> None:
@@ -38,6 +47,12 @@
     return sorted(path for pattern in PACKAGE for path in ROOT.glob(pattern))
 
 
+def hot(folder: Path) -> list[str]:
+    """What is compiled, by its path in the folder: not a package's own file, which only imports."""
+    found = [path.relative_to(folder) for pattern in HOT for path in sorted(folder.glob(pattern))]
+    return [str(path) for path in found if path.name != "__init__.py"]
+
+
 def checksum() -> str:
     total = hashlib.sha256(sys.version.encode() + Path(__file__).read_bytes())
     for path in sources():
@@ -45,6 +60,16 @@
     return total.hexdigest()
 
 
+def tried(folder: Path) -> list[str]:
+    """Why the compiled modules do not run, in one line; empty: they do."""
+    environ = {**os.environ, "PYTHONPATH": str(folder)}
+    done = subprocess.run([PYTHON, "-P", "-c", TRIAL], cwd=folder, env=environ,
+                          timeout=LONGEST_S, capture_output=True, text=True)
+    if not done.returncode:
+        return []
+    return (done.stderr.strip().splitlines() or [f"the compiled modules end with {done.returncode}"])[-1:]
+
+
 def package(wanted: str) -> None:
     stamp = COMPILED / "checksum"
     if stamp.exists() and stamp.read_text() == wanted:
@@ -56,10 +81,11 @@
         copy.parent.mkdir(parents=True, exist_ok=True)
         shutil.copyfile(path, copy)
     try:
-        done = subprocess.run([PYTHON, "-m", "mypyc", "--follow-imports=silent", *HOT], cwd=fresh,
+        done = subprocess.run([PYTHON, "-m", "mypyc", "--follow-imports=silent", *hot(fresh)], cwd=fresh,
                               timeout=LONGEST_S, env={**os.environ, "MYPYC_OPT_LEVEL": "3"},
                               capture_output=True, text=True)
         failed = (done.stderr or done.stdout).strip().splitlines()[-1:] if done.returncode else []
+        failed = failed or tried(fresh)
     except (OSError, subprocess.SubprocessError) as error:
         failed = [str(error)]
     if failed:
--- /dev/null
+++ b/lanelift/decide/clock.py
@@ -0,0 +1,7 @@
+"""Units of time of the decisions: nanoseconds on the caller's clock."""
+
+from __future__ import annotations
+
+from typing import Final
+
+SECOND: Final = 1_000_000_000
--- a/lanelift/lab/experiments.py
+++ b/lanelift/lab/experiments.py
@@ -7,7 +7,7 @@
 import signal
 import statistics
 import time
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -79,7 +79,8 @@
 
 # ---- many runs -------------------------------------------------------------------------------------------
 
-Task = tuple[str, int, str, str | None, str]  # topology as JSON, seed, policy, its text, faults as JSON
+# Topology as JSON, seed, policy, its modules' texts, faults as JSON.
+Task = tuple[str, int, str, Mapping[str, str] | None, str]
 
 
 def _quiet() -> None:
--- a/lanelift/lab/policies.py
+++ b/lanelift/lab/policies.py
@@ -5,20 +5,17 @@
 from __future__ import annotations
 
 import random
-import subprocess
-import sys
-import types
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
 from lanelift import interface as api
 from lanelift.decide import Balancer
+from lanelift.lab import moduletext
 from lanelift.lab.hosts import Maker, Module
 from lanelift.lab.topology import Unusable
 
 HERE = "here"
 REMEMBERING = "here+memory"  # what an instance learnt outlives its restart
-MODULE = "lanelift/decide.py"
 POLL_NS = 500_000_000
 
 
@@ -243,7 +240,7 @@
 class ByName:
     """A maker that can be handed to another process: it builds the policy there, by its name."""
 
-    def __init__(self, name: str, text: str | None = None) -> None:
+    def __init__(self, name: str, text: Mapping[str, str] | None = None) -> None:
         self.name = name
         self.text = text
         self.made: Callable[[api.Settings, int, int], Module] | None = None
@@ -253,10 +250,10 @@
         """Is what an instance learnt handed to its successor?"""
         return self.name == REMEMBERING
 
-    def __getstate__(self) -> tuple[str, str | None]:
+    def __getstate__(self) -> tuple[str, Mapping[str, str] | None]:
         return self.name, self.text
 
-    def __setstate__(self, state: tuple[str, str | None]) -> None:
+    def __setstate__(self, state: tuple[str, Mapping[str, str] | None]) -> None:
         self.name, self.text = state
         self.made = None
 
@@ -272,11 +269,7 @@
             return BROKEN[self.name]
         if self.text is None:
             return Balancer
-        name = f"lanelift_lab_policy_{abs(hash(self.text))}"
-        module = types.ModuleType(name)
-        sys.modules[name] = module  # dataclasses look their module up
-        exec(compile(self.text, self.name, "exec"), module.__dict__)
-        made: Maker = module.__dict__["Balancer"]
+        made: Maker = moduletext.loaded(self.text).Balancer
         return made
 
 
@@ -286,10 +279,10 @@
     if name in (HERE, REMEMBERING) or name in TEXTBOOK or name in BROKEN:
         return ByName(name)
     if Path(name).is_file():
-        return ByName(name, Path(name).read_text(encoding="utf-8"))
-    shown = subprocess.run(["git", "show", f"{name}:{MODULE}"], capture_output=True, text=True, check=False)
-    if shown.returncode != 0:
+        return ByName(name, {moduletext.ROOT: Path(name).read_text(encoding="utf-8")})
+    texts = moduletext.at_revision(name)
+    if not texts:
         raise Unusable(f"{name}: no policy, file or revision of that name; policies are {HERE}, "
                        f"{REMEMBERING}, "
                        f"{', '.join(sorted(TEXTBOOK) + sorted(BROKEN))}")
-    return ByName(name, shown.stdout)
+    return ByName(name, texts)
--- a/lanelift/lab/results.py
+++ b/lanelift/lab/results.py
@@ -28,7 +28,9 @@
 
 
 def versions(policy: str = "here") -> Json:
-    text = resources.files("lanelift").joinpath("decide.py").read_bytes()
+    modules = sorted((m for m in resources.files("lanelift.decide").iterdir() if m.name.endswith(".py")),
+                     key=lambda m: m.name)
+    text = b"".join(m.read_bytes() for m in modules)
     return {"lanelift": metadata.version("lanelift"), "module": hashlib.sha256(text).hexdigest()[:16],
             "policy": policy, "python": platform.python_version()}
 
--- a/lanelift/lab/size/balancer.py
+++ b/lanelift/lab/size/balancer.py
@@ -116,7 +116,7 @@
 
 def is_compiled(program: Path) -> bool:
     """Is the program in that folder? Raises Unusable where there is none."""
-    if not (program / "lanelift" / "decide.py").is_file():
+    if not (program / "lanelift" / "interface.py").is_file():
         raise Unusable(f"{program}: no program is there")
     found = probed(program, kind="classes", size=1, seconds=0.2, per_s=86)
     return bool(found["compiled"])
--- a/lanelift/lab/size/probe.py
+++ b/lanelift/lab/size/probe.py
@@ -22,6 +22,8 @@
 
 from lanelift import decide
 from lanelift import interface as api
+from lanelift.decide import balancer as deciding
+from lanelift.decide.upstream import mixed
 from lanelift.net import upstream
 from lanelift.net.body import Store
 
@@ -59,7 +61,7 @@
 
 def upstreams(count: int, first: int = 0) -> list[api.Upstream]:
     """With ids as large as the program's."""
-    return [api.Upstream(decide.mixed(first + i, 77), api.State.READY, f"zone-{i % ZONES}")
+    return [api.Upstream(mixed(first + i, 77), api.State.READY, f"zone-{i % ZONES}")
             for i in range(count)]
 
 
@@ -215,7 +217,7 @@
 def main() -> None:
     asked = json.loads(sys.argv[1])
     found = KINDS[asked.pop("kind")](**asked)
-    print(json.dumps({**found, "compiled": float(str(decide.__file__).endswith(".so"))}))
+    print(json.dumps({**found, "compiled": float(str(deciding.__file__).endswith(".so"))}))
 
 
 if __name__ == "__main__":
--- a/lanelift/rules.py
+++ b/lanelift/rules.py
@@ -106,6 +106,11 @@
     return ALLOWED if usable else DENIED[Reason.UPSTREAM]
 
 
+def open_to(entry: api.Upstream, cls: api.RequestClass) -> bool:
+    """Is this upstream in a zone and of a kind that the class may go to?"""
+    return (not cls.zones or entry.zone in cls.zones) and (not cls.kinds or entry.kind in cls.kinds)
+
+
 def may_repeat(cls: api.RequestClass, since_first_ns: int, same_group: bool) -> Verdict:
     """May a request be sent to this upstream that may have run before? `since_first_ns`: since the first send
     that may have run. `same_group`: all upstreams that it went to drop each other's repeats."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from lanelift import decide
+from lanelift.decide import balancer as decide
 from lanelift.net import calls
 from lanelift.net.calls import Call, Calls, End
 from tests.fakes import SECOND
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable, Sequence
 
 from lanelift import interface as api
-from lanelift.decide import KEYS, Balancer
+from lanelift.decide import Balancer
+from lanelift.decide.pool import KEYS
 from tests.bench import Desk, settings
 from tests.fakes import MS, SECOND
 
--- a/tests/test_many_tenants.py
+++ b/tests/test_many_tenants.py
@@ -10,6 +10,9 @@
 
 from lanelift import decide
 from lanelift import interface as api
+from lanelift.decide import balancer as balancing
+from lanelift.decide import throttle as buckets
+from lanelift.decide.rate import Rate
 from tests.bench import MS, SECOND, START, upstreams
 
 GAPS = (0, 1, 3 * MS, 11 * MS, 11 * MS, 60 * MS, 499_999_999, 500 * MS, 2 * SECOND, 7 * SECOND)
@@ -21,12 +24,12 @@
         self.accrue(now)
         balance = self.u - self.hold
         self.rate = rate
-        self.bank = max(4, round(rate * decide.BANK_S))
-        self.hold = max(1, round(self.bank * decide.HOLD_PART), len(self.held))
+        self.bank = max(4, round(rate * buckets.BANK_S))
+        self.hold = max(1, round(self.bank * buckets.HOLD_PART), len(self.held))
         self.u = max(0, min(self.bank + self.hold, balance + self.hold))
 
 
-class PlainRate(decide.Rate):
+class PlainRate(Rate):
     """Every tenant in every loop."""
 
     def _learn(self, elapsed: int) -> None:
@@ -63,8 +66,8 @@
 
 def plain(settings: api.Settings, seed: int, now: int) -> decide.Balancer:
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(decide, "Throttle", PlainThrottle)
-        patch.setattr(decide, "Rate", PlainRate)
+        patch.setattr(balancing, "Throttle", PlainThrottle)
+        patch.setattr(balancing, "Rate", PlainRate)
         return PlainBalancer(settings, seed, now)
 
 
@@ -166,8 +169,8 @@
         rng = random.Random(seed)
         weights = [rng.choice((0.3, 0.35, 0.7, 40.3, 41.7)) for _ in range(12)] + [1.7] * 3
         wants = [least * rng.randrange(70) for _ in weights]
-        both: list[decide.Rate] = []
-        for throttle, rate in ((decide.Throttle, decide.Rate), (PlainThrottle, PlainRate)):
+        both: list[Rate] = []
+        for throttle, rate in ((decide.Throttle, Rate), (PlainThrottle, PlainRate)):
             of_it = [throttle(w, random.Random(7), START) for w in weights]
             both.append(rate(of_it, START))
             both[-1].recall(3.0, zip(of_it, wants, strict=True), START)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -3,28 +3,40 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
 
 ROOT = Path(__file__).parent.parent
-LINES = (ROOT / "lanelift" / "decide.py").read_text().splitlines()
+MODULES = sorted((ROOT / "lanelift" / "decide").glob("*.py")) + [ROOT / "lanelift" / "rules.py"]
+MOST_LINES = 500
 
 
-def test_length() -> None:
-    assert sum(bool(line.strip()) for line in LINES) <= 1200
-    assert max(map(len, LINES)) <= 110
+@pytest.mark.parametrize("path", MODULES, ids=lambda path: path.stem)
+class TestDecisionModules:
+    def test_has_one_job_s_length(self, path: Path) -> None:
+        lines = path.read_text().splitlines()
+        assert sum(bool(line.strip()) for line in lines) <= MOST_LINES
+        assert max(map(len, lines)) <= 110
 
+    def test_says_what_it_is_for(self, path: Path) -> None:
+        assert path.read_text().startswith('"""')
 
-def test_names_its_interface_at_the_top() -> None:
-    assert "lanelift/interface.py" in " ".join(LINES[:3])
+    def test_reads_no_clock_and_no_unseeded_chance(self, path: Path) -> None:
+        text = path.read_text()
+        assert "import time" not in text and "from time" not in text
+        assert not [line for line in text.splitlines() if "random." in line and "random.Random" not in line
+                    and "rng.random" not in line]
 
+    def test_is_named_in_the_deploy_file(self, path: Path) -> None:
+        policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+        assert str(path.relative_to(ROOT)) in policy
 
-def test_reads_no_clock_and_no_unseeded_chance() -> None:
-    text = "\n".join(LINES)
-    assert "import time" not in text and "from time" not in text
-    assert not [line for line in LINES if "random." in line and "random.Random" not in line
-                and "rng.random" not in line]
+
+def test_the_package_names_its_interface_at_the_top() -> None:
+    text = (ROOT / "lanelift" / "decide" / "__init__.py").read_text()
+    assert "lanelift/interface.py" in " ".join(text.splitlines()[:3])
 
 
 def test_the_example_of_the_readme_runs(capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -19,9 +19,9 @@
 import pytest
 
 from lanelift import __main__ as program
-from lanelift import decide
 from lanelift import interface as api
 from lanelift.decide import Balancer
+from lanelift.decide import balancer as decide
 from lanelift.net import calls, discovery, frontend
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE
