State folder: what is owed is written until it is written, yes is said of what is saved

Others of the class, found by reading and mended: a file whose read failed once (EIO) counted as read, so a newer set was never heard, and was written over by the older one; look() raised where the folder could not be listed, which ended the watch for good, and took a process for gone whose file could not be opened (EMFILE here), so both went by the whole limits; a note half written was not published again; an enable that was answered no was in force here; fresh files of killed processes piled up in a folder that counts as memory; the copy of the settings (daemon) was not written again, so a reload read the old one. Measured: pytest tests/test_state_folder.py (ENOSPC and EIO at each of five calls, short writes, a kill at two points), management, races, program: passed.

--- a/lanelift/daemon/boot.py
+++ b/lanelift/daemon/boot.py
@@ -24,9 +24,10 @@
 
 from lanelift.__main__ import Config, Parts
 from lanelift.daemon import documents
-from lanelift.daemon.keeper import LEASE_S, Keeper, write_cache
+from lanelift.daemon.keeper import LEASE_S, Keeper
 from lanelift.daemon.settings import read_raw, read_table
 from lanelift.leases.table import NAME
+from lanelift.net.files import write_whole
 from lanelift.settings import Json, Malformed, split_address
 from lanelift.store.client import Client
 from lanelift.store.documents import key
@@ -131,7 +132,10 @@
             if found.exception() is None:
                 row = found.result().rows[0]
                 if row.value is not None:
-                    write_cache(self.cache, row.value)
+                    try:
+                        write_whole(self.cache, row.value)
+                    except OSError as error:  # the copy spares a start the store, so this one goes on
+                        log.error("%s: %s", self.cache, error)
                 return
         log.warning("%s: %s: the copy is used", name, linear.exception())
 
--- a/lanelift/daemon/keeper.py
+++ b/lanelift/daemon/keeper.py
@@ -45,6 +45,7 @@
 from lanelift.leases.table import Lease
 from lanelift.net.discovery import Discovery
 from lanelift.net.driver import Driver
+from lanelift.net.files import write_whole
 from lanelift.net.upstream import Endpoint
 from lanelift.store.client import Client, Compacted, Conflict, StoreError
 from lanelift.store.commands import Op
@@ -58,6 +59,7 @@
 SAVE_S = 5.0  # between two looks at what is to be saved
 ASK_S = 1.0  # a start waits no longer for the store
 RETRY_S = 0.5
+CACHE_MOST_S = 5.0  # the longest pause where the copy of the settings can't be written
 LEASE_S = 10.0
 SILENT = 2  # claims in a row that failed: the store does not answer
 
@@ -259,10 +261,22 @@
     async def _take_document(self, value: bytes | None, version: int) -> None:
         if value is None or self.cache is None or (self.cache.exists() and self.cache.read_bytes() == value):
             return
-        write_cache(self.cache, value)
+        await self._cached(self.cache, value)
         log.info("store: %s is at version %d", self.document, version)
         self.parts.reload()
 
+    async def _cached(self, path: Path, value: bytes) -> None:
+        """Written until it is written: the reload behind it reads this file."""
+        pause_s = RETRY_S
+        while True:
+            try:
+                write_whole(path, value)
+                return
+            except OSError as error:
+                log.error("%s is not written yet: %s", path, error)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, CACHE_MOST_S)
+
     # ---- saving ------------------------------------------------------------------------------------------
 
     async def _save(self) -> None:
@@ -319,13 +333,3 @@
     except ValueError as error:
         log.error("store: the set of disabled upstreams does not read: %s", error)
         return frozenset()
-
-
-def write_cache(path: Path, value: bytes) -> None:
-    """Replaced as a whole; it spares a start the store, so a loss of it is borne."""
-    fresh = path.with_name(path.name + ".new")
-    try:
-        fresh.write_bytes(value)
-        fresh.replace(path)
-    except OSError as error:
-        log.error("%s: %s", path, error.strerror)
--- a/tests/test_state_folder.py
+++ b/tests/test_state_folder.py
@@ -3,8 +3,11 @@
 
 from __future__ import annotations
 
+import builtins
 import errno
+import fcntl
 import json
+import os
 import tempfile
 import time
 from collections.abc import Callable
@@ -104,3 +107,120 @@
         first.close()
 
     run(test())
+
+def test_a_set_that_could_not_be_read_is_read_again_and_not_written_over(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        old, _, old_note = owner(tmp_path)
+        new, _, new_note = owner(tmp_path)
+        new_note.watch()
+        await old.disable("s-0")
+        new_note.close()
+        await old.disable("s-1")
+        plain = builtins.open
+
+        def broken(path: Any, *args: Any, **more: Any) -> Any:
+            if str(path) == str(tmp_path / FILE):
+                raise EIO
+            return plain(path, *args, **more)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(builtins, "open", broken)
+            new.refresh()
+        assert saved(tmp_path) == ["s-0", "s-1"]
+        until(lambda: new.names == {"s-0", "s-1"}, new.refresh)
+        old_note.close()
+
+    run(test())
+
+
+# Each call that a change makes on the folder, and how it may fail: an error, or less than was asked for.
+CALLS = {"mkstemp": (tempfile, "mkstemp"), "pwrite": (os, "pwrite"), "replace": (os, "replace"),
+         "lock": (fcntl, "flock"), "open": (builtins, "open")}
+
+
+@pytest.mark.parametrize("error", [ENOSPC, EIO], ids=["ENOSPC", "EIO"])
+@pytest.mark.parametrize("call", CALLS)
+def test_whichever_call_fails_no_is_said_and_it_is_saved_later(
+        call: str, error: OSError, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        disabled, told, note = owner(tmp_path)
+        await disabled.disable("s-0")
+        with monkeypatch.context() as patch:
+            patch.setattr(*CALLS[call], failing(error))
+            with pytest.raises(No):
+                await disabled.disable("s-1")
+            with pytest.raises(No):  # an enable that can't be saved is none
+                await disabled.enable("s-0")
+        assert saved(tmp_path) == ["s-0"] and told.bans[:2] == [("s-0", True), ("s-1", True)]
+        await disabled.disable("s-1")
+        until(lambda: saved(tmp_path) == ["s-0", "s-1"], disabled.refresh)
+        await disabled.enable("s-0")
+        assert saved(tmp_path) == ["s-1"] == sorted(disabled.names)
+        note.close()
+
+    run(test())
+
+
+def test_short_writes_are_gone_on_with(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    plain = os.pwrite
+
+    def short(number: int, data: Any, at: int) -> int:
+        return plain(number, bytes(data)[:3], at)
+
+    async def test() -> None:
+        monkeypatch.setattr(os, "pwrite", short)
+        disabled, _, note = owner(tmp_path)
+        await disabled.disable("s-0")
+        assert saved(tmp_path) == ["s-0"]
+        note.look()
+        other = Siblings(tmp_path)
+        assert other.others == [note.note]
+        other.close()
+        note.close()
+
+    run(test())
+
+
+class Killed(BaseException):
+    """The process ends here."""
+
+
+@pytest.mark.parametrize("call", ["pwrite", "replace"])
+def test_a_kill_in_the_middle_of_a_write_leaves_the_set_as_it_was(
+        call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    plain = os.pwrite
+
+    def kill(*args: Any) -> int:
+        if call == "pwrite":
+            plain(args[0], bytes(args[1])[:5], args[2])
+        raise Killed
+
+    async def test() -> None:
+        disabled, _, note = owner(tmp_path)
+        await disabled.disable("s-0")
+        with monkeypatch.context() as patch:
+            patch.setattr(os, call, kill)
+            with pytest.raises(Killed):
+                await disabled.disable("s-1")
+        note.close()
+        assert len(list(tmp_path.glob(f"{FILE}.*"))) == 1
+        again, told, notes = owner(tmp_path)
+        assert told.bans == [("s-0", True)] and again.names == {"s-0"}
+        assert not list(tmp_path.glob(f"{FILE}.*"))
+        notes.close()
+
+    run(test())
+
+
+def test_a_process_out_of_descriptors_does_not_take_the_other_for_gone(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    first, second = Siblings(tmp_path), Siblings(tmp_path)
+    with monkeypatch.context() as patch:
+        patch.setattr(builtins, "open", failing(OSError(errno.EMFILE, "Too many open files")))
+        second.look()
+        assert not second.alone
+    first.close()
+    second.look()
+    assert second.alone
+    second.close()
