--- a/lanelift/decide/balancer.py
+++ b/lanelift/decide/balancer.py
@@ -11,13 +11,14 @@
 from typing import Final
 
 from lanelift import interface as api
+from lanelift.decide import memory
 from lanelift.decide.clock import SECOND
-from lanelift.decide.concurrency import EASE, Crowding
+from lanelift.decide.concurrency import Crowding
 from lanelift.decide.fleet import LOOKS, Fleet
 from lanelift.decide.pool import SCAN, Pool
-from lanelift.decide.rate import EVIDENCE, FEEDBACK_NS, Rate
+from lanelift.decide.rate import FEEDBACK_NS, Rate
 from lanelift.decide.requests import Attempt, Request, Turn
-from lanelift.decide.throttle import START_RATE, Throttle
+from lanelift.decide.throttle import Throttle
 from lanelift.decide.upstream import ERROR_FADE, FAULTY, Server
 
 ASK_NS = SECOND // 20, 5 * SECOND // 2  # over which first calls for a list are spread: none known, or one
@@ -33,12 +34,6 @@
 EACH_PART: Final = 0.08
 LATE_LOOK_NS = SECOND // 50  # between two looks whether others wait for the place of a late attempt
 LATE_NS: Final = 10_000_000  # a timer that comes so late tells of a proxy without time to look
-# What was learnt before a restart is believed by half after so long, and not at all below a part; it counts
-# as so many outcomes. R comes back with room on top, more the older it is: too low a start starves tenants.
-HALF_LIFE_NS = 60 * SECOND
-LEAST_BELIEF: Final = 0.05
-RECALLED: Final = 20
-HEADROOM: Final = 1.3
 
 
 class Balancer:
@@ -97,7 +92,7 @@
             elif type(e) is api.Ban:
                 self.fleet.ban(e, now)
             elif type(e) is api.Learnt:
-                self._recall(e, now)
+                memory.recall(e, now, self.throttles, self.rate, self.crowding, self.fleet)
             elif type(e) is api.Plan:
                 self.plan = e
                 for name, t in self.throttles.items():
@@ -124,28 +119,7 @@
 
     def learnt(self) -> api.Learnt:
         """What it has learnt so far, for its successor."""
-        c = self.crowding
-        demands = {name: t.demand for name, t in self.throttles.items()}
-        return api.Learnt(0, self.rate.value if self.rate.value < START_RATE else 0.0, demands, dict(c.taken),
-                          c.each, c.calm, c.window, {s.id: (s.pace, s.started_ns) for s in self.fleet.ready})
-
-    def _recall(self, e: api.Learnt, now: int) -> None:
-        """Begin with what was learnt before a restart. What this proxy has seen by itself stands."""
-        trust = 0.5 ** (max(0, e.age_ns) / HALF_LIFE_NS)
-        c = self.crowding
-        if trust < LEAST_BELIEF or c.seen >= EVIDENCE:
-            return
-        for name, took in e.taken.items():
-            c.taken.setdefault(name, took)
-        if e.each_ns > 0:
-            c.each += trust * (e.each_ns - c.each)
-            c.calm += trust * (min(e.calm, EASE[1]) - c.calm)
-            c.window += trust * (min(e.window, c.widest) - c.window)
-            c.seen = max(c.seen, int(RECALLED * trust))
-        self.fleet.recall(e.paces, trust)
-        if e.rate:
-            demands = [(self.throttles[n], demand) for n, demand in e.demands.items() if n in self.throttles]
-            self.rate.recall(e.rate * HEADROOM / trust, demands, now)
+        return memory.learnt(self.throttles, self.rate, self.crowding, self.fleet)
 
     def _later(self, at: int, what: str, about: Request | Throttle | Turn | None, extra: int = 0) -> None:
         self.count += 1
--- /dev/null
+++ b/lanelift/decide/memory.py
@@ -0,0 +1,48 @@
+"""What a proxy has learnt, told to its successor, and what that believes of it after a restart."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from lanelift import interface as api
+from lanelift.decide.clock import SECOND
+from lanelift.decide.concurrency import EASE, Crowding
+from lanelift.decide.fleet import Fleet
+from lanelift.decide.rate import EVIDENCE, Rate
+from lanelift.decide.throttle import START_RATE, Throttle
+
+# What was learnt before a restart is believed by half after so long, and not at all below a part; it counts
+# as so many outcomes. R comes back with room on top, more the older it is: too low a start starves tenants.
+HALF_LIFE_NS = 60 * SECOND
+LEAST_BELIEF: Final = 0.05
+RECALLED: Final = 20
+HEADROOM: Final = 1.3
+
+
+def learnt(throttles: Mapping[str, Throttle], rate: Rate, crowding: Crowding, fleet: Fleet) -> api.Learnt:
+    """What it has learnt so far."""
+    demands = {name: t.demand for name, t in throttles.items()}
+    paces = {s.id: (s.pace, s.started_ns) for s in fleet.ready}
+    return api.Learnt(0, rate.value if rate.value < START_RATE else 0.0, demands, dict(crowding.taken),
+                      crowding.each, crowding.calm, crowding.window, paces)
+
+
+def recall(e: api.Learnt, now: int, throttles: Mapping[str, Throttle], rate: Rate, crowding: Crowding,
+           fleet: Fleet) -> None:
+    """Begin with what was learnt before a restart. What this proxy has seen by itself stands."""
+    trust = 0.5 ** (max(0, e.age_ns) / HALF_LIFE_NS)
+    c = crowding
+    if trust < LEAST_BELIEF or c.seen >= EVIDENCE:
+        return
+    for name, took in e.taken.items():
+        c.taken.setdefault(name, took)
+    if e.each_ns > 0:
+        c.each += trust * (e.each_ns - c.each)
+        c.calm += trust * (min(e.calm, EASE[1]) - c.calm)
+        c.window += trust * (min(e.window, c.widest) - c.window)
+        c.seen = max(c.seen, int(RECALLED * trust))
+    fleet.recall(e.paces, trust)
+    if e.rate:
+        demands = [(throttles[n], demand) for n, demand in e.demands.items() if n in throttles]
+        rate.recall(e.rate * HEADROOM / trust, demands, now)
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -15,6 +15,7 @@
 from urllib.parse import unquote_plus
 
 from lanelift import interface as api
+from lanelift.errnos import Cause, Operation, cause
 from lanelift.net.body import Body, Store
 from lanelift.net.driver import Driver
 from lanelift.net.http import LAST_CHUNK, Reading, chunk, end_to_end
@@ -38,6 +39,7 @@
 # After SIGTERM a process has the longest deadline, or this if that is longer, and a little more.
 LONGEST_NS, LEAVE_NS = 3_000_000_000, 550_000_000
 DRAIN_S = 0.5  # after SIGTERM new connections are still dealt out for almost this long
+ACCEPT_PAUSE_S = 0.05  # behind an accept that failed for want of something on this machine
 QUEUE_S = 0.01  # between two looks at an accept queue that could not be emptied for want of places
 MS, US = 1_000_000, 1_000
 NOT_OURS = frozenset({b"x-deadline-ms"})
@@ -151,13 +153,13 @@
         for _ in range(self.max_clients - len(self.clients)):
             try:
                 sock, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError):
+            except BlockingIOError:
                 return True
-            except ConnectionAbortedError:
-                continue
-            except OSError as error:  # out of descriptors: a later connection's end makes room
-                log.error("accept: %s", error)
-                self._pause(0.05)
+            except OSError as error:
+                if cause(Operation.ACCEPT, error) is Cause.TRANSIENT:
+                    continue
+                log.error("accept: %s", error)  # out of descriptors: a later connection's end makes room
+                self._pause(ACCEPT_PAUSE_S)
                 return False
             if received(sock)[0]:
                 sock.close()  # it gave up while it waited here: nobody would read an answer
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import hashlib
 import logging
 import math
@@ -11,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from lanelift import interface as api
+from lanelift.errnos import Cause, Operation, cause
 from lanelift.net.body import Body, Store
 from lanelift.net.http import Connection, Exchange, Outgoing
 from lanelift.net.parse import MAX_BODY, Response, message
@@ -23,7 +23,7 @@
 # A connection is used again at once only if there is no other: what comes late behind an answer, a second
 # copy or noise, would answer the next request. What was written together is seen within this time.
 SETTLE_S = 0.002
-NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+HERE_PAUSE_S = 0.02  # before what failed for want of something on this machine is tried again
 QUIET_S = 5.0  # between two lines about one and the same shortage
 NEVER_RAN = (503, 504)
 MAX_LISTED = 10_000  # ids of upstreams that are remembered; in time they are ever new
@@ -206,7 +206,7 @@
             connection.start(exchange, self._usable(target))
             return
         if self.connections >= self.max_connections and not self._make_room():
-            self._short()
+            self._short("no connection to spare")
             loop.call_soon(exchange.give_up, api.Result.MOOT)
             return
         self.connections += 1
@@ -229,28 +229,18 @@
             settled = None
         return None
 
-    def _short(self) -> None:
+    def _short(self, what: str) -> None:
         """Said once in a while, not for each request: where it is short, all meet with it."""
         now = asyncio.get_running_loop().time()
         if now >= self.quiet_until:
             self.quiet_until = now + QUIET_S
-            log.warning("no connection to spare: %d open", self.connections)
+            log.warning("%s; %d open", what, self.connections)
 
     async def _connect(self, target: Target, exchange: Exchange) -> None:
-        connection = Connection(lambda c: self._released(target, c), lambda c: self._lost(target, c))
-        try:
-            async with asyncio.timeout(self.connect_timeout):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: connection, target.endpoint.host, target.endpoint.port)
-        except Exception as error:  # OSError, and whatever an address that is none may raise
-            if connection.transport is None:
-                self.connections -= 1
-            connection.abort()
-            # For want of descriptors here no upstream is to blame.
-            here = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
-            exchange.give_up(api.Result.MOOT if here else api.Result.CONNECT_FAILED)
-            return
-        if connection.closed:
+        connection = await self._dial(target, exchange)
+        if connection is None:
+            self.connections -= 1
+        elif connection.closed:
             exchange.give_up(api.Result.CONNECT_FAILED)
         elif exchange.done is None:  # it is over by now: the connection serves the next one
             self._released(target, connection)
@@ -264,6 +254,39 @@
                 connection.abort()
                 exchange.give_up(api.Result.RESET if exchange.written else api.Result.MOOT)
 
+    async def _dial(self, target: Target, exchange: Exchange) -> Connection | None:
+        """A connection that is up; None: there is none in its time, and the exchange has its end. What fails
+        for want of something on this machine is tried again, and no word on the upstream."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self.connect_timeout
+        while True:
+            connection = Connection(lambda c: self._released(target, c), lambda c: self._lost(target, c))
+            try:
+                await self._open(target.endpoint, connection, until_s)
+                return connection
+            except Exception as error:  # OSError, and whatever an address that is none may raise
+                up = connection.transport is not None
+                connection.abort()
+                why = cause(Operation.CONNECT, error)
+                if why is Cause.PEER or loop.time() + HERE_PAUSE_S >= until_s:
+                    exchange.give_up(api.Result.CONNECT_FAILED if why is Cause.PEER else api.Result.MOOT)
+                if up:  # it was counted when it was lost
+                    self.connections += 1
+                if why is Cause.HERE:
+                    self._short(f"no connection can be opened here: {error}")
+                    self._make_room()
+            if exchange.done is None:
+                return None
+            await asyncio.sleep(HERE_PAUSE_S)
+            if exchange.done is None:
+                return None
+
+    @staticmethod
+    async def _open(endpoint: Endpoint, connection: Connection, until_s: float) -> None:
+        async with asyncio.timeout_at(until_s):
+            await asyncio.get_running_loop().create_connection(
+                lambda: connection, endpoint.host, endpoint.port)
+
     def _released(self, target: Target, connection: Connection) -> None:
         if not target.keep:
             connection.abort()
--- a/lanelift/store/server.py
+++ b/lanelift/store/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import os
 import resource
@@ -14,6 +13,7 @@
 
 import msgspec
 
+from lanelift.errnos import Cause, Operation, cause
 from lanelift.feed.fanout import Send
 from lanelift.settings import Malformed
 from lanelift.store import commands
@@ -65,7 +65,6 @@
 BACKLOG = 1024  # connections that wait to be accepted: all of another node's may come at once
 PACE_S = 0.0025  # between two that are accepted: a handshake takes 1 ms and more, and elections wait for none
 SPARE = 128  # of the files that this process may open: for the disk and other members
-NO_ROOM = errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 FULL_S = 1.0  # between two tries to accept where there is no room
 COPY_BYTES = 512 << 10
 NEEDS: dict[type, str] = {Put: "write", Get: "read", Scan: "read", Past: "read", Watch: "read",
@@ -124,7 +123,7 @@
                 accepted, _ = await loop.sock_accept(listener)
                 full = False
             except OSError as error:
-                if not full and error.errno in NO_ROOM:
+                if not full and cause(Operation.ACCEPT, error) is Cause.HERE:
                     log.error("store: no connection can be accepted: %s", error.strerror)
                     full = True
                 await asyncio.sleep(FULL_S if full else PACE_S)
