Tests, red: few balancers before many upstreams

Change: work counted in the interpreter's instructions, upstreams met counted, at 200 and 3,200 upstreams.

--- /dev/null
+++ b/tests/test_many_upstreams.py
@@ -0,0 +1,94 @@
+"""What a balancer costs does not grow with upstreams that it does not need, however few balancers there are.
+
+Work is counted in the interpreter's instructions, so the verdict is the same on any machine.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from types import FrameType
+from typing import Any
+
+import pytest
+
+from lanelift import interface as api
+from lanelift.decide import Balancer
+from tests.bench import MS, READ, SECOND, START
+
+FEW, MANY = 200, 3200
+FLEETS = [(0, 1), (2, 5), (7, 40), (90, 200)]  # this balancer's number, and how many there are
+
+
+def counted(work: Callable[[], object]) -> int:
+    """Instructions that it takes."""
+    count = 0
+
+    def trace(frame: FrameType, event: str, arg: Any) -> Any:
+        nonlocal count
+        frame.f_trace_opcodes, frame.f_trace_lines = True, False
+        count += event == "opcode"
+        return trace
+
+    sys.settrace(trace)
+    try:
+        work()
+    finally:
+        sys.settrace(None)
+    return count
+
+
+def balancer(upstreams: int, me: int, balancers: int) -> Balancer:
+    settings = api.Settings(
+        me=me, replicas_of_me=balancers, zone="east", classes={"read": READ},
+        prices=api.Prices(cross_zone=0.03), rules=api.Rules(cold_ns=4 * SECOND),
+        limits=api.Limits(max_attempts=3, may_cancel=True, retry_after=True))
+    made = Balancer(settings, 7, START)
+    made.handle(START, [api.ListUpdate(api.ListKind.CACHED, [entry(n) for n in range(upstreams)])])
+    return made
+
+
+def entry(number: int, state: api.State = api.State.READY) -> api.Upstream:
+    return api.Upstream(number * 7_919 + 1, state, ("east", "west", "north")[number % 3], number // 3)
+
+
+def change(module: Balancer, number: int) -> None:
+    module.handle(START, [api.ListUpdate(api.ListKind.DELTA, [entry(number, api.State.DRAINING)])])
+    module.handle(START, [api.ListUpdate(api.ListKind.DELTA, [entry(number)])])
+
+
+def requests(module: Balancer, count: int, seen: set[int]) -> None:
+    """One each 10 ms, each of another key, answered well after 5 ms."""
+    now = START
+    for i in range(count):
+        now += 5 * MS
+        sent = module.handle(now, [api.Arrival(f"r{i}", "read", "", now + 500 * MS, key=f"key-{i}")])
+        now += 5 * MS
+        for action in sent:
+            if isinstance(action, api.Send):
+                seen.add(action.upstream)
+                ended = api.Outcome(action.request, 0, action.upstream, api.Result.OK, 5 * MS, True)
+                module.handle(now, [ended])
+
+
+@pytest.mark.parametrize(("me", "balancers"), FLEETS)
+def test_a_change_of_one_upstream_costs_the_same_among_many(me: int, balancers: int) -> None:
+    few, many = (counted(lambda n=n: change(balancer_of[n], n // 2))  # type: ignore[misc]
+                 for balancer_of in [{n: balancer(n, me, balancers) for n in (FEW, MANY)}]
+                 for n in (FEW, MANY))
+    assert many <= 1.4 * few + 2_000
+
+
+@pytest.mark.parametrize(("me", "balancers"), FLEETS[:2])
+def test_a_request_costs_the_same_among_many(me: int, balancers: int) -> None:
+    few, many = (counted(lambda m=balancer(n, me, balancers): requests(m, 200, set()))  # type: ignore[misc]
+                 for n in (FEW, MANY))
+    assert many <= 1.4 * few + 2_000
+
+
+@pytest.mark.parametrize(("me", "balancers"), FLEETS[:2])
+def test_no_more_upstreams_are_sent_to_than_the_load_needs(me: int, balancers: int) -> None:
+    met: dict[int, set[int]] = {FEW: set(), MANY: set()}
+    for n, seen in met.items():
+        requests(balancer(n, me, balancers), 3000, seen)
+    assert len(met[MANY]) <= 2 * len(met[FEW]) + 40
