--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,7 +22,7 @@
 from lanelift import interface as api
 from lanelift.decide import Balancer
 from lanelift.decide import balancer as decide
-from lanelift.net import calls, discovery, frontend
+from lanelift.net import calls, discovery, frontend, upstream
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE
 from lanelift.net.discovery import read_endpoint
@@ -624,3 +624,73 @@
     good = {"id": "s-0", "addr": "127.0.0.1:80"}
     version, full, endpoints = discovery.read_list({"version": 1, "servers": [*bad, good]})
     assert (version, full, len(endpoints), len(caplog.records)) == (1, False, 1, 1)
+
+
+# ---- a second answer ---------------------------------------------------------------------------------------
+
+
+class OneUpstream:
+    """An upstream of bare sockets, and connections to it."""
+
+    def __init__(self, server: socket.socket) -> None:
+        server.setblocking(False)
+        self.server = server
+        self.upstreams = Upstreams(SETTINGS.limits, 8, (), Store(1024))
+        row = {"id": "s-0", "addr": "{}:{}".format(*server.getsockname()), "state": "Ready"}
+        self.upstreams.learn([read_endpoint(row)], full=True)
+        self.ended: asyncio.Queue[bytes] = asyncio.Queue()
+
+    def ask(self) -> None:
+        self.upstreams.send(number_of("s-0"), REQUEST, lambda result, response, report: self.ended.put_nowait(
+            response.body if response is not None else b""), Timing(5.0))
+
+    async def link(self) -> socket.socket:
+        """The next connection, with a request on it."""
+        link, _ = await asyncio.wait_for(asyncio.get_running_loop().sock_accept(self.server), 5.0)
+        assert await asyncio.get_running_loop().sock_recv(link, 4096) == REQUEST
+        return link
+
+
+def test_a_second_answer_that_comes_milliseconds_late_is_not_the_next_request_s() -> None:
+    """Seen in a soak: the next request was written 1 ms behind the first answer, and served with the second
+    one, which no upstream had made for it."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            one = OneUpstream(server)
+            one.ask()
+            with await one.link() as link:
+                await loop.sock_sendall(link, answer(200, b"first"))
+                assert await one.ended.get() == b"first"
+                one.ask()  # at once
+                link.send(answer(200, b"first, once more"))
+                with await one.link() as other:
+                    await loop.sock_sendall(other, answer(200, b"second"))
+                    assert await one.ended.get() == b"second"
+            one.upstreams.close()
+
+    run(test())
+
+
+def test_an_upstream_that_answered_twice_is_waited_for_longer() -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            one = OneUpstream(server)
+            one.ask()
+            with await one.link() as link:
+                await loop.sock_sendall(link, answer(200, b"first") + answer(200, b"first, once more"))
+                assert await one.ended.get() == b"first"
+                assert await loop.sock_recv(link, 10) == b""  # that connection is not used any more
+            one.ask()
+            with await one.link() as link:
+                await loop.sock_sendall(link, answer(200, b"second"))
+                assert await one.ended.get() == b"second"
+                await asyncio.sleep(2 * upstream.SETTLE_S)  # a connection that rests for so long is used else
+                one.ask()
+                with await one.link() as other:
+                    await loop.sock_sendall(other, answer(200, b"third"))
+                    assert await one.ended.get() == b"third"
+            one.upstreams.close()
+
+    run(test())
