Soak over real processes; a second answer is not taken for the next request's

Find: with one idle connection it was used again at once (Upstreams._idle, the fallback behind SETTLE_S of 2 ms), so a second copy of an answer that came 1 to 4 ms later was served to the next request.

--- /dev/null
+++ b/lanelift/lab/soak/checker.py
@@ -0,0 +1,220 @@
+"""The invariants, judged from the history alone: it shares nothing with the program.
+
+    answered     each request that was taken has one whole answer by half a second behind its time
+    twice        what may not be repeated runs once; a keyed request not beyond its window
+    drain        nothing new to an upstream that drains, went or is disabled, behind the grace
+    late begin   no attempt begins more than 0.1 s after its client closed
+    told         an attempt tells no more than its client has left, with 0.15 s of slack
+    process      no process ends by itself, with another status than 0, or logs what nobody foresaw
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from lanelift.lab.soak.history import Asked, Attempt, Call, Change, End, History, Kind, Process
+
+MS, SECOND = 1_000_000, 1_000_000_000
+# How far a moment read here may be off: readings of two sockets, and the kernel's ticks of 4 ms.
+MARGIN_NS = 30 * MS
+LATE_ANSWER_NS = 500 * MS
+LATE_BEGIN_NS = 100 * MS
+TOLD_SLACK_NS = 150 * MS
+RULE_SLACK_NS = 50 * MS
+TERM_NS, HOLD_TERM_NS = 6 * SECOND, 2 * SECOND
+KILL_NS = 3_700 * MS  # a SIGKILL comes no earlier behind SIGTERM
+LONG_BODY = 64 * 1024  # beyond it, the pages time the first bytes of the answer
+BAD_LOG = ("Traceback", "ERROR", "never retrieved", "violation")
+# What operators are told in so many words, and is no defect.
+FORESEEN = ("accept:", "not saved", "discovery: not reached", "can't be read", "not told of this one yet")
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """One broken rule. `lag_ns`: how late the soak itself was about then; too late, and it proves nothing."""
+
+    rule: str
+    at_ns: int
+    what: str
+    lag_ns: int = 0
+
+
+class Checker:
+    """Judges one history."""
+
+    def __init__(self, history: History, grace_ns: int, window_ns: int) -> None:
+        self.history = history
+        self.grace_ns = grace_ns
+        self.window_ns = window_ns
+        self.by_id: dict[str, list[Attempt]] = defaultdict(list)
+        for attempt in history.attempts:
+            self.by_id[attempt.id].append(attempt)
+        self.calls: dict[int, list[Call]] = defaultdict(list)
+        for call in history.calls:
+            self.calls[call.process].append(call)
+
+    def breaches(self) -> list[Breach]:
+        """All, in the order of time, each with the soak's own lag."""
+        found = [*self._answered(), *self._twice(), *self._drain(), *self._begun_late(), *self._told(),
+                 *self._processes()]
+        return sorted((Breach(b.rule, b.at_ns, b.what, self._lag(b.at_ns)) for b in found),
+                      key=lambda b: b.at_ns)
+
+    def _lag(self, at_ns: int) -> int:
+        near = [lag for when, lag in self.history.lags if abs(when - at_ns) < SECOND]
+        return max(near, default=0)
+
+    # ---- answered ----------------------------------------------------------------------------------------
+
+    def _answered(self) -> Iterator[Breach]:
+        for asked in self.history.asked:
+            if not asked.sent_ns or asked.end in (End.LEFT, End.NOT_TAKEN):
+                continue
+            why = self._unanswered(asked)
+            if why and not self._excused(asked):
+                yield Breach("answered", asked.ended_ns, f"{describe(asked)}: {why}")
+
+    def _unanswered(self, asked: Asked) -> str:
+        late_ns = asked.ended_ns - asked.sent_ns - asked.wait_ms * MS
+        if asked.end is End.CLOSED:
+            return "" if asked.reused and not self.by_id[asked.id] else "closed with no answer"
+        if asked.end is End.UNANSWERED:
+            return "no answer in its time"
+        if not asked.proper:
+            return "an answer that no upstream made for it"
+        if late_ns > LATE_ANSWER_NS + MARGIN_NS:
+            return f"answered {late_ns / 1e9:.3f} s behind its time"
+        return ""
+
+    def _excused(self, asked: Asked) -> bool:
+        """Its process was killed by the soak while the request was open, or came too close to its end."""
+        for p in self.history.processes:
+            if p.balancer != asked.balancer or not p.killed_ns:
+                continue
+            if asked.sent_ns - SECOND <= p.killed_ns <= asked.ended_ns + MARGIN_NS:
+                in_order = p.term_ns and p.killed_ns - p.term_ns >= KILL_NS - MARGIN_NS
+                if not in_order or asked.sent_ns < p.term_ns + 700 * MS:
+                    return True
+        return False
+
+    # ---- effects -----------------------------------------------------------------------------------------
+
+    def _twice(self) -> Iterator[Breach]:
+        kinds = {asked.id: asked.kind for asked in self.history.asked}
+        for name, attempts in self.by_id.items():
+            ran = sorted((a for a in attempts if a.whole_ns and a.ran), key=lambda a: a.whole_ns)
+            if len(ran) < 2 or kinds.get(name, Kind.READ) is Kind.READ:
+                continue
+            apart_ns = ran[-1].whole_ns - ran[0].whole_ns
+            if kinds[name] is Kind.PAY or apart_ns > self.window_ns + RULE_SLACK_NS + MARGIN_NS:
+                where = ", ".join(f"{a.upstream} at {a.whole_ns / 1e9:.3f}" for a in ran)
+                what = f"request {name} ({kinds[name].value}) ran at {where}"
+                yield Breach("twice", ran[-1].whole_ns, what)
+
+    # ---- drain -------------------------------------------------------------------------------------------
+
+    def _drain(self) -> Iterator[Breach]:
+        by_upstream: dict[str, list[Attempt]] = defaultdict(list)
+        for attempt in self.history.attempts:
+            by_upstream[attempt.upstream].append(attempt)
+        homes = {asked.id: asked.balancer for asked in self.history.asked}
+        for change in self.history.changes:
+            until_ns = change.until_ns or 1 << 62
+            for attempt in by_upstream[change.upstream]:
+                if not change.made_ns < attempt.first_ns < until_ns:
+                    continue
+                home = homes.get(attempt.id, -1)
+                ago_ns = attempt.first_ns - self._told_at(home, attempt, change)
+                if ago_ns > self.grace_ns + RULE_SLACK_NS + MARGIN_NS:
+                    what = f"request {attempt.id} by balancer {home} to {attempt.upstream}"
+                    yield Breach("drain", attempt.first_ns, f"{what}, told {ago_ns / 1e9:.3f} s ago")
+        yield from self._disabled(by_upstream)
+
+    def _told_at(self, balancer: int, attempt: Attempt, change: Change) -> int:
+        """By when the balancer's processes that run then count as told: all of them, as it is not known whose
+        attempt it is."""
+        return max((self._told_ns(p, change) for p in self.history.processes if p.balancer == balancer
+                    and p.started_ns < attempt.first_ns < (p.ended_ns or 1 << 62)), default=1 << 62)
+
+    def _told_ns(self, process: Process, change: Change) -> int:
+        """By when this process counts as told of the change."""
+        calls = self.calls[process.number]
+        told = [c.answered_ns for c in calls if c.answered_ns and c.told >= change.version > c.known]
+        told += [silence_due_ns(c) for c in calls if c.silent_ns and c.known < change.version
+                 and c.silent_ns <= change.made_ns <= min(silence_due_ns(c), recovered_ns(c, calls))]
+        reached_ns = max(change.made_ns, process.started_ns)
+        for begun_ns, ended_ns in self.history.outages:
+            if begun_ns <= reached_ns + TERM_NS and ended_ns > reached_ns:
+                reached_ns = ended_ns
+        return min([*told, reached_ns + TERM_NS])
+
+    def _disabled(self, by_upstream: dict[str, list[Attempt]]) -> Iterator[Breach]:
+        homes = {asked.id: asked.balancer for asked in self.history.asked}
+        for d in self.history.disabled:
+            until_ns = d.until_ns or 1 << 62
+            for attempt in by_upstream[d.upstream]:
+                over_ns = attempt.first_ns - d.from_ns - self.grace_ns
+                if (homes.get(attempt.id) == d.balancer and over_ns > RULE_SLACK_NS + MARGIN_NS
+                        and attempt.first_ns < until_ns - MARGIN_NS):
+                    what = f"request {attempt.id} by balancer {d.balancer} to {d.upstream}, disabled"
+                    yield Breach("drain", attempt.first_ns, f"{what}, {over_ns / 1e9:.3f} s behind the grace")
+
+    # ---- attempts ----------------------------------------------------------------------------------------
+
+    def _begun_late(self) -> Iterator[Breach]:
+        for asked in self.history.asked:
+            if asked.end is not End.LEFT:
+                continue
+            for attempt in self.by_id[asked.id]:
+                late_ns = attempt.first_ns - asked.ended_ns
+                if late_ns > LATE_BEGIN_NS + MARGIN_NS + self._held_up(asked, attempt):
+                    yield Breach("late begin", attempt.first_ns,
+                                 f"{describe(asked)} began {late_ns / 1e9:.3f} s after its client had left")
+
+    def _told(self) -> Iterator[Breach]:
+        asked_by_id = {asked.id: asked for asked in self.history.asked if asked.sent_ns}
+        for attempt in self.history.attempts:
+            asked = asked_by_id.get(attempt.id)
+            if asked is None or not attempt.whole_ns or len(asked.body) > LONG_BODY:
+                continue
+            left_ns = asked.sent_ns + asked.wait_ms * MS - attempt.whole_ns
+            over_ns = attempt.told_ms * MS - left_ns - self._held_up(asked, attempt)
+            if over_ns > TOLD_SLACK_NS + MARGIN_NS:
+                yield Breach("told", attempt.whole_ns, f"{describe(asked)} told {attempt.told_ms} ms with"
+                             f" {left_ns / MS:.0f} ms left")
+
+    def _held_up(self, asked: Asked, attempt: Attempt) -> int:
+        """For how long the soak had stopped its process just before."""
+        near = SECOND // 2
+        return max((to - since for balancer, since, to in self.history.stops
+                    if balancer == asked.balancer and since - near < attempt.first_ns < to + near), default=0)
+
+    # ---- processes ---------------------------------------------------------------------------------------
+
+    def _processes(self) -> Iterator[Breach]:
+        for p in self.history.processes:
+            at_ns = p.ended_ns or p.started_ns
+            name = f"process {p.number} of balancer {p.balancer}"
+            if p.status is not None and not p.killed_ns and (p.status != 0 or not p.term_ns):
+                yield Breach("process", at_ns, f"{name} ended with {p.status}")
+            for line in p.log.splitlines():
+                if any(bad in line for bad in BAD_LOG) and not any(known in line for known in FORESEEN):
+                    yield Breach("process", at_ns, f"{name}: {line[:200]}")
+
+
+def silence_due_ns(call: Call) -> int:
+    """By when what a silent watch hid counts as told."""
+    return max(call.silent_ns + TERM_NS, call.begun_ns + call.hold_ms * MS + HOLD_TERM_NS)
+
+
+def recovered_ns(silent: Call, calls: list[Call]) -> int:
+    """When a later call was answered: what came after that it did not hide."""
+    return min((c.answered_ns for c in calls if c.answered_ns > silent.silent_ns), default=1 << 62)
+
+
+def describe(asked: Asked) -> str:
+    """A request in a few words."""
+    return (f"request {asked.id} ({asked.kind.value}, {asked.wait_ms} ms, balancer {asked.balancer},"
+            f" {asked.end.value})")
--- /dev/null
+++ b/lanelift/lab/soak/clients.py
@@ -0,0 +1,177 @@
+"""Emulated clients of one balancer: honest ones, and such that leave, stop in the middle or are slow."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+
+from lanelift.lab.soak.history import Asked, End, History, Kind
+
+SECOND, MS = 1_000_000_000, 1_000_000
+KEPT_MOST = 6  # connections that rest for the next request
+PATIENCE_S = 1.0  # over a request's time, before it is called unanswered
+SHORTEST_MS, LONGEST_MS = 60, 2_500
+LOOK_BACK = 500  # attempts of all balancers: more than come while a request is open
+
+
+@dataclass(slots=True)
+class Link:
+    """A client's connection."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    used: bool = False
+
+    def close(self, reset: bool = False) -> None:
+        """End it, in order or not."""
+        if reset:
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
+
+
+class Clients:
+    """Those of one balancer, at `rate` requests a second in the mean."""
+
+    def __init__(self, history: History, balancer: int, port: int, rate: float, rng: random.Random) -> None:
+        self.history, self.balancer, self.port, self.rate, self.rng = history, balancer, port, rate, rng
+        self.kept: list[Link] = []
+        self.count = 0
+        self.open = False  # the front sends here
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(self.rng.expovariate(self.rate))
+            if self.open:
+                task = asyncio.create_task(self._one())
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+
+    async def _one(self) -> None:
+        rng = self.rng
+        self.count += 1
+        kind = rng.choices(list(Kind), [6, 3, 2])[0]
+        wait_ms = int(rng.uniform(SHORTEST_MS, LONGEST_MS))
+        body = b"x" * rng.choice((0, 20, 300)) if kind is not Kind.READ else b""
+        if body and rng.random() < 0.05:
+            body *= 400  # in pieces
+        asked = Asked(f"{self.balancer}-{self.count}", kind, self.balancer, wait_ms, body)
+        how = rng.random()
+        if how < 0.03:
+            await self._half(asked)
+            return
+        self.history.asked.append(asked)
+        leaves_s = rng.uniform(0.0, wait_ms / 1000) if how < 0.15 else None
+        await self._ask(asked, leaves_s, slow=0.15 <= how < 0.2)
+
+    async def _half(self, asked: Asked) -> None:
+        """Stops in the middle of a request, and stays."""
+        link = await self._new()
+        if link is not None:
+            data = self._message(asked)
+            link.writer.write(data[:self.rng.randrange(1, len(data))])
+            await asyncio.sleep(self.rng.uniform(0.1, 4.0))
+            link.close()
+
+    async def _ask(self, asked: Asked, leaves_s: float | None, slow: bool, fresh: bool = False) -> None:
+        kept = not fresh and self.kept and self.rng.random() < 0.7
+        link = self.kept.pop() if kept else await self._new()
+        if link is None:
+            return
+        asked.reused = link.used
+        if not await self._written(asked, link, slow):
+            asked.end = End.NOT_TAKEN
+            link.close()
+            return
+        asked.sent_ns = time.monotonic_ns()
+        limit_s = asked.wait_ms / 1000 + PATIENCE_S if leaves_s is None else leaves_s
+        try:
+            async with asyncio.timeout(limit_s):
+                keep = await self._answer(asked, link)
+        except TimeoutError:
+            asked.end = End.UNANSWERED if leaves_s is None else End.LEFT
+            keep = False
+        asked.ended_ns = time.monotonic_ns()
+        if keep and len(self.kept) < KEPT_MOST:
+            self.kept.append(link)
+        else:
+            link.close(reset=asked.end is End.LEFT and self.rng.random() < 0.4)
+        if asked.end is End.CLOSED and asked.reused and not self._was_sent_on(asked):
+            # It crossed the end of a resting connection: sent once more on a new one, under the same id.
+            asked.end = End.NOT_TAKEN
+            again = Asked(asked.id, asked.kind, asked.balancer, asked.wait_ms, asked.body)
+            self.history.asked.append(again)
+            await self._ask(again, None, slow=False, fresh=True)
+
+    def _was_sent_on(self, asked: Asked) -> bool:
+        return any(attempt.id == asked.id for attempt in self.history.attempts[-LOOK_BACK:])
+
+    async def _new(self) -> Link | None:
+        try:
+            async with asyncio.timeout(2.0):
+                return Link(*await asyncio.open_connection("127.0.0.1", self.port))
+        except (OSError, TimeoutError):
+            return None
+
+    async def _written(self, asked: Asked, link: Link, slow: bool) -> bool:
+        data = self._message(asked)
+        link.used = True
+        try:
+            if slow:
+                cut = self.rng.randrange(1, len(data))
+                link.writer.write(data[:cut])
+                await asyncio.sleep(self.rng.uniform(0.01, 0.4))
+                data = data[cut:]
+            link.writer.write(data)
+            async with asyncio.timeout(3.0):
+                await link.writer.drain()
+        except (OSError, TimeoutError):
+            return False
+        return not link.writer.transport.is_closing()
+
+    def _message(self, asked: Asked) -> bytes:
+        method = "GET" if asked.kind is Kind.READ else "POST"
+        rows = [f"{method} /{asked.kind.value}?obj=key{self.rng.randrange(40)} HTTP/1.1", "Host: soak",
+                f"X-Request-Id: {asked.id}", f"X-Class: {asked.kind.value}", "X-Tenant: ash",
+                f"X-Deadline-Ms: {asked.wait_ms}"]
+        if asked.kind is not Kind.READ:
+            rows.append(f"Content-Length: {len(asked.body)}")
+        return "\r\n".join([*rows, "", ""]).encode() + asked.body
+
+    async def _answer(self, asked: Asked, link: Link) -> bool:
+        """Read it; may the connection be used again?"""
+        try:
+            head = await link.reader.readuntil(b"\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError) as error:
+            partial = getattr(error, "partial", b"")
+            asked.end = End.FAILED if partial else End.CLOSED
+            return False
+        lines = head.decode("latin-1").lower().split("\r\n")
+        asked.status = int(lines[0].split()[1])
+        try:
+            body, whole = await self._body(lines, link)
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            asked.end = End.FAILED
+            return False
+        if asked.status == 200:
+            asked.end = End.SERVED
+            asked.proper = body.startswith(f"{asked.id} by ".encode())
+        else:
+            asked.end = End.REFUSED if asked.status in (429, 503) else End.FAILED
+        return whole and "connection: close" not in lines
+
+    async def _body(self, lines: list[str], link: Link) -> tuple[bytes, bool]:
+        for line in lines:
+            if line.startswith("content-length:"):
+                return await link.reader.readexactly(int(line.partition(":")[2])), True
+            if line.startswith("transfer-encoding:"):
+                body = b""
+                while size := int(await link.reader.readline(), 16):
+                    body += (await link.reader.readexactly(size + 2))[:-2]
+                await link.reader.readline()
+                return body, True
+        return await link.reader.read(), False
--- /dev/null
+++ b/lanelift/lab/soak/upstreams.py
@@ -0,0 +1,172 @@
+"""An emulated upstream: what it was asked, when, and how it misbehaves."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from enum import Enum
+from typing import cast
+
+from lanelift.lab.soak.history import Attempt, History
+from lanelift.net.kernel import Socket, received
+
+HEAD_END = b"\r\n\r\n"
+NOT_RUN = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class Mood(Enum):
+    """How it takes requests."""
+
+    WELL = "answers"
+    HANGS = "says nothing"
+    RESETS = "resets the connection under a request"
+    SHEDS = "turns requests away"
+    NO_LENGTH = "answers without a length"
+    TWICE = "answers twice"
+
+
+class Upstream:
+    """One of them. It may die and be started again: then it is another process."""
+
+    def __init__(self, name: str, history: History, rng: random.Random, work_s: tuple[float, float]) -> None:
+        self.name, self.history, self.rng, self.work_s = name, history, rng, work_s
+        self.mood = Mood.WELL
+        self.process = 0
+        self.started_ms = 0
+        self.listener: socket.socket | None = None
+        self.port = 0
+        self.accepting = True
+        self.links: set[Link] = set()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    def start(self) -> None:
+        """Listen, from the second time on at the same port."""
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", self.port))
+        self.listener.listen(1 if not self.accepting else 128)
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+        self.process += 1
+        self.accept(True)
+
+    def accept(self, on: bool) -> None:
+        """Take new connections, or leave them in the queue, which is then short."""
+        loop = asyncio.get_running_loop()
+        if self.listener is None:
+            return
+        loop.remove_reader(self.listener)
+        self.accepting = on
+        self.listener.listen(128 if on else 0)
+        if on:
+            loop.add_reader(self.listener, self._accept)
+
+    def die(self) -> None:
+        """All connections are reset, and new ones refused."""
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+        for link in list(self.links):
+            link.abort()
+
+    def _accept(self) -> None:
+        assert self.listener is not None
+        try:
+            while True:
+                sock, _ = self.listener.accept()
+                sock.setblocking(False)
+                asyncio.get_running_loop().create_task(self._serve(sock))
+        except OSError:
+            return
+
+    async def _serve(self, sock: socket.socket) -> None:
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: Link(self), sock)
+        except OSError:
+            sock.close()
+
+
+class Link(asyncio.Protocol):
+    """A balancer's connection to it."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.process = upstream.process
+        self.transport: asyncio.Transport | None = None
+        self.data = b""
+        self.attempt: Attempt | None = None
+        self.expects = 0  # bytes of the request, its head included; 0: the head is not whole
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.upstream.links.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.upstream.links.discard(self)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        assert self.transport is not None
+        sock: Socket = self.transport.get_extra_info("socket")
+        at_ns = time.monotonic_ns() - received(sock)[1]
+        if not self.data:
+            self.attempt = Attempt("", self.upstream.name, self.process, at_ns, 0)
+        self.data += data
+        if not self.expects and HEAD_END in self.data:
+            self._head(self.data.partition(HEAD_END)[0])
+        if self.expects and len(self.data) >= self.expects and self.attempt is not None:
+            attempt, self.attempt = self.attempt, None
+            attempt.whole_ns = at_ns
+            self.data, self.expects = self.data[self.expects:], 0
+            asyncio.get_running_loop().create_task(self._work(attempt))
+
+    def _head(self, head: bytes) -> None:
+        assert self.attempt is not None
+        headers = {name.lower(): value.strip() for name, _, value in (
+            row.partition(b":") for row in head.split(b"\r\n")[1:])}
+        self.attempt.id = headers.get(b"x-request-id", b"").decode()
+        self.attempt.told_ms = int(headers.get(b"x-deadline-ms", b"0"))
+        self.expects = len(head) + len(HEAD_END) + int(headers.get(b"content-length", b"0"))
+        self.upstream.history.attempts.append(self.attempt)
+
+    async def _work(self, attempt: Attempt) -> None:
+        upstream, rng = self.upstream, self.upstream.rng
+        mood = upstream.mood
+        if mood is Mood.SHEDS and rng.random() < 0.7:
+            self._write(NOT_RUN)
+            return
+        attempt.ran = True
+        await asyncio.sleep(rng.uniform(*upstream.work_s))
+        if mood is Mood.HANGS:
+            return
+        if mood is Mood.RESETS and rng.random() < 0.5:
+            self.abort()
+            return
+        body = f"{attempt.id} by {upstream.name}".encode()
+        if mood is Mood.NO_LENGTH:
+            self._write(b"HTTP/1.1 200 OK\r\n\r\n" + body[:4])
+            if rng.random() < 0.3:
+                self.abort()
+                return
+            self._write(body[4:])
+            if self.transport is not None:
+                self.transport.close()
+            return
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        self._write(answer)
+        if mood is Mood.TWICE and rng.random() < 0.3:
+            await asyncio.sleep(rng.choice((0.0, 0.004)))
+            self._write(answer)
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -157,6 +157,7 @@
         self.idle_since = 0.0
         self.writable = True
         self.closed = False
+        self.noisy = False  # something came that nobody had asked for
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -254,7 +255,8 @@
             self._go_on(self.answer)
             return
         if exchange is None:
-            self.abort()  # bytes that nobody asked for
+            self.noisy = True
+            self.abort()
             return
         reader.feed(data)
         if reader.ready:
@@ -307,7 +309,8 @@
         """The answer is whole. What stands behind it, a second copy or noise, would be read as the next
         request's."""
         reader = self.reader
-        if self.clean and response.keep_alive and not (reader.ready or reader.begun or reader.fault):
+        self.noisy = bool(reader.ready or reader.begun or reader.fault)
+        if self.clean and response.keep_alive and not self.noisy:
             self.released(self)
         else:
             self.abort()
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -20,9 +20,10 @@
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.6  # of the time after which upstreams close idle connections; then they are dropped here
-# A connection is used again at once only if there is no other: what comes late behind an answer, a second
-# copy or noise, would answer the next request. What was written together is seen within this time.
-SETTLE_S = 0.002
+# A connection is not used again at once: what comes late behind an answer, a second copy or noise, would be
+# taken for the next request's, and nothing in the protocol marks it. What comes some milliseconds late is
+# seen within the first time. An upstream that did so is waited for longer, for so long after it was seen.
+SETTLE_S, SETTLE_NOISY_S, NOISY_S = 0.006, 0.05, 60.0
 HERE_PAUSE_S = 0.02  # before what failed for want of something on this machine is tried again
 QUIET_S = 5.0  # between two lines about one and the same shortage
 NEVER_RAN = (503, 504)
@@ -69,6 +70,11 @@
     idle: list[Connection] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
     keep: bool = True  # connections that come free are kept
+    noisy_until_s: float = 0.0  # it sent what nobody asked for
+
+    def settle_s(self, now: float) -> float:
+        """How long a connection has to rest before it is used again."""
+        return SETTLE_NOISY_S if now < self.noisy_until_s else SETTLE_S
 
 
 class Upstreams:
@@ -219,17 +225,17 @@
         return may_use(target.keep, self.trusted)
 
     def _idle(self, target: Target, now: float) -> Connection | None:
-        """The newest that has settled: the others may come to rest and close. Failing that, the oldest."""
-        settled = next((c for c in reversed(target.idle) if now - c.idle_since >= SETTLE_S), None)
-        while target.idle:
-            connection = settled or target.idle[0]
+        """The newest that has settled: the others may come to rest and close."""
+        while True:
+            before_s = now - target.settle_s(now)
+            connection = next((c for c in reversed(target.idle) if c.idle_since <= before_s), None)
+            if connection is None:
+                return None
             target.idle.remove(connection)
             self.resting.pop(connection, None)
             if connection.clear:
                 return connection
             connection.abort()
-            settled = None
-        return None
 
     def _short(self, what: str) -> None:
         """Said once in a while, not for each request: where it is short, all meet with it."""
@@ -315,6 +321,8 @@
             self._watch_idle(target)
 
     def _lost(self, target: Target, connection: Connection) -> None:
+        if connection.noisy:
+            target.noisy_until_s = asyncio.get_running_loop().time() + NOISY_S
         if connection.transport is not None:
             self.connections -= 1
         self.resting.pop(connection, None)
