Soak: a command, its page, a checker that is tried with planted breaches

Need: the soak is to be kept and repeated. Also: starts are forgotten in the order in which they were last listed, 50,000 at the most, as one that is forgotten would count as new.

--- a/lanelift/cli/lab.py
+++ b/lanelift/cli/lab.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import shlex
 import sys
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
+import uvloop
 from rich.table import Table
 
+import lanelift
 from lanelift.cli.console import out
 from lanelift.lab import experiments, results, topology
 from lanelift.lab import scale as scaling
 from lanelift.lab.capacity.measure import measure
 from lanelift.lab.hosts import Host, SpreadHost
 from lanelift.lab.policies import policy
+from lanelift.lab.soak.run import Plan, play
+from lanelift.lab.soak.troubles import Trouble
 from lanelift.lab.topology import Topology, Unusable
 from lanelift.lab.virtual import Instances, World
 from lanelift.settings import Json
@@ -29,6 +34,7 @@
 Policy = Annotated[str, typer.Option("--policy",
     help="here, a textbook policy, a module's file, or a git revision.")]
 Out = Annotated[Path | None, typer.Option("--out", help="Where the result goes, as JSON.")]
+PROGRAM = Path(lanelift.__file__).parent.parent
 Workers = Annotated[int, typer.Option(help="Processes; 0: in this one, or all cores but one for many runs.")]
 
 
@@ -210,6 +216,37 @@
         results.write(out_, results.encoded({"runs": scaling.as_json(rows), "decisions": costs}))
 
 
+@app.command()
+def soak(seed: Seed = 1, seeds: Annotated[int, typer.Option(help="How many, from there on.", min=1)] = 1,
+         seconds: Annotated[float, typer.Option(help="Of each, once all are ready.", min=3.0)] = 30.0,
+         balancers: Annotated[int, typer.Option(help="Real processes.", min=1, max=100)] = 24,
+         upstreams: Annotated[int, typer.Option(min=2, max=100)] = 8,
+         rate: Annotated[float, typer.Option(help="Requests a second of each balancer.")] = 4.0,
+         program: Annotated[Path, typer.Option(help="Where it stands, as .compiled.")] = PROGRAM,
+         only: Annotated[str, typer.Option(help="Troubles by name, commas between; empty: all.")] = "",
+         ask: Annotated[bool, typer.Option(
+             "--ask", help="Lists are asked for, not pushed.")] = False) -> None:
+    """Real balancers on loopback under troubles that overlap, judged by the rules; a breach is status 1."""
+    names = frozenset(name for name in only.split(",") if name)
+    if unknown := sorted(names - {trouble.name.lower() for trouble in Trouble}):
+        raise Unusable(f"--only: {unknown[0]!r} is none of "
+                       f"{', '.join(trouble.name.lower() for trouble in Trouble)}")
+    broken = False
+    for number in range(seed, seed + seeds):
+        plan = Plan(number, seconds, balancers, upstreams, rate, program.resolve(), not ask, only=names)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            verdict = runner.run(play(plan))
+        counts = ", ".join(f"{count} {name}" for name, count in sorted(verdict.counts.items()))
+        out.print(f"seed {number}: {len(verdict.breaches)} breaches, {len(verdict.unsure)} unsure; "
+                  f"{len(verdict.history.troubles)} troubles; {counts}"
+                  f"{'' if verdict.shimmed else '; no compiler, so no system call failed'}", soft_wrap=True)
+        for breach in verdict.breaches:
+            out.print(f"  {breach.rule}: {breach.what}", soft_wrap=True)
+        broken = broken or bool(verdict.breaches)
+    if broken:
+        raise typer.Exit(1)
+
+
 @app.command()
 def worlds() -> None:
     """The topologies that come with the package."""
--- a/lanelift/lab/soak/balancers.py
+++ b/lanelift/lab/soak/balancers.py
@@ -6,13 +6,13 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
 
 from lanelift.lab.soak.discovery import Discovery
 from lanelift.lab.soak.history import History, Process
+from lanelift.lab.soak.ports import free_port
 from lanelift.lab.soak.shim import Control
 from lanelift.settings import Json
 
@@ -21,14 +21,6 @@
 LOG_MOST = 200_000  # bytes of a log that are kept
 
 
-def free_port() -> int:
-    """A loopback port that nobody listens at."""
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        port: int = taken.getsockname()[1]
-        return port
-
-
 class Running:
     """One process, its record and its door."""
 
--- a/lanelift/lab/soak/discovery.py
+++ b/lanelift/lab/soak/discovery.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qs
 
 from lanelift.lab.soak.history import Call, History
+from lanelift.lab.soak.ports import free_port
 from lanelift.settings import Json
 
 
@@ -28,8 +29,8 @@
 
     async def open(self, process: int) -> str:
         """An address for this process."""
-        server = await self._listen(0, process)
-        port: int = server.sockets[0].getsockname()[1]
+        port = free_port()
+        server = await self._listen(port, process)
         self.servers[port], self.process_at[port] = server, process
         if self.down:
             server.close()
--- a/lanelift/lab/soak/upstreams.py
+++ b/lanelift/lab/soak/upstreams.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from lanelift.lab.soak.history import Attempt, History
+from lanelift.lab.soak.ports import free_port
 from lanelift.net.kernel import Socket, received
 
 HEAD_END = b"\r\n\r\n"
@@ -36,7 +37,7 @@
         self.process = 0
         self.started_ms = 0
         self.listener: socket.socket | None = None
-        self.port = 0
+        self.port = free_port()
         self.accepting = True
         self.links: set[Link] = set()
 
@@ -45,13 +46,12 @@
         return f"127.0.0.1:{self.port}"
 
     def start(self) -> None:
-        """Listen, from the second time on at the same port."""
+        """Listen, each time at the same port."""
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(1 if not self.accepting else 128)
         self.listener.setblocking(False)
-        self.port = self.listener.getsockname()[1]
         self.process += 1
         self.accept(True)
 
--- a/lanelift/wallclock.py
+++ b/lanelift/wallclock.py
@@ -17,7 +17,7 @@
 SLEWED_NS = 50 * MS
 SKEW_S = 2.0  # clocks of two machines differ by so much
 SAME_START_MS = 100  # starts that are listed so close are one: an older program saved them rounded to this
-MOST_STARTS = 10_000  # starts that are remembered; in time they are ever new
+MOST_STARTS = 50_000  # starts that are remembered; in time they are ever new
 
 
 def unix_ms() -> int:
@@ -72,7 +72,7 @@
     future. Once a step of the wall clock was seen, no start is taken to be older than it could be by that."""
 
     def __init__(self) -> None:
-        self.starts: dict[int, Start] = {}  # by upstream, the last noted last
+        self.starts: dict[int, Start] = {}  # by upstream, the last listed last
         self.listed_ns: int | None = None  # when the last list came
         self.offset_ns = offset_ns()
         self.stepped_ns = 0  # by how much in all the wall clock was stepped
@@ -84,10 +84,10 @@
         known = self.starts.get(upstream)
         if known is None or abs(known.unix_ms - unix_ms) >= SAME_START_MS:
             known = Start(unix_ms, self._reckon(unix_ms, now_ns))
-            self.starts.pop(upstream, None)
-            self.starts[upstream] = known
-            if len(self.starts) > MOST_STARTS:
-                del self.starts[next(iter(self.starts))]
+        self.starts.pop(upstream, None)
+        self.starts[upstream] = known  # the one that was listed longest ago is forgotten first
+        if len(self.starts) > MOST_STARTS:
+            del self.starts[next(iter(self.starts))]
         return known.started_ns
 
     def listed(self, now_ns: int) -> None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,126 @@
+"""The soak: its checker finds what was planted, and a short run of real processes keeps the rules."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+import lanelift
+from lanelift.cli.lab import app
+from lanelift.lab.soak.checker import Checker
+from lanelift.lab.soak.history import Asked, Attempt, Call, Change, Disabled, End, History, Kind, Process
+from lanelift.lab.soak.run import Plan, play
+from lanelift.lab.soak.troubles import Trouble, schedule
+from tests.fakes import run
+
+MS, SECOND = 1_000_000, 1_000_000_000
+PROGRAM = Path(lanelift.__file__).parent.parent
+START = 100 * SECOND
+
+
+def good() -> History:
+    """One process, which served one request and was told to end."""
+    history = History()
+    ended_ns = START + 21 * SECOND
+    history.processes.append(Process(0, 0, START - SECOND, START, START + 20 * SECOND, 0, ended_ns, 0))
+    history.asked.append(Asked("r", Kind.PAY, 0, 500, b"", START, START + 20 * MS, End.SERVED))
+    history.attempts.append(Attempt("r", "s", 1, START + MS, 498, START + MS, True))
+    return history
+
+
+def no_answer(h: History) -> None:
+    h.asked[0].end = End.CLOSED
+
+
+def late_answer(h: History) -> None:
+    h.asked[0].ended_ns = START + 1100 * MS
+
+
+def another_s_answer(h: History) -> None:
+    h.asked[0].proper = False
+
+
+def ran_again(h: History) -> None:
+    h.attempts.append(Attempt("r", "t", 1, START + 9 * MS, 400, START + 9 * MS, True))
+
+
+def keyed_beyond_its_window(h: History) -> None:
+    h.asked[0].kind = Kind.KEYED
+    h.attempts.append(Attempt("r", "t", 1, START + 3 * SECOND, 0, START + 3 * SECOND, True))
+
+
+def told_too_much(h: History) -> None:
+    h.attempts[0].whole_ns += 300 * MS
+
+
+def begun_for_nobody(h: History) -> None:
+    h.asked[0].end, h.asked[0].ended_ns = End.LEFT, START + 10 * MS
+    h.attempts[0].first_ns = START + 200 * MS
+
+
+def drained_and_told(h: History) -> None:
+    h.changes.append(Change("s", 7, START - 2 * SECOND))
+    h.calls.append(Call(0, START - 3 * SECOND, 4000, 6, 0, START - 2 * SECOND, 7))
+
+
+def drained_behind_a_silence(h: History) -> None:
+    h.changes.append(Change("s", 7, START - 8 * SECOND))
+    h.processes[0].started_ns = START - 20 * SECOND
+    h.calls.append(Call(0, START - 9 * SECOND, 2000, 6, START - 8 * SECOND))
+
+
+def disabled(h: History) -> None:
+    h.disabled.append(Disabled(0, "s", START - 2 * SECOND))
+
+
+def ended_by_itself(h: History) -> None:
+    h.processes[0].term_ns, h.processes[0].status = 0, 1
+
+
+def logged_what_nobody_foresaw(h: History) -> None:
+    h.processes[0].log = "Traceback (most recent call last):"
+
+
+@pytest.mark.parametrize(("rule", "plant"), [
+    ("answered", no_answer), ("answered", late_answer), ("answered", another_s_answer),
+    ("twice", ran_again), ("twice", keyed_beyond_its_window), ("told", told_too_much),
+    ("late begin", begun_for_nobody), ("drain", drained_and_told), ("drain", drained_behind_a_silence),
+    ("drain", disabled), ("process", ended_by_itself), ("process", logged_what_nobody_foresaw)])
+def test_the_checker_finds_what_was_planted(rule: str, plant: Callable[[History], None]) -> None:
+    history = good()
+    assert Checker(history, SECOND // 2, 2 * SECOND).breaches() == []
+    plant(history)
+    assert rule in {b.rule for b in Checker(history, SECOND // 2, 2 * SECOND).breaches()}
+
+
+def test_a_kill_by_the_soak_excuses_what_was_open() -> None:
+    history = good()
+    no_answer(history)
+    history.processes[0].killed_ns = history.asked[0].ended_ns
+    assert Checker(history, SECOND // 2, 2 * SECOND).breaches() == []
+
+
+def test_troubles_are_drawn_from_the_seed_and_overlap() -> None:
+    assert schedule(3, 60.0) == schedule(3, 60.0) != schedule(4, 60.0)
+    assert {e.trouble for e in schedule(3, 600.0)} == set(Trouble)
+    events = schedule(3, 600.0)
+    at_once = [sum(e.at_s <= s < e.at_s + max(1.0, e.lasts_s) for e in events) for s in range(10, 590)]
+    assert 2.0 < sum(at_once) / len(at_once) < 3.5
+
+
+@pytest.mark.parametrize("push", [True, False])
+def test_a_short_soak_of_real_processes_keeps_the_rules(push: bool) -> None:
+    async def test() -> None:
+        verdict = await play(Plan(5, 6.0, 3, 4, 8.0, PROGRAM, push))
+        assert verdict.breaches == []
+        assert verdict.counts["served"] > 20 and verdict.history.troubles
+
+    run(test())
+
+
+def test_an_unknown_trouble_is_one_line() -> None:
+    done = CliRunner().invoke(app, ["soak", "--only", "boredom"])
+    assert done.exit_code != 0 and "'boredom' is none of restart" in str(done.exception)
