Connections: 3 ms of rest, 12 ms once any upstream answered twice, 50 ms for that one

Change: 3 ms without a fallback where nothing was ever seen; where an upstream sent what nobody asked for all are waited for for a minute.

--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -21,9 +21,9 @@
 
 IDLE_PART = 0.6  # of the time after which upstreams close idle connections; then they are dropped here
 # A connection is not used again at once: what comes late behind an answer, a second copy or noise, would be
-# taken for the next request's, and nothing in the protocol marks it. What comes some milliseconds late is
-# seen within the first time. An upstream that did so is waited for longer, for so long after it was seen.
-SETTLE_S, SETTLE_NOISY_S, NOISY_S = 0.006, 0.05, 60.0
+# taken for the next request's, and nothing in the protocol marks it. What was written together is seen within
+# the first time. Once any upstream did so, all are waited for longer for a while, and that one the longest.
+SETTLE_S, SETTLE_WARY_S, SETTLE_NOISY_S, NOISY_S = 0.003, 0.012, 0.05, 60.0
 HERE_PAUSE_S = 0.02  # before what failed for want of something on this machine is tried again
 QUIET_S = 5.0  # between two lines about one and the same shortage
 NEVER_RAN = (503, 504)
@@ -72,10 +72,6 @@
     keep: bool = True  # connections that come free are kept
     noisy_until_s: float = 0.0  # it sent what nobody asked for
 
-    def settle_s(self, now: float) -> float:
-        """How long a connection has to rest before it is used again."""
-        return SETTLE_NOISY_S if now < self.noisy_until_s else SETTLE_S
-
 
 class Upstreams:
     def __init__(self, limits: api.Limits, max_connections: int, columns: Collection[str],
@@ -92,6 +88,7 @@
         self.listed: dict[int, None] = {}  # every upstream that a list named, the newest last
         self.connections = 0  # those open and those being opened
         self.resting: dict[Connection, None] = {}  # idle connections to any upstream, the oldest first
+        self.wary_until_s = 0.0  # an upstream sent what nobody asked for
         self.quiet_until = 0.0  # the shortage of connections is not logged again before
         self.connecting: set[asyncio.Task[None]] = set()
 
@@ -227,7 +224,7 @@
     def _idle(self, target: Target, now: float) -> Connection | None:
         """The newest that has settled: the others may come to rest and close."""
         while True:
-            before_s = now - target.settle_s(now)
+            before_s = now - self._settle_s(target, now)
             connection = next((c for c in reversed(target.idle) if c.idle_since <= before_s), None)
             if connection is None:
                 return None
@@ -237,6 +234,12 @@
                 return connection
             connection.abort()
 
+    def _settle_s(self, target: Target, now: float) -> float:
+        """How long a connection to it has to rest before it is used again."""
+        if now < target.noisy_until_s:
+            return SETTLE_NOISY_S
+        return SETTLE_WARY_S if now < self.wary_until_s else SETTLE_S
+
     def _short(self, what: str) -> None:
         """Said once in a while, not for each request: where it is short, all meet with it."""
         now = asyncio.get_running_loop().time()
@@ -322,7 +325,7 @@
 
     def _lost(self, target: Target, connection: Connection) -> None:
         if connection.noisy:
-            target.noisy_until_s = asyncio.get_running_loop().time() + NOISY_S
+            target.noisy_until_s = self.wary_until_s = asyncio.get_running_loop().time() + NOISY_S
         if connection.transport is not None:
             self.connections -= 1
         self.resting.pop(connection, None)
