Starts: bounded by the last list only behind a step; the client's side in four modules

So the bound: lists come late, and an upstream that had started before the last list without it was taken to be younger, and warmed up later. An upstream on a machine whose own clock is wrong is not told apart. Also: net/frontend.py (728 lines) into frontend, clientconnection, phases and terms, a move but for the head's terms, which are a type.

--- /dev/null
+++ b/lanelift/net/terms.py
@@ -0,0 +1,83 @@
+"""What the head of a client's request says, checked: the terms on which it is taken."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Mapping
+from dataclasses import dataclass
+from urllib.parse import unquote_plus
+
+from lanelift import interface as api
+from lanelift.net.parse import Request, Unacceptable
+
+MAX_ID = 128  # bytes of a request's id: it is a key of tables and stands in the log
+MS, US = 1_000_000, 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """Times in nanoseconds. `wait_ns`: how long its client waits, counted from its last byte."""
+
+    request: str
+    class_name: str
+    tenant: str
+    wait_ns: int
+    cost_hint_ns: int
+    key: str
+    retry: bool
+
+
+def read_terms(head: Request, settings: api.Settings, open_requests: Container[str]) -> Terms:
+    """Raises Unacceptable where it can't be taken so."""
+    headers = dict(head.headers)
+    path, _, query = head.target.decode("latin-1").partition("?")
+    class_name = _class_of(path, headers, settings)
+    _check_method(head, settings.classes[class_name])
+    request = headers.get(b"x-request-id", b"").decode("latin-1")
+    if not request:
+        raise Unacceptable(400, "no X-Request-Id")
+    if len(request) > MAX_ID:
+        raise Unacceptable(400, "X-Request-Id is too long")
+    if request in open_requests:
+        raise Unacceptable(409, "a request with this X-Request-Id is open")
+    # Nobody waits longer than the class allows, whatever the header says: SIGTERM counts on it.
+    longest_ns = settings.classes[class_name].deadline_ns
+    wait_ns = min(longest_ns, _whole_number(headers, b"x-deadline-ms", longest_ns // MS) * MS)
+    return Terms(request, class_name, headers.get(b"x-tenant", b"").decode("latin-1"), wait_ns,
+                 _whole_number(headers, b"x-cost-hint", 0) * US, key_of(query) if "obj=" in query else "",
+                 headers.get(b"x-retry") == b"1")
+
+
+def _class_of(path: str, headers: Mapping[bytes, bytes], settings: api.Settings) -> str:
+    first = path.strip("/").partition("/")[0]
+    name = headers.get(b"x-class", first.encode("latin-1")).decode("latin-1")
+    if first not in settings.classes or name not in settings.classes:
+        raise Unacceptable(404, "no such class")
+    if b"host" not in headers:
+        raise Unacceptable(400, "no Host")
+    return name
+
+
+def _check_method(head: Request, cls: api.RequestClass) -> None:
+    safe = cls.effect is api.Effect.SAFE
+    if head.method not in ((b"GET", b"HEAD") if safe else (b"POST",)):
+        raise Unacceptable(405, f"{'GET' if safe else 'POST'} is the method of this class")
+    if safe and (head.body or head.stream is not None):
+        raise Unacceptable(400, "a GET has no body")
+
+
+def key_of(query: str) -> str:
+    """The first `obj` of a query that is not empty, decoded."""
+    for part in query.split("&"):
+        if part.startswith("obj=") and len(part) > 4:
+            value = part[4:]
+            return unquote_plus(value) if "%" in value or "+" in value else value
+    return ""
+
+
+def _whole_number(headers: Mapping[bytes, bytes], name: bytes, default: int) -> int:
+    text = headers.get(name)
+    if text is None:
+        return default
+    if not text.isdigit() or len(text) > 15:
+        raise Unacceptable(400, f"{name.decode()} is not a whole number")
+    return int(text)
--- a/lanelift/wallclock.py
+++ b/lanelift/wallclock.py
@@ -68,8 +68,9 @@
     """From starts as they are listed, in Unix time, to the monotonic clock. One that was reckoned once stays
     where it is, whatever the clocks do then.
 
-    A start that is first heard of while this runs is not older than the last list without it, and not in the
-    future. Once a step of the wall clock was seen, no start is taken to be older than it could be by that."""
+    None is in the future. Once a step of the wall clock was seen, a start that is first heard of is not taken
+    to be older than the last list without it, nor older than it could be by all steps. (Without a step the
+    first of these would be wrong: lists come late, so a list may lack what has started.)"""
 
     def __init__(self) -> None:
         self.starts: dict[int, Start] = {}  # by upstream, the last listed last
@@ -101,6 +102,6 @@
         if step > SLEWED_NS:
             self.stepped_ns += step
         started = unix_ms * MS - offset + self.stepped_ns
-        if self.listed_ns is not None:
+        if self.stepped_ns and self.listed_ns is not None:
             started = max(started, self.listed_ns)
         return min(started, now_ns)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -15,10 +15,10 @@
 from hypothesis import strategies as st
 
 from lanelift import interface as api
-from lanelift.net import frontend
+from lanelift.net import frontend, phases
 from lanelift.net.body import HIGH, Body, Store
-from lanelift.net.frontend import Phase
 from lanelift.net.parse import MAX_BODY, RequestReader, ResponseReader
+from lanelift.net.phases import Phase
 from tests.fakes import SETTINGS, Client, Heard, free_port, read_message, run, world
 
 LONG = bytes(range(256)) * 1200  # 300 KiB
@@ -317,7 +317,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
     async def test() -> None:
-        monkeypatch.setattr(frontend, "LIMIT_S", {**frontend.LIMIT_S, Phase.NEW: 0.4, Phase.BODY: 0.4})
+        monkeypatch.setattr(frontend, "LIMIT_S", {**phases.LIMIT_S, Phase.NEW: 0.4, Phase.BODY: 0.4})
         async with raw_world(handle) as w:
             stops, slow = await w.client(), await w.client()
             for name, client in (("r1", stops), ("r2", slow)):
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -12,10 +12,10 @@
 import pytest
 
 from lanelift import interface as api
-from lanelift.net import frontend, parse
+from lanelift.net import frontend, parse, phases
 from lanelift.net.budget import RESERVE
-from lanelift.net.frontend import Phase
 from lanelift.net.kernel import received
+from lanelift.net.phases import Phase
 from tests.fakes import (
     CLASSES,
     SECOND,
@@ -196,7 +196,7 @@
 def test_at_the_cap_an_idle_client_is_left_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(frontend, "KEPT_S", 1000.0)
     monkeypatch.setattr(frontend, "SILENT_S", 0.0)
-    monkeypatch.setitem(frontend.LIMIT_S, Phase.NEW, 0.1)  # the last newcomer is driven out by nobody
+    monkeypatch.setitem(phases.LIMIT_S, Phase.NEW, 0.1)  # the last newcomer is driven out by nobody
 
     async def test() -> None:
         async with world(sockets=RESERVE + 2 * 2) as w:
@@ -279,8 +279,8 @@
 @pytest.mark.parametrize("used", [False, True])
 def test_a_request_that_does_not_come_in_time_ends_its_connection(
         monkeypatch: pytest.MonkeyPatch, part: bytes, status: int | None, used: bool) -> None:
-    monkeypatch.setitem(frontend.LIMIT_S, Phase.NEW, 0.2)
-    monkeypatch.setitem(frontend.LIMIT_S, Phase.IDLE, 0.3)
+    monkeypatch.setitem(phases.LIMIT_S, Phase.NEW, 0.2)
+    monkeypatch.setitem(phases.LIMIT_S, Phase.IDLE, 0.3)
 
     async def test() -> None:
         async with world() as w:
@@ -339,7 +339,7 @@
 
 def test_a_client_that_does_not_read_gets_no_more_answers_piled_up(
         monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
-    monkeypatch.setitem(frontend.LIMIT_S, Phase.IDLE, 0.5)
+    monkeypatch.setitem(phases.LIMIT_S, Phase.IDLE, 0.5)
 
     async def test() -> None:
         async with world() as w:
@@ -400,7 +400,7 @@
                 while received(sock)[1] < 30_000_000:  # the kernel counts in ticks
                     await asyncio.sleep(0)
                 for client in table:
-                    table[client] -= 2.0 if end == "made room" else frontend.LIMIT_S[Phase.IDLE]
+                    table[client] -= 2.0 if end == "made room" else phases.LIMIT_S[Phase.IDLE]
                 used.send(raw_request(start="GET /quote HTTP/1.1").replace(b"pay", b"quote"))
                 if end == "drained":
                     front._stop()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -317,7 +317,7 @@
 
 
 def test_an_answer_that_cannot_be_given_harms_no_other(monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
-    from lanelift.net.frontend import ClientConnection
+    from lanelift.net.clientconnection import ClientConnection
 
     served = ClientConnection.served
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,12 +22,14 @@
 from lanelift import interface as api
 from lanelift.decide import Balancer
 from lanelift.decide import balancer as decide
-from lanelift.net import calls, discovery, frontend, upstream
+from lanelift.net import calls, discovery, frontend, phases, upstream
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE
+from lanelift.net.clientconnection import ClientConnection
 from lanelift.net.discovery import read_endpoint
-from lanelift.net.frontend import ClientConnection, Frontend, Phase
+from lanelift.net.frontend import Frontend
 from lanelift.net.parse import message
+from lanelift.net.phases import Phase
 from lanelift.net.siblings import Siblings
 from lanelift.net.upstream import Timing, Upstreams, number_of
 from lanelift.settings import Json
@@ -118,7 +120,7 @@
 
 def test_a_client_that_goes_on_sending_does_not_keep_a_connection_that_has_ended(
         monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setitem(frontend.LIMIT_S, Phase.LINGERING, 0.1)
+    monkeypatch.setitem(phases.LIMIT_S, Phase.LINGERING, 0.1)
 
     async def test() -> None:
         async with world() as w:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -10,9 +10,10 @@
 import pytest
 
 from lanelift import interface as api
-from lanelift.net import driver, frontend
+from lanelift.net import driver, frontend, phases
 from lanelift.net.budget import RESERVE
-from lanelift.net.frontend import Frontend, Phase
+from lanelift.net.frontend import Frontend
+from lanelift.net.phases import Phase
 from lanelift.net.upstream import IDLE_PART, Upstreams
 from tests.fakes import SECOND, SETTINGS, never, run, world
 
@@ -72,7 +73,7 @@
     monkeypatch.setattr(kind, "_sweep", counted)
     limits = SETTINGS.limits
     if what == "a client's":
-        monkeypatch.setitem(frontend.LIMIT_S, Phase.IDLE, part_s)
+        monkeypatch.setitem(phases.LIMIT_S, Phase.IDLE, part_s)
     else:
         limits = replace(limits, conn_idle_ns=int(part_s / IDLE_PART * SECOND))
 
