--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,7 +22,7 @@
 from lanelift import interface as api
 from lanelift.decide import Balancer
 from lanelift.decide import balancer as decide
-from lanelift.net import calls, discovery, frontend, phases, upstream
+from lanelift.net import calls, clientconnection, discovery, frontend, phases, upstream
 from lanelift.net.body import Store
 from lanelift.net.budget import RESERVE
 from lanelift.net.clientconnection import ClientConnection
@@ -471,8 +471,8 @@
 def test_while_it_leaves_idle_clients_make_room_for_those_in_the_queue(
         made: list[Frontend], monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(frontend, "KEPT_S", 1000.0)
-    monkeypatch.setattr(frontend, "CROWDED", 9.0)
-    monkeypatch.setattr(frontend, "FULL", 9.0)
+    monkeypatch.setattr(clientconnection, "CROWDED", 9.0)
+    monkeypatch.setattr(clientconnection, "FULL", 9.0)
 
     async def test() -> None:
         async with world(sockets=RESERVE + 2 * 2) as w:  # places for two clients
