--- a/tests/test_state_folder.py
+++ b/tests/test_state_folder.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from lanelift.daemon import keeper
 from lanelift.net.disabled import FILE
 from lanelift.net.management import No
 from lanelift.net.siblings import Siblings
@@ -224,3 +225,28 @@
     second.look()
     assert second.alone
     second.close()
+
+
+@pytest.mark.parametrize("call", ["mkstemp", "pwrite", "replace"])
+def test_the_copy_of_the_settings_is_written_until_it_is(
+        call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The reload behind it reads this file."""
+    monkeypatch.setattr(keeper, "RETRY_S", 0.01)
+    module, name = CALLS[call]
+    plain, left = getattr(module, name), [2]
+
+    def fail_twice(*args: Any, **more: Any) -> Any:
+        if left[0]:
+            left[0] -= 1
+            raise ENOSPC
+        return plain(*args, **more)
+
+    async def test() -> None:
+        path = tmp_path / "settings.toml"
+        path.write_bytes(b"old")
+        monkeypatch.setattr(module, name, fail_twice)
+        await keeper.Keeper._cached(object.__new__(keeper.Keeper), path, b"new")
+        assert path.read_bytes() == b"new" and left == [0]
+        assert [entry.name for entry in tmp_path.iterdir()] == [path.name]
+
+    run(test())
