Discovery: fix a list that is never updated again where answers come late

What callers saw: with a discovery that answers each poll 1.2 s late or more, also behind the hold, a balancer that has a list never takes another answer. It serves nothing for 10 s, then goes on by the old list for good: upstreams that drain or went keep getting requests.

Cause: a watch is given its hold and 0.8 s, a check behind it 1.2 s, whatever was seen before. Each poll was aborted ahead of its answer, and the next one again (`DiscoveryWatch._make_poll`).

Evidence: one balancer and one service in virtual time, answers late by X, 720 s played.

Fix: a check behind one that timed out is given 2.4 s, as its deadline is over anyway. Where answers come within 1.2 s nothing changes.

Also looked at: lists asked for without a watch have 2 s for connect and answer, and a pause of the policy; a service later than that still gives no first list (open).

--- a/loadbalancer/proxy/discovery_watch.py
+++ b/loadbalancer/proxy/discovery_watch.py
@@ -55,6 +55,12 @@
 # was missed is polled for without a hold, is given `CHECK_TIMEOUT_S`, and is polled for again after
 # a short pause, whatever the outcome, until `MAX_RECOVERY_S` after the deadline.
 CHECK_TIMEOUT_S = 1.2
+# Where even a check is not answered in that time, the deadline has passed: discovery is silent, or
+# it is slow, and then it must be left the time for its answer, or nothing is ever known again.
+RECHECK_TIMEOUT_S = 2.4
+# After an answer that came later than a check may, a watch is left all the time up to its deadline
+# but for `DEADLINE_MARGIN_S`; nothing is left for a check behind it, which would fail anyway.
+DEADLINE_MARGIN_S = 0.1
 RECHECK_PAUSE_S = 0.1
 RECHECK_PAUSE_PER_BALANCER_S = 0.01
 MAX_RECOVERY_S = 4.0
@@ -64,6 +70,11 @@
 MAX_PAUSE_S = 0.15
 
 
+def deadline_in_s(hold_ms: int) -> float:
+    """How long after the start of a poll with this hold a change that it hid is in force."""
+    return max(CHANGE_DEADLINE_S, hold_ms / MS_PER_S + HOLD_DEADLINE_S)
+
+
 class PollKind(Enum):
     """What discovery is polled for next."""
 
@@ -138,6 +149,7 @@
         has_list: A list is known, and by its version discovery can send what changed since.
         deadline_s: A watch fell silent and no answer came since: by then what it hid may be in
             force; else None.
+        is_slow: The last answer came later, behind its hold, than a check may.
     """
 
     def __init__(self, balancers: int, index: int, rng: random.Random) -> None:
@@ -145,6 +157,8 @@
         self.next_kind = PollKind.FULL_LIST
         self.has_list = False
         self.deadline_s: float | None = None
+        self.is_slow = False
+        self._has_check_failed = False
         self._fleet_size = max(1, balancers)
         self._fleet_index = index % self._fleet_size
         self._backoff_s = MIN_BACKOFF_S
@@ -183,10 +197,13 @@
         if self.next_kind is PollKind.FULL_LIST:
             return Poll(PollKind.FULL_LIST, 0, None)
         if self.next_kind is PollKind.CHECK:
-            return Poll(PollKind.CHECK, 0, CHECK_TIMEOUT_S)
+            timeout_s = RECHECK_TIMEOUT_S if self._has_check_failed else CHECK_TIMEOUT_S
+            return Poll(PollKind.CHECK, 0, timeout_s)
         hold_ms = self.schedule.hold_ms(self.index, self.rng)
         if self.next_kind is PollKind.CATCH_UP:
             hold_ms = min(hold_ms, CATCH_UP_HOLD_MS)
+        if self.is_slow:
+            return Poll(self.next_kind, hold_ms, deadline_in_s(hold_ms) - DEADLINE_MARGIN_S)
         return Poll(self.next_kind, hold_ms, hold_ms / MS_PER_S + ANSWER_GRACE_S)
 
     def on_outcome(self, outcome: PollOutcome, now_s: float) -> float | None:
@@ -198,6 +215,7 @@
         """
         kind = self.next_kind
         if outcome is PollOutcome.ANSWERED:
+            self._note_delay(now_s)
             self.next_kind = PollKind.WATCH
             self.has_list = True
             self.deadline_s = None
@@ -210,6 +228,7 @@
         )
         if is_watch_silent:
             self._set_deadline()
+        self._has_check_failed = kind is PollKind.CHECK and outcome is PollOutcome.TIMED_OUT
         self._choose_after_failure(kind, outcome)
         if self.deadline_s is None or now_s > self.deadline_s + MAX_RECOVERY_S:
             return None
@@ -217,6 +236,15 @@
             self.schedule.pause_s if is_watch_silent else self.schedule.recheck_pause_s
         )
 
+    def _note_delay(self, now_s: float) -> None:
+        """Note how late an answer came behind its hold; a watch may be answered ahead of that."""
+        self._has_check_failed = False
+        if self._poll is None or self._poll.kind is PollKind.FULL_LIST:
+            return
+        delay_s = now_s - self._poll_started_s - self._poll.hold_ms / MS_PER_S
+        if delay_s > 0.0:
+            self.is_slow = delay_s > CHECK_TIMEOUT_S
+
     def _choose_after_failure(self, kind: PollKind, outcome: PollOutcome) -> None:
         """Choose the next poll after one without an answer.
 
@@ -237,8 +265,7 @@
     def _set_deadline(self) -> None:
         """Set the deadline of a silence; for all that is known, it began when the poll did."""
         assert self._poll is not None
-        hold_s = self._poll.hold_ms / MS_PER_S
-        deadline_s = self._poll_started_s + max(CHANGE_DEADLINE_S, hold_s + HOLD_DEADLINE_S)
+        deadline_s = self._poll_started_s + deadline_in_s(self._poll.hold_ms)
         if self.deadline_s is None:
             self.deadline_s = deadline_s
         else:
--- a/tests/proxy/test_discovery_watch.py
+++ b/tests/proxy/test_discovery_watch.py
@@ -335,3 +335,52 @@
                 poll.hold_ms / 1000 + discovery_watch.HOLD_DEADLINE_S,
             )
             assert poll.timeout_s + 1.0 <= term_s + 1e-9
+
+
+@dataclass
+class LateService:
+    """A discovery that answers each poll late, in virtual time, for one balancer of a fleet."""
+
+    late_s: float
+    watch: DiscoveryWatch
+    now_s: float = 0.0
+    last_answer_s: float = 0.0
+    stale_s: float = 0.0  # how long what a silent watch hid was in force, and no answer came
+
+    def play(self, seconds: float) -> None:
+        """Poll for so long."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            poll = self.watch.next_poll(self.now_s)
+            timeout_s = discovery_watch.POLL_TIMEOUT_S if poll.timeout_s is None else poll.timeout_s
+            took_s = poll.hold_ms / 1000 + self.late_s
+            deadline_s = self.watch.deadline_s
+            self.now_s += min(took_s, timeout_s)
+            outcome = PollOutcome.ANSWERED if took_s < timeout_s else PollOutcome.TIMED_OUT
+            pause_s = self.watch.on_outcome(outcome, self.now_s)
+            if outcome is PollOutcome.ANSWERED:
+                self.last_answer_s = self.now_s
+                if deadline_s is not None:
+                    self.stale_s += max(0.0, self.now_s - deadline_s - GRACE_S)
+            self.now_s += self.watch.backoff_pause_s() if pause_s is None else pause_s
+
+
+GRACE_S = 0.3  # so long behind its deadline nothing is sent by a list that may hide a change
+
+
+@pytest.mark.parametrize("late_s", [0.5, 0.9, 1.3, 1.6, 1.8])
+@pytest.mark.parametrize("balancers", FLEETS)
+def test_a_discovery_that_answers_late_is_not_given_up_for_good(
+    balancers: int, late_s: float
+) -> None:
+    """Each poll was cut off ahead of its answer: the list stood still, and nothing was sent."""
+    rng = random.Random(balancers)
+    service = LateService(late_s, DiscoveryWatch(balancers, balancers // 2, rng))
+    service.play(120.0)
+    stale_s = service.stale_s
+    # Once: the check that fails ends about with the deadline, and one more is answered.
+    assert stale_s <= service.watch.schedule.recheck_pause_s + late_s
+    service.play(600.0)
+    assert service.stale_s == stale_s
+    longest_hold_s = service.watch.schedule.max_hold_ms / 1000
+    assert service.now_s - service.last_answer_s <= longest_hold_s + 2 * late_s
