Shutdown: who waits in the accept queue at the end is refused, not reset

What callers saw: where all places for clients were taken by open requests until the end of a process, those in its accept queue were reset, their requests unanswered.

Cause: the answers of the last moment leave connections that linger for 0.1 s at least, as long as the process has left, so no place became free; then the listener was closed over the queue.

Fix: once the open requests are answered nothing more goes to upstreams, so the descriptors kept for that are the clients' (`BalancerProcess._accept_rest`). The queue is accepted, and who has sent a request is refused at once.

--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -147,9 +147,20 @@
         # together, and the last answers be dropped.
         if not await frontend.has_left(frontend.last_answer_ns):
             frontend.end_open()
+            self._accept_rest()
             if not await frontend.has_left(time.monotonic_ns() + int(LEAVE_S * 1e9)):
                 log.info("shutdown with client connections open: connections=%d", frontend.held)
 
+    def _accept_rest(self) -> None:
+        """Make room for the clients that wait in the accept queue: closing it would reset them.
+
+        Nothing more is sent to upstreams, so the descriptors kept for that are free. The answers
+        just given leave connections that linger, and hold their places for longer than is left.
+        """
+        self.upstreams.allow(0)
+        shares = self.limits.shares
+        self.frontend.allow(shares.clients + shares.upstreams)
+
     async def close(self) -> None:
         """Close all parts."""
         if self.companion is not None:
--- a/tests/proxy/test_races.py
+++ b/tests/proxy/test_races.py
@@ -555,6 +555,32 @@
     run(test())
 
 
+def test_who_waits_in_the_queue_at_the_end_is_refused_and_not_reset(
+    made: list[Frontend], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All places were taken by open requests until the end, and closing the listener reset those
+    that waited behind them.
+    """
+    short_leave(monkeypatch)
+    monkeypatch.setattr(frontend, "DRAIN_S", 0.05)
+
+    async def test() -> None:
+        async with world(sockets=RESERVE + 2 * 2) as w:  # places for two clients
+            w.upstreams[0].script = [never] * 20
+            held = [await w.client(), await w.client()]
+            for number, client in enumerate(held):
+                client.send(f"r{number}", X_Deadline_Ms=3000)
+            await w.upstreams[0].until(lambda: len(w.upstreams[0].seen) >= len(held))
+            waiting = [await w.client(), await w.client()]
+            for number, client in enumerate(waiting):
+                client.send(f"w{number}", X_Deadline_Ms=3000)
+            made[0].drain()
+            for client, status in [(c, 504) for c in held] + [(c, 503) for c in waiting]:
+                assert (await asyncio.wait_for(read_message(client.reader), 5.0)).status == status
+
+    run(test())
+
+
 def test_a_process_whose_file_was_not_locked_yet_is_not_taken_for_a_dead_one(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
