Proxy: fix answers served to another request, by connections that always rest

What callers saw: a request served, 200, with the answer made for another one; payments too.

Cause: where no other connection was idle, one was used that had rested under 2 ms, and the second answer on its way was read as the next request's (`ConnectionPool._take_idle`).

Fix: none is used within 20 ms of its last answer (30 ms once a process has met an answer that nobody asked for, 100 ms for that upstream). An attempt waits for the connection that has rested first, and opens one only where all are taken. What comes within the rest finds a connection that nobody uses.

--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -1,9 +1,10 @@
 """Connections to upstreams: opened up to a cap, kept while idle, used again once they have settled.
 
 A second response or noise that comes late behind a response would be taken for the next one's, as
-nothing in the protocol marks it. So a connection rests for a moment before it is used again; only
-where there is no other is one used at once. Once an upstream has sent unrequested bytes,
-connections to all rest for longer, those to that upstream the longest.
+nothing in the protocol marks it. So a connection rests behind each response before it is used
+again. An exchange that finds none settled waits for the first that will be, which takes less time
+and costs the upstream less than a new one; where all are taken, one is opened. Once an upstream has
+sent unrequested bytes, connections to all rest for longer, those to that upstream the longest.
 """
 
 from __future__ import annotations
@@ -25,10 +26,13 @@
 
 # Of the time after which upstreams close idle connections; then they are closed here.
 IDLE_FRACTION = 0.6
-SETTLE_S = 0.002
-SETTLE_CAUTIOUS_S = 0.012  # once any upstream has sent unrequested bytes
-SETTLE_NOISY_S = 0.05  # the same, for connections to that upstream
+# Longer than a second response lags behind the first one, with the delays of a busy host.
+SETTLE_S = 0.02
+SETTLE_CAUTIOUS_S = 0.03  # once any upstream has sent unrequested bytes
+SETTLE_NOISY_S = 0.1  # the same, for connections to that upstream
+NS_PER_S = 1e9
 CAUTIOUS_S = 60.0  # how long that lasts
+MAX_SETTLE_WAIT_S = SETTLE_CAUTIOUS_S  # where the rest takes longer, a connection is opened
 LOCAL_RETRY_S = 0.02  # before a connect that failed by this machine's fault is tried again
 SHORTAGE_LOG_S = 5.0  # between two log lines about one shortage
 
@@ -83,6 +87,8 @@
         if connection is not None:
             connection.start(exchange, self._usable(target))
             return
+        if self._wait_for_rest(target, exchange):
+            return
         if self.connections >= self.max_connections and not self._close_oldest_idle():
             self._log_shortage("no connection to spare")
             loop.call_soon(exchange.give_up, api.AttemptResult.NOT_SENT)
@@ -109,25 +115,59 @@
         return may_use(target.keep, self.trusted)
 
     def _take_idle(self, target: Target, now_s: float) -> UpstreamConnection | None:
-        """Take the newest connection that has settled: the others may rest on, and close.
-
-        Failing that, the oldest is taken where no upstream was noisy.
-        """
+        """Take the newest connection that has settled: the others may rest on, and close."""
         while True:
-            before_s = now_s - self._settle_s(target, now_s)
-            connection = next((c for c in reversed(target.idle) if c.idle_since <= before_s), None)
-            if connection is None and target.idle and now_s >= self.cautious_until_s:
-                connection = target.idle[0]
+            answered_before_s = now_s - self._settle_s(target, now_s)
+            connection = next(
+                (c for c in reversed(target.idle) if c.answered_s <= answered_before_s), None
+            )
             if connection is None:
                 return None
-            target.idle.remove(connection)
-            self._idle.pop(connection, None)
+            self._take(target, connection)
             if connection.clear:
                 return connection
             connection.abort()
 
+    def _wait_for_rest(self, target: Target, exchange: Exchange) -> bool:
+        """Start on the connection that settles first, once it has; False where there is none.
+
+        It is the exchange's from now on, so that no other waits for the same one.
+        """
+        connection = min(target.idle, key=lambda c: c.answered_s, default=None)
+        if connection is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        rest_s = connection.answered_s + self._settle_s(target, now_s) - now_s
+        if rest_s > MAX_SETTLE_WAIT_S:
+            return False
+        self._take(target, connection)
+        call_after(rest_s, self._start_settled, target, connection, exchange, now_s)
+        return True
+
+    def _start_settled(
+        self, target: Target, connection: UpstreamConnection, exchange: Exchange, since_s: float
+    ) -> None:
+        """Start on a connection that has rested, unless something came from there meanwhile."""
+        now_s = asyncio.get_running_loop().time()
+        exchange.rested_ns += int((now_s - since_s) * NS_PER_S)
+        has_settled = connection.answered_s + self._settle_s(target, now_s) <= now_s
+        if not connection.clear:
+            connection.abort()
+        elif exchange.done is not None and has_settled:
+            self._start_on(connection, target, exchange)
+            return
+        else:
+            self._release(target, connection)
+        if exchange.done is not None:
+            self.start(target, exchange)
+
+    def _take(self, target: Target, connection: UpstreamConnection) -> None:
+        """Take a connection from the idle ones."""
+        target.idle.remove(connection)
+        self._idle.pop(connection, None)
+
     def _settle_s(self, target: Target, now_s: float) -> float:
-        """How long a connection to it has to rest before it is used again."""
+        """How long a connection to it has to rest behind a response before it is used again."""
         if now_s < target.noisy_until_s:
             return SETTLE_NOISY_S
         return SETTLE_CAUTIOUS_S if now_s < self.cautious_until_s else SETTLE_S
@@ -244,15 +284,22 @@
 
     def _lost(self, target: Target, connection: UpstreamConnection) -> None:
         if connection.noisy:
-            until_s = asyncio.get_running_loop().time() + CAUTIOUS_S
-            target.noisy_until_s = until_s
-            self.cautious_until_s = until_s
+            self._note_noise(target)
         if connection.transport is not None:
             self.connections -= 1
         self._idle.pop(connection, None)
         if connection in target.idle:
             target.idle.remove(connection)
 
+    def _note_noise(self, target: Target) -> None:
+        """Have connections rest for longer from now on; logged once for each such time."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self.cautious_until_s:
+            endpoint = target.endpoint
+            log.warning("unrequested bytes: upstream=%s:%d", endpoint.host, endpoint.port)
+        target.noisy_until_s = now_s + CAUTIOUS_S
+        self.cautious_until_s = now_s + CAUTIOUS_S
+
     def _close_oldest_idle(self) -> bool:
         oldest = next(iter(self._idle), None)
         if oldest is None:
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -79,6 +79,7 @@
         body: Follows on the request, in pieces.
         done: Called with the end; None: it is over.
         written: The request's last byte has left.
+        rested_ns: How long it waited here for a connection to rest.
         unread_ns: How long the end of a complete response lay unread in the kernel.
     """
 
@@ -88,6 +89,7 @@
         "done",
         "expected",
         "request",
+        "rested_ns",
         "start_timer",
         "timer",
         "unread_ns",
@@ -109,6 +111,7 @@
         self.connection: ExchangeConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.start_timer: asyncio.TimerHandle | None = None
+        self.rested_ns = 0
         self.unread_ns = 0
 
     def expire_in(self, seconds: float) -> None:
--- a/loadbalancer/proxy/policy_driver.py
+++ b/loadbalancer/proxy/policy_driver.py
@@ -19,21 +19,15 @@
 from loadbalancer.policy import Balancer, api
 from loadbalancer.policy.rules import Denied
 from loadbalancer.proxy.attempt import AttemptLimits, OutgoingAttempt
+from loadbalancer.proxy.endpoint import Endpoint, number_of
 from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.policy_violations import PolicyViolations
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.requests import OpenRequest
 from loadbalancer.proxy.timers import call_after
-from loadbalancer.proxy.upstream import (
-    Done,
-    Endpoint,
-    ExpectedBodies,
-    Report,
-    Timing,
-    Upstreams,
-    number_of,
-)
+from loadbalancer.proxy.upstream import Done, ExpectedBodies, Timing, Upstreams
+from loadbalancer.proxy.upstream_response import Report
 from loadbalancer.wallclock import StartTimes
 
 log = logging.getLogger(__name__)
@@ -299,10 +293,11 @@
             result: api.AttemptResult, response: Response | None = None, report: Report = None
         ) -> None:
             exchange = request.attempts[number]
-            # While an answer lay unread here, that was this program's time, not its upstream's.
-            unread_ns = exchange.unread_ns if exchange is not None else 0
+            # While it waited for a connection to rest, or its answer lay unread here, that was this
+            # program's time, not its upstream's.
+            own_ns = exchange.rested_ns + exchange.unread_ns if exchange is not None else 0
             started_ns = max(now, request.completed_ns)
-            duration_ns = max(0, time.monotonic_ns() - started_ns - unread_ns)
+            duration_ns = max(0, time.monotonic_ns() - started_ns - own_ns)
             outcome = _Outcome(result, response, report)
             self._ended(request, number, action.upstream, outcome, duration_ns)
 
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import cast
 
@@ -31,6 +32,8 @@
         answer: The response whose body comes in pieces.
         clean: Its request was written completely, so the connection can be used again.
         noisy: Bytes came that nobody had requested.
+        idle_since: When it became free, by the loop's clock.
+        answered_s: When its last response was complete, by that clock; -inf: it has carried none.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         self.clean = False
         self.stall: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
+        self.answered_s = -math.inf
         self.writable = True
         self.closed = False
         self.noisy = False
@@ -233,6 +237,7 @@
         What stands behind it, a second response or noise, would be read as the next request's.
         """
         reader = self.reader
+        self.answered_s = asyncio.get_running_loop().time()
         self.noisy = bool(reader.ready or reader.begun or reader.fault)
         if self.clean and response.keep_alive and not self.noisy:
             self.released(self)
--- a/tests/proxy/test_races.py
+++ b/tests/proxy/test_races.py
@@ -20,6 +20,7 @@
 
 from loadbalancer.policy import api, subscription
 from loadbalancer.policy.dispatch import Dispatcher
+from loadbalancer.policy.rules import Denied, Verdict
 from loadbalancer.proxy import (
     client_connection,
     connection_phase,
@@ -33,12 +34,14 @@
 from loadbalancer.proxy.body_stream import BodyMemory
 from loadbalancer.proxy.client_connection import ClientConnection
 from loadbalancer.proxy.connection_phase import Phase
+from loadbalancer.proxy.endpoint import number_of
 from loadbalancer.proxy.endpoint_list import read_endpoint
+from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.messages import message
 from loadbalancer.proxy.process_handover import ProcessRegistry
 from loadbalancer.proxy.resource_limits import RESERVE
-from loadbalancer.proxy.upstream import Timing, Upstreams, number_of
+from loadbalancer.proxy.upstream import Done, Timing, Upstreams
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
 from loadbalancer.settings import Json
 from tests.bench import CELL, MS, Desk, arrival, of, settings
@@ -771,6 +774,16 @@
 # ---- a second answer -----------------------------------------------------------------------------
 
 
+class Attempt:
+    """A request that starts only where its upstream may be used."""
+
+    def begin(self, usable: Verdict) -> bytes | Denied:
+        return usable if isinstance(usable, Denied) else REQUEST
+
+    def may_finish(self) -> bool:
+        return True
+
+
 class OneUpstream:
     """An upstream of bare sockets, and connections to it."""
 
@@ -778,18 +791,21 @@
         server.setblocking(False)
         self.server = server
         self.upstreams = Upstreams(SETTINGS.limits, 8, (), BodyMemory(1024))
-        row = {"id": "s-0", "addr": "{}:{}".format(*server.getsockname()), "state": "Ready"}
-        self.upstreams.learn([read_endpoint(row)], full=True)
+        self.learn("Ready")
         self.ended: asyncio.Queue[bytes] = asyncio.Queue()
 
+    def learn(self, state: str) -> None:
+        row = {"id": "s-0", "addr": "{}:{}".format(*self.server.getsockname()), "state": state}
+        self.upstreams.learn([read_endpoint(row)], full=True)
+
+    def send(self, done: Done) -> Exchange | None:
+        return self.upstreams.send(number_of("s-0"), Attempt(), done, Timing(5.0))
+
     def ask(self) -> None:
-        self.upstreams.send(
-            number_of("s-0"),
-            REQUEST,
+        self.send(
             lambda result, response, report: self.ended.put_nowait(
                 response.body if response is not None else b""
-            ),
-            Timing(5.0),
+            )
         )
 
     async def link(self) -> socket.socket:
@@ -856,3 +872,45 @@
             one.upstreams.close()
 
     run(test())
+
+
+def test_a_connection_that_has_carried_no_response_needs_no_rest() -> None:
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            one = OneUpstream(server)
+            given_up = one.send(lambda *_: None)
+            assert given_up is not None
+            given_up.finish(api.AttemptResult.NOT_SENT)
+            await asyncio.gather(*one.upstreams.pool.connecting)  # its connection came up idle
+            one.ask()
+            assert one.upstreams.held == 1
+            (await one.link()).close()
+            one.upstreams.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("state", ["Ready", "Terminating"])
+def test_an_attempt_that_waits_for_a_connection_to_rest_asks_again_whether_it_may_start(
+    state: str,
+) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            one = OneUpstream(server)
+            one.ask()
+            with await one.link() as link:
+                await loop.sock_sendall(link, answer(200, b"first"))
+                assert await one.ended.get() == b"first"
+                one.ask()  # at once: it waits
+                one.learn(state)
+                if state == "Ready":
+                    assert await loop.sock_recv(link, 4096) == REQUEST
+                    await loop.sock_sendall(link, answer(200, b"second"))
+                    assert await one.ended.get() == b"second"
+                else:
+                    assert await one.ended.get() == b""
+                    assert await loop.sock_recv(link, 4096) == b""
+            one.upstreams.close()
+
+    run(test())
