Process: a signal that comes as the process ends no longer changes its status

What operators saw: a process that had answered everything ended with -15 (or -1) in place of 0 where SIGTERM or SIGHUP came once more in its last milliseconds, and looked as if it had crashed.

Cause: the loop takes its signal handlers along when it closes; until the interpreter has ended the default action is in force again.

Fix: SIGTERM, SIGINT and SIGHUP are blocked from the end of the service on; they wait, and nothing reads them.

--- a/loadbalancer/__main__.py
+++ b/loadbalancer/__main__.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import uvloop
 
@@ -17,6 +17,19 @@
 from loadbalancer.settings import MalformedError
 
 EXIT_BAD_CONFIGURATION = 2
+HANDLED_SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+
+
+async def _serve_to_the_end(work: Awaitable[None]) -> None:
+    """Serve; then signals wait until the process has ended.
+
+    The loop takes its handlers along when it closes, and a signal that came behind it would end the
+    process by itself, with its status.
+    """
+    try:
+        await work
+    finally:
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def run(read: Callable[[], Config], companion: Callable[[Parts], Companion] | None = None) -> int:
@@ -41,7 +54,8 @@
         print(f"loadbalancer: {error}", file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(config, listener, admin_socket, read, companion))
+        work = serve(config, listener, admin_socket, read, companion)
+        runner.run(_serve_to_the_end(work))
     return 0
 
 
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -11,7 +11,7 @@
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Callable
-from contextlib import ExitStack, asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -166,6 +166,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_that_comes_as_the_process_ends_does_not_change_its_status(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """Behind the loop's end no handler was left: status -15, which looks like a crash."""
+
+    async def test() -> None:
+        discovery = FakeDiscovery([])
+        await discovery.start()
+        told = config(discovery=f"127.0.0.1:{discovery.port}", known=discovery.whole())
+        async with program(tmp_path / "config.json", told) as process:
+            await discovery.until(lambda: any("from=" in m.start[1] for m in discovery.seen))
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(number)
+                await asyncio.sleep(0.001)
+            assert process.returncode == 0
+        discovery.stop()
+
+    run(test())
+
+
 @pytest.mark.parametrize("old", ["holds a watch", "holds its first call", "refuses"])
 def test_sighup_moves_to_another_discovery(tmp_path: Path, old: str) -> None:
     async def test() -> None:
