Soak: signals in series, a crowd, the earliest kill, late discovery; smaller modules

Change: the kill at the longest deadline plus 0.7 s; clients go on with open connections, new ones come for 0.2 to 0.4 s; six troubles of signals and replacements; a crowd in seeds that three divides, with half the limits; second answers up to 12 ms late, some with another header or status; `lists_late`; `--repeated` for a share of all answers; peak memory against its limit; a count by rule and the first five. `run.py` is split into plan, balancer_faults, upstream_faults, discovery_faults.

The short soak of `./test` is three runs of 12 s in place of two of 6 s, one with a crowd.

--- a/loadbalancer/cli/lab.py
+++ b/loadbalancer/cli/lab.py
@@ -20,7 +20,9 @@
 from loadbalancer.testbed.capacity.measure import measure
 from loadbalancer.testbed.hosts import Host, SpreadHost
 from loadbalancer.testbed.policies import policy
-from loadbalancer.testbed.soak.run import Plan, play
+from loadbalancer.testbed.soak.checker import Breach
+from loadbalancer.testbed.soak.plan import Plan
+from loadbalancer.testbed.soak.run import play
 from loadbalancer.testbed.soak.troubles import Trouble
 from loadbalancer.testbed.topology import Topology, Unusable
 from loadbalancer.testbed.virtual import Instances, World
@@ -40,6 +42,8 @@
     typer.Option("--policy", help="here, a textbook policy, a module's file, or a git revision."),
 ]
 Out = Annotated[Path | None, typer.Option("--out", help="Where the result goes, as JSON.")]
+CROWD_EVERY = 3  # of the seeds of a soak
+BREACHES_SHOWN = 5  # of each rule
 PROGRAM = Path(loadbalancer.__file__).parent.parent
 Workers = Annotated[
     int, typer.Option(help="Processes; 0: in this one, or all cores but one for many runs.")
@@ -340,6 +344,9 @@
     program: Annotated[Path, typer.Option(help="Where it stands, as .compiled.")] = PROGRAM,
     only: Annotated[str, typer.Option(help="Troubles by name, commas between; empty: all.")] = "",
     ask: Annotated[bool, typer.Option("--ask", help="Lists are asked for, not pushed.")] = False,
+    repeated: Annotated[
+        float, typer.Option(help="Share of all responses behind which a second one follows.")
+    ] = 0.0,
 ) -> None:
     """Real balancers on loopback under troubles that overlap, judged by the rules; a breach is
     status 1.
@@ -353,7 +360,16 @@
     broken = False
     for number in range(seed, seed + seeds):
         plan = Plan(
-            number, seconds, balancers, upstreams, rate, program.resolve(), not ask, only=names
+            number,
+            seconds,
+            balancers,
+            upstreams,
+            rate,
+            program.resolve(),
+            not ask,
+            only=names,
+            repeated=repeated,
+            crowd=not names and number % CROWD_EVERY == 0,
         )
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             verdict = runner.run(play(plan))
@@ -364,13 +380,23 @@
             f"{'' if verdict.shimmed else '; no compiler, so no system call failed'}",
             soft_wrap=True,
         )
-        for breach in verdict.breaches:
-            out.print(f"  {breach.rule}: {breach.what}", soft_wrap=True)
+        _show_breaches(verdict.breaches)
         broken = broken or bool(verdict.breaches)
     if broken:
         raise typer.Exit(1)
 
 
+def _show_breaches(breaches: list[Breach]) -> None:
+    """Print the count of each rule, and its first breaches."""
+    by_rule: dict[str, list[Breach]] = {}
+    for breach in breaches:
+        by_rule.setdefault(breach.rule, []).append(breach)
+    for rule, found in sorted(by_rule.items()):
+        out.print(f"  {rule}: {len(found)}")
+        for breach in found[:BREACHES_SHOWN]:
+            out.print(f"    {breach.what}", soft_wrap=True)
+
+
 @app.command()
 def worlds() -> None:
     """The topologies that come with the package."""
--- a/loadbalancer/testbed/soak/balancers.py
+++ b/loadbalancer/testbed/soak/balancers.py
@@ -8,16 +8,18 @@
 import signal
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 
-from loadbalancer.settings import Json
 from loadbalancer.testbed.soak.discovery import Discovery
 from loadbalancer.testbed.soak.history import History, Process
+from loadbalancer.testbed.soak.plan import EARLIEST_KILL_NS, SECOND, Plan, settings
 from loadbalancer.testbed.soak.ports import free_port
 from loadbalancer.testbed.soak.shim import Control
 
 READY_S, TAKE_OVER_S = 30.0, 6.0
-KILL_S = 3.8  # a SIGKILL comes no earlier behind SIGTERM
+KILL_S = EARLIEST_KILL_NS / SECOND
+KB_PER_MB = 1024
 LOG_MOST = 200_000  # bytes of a log that are kept
 
 
@@ -69,8 +71,16 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    def note_memory(self) -> None:
+        """Note the most resident memory that the process has needed so far."""
+        with suppress(OSError, ValueError, IndexError):  # it may just have ended
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            peak_kb = int(status.partition("VmHWM:")[2].split()[0])
+            self.record.memory_mb = max(self.record.memory_mb, peak_kb / KB_PER_MB)
+
     async def end(self) -> None:
         """SIGTERM, and SIGKILL where it does not end in its time."""
+        self.note_memory()
         self.record.term_ns = time.monotonic_ns()
         self.signal(signal.SIGTERM)
         done, _ = await asyncio.wait([self.ended], timeout=KILL_S)
@@ -92,14 +102,17 @@
         self,
         number: int,
         folder: Path,
-        settings: Json,
+        plan: Plan,
         history: History,
         discovery: Discovery,
-        program: Path,
         shim: Path | None,
     ) -> None:
-        self.number, self.folder, self.settings = number, folder, settings
-        self.history, self.discovery, self.program, self.shim = history, discovery, program, shim
+        self.number = number
+        self.folder = folder
+        self.plan = plan
+        self.history = history
+        self.discovery = discovery
+        self.shim = shim
         folder.mkdir(parents=True)
         (folder / "shared").mkdir()
         self.control = Control(folder / "control")
@@ -115,8 +128,12 @@
             "mgmt": f"127.0.0.1:{door}",
             "seed": os.urandom(8).hex(),
             "known": self.discovery.whole(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-            "settings": self.settings,
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.plan.memory_mb,
+                "sockets": self.plan.descriptors,
+            },
+            "settings": settings(self.plan, self.number),
         }
         fresh = path.with_suffix(".new")
         fresh.write_text(json.dumps(told))
@@ -125,6 +142,7 @@
     async def start(self) -> Running:
         """Another process. Its end is awaited by whoever tells it to end."""
         record = Process(len(self.history.processes), self.number, time.monotonic_ns())
+        record.memory_limit_mb = self.plan.memory_mb
         self.history.processes.append(record)
         door = free_port()
         path = self.folder / f"config-{record.number}.json"
@@ -135,7 +153,7 @@
         environ |= {
             "BALANCER_CONFIG": str(path),
             "TMPDIR": str(self.folder / "shared"),
-            "PYTHONPATH": str(self.program),
+            "PYTHONPATH": str(self.plan.program),
             "SOAK_SHIM": str(self.control.path),
         }
         if self.shim is not None:
--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -5,11 +5,14 @@
 drain        nothing new to an upstream that drains, went or is disabled, behind the grace
 late begin   no attempt begins more than 0.1 s after its client closed
 told         an attempt tells no more than its client has left, with 0.15 s of slack
-process      no process ends by itself, with another status than 0, or logs what nobody foresaw
+process      no process ends by itself, with another status than 0 (but one that was told to end
+             before it was ready may end by that signal), or logs what nobody foresaw
+memory       no process needs more than its limit
 """
 
 from __future__ import annotations
 
+import signal
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -24,8 +27,8 @@
     Kind,
     Process,
 )
+from loadbalancer.testbed.soak.plan import EARLIEST_KILL_NS, KILL_MARGIN_NS, MS, SECOND
 
-MS, SECOND = 1_000_000, 1_000_000_000
 # How far a moment read here may be off: readings of two sockets, and the kernel's ticks of 4 ms.
 MARGIN_NS = 30 * MS
 LATE_ANSWER_NS = 500 * MS
@@ -33,7 +36,6 @@
 TOLD_SLACK_NS = 150 * MS
 RULE_SLACK_NS = 50 * MS
 TERM_NS, HOLD_TERM_NS = 6 * SECOND, 2 * SECOND
-KILL_NS = 3_700 * MS  # a SIGKILL comes no earlier behind SIGTERM
 LONG_BODY = 64 * 1024  # beyond it, the pages time the first bytes of the answer
 BAD_LOG = ("Traceback", "ERROR", "never retrieved", "violation")
 # What operators are told in so many words, and is no defect.
@@ -121,8 +123,10 @@
             if p.balancer != asked.balancer or not p.killed_ns:
                 continue
             if asked.sent_ns - SECOND <= p.killed_ns <= asked.ended_ns + MARGIN_NS:
-                ordered_by_key = p.term_ns and p.killed_ns - p.term_ns >= KILL_NS - MARGIN_NS
-                if not ordered_by_key or asked.sent_ns < p.term_ns + 700 * MS:
+                ordered_by_key = (
+                    p.term_ns and p.killed_ns - p.term_ns >= EARLIEST_KILL_NS - MARGIN_NS
+                )
+                if not ordered_by_key or asked.sent_ns < p.term_ns + KILL_MARGIN_NS:
                     return True
         return False
 
@@ -260,8 +264,10 @@
         for p in self.history.processes:
             at_ns = p.ended_ns or p.started_ns
             name = f"process {p.number} of balancer {p.balancer}"
-            if p.status is not None and not p.killed_ns and (p.status != 0 or not p.term_ns):
+            if not p.killed_ns and not ended_well(p):
                 yield Breach("process", at_ns, f"{name} ended with {p.status}")
+            if p.memory_limit_mb and p.memory_mb > p.memory_limit_mb:
+                yield Breach("memory", at_ns, f"{name} needed {p.memory_mb:.0f} MB")
             for line in p.log.splitlines():
                 if any(bad in line for bad in BAD_LOG) and not any(
                     known in line for known in FORESEEN
@@ -269,6 +275,16 @@
                     yield Breach("process", at_ns, f"{name}: {line[:200]}")
 
 
+def ended_well(process: Process) -> bool:
+    """Whether it runs, or was told to end and did so in order."""
+    if process.status is None:
+        return True
+    if not process.term_ns:
+        return False
+    has_no_handler = not process.ready_ns and process.status == -signal.SIGTERM
+    return process.status == 0 or has_no_handler
+
+
 def silence_due_ns(call: Call) -> int:
     """By when what a silent watch hid counts as told."""
     return max(call.silent_ns + TERM_NS, call.begun_ns + call.hold_ms * MS + HOLD_TERM_NS)
--- a/loadbalancer/testbed/soak/clients.py
+++ b/loadbalancer/testbed/soak/clients.py
@@ -10,11 +10,15 @@
 from dataclasses import dataclass
 
 from loadbalancer.testbed.soak.history import Asked, End, History, Kind
+from loadbalancer.testbed.soak.plan import Plan
 
 SECOND, MS = 1_000_000_000, 1_000_000
 KEPT_MOST = 6  # connections that rest for the next request
+REUSE_SHARE = 0.7
 PATIENCE_S = 1.0  # over a request's time, before it is called unanswered
 SHORTEST_MS, LONGEST_MS = 60, 2_500
+SLOW_WRITE_S = 0.01, 0.4
+CROWDED_WRITE_S = 0.01, 2.0  # in a crowd some take longer
 LOOK_BACK = 500  # attempts of all balancers: more than come while a request is open
 
 
@@ -35,28 +39,41 @@
 
 
 class Clients:
-    """Those of one balancer, at `rate` requests a second in the mean."""
+    """Those of one balancer.
+
+    Attributes:
+        kept: Connections that rest for the next request.
+        open: New connections come here; else only those that are open are used.
+    """
 
     def __init__(
-        self, history: History, balancer: int, port: int, rate: float, rng: random.Random
+        self, history: History, balancer: int, port: int, plan: Plan, rng: random.Random
     ) -> None:
-        self.history, self.balancer, self.port, self.rate, self.rng = (
-            history,
-            balancer,
-            port,
-            rate,
-            rng,
-        )
+        self.history = history
+        self.balancer = balancer
+        self.port = port
+        self.rate = plan.rate
+        self.in_crowd = plan.crowd
+        self.rng = rng
         self.kept: list[Link] = []
         self.count = 0
-        self.open = False  # the front sends here
+        self.open = False
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def stop_connecting(self) -> None:
+        """Use only the connections that are open."""
+        self.open = False
+
+    def _has_way(self) -> bool:
+        """Whether a request can be sent: on a new connection, or one that rests."""
+        self.kept = [link for link in self.kept if not link.reader.at_eof()]
+        return self.open or bool(self.kept)
+
     async def run(self) -> None:
         """Ask until cancelled."""
         while True:
             await asyncio.sleep(self.rng.expovariate(self.rate))
-            if self.open:
+            if self._has_way():
                 task = asyncio.create_task(self._one())
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
@@ -90,8 +107,7 @@
     async def _ask(
         self, asked: Asked, leaves_s: float | None, slow: bool, fresh: bool = False
     ) -> None:
-        kept = not fresh and self.kept and self.rng.random() < 0.7
-        link = self.kept.pop() if kept else await self._new()
+        link = await self._link(fresh)
         if link is None:
             return
         asked.reused = link.used
@@ -108,7 +124,7 @@
             asked.end = End.UNANSWERED if leaves_s is None else End.LEFT
             keep = False
         asked.ended_ns = time.monotonic_ns()
-        if keep and len(self.kept) < KEPT_MOST:
+        if keep and not self.in_crowd and len(self.kept) < KEPT_MOST:
             self.kept.append(link)
         else:
             link.close(reset=asked.end is End.LEFT and self.rng.random() < 0.4)
@@ -120,6 +136,13 @@
             self.history.asked.append(again)
             await self._ask(again, None, slow=False, fresh=True)
 
+    async def _link(self, fresh: bool) -> Link | None:
+        """Return a connection; None where there is none."""
+        has_kept = self._has_way() and bool(self.kept) and not self.in_crowd
+        if has_kept and not fresh and (not self.open or self.rng.random() < REUSE_SHARE):
+            return self.kept.pop()
+        return await self._new()
+
     def _was_sent_on(self, asked: Asked) -> bool:
         return any(attempt.id == asked.id for attempt in self.history.attempts[-LOOK_BACK:])
 
@@ -137,8 +160,12 @@
             if slow:
                 cut = self.rng.randrange(1, len(data))
                 link.writer.write(data[:cut])
-                await asyncio.sleep(self.rng.uniform(0.01, 0.4))
+                await asyncio.sleep(
+                    self.rng.uniform(*(CROWDED_WRITE_S if self.in_crowd else SLOW_WRITE_S))
+                )
                 data = data[cut:]
+                if link.reader.at_eof() or link.writer.transport.is_closing():
+                    return False  # it was ended before the request was whole
             link.writer.write(data)
             async with asyncio.timeout(3.0):
                 await link.writer.drain()
--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -128,16 +128,20 @@
         elif "from" not in query or call.known < self.discovery.version:
             loop.call_later(self.discovery.delay_s, self._answer, call)
         else:
-            self.holding = loop.call_later(call.hold_ms / 1000, self._answer, call)
+            hold_s = call.hold_ms / 1000 + self.discovery.delay_s
+            self.holding = loop.call_later(hold_s, self._answer, call)
 
     def changed(self) -> None:
         """Something did: a call that waits is answered."""
         if self.call is not None and self.holding is not None:
-            self._answer(self.call)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.discovery.delay_s, self._answer, self.call)
 
     def _answer(self, call: Call) -> None:
         if call.silent_ns or call.answered_ns or call is not self.call:
             return
+        if self.transport is None or self.transport.is_closing():
+            return  # the balancer has given the call up: nothing can be written to it
         if self.holding is not None:
             self.holding.cancel()
             self.holding = None
--- a/loadbalancer/testbed/soak/history.py
+++ b/loadbalancer/testbed/soak/history.py
@@ -102,6 +102,8 @@
     ended_ns: int = 0
     status: int | None = None
     log: str = ""
+    memory_mb: float = 0.0  # the most it needed
+    memory_limit_mb: float = 0.0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/loadbalancer/testbed/soak/plan.py
@@ -0,0 +1,113 @@
+"""What a soak plays: its size, its seed, and the settings of its balancers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+from loadbalancer.settings import Json
+
+MS: Final = 1_000_000
+SECOND: Final = 1_000 * MS
+DRAIN_GRACE_NS: Final = 500 * MS
+REPEAT_WINDOW_NS: Final = 2 * SECOND
+LONGEST_DEADLINE_NS: Final = 2_500 * MS
+# The platform's: a SIGKILL comes no earlier behind SIGTERM than the longest deadline, taken as 3 s
+# if it is longer, and this.
+KILL_MARGIN_NS: Final = 700 * MS
+EARLIEST_KILL_NS: Final = min(LONGEST_DEADLINE_NS, 3 * SECOND) + KILL_MARGIN_NS
+COLD_NS: Final = 4 * SECOND
+COLD_SHARE: Final = 0.3
+FALL_MULTIPLE: Final = 3.0
+FALL_WINDOW_NS: Final = 1_500 * MS
+MEMORY_MB: Final = 192
+DESCRIPTORS: Final = 512
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One run.
+
+    Attributes:
+        program: The folder that holds the package, plain or compiled.
+        rate: Requests a second of each balancer.
+        push: Lists are pushed; else asked for.
+        overlap: How many troubles go on at once in the mean.
+        only: Troubles by name; empty: all.
+        repeated: The share of all upstreams' responses behind which a second one follows.
+        crowd: Thousands connect and never finish a request; limits are cut by half.
+    """
+
+    seed: int
+    seconds: float
+    balancers: int
+    upstreams: int
+    rate: float
+    program: Path
+    push: bool = True
+    overlap: float = 2.5
+    only: frozenset[str] = frozenset()
+    repeated: float = 0.0
+    crowd: bool = False
+
+    @property
+    def memory_mb(self) -> int:
+        """The memory limit of a balancer."""
+        return MEMORY_MB // 2 if self.crowd else MEMORY_MB
+
+    @property
+    def descriptors(self) -> int:
+        """The limit on a balancer's descriptors."""
+        return DESCRIPTORS // 2 if self.crowd else DESCRIPTORS
+
+
+def settings(plan: Plan, number: int) -> Json:
+    """Return a balancer's settings, in the platform's form. None of them is a deployment's."""
+
+    def row(name: str, repeat: str) -> Json:
+        return {
+            "name": name,
+            "repeat": repeat,
+            "aim_ns": SECOND,
+            "hard_limit_ns": LONGEST_DEADLINE_NS,
+            "worth": 1.0,
+            "window_ns": REPEAT_WINDOW_NS,
+            "dedup_scope": "all",
+        }
+
+    profiles = [
+        row("read", "read_like"),
+        row("pay", "non_idempotent"),
+        row("keyed", "idempotency_key"),
+    ]
+    return {
+        "profiles": profiles,
+        "realms": [{"name": "ash", "share": 1.0, "quota_per_s": 1000.0}],
+        "limits": {
+            "max_open": 2000,
+            "send_cap": 3,
+            "may_cancel": True,
+            "second_copies": True,
+            "connect_timeout_ns": 700 * MS,
+            "conn_idle_ns": 8 * SECOND,
+            "retry_after": True,
+            "max_retry_after_ns": SECOND,
+            "probes": False,
+            "peers": False,
+        },
+        "rules": {
+            "stop_sending_within_ns": DRAIN_GRACE_NS,
+            "ask_within_ns": 10 * SECOND,
+            "cold_from": COLD_SHARE,
+            "cold_ns": COLD_NS,
+            "fall_multiple": FALL_MULTIPLE,
+            "overload_for_ns": FALL_WINDOW_NS,
+        },
+        "registry_mode": "push" if plan.push else "ask",
+        "me": number,
+        "replicas_of_me": plan.balancers,
+        "locality": "east",
+        "zones": ["east"],
+        "kinds": ["m"],
+    }
--- a/loadbalancer/testbed/soak/troubles.py
+++ b/loadbalancer/testbed/soak/troubles.py
@@ -14,6 +14,12 @@
     REPLACE = ("a new process takes a balancer over", 0.0, 0.0)
     KILL = ("a balancer is killed, and started again", 0.0, 0.0)
     MOVE = ("a new configuration moves discovery", 0.0, 0.0)
+    RELOADS_THEN_TERM = ("several reloads and an end within milliseconds", 0.0, 0.0)
+    TERM_REPEATED = ("a balancer is told to end again and again", 0.0, 0.0)
+    RELOAD_AFTER_TERM = ("a reload comes right behind the word to end", 0.0, 0.0)
+    TERM_AT_START = ("a process is told to end before it listens", 0.0, 0.0)
+    REPLACE_IN_RELOAD = ("a new process takes over during a reload", 0.0, 0.0)
+    BOTH_TOLD = ("both processes of a replacement are told to end", 0.0, 0.0)
     HOLD_UP = ("a balancer stands still for up to 0.15 s", 0.02, 0.15)
     CLOCK = ("a balancer's wall clock is stepped", 1.0, 6.0)
     CALLS_FAIL = ("a balancer's system calls fail now and then", 0.5, 3.0)
@@ -30,6 +36,7 @@
     LISTS_BUSY = ("discovery turns calls away", 0.5, 4.0)
     LISTS_DOWN = ("discovery is down", 0.5, 6.0)
     LISTS_SLOW = ("discovery answers late", 0.5, 4.0)
+    LISTS_LATE = ("discovery answers 1.3 to 1.8 s late, also behind the hold", 5.0, 9.0)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -0,0 +1,100 @@
+"""What goes wrong at the soak's upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Sequence
+
+from loadbalancer.settings import Json
+from loadbalancer.testbed.soak.discovery import Discovery
+from loadbalancer.testbed.soak.history import Change, History
+from loadbalancer.testbed.soak.plan import MS
+from loadbalancer.testbed.soak.troubles import Event, Trouble
+from loadbalancer.testbed.soak.upstreams import Mood, Upstream
+
+MOODS = {
+    Trouble.HANG: Mood.HANGS,
+    Trouble.RESETS: Mood.RESETS,
+    Trouble.SHEDS: Mood.SHEDS,
+    Trouble.NO_LENGTH: Mood.NO_LENGTH,
+    Trouble.TWICE: Mood.TWICE,
+}
+GONE_SHARE = 0.3  # of the drains: these go from the list at once
+
+
+class UpstreamFaults:
+    """Carries out the troubles of upstreams."""
+
+    def __init__(
+        self, upstreams: Sequence[Upstream], discovery: Discovery, history: History
+    ) -> None:
+        self.upstreams = upstreams
+        self.discovery = discovery
+        self.history = history
+        self.draining: set[str] = set()
+        self.actions: dict[Trouble, Callable[[Event], Awaitable[None]]] = {
+            Trouble.FULL_QUEUE: self._full_queue,
+            Trouble.CRASH: self._crash,
+            Trouble.DRAIN: self._drain,
+            **dict.fromkeys(MOODS, self._mood),
+        }
+
+    def start(self) -> None:
+        """Start all upstreams, and list them."""
+        for upstream in self.upstreams:
+            upstream.start()
+            self.discovery.change(self._row(upstream, "Ready"))
+
+    def _upstream(self, event: Event) -> Upstream:
+        return self.upstreams[int(event.draw * len(self.upstreams))]
+
+    @staticmethod
+    def _row(upstream: Upstream, state: str) -> Json:
+        return {
+            "id": upstream.name,
+            "addr": upstream.address,
+            "zone": "east",
+            "kind": "m",
+            "cell": 0,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": upstream.started_ms,
+        }
+
+    async def _mood(self, event: Event) -> None:
+        upstream = self._upstream(event)
+        upstream.mood = MOODS[event.trouble]
+        await asyncio.sleep(event.lasts_s)
+        upstream.mood = Mood.WELL
+
+    async def _full_queue(self, event: Event) -> None:
+        upstream = self._upstream(event)
+        upstream.accept(False)
+        await asyncio.sleep(event.lasts_s)
+        upstream.accept(True)
+
+    async def _crash(self, event: Event) -> None:
+        upstream = self._upstream(event)
+        if upstream.listener is None or upstream.name in self.draining:
+            return
+        upstream.die()
+        await asyncio.sleep(event.lasts_s)
+        upstream.started_ms = time.time_ns() // MS
+        upstream.start()
+        self.discovery.change(self._row(upstream, "Ready"))
+
+    async def _drain(self, event: Event) -> None:
+        """It goes on answering: nothing but the list tells."""
+        upstream = self._upstream(event)
+        if upstream.name in self.draining or len(self.draining) > len(self.upstreams) // 2:
+            return
+        self.draining.add(upstream.name)
+        state = "Gone" if event.draw * 1000 % 1 < 0.3 else "Terminating"
+        change = Change(upstream.name, 0, time.monotonic_ns())
+        change.version = self.discovery.change(self._row(upstream, state))
+        self.history.changes.append(change)
+        await asyncio.sleep(event.lasts_s)
+        change.until_ns = time.monotonic_ns()
+        self.discovery.change(self._row(upstream, "Ready"))
+        self.draining.discard(upstream.name)
--- a/loadbalancer/testbed/soak/upstreams.py
+++ b/loadbalancer/testbed/soak/upstreams.py
@@ -17,6 +17,18 @@
 NOT_RUN = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
+TWICE_SHARE = 0.3  # of the responses of an upstream that answers twice
+LATEST_REPEAT_S = 0.012  # behind the first one
+
+
+def response(body: bytes, headers: bytes = b"") -> bytes:
+    """Return a response with this body; each header ends in CRLF."""
+    return b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (headers, len(body), body)
+
+
+UNLIKE = b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"  # a second response of another status
+
+
 class Mood(Enum):
     """How it takes requests."""
 
@@ -29,12 +41,26 @@
 
 
 class Upstream:
-    """One of them. It may die and be started again: then it is another process."""
+    """One of them. It may die and be started again: then it is another process.
+
+    Attributes:
+        work_s: How long a request takes, from and to.
+        repeated: The share of its responses behind which a second one follows.
+    """
 
     def __init__(
-        self, name: str, history: History, rng: random.Random, work_s: tuple[float, float]
+        self,
+        name: str,
+        history: History,
+        rng: random.Random,
+        work_s: tuple[float, float],
+        repeated: float = 0.0,
     ) -> None:
-        self.name, self.history, self.rng, self.work_s = name, history, rng, work_s
+        self.name = name
+        self.history = history
+        self.rng = rng
+        self.work_s = work_s
+        self.repeated = repeated
         self.mood = Mood.WELL
         self.process = 0
         self.started_ms = 0
@@ -165,11 +191,15 @@
             if self.transport is not None:
                 self.transport.close()
             return
-        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        self._write(answer)
-        if mood is Mood.TWICE and rng.random() < 0.3:
-            await asyncio.sleep(rng.choice((0.0, 0.004)))
-            self._write(answer)
+        self._write(response(body))
+        if rng.random() < (TWICE_SHARE if mood is Mood.TWICE else upstream.repeated):
+            await self._repeat(body)
+
+    async def _repeat(self, body: bytes) -> None:
+        """Answer once more, a little later, and not always with the same."""
+        rng = self.upstream.rng
+        await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, LATEST_REPEAT_S))))
+        self._write(rng.choice((response(body), UNLIKE, response(body, b"X-Copy: 1\r\n"))))
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -24,7 +24,8 @@
     Kind,
     Process,
 )
-from loadbalancer.testbed.soak.run import Plan, play
+from loadbalancer.testbed.soak.plan import EARLIEST_KILL_NS, KILL_MARGIN_NS, Plan
+from loadbalancer.testbed.soak.run import play
 from loadbalancer.testbed.soak.troubles import Trouble, schedule
 from tests.fakes import run
 
@@ -94,6 +95,18 @@
     h.processes[0].term_ns, h.processes[0].status = 0, 1
 
 
+def told_at_its_start(h: History) -> None:
+    h.processes[0].ready_ns, h.processes[0].status = 0, -15
+
+
+def ended_by_the_signal_once_ready(h: History) -> None:
+    h.processes[0].status = -15
+
+
+def needed_too_much_memory(h: History) -> None:
+    h.processes[0].memory_mb, h.processes[0].memory_limit_mb = 97.0, 96.0
+
+
 def logged_what_nobody_foresaw(h: History) -> None:
     h.processes[0].log = "Traceback (most recent call last):"
 
@@ -112,6 +125,8 @@
         ("drain", drained_behind_a_silence),
         ("drain", disabled),
         ("process", ended_by_itself),
+        ("process", ended_by_the_signal_once_ready),
+        ("memory", needed_too_much_memory),
         ("process", logged_what_nobody_foresaw),
     ],
 )
@@ -129,6 +144,27 @@
     assert Checker(history, SECOND // 2, 2 * SECOND).breaches() == []
 
 
+def test_a_process_that_is_told_to_end_before_it_is_ready_may_end_by_the_signal() -> None:
+    history = good()
+    told_at_its_start(history)
+    assert Checker(history, SECOND // 2, 2 * SECOND).breaches() == []
+
+
+def test_what_a_kill_at_the_earliest_moment_finds_unanswered_is_lost_if_it_came_late() -> None:
+    history = good()
+    no_answer(history)
+    process = history.processes[0]
+    process.killed_ns = process.term_ns + EARLIEST_KILL_NS
+    request = history.asked[0]
+    request.ended_ns = process.killed_ns
+    request.sent_ns = process.term_ns + KILL_MARGIN_NS - MS
+    assert not [
+        b for b in Checker(history, SECOND // 2, 2 * SECOND).breaches() if b.rule == "answered"
+    ]
+    request.sent_ns = process.term_ns + KILL_MARGIN_NS
+    assert [b for b in Checker(history, SECOND // 2, 2 * SECOND).breaches() if b.rule == "answered"]
+
+
 def test_troubles_are_drawn_from_the_seed_and_overlap() -> None:
     assert schedule(3, 60.0) == schedule(3, 60.0) != schedule(4, 60.0)
     assert {e.trouble for e in schedule(3, 600.0)} == set(Trouble)
@@ -139,10 +175,13 @@
     assert 2.0 < sum(at_once) / len(at_once) < 3.5
 
 
-@pytest.mark.parametrize("push", [True, False])
-def test_a_short_soak_of_real_processes_keeps_the_rules(push: bool) -> None:
+@pytest.mark.parametrize(
+    ("seed", "push", "crowd"), [(5, True, False), (5, False, False), (6, True, True)]
+)
+def test_a_short_soak_of_real_processes_keeps_the_rules(seed: int, push: bool, crowd: bool) -> None:
     async def test() -> None:
-        verdict = await play(Plan(5, 6.0, 3, 4, 8.0, PROGRAM, push))
+        plan = Plan(seed, 12.0, 4, 4, 8.0, PROGRAM, push, repeated=0.003, crowd=crowd)
+        verdict = await play(plan)
         assert verdict.breaches == []
         assert verdict.counts["served"] > 20 and verdict.history.troubles
 
