Soak: a crash no longer ends a drain in the list; a death at the hand-over

Trace: s-4 crashed at 1.0 s, drained at 2.0 s (version 8), and came back at 3.0 s listed as Ready (version 9) though it drained up to 6.8 s. The balancers sent by that list: allowed, a fault of the emulator.

Change: an upstream that comes back while it drains stays listed as it was. `death_at_handover` kills the new or the old process within 10 ms of the new one's yes. The start of a second process stands once.

--- a/loadbalancer/testbed/soak/balancer_faults.py
+++ b/loadbalancer/testbed/soak/balancer_faults.py
@@ -25,6 +25,7 @@
 RELOADS = 3  # of a series
 SERIES_GAP_S = 0.001, 0.01
 REPEATED_TERM_GAP_S = 0.05
+NEW_DIES_SHARE = 0.5  # of the deaths at a hand-over: the new process, else the old one
 EARLY_TERM_S = 0.0, 0.5  # behind the start of a process: before it listens, mostly
 
 
@@ -65,6 +66,7 @@
             Trouble.TERM_AT_START: self._term_at_start,
             Trouble.REPLACE_IN_RELOAD: self._replace_in_reload,
             Trouble.BOTH_TOLD: self._both_told,
+            Trouble.DEATH_AT_HANDOVER: self._death_at_handover,
             Trouble.HOLD_UP: self._hold_up,
             Trouble.CLOCK: self._clock,
             Trouble.CALLS_FAIL: self._calls_fail,
@@ -152,29 +154,30 @@
             await balancer.move()
             await self._take_over(balancer)
 
-    async def _take_over(self, balancer: Balancer) -> bool:
-        """Start a second process, and tell the first one to end; False where it was not ready."""
+    async def _second(self, balancer: Balancer) -> Running | None:
+        """Start a second process; None where it was not ready in its time, which is a breach."""
+        second = await balancer.start()
+        if await second.ready(TAKE_OVER_S):
+            return second
+        second.record.log += f"\nERROR not ready within {TAKE_OVER_S} s\n"
+        await second.kill()
+        return None
+
+    async def _take_over(self, balancer: Balancer) -> None:
+        """Start a second process, and tell the first one to end."""
         old = balancer.now
-        new = await balancer.start()
-        assert old is not None
-        if not await new.ready(TAKE_OVER_S):
-            new.record.log += f"\nERROR not ready within {TAKE_OVER_S} s\n"
-            await new.kill()
-            return False
-        balancer.now = new
-        await old.end()
-        return True
+        new = await self._second(balancer)
+        if new is not None and old is not None:
+            balancer.now = new
+            await old.end()
 
     async def _both_told(self, event: Event) -> None:
         """Both processes of a replacement are told to end, the new one a little later."""
         balancer = self._balancer(event)
         async with balancer.turn:
             old = balancer.now
-            new = await balancer.start()
-            assert old is not None
-            if not await new.ready(TAKE_OVER_S):
-                new.record.log += f"\nERROR not ready within {TAKE_OVER_S} s\n"
-                await new.kill()
+            new = await self._second(balancer)
+            if new is None or old is None:
                 return
             balancer.now = new
             first_end = asyncio.create_task(old.end())
@@ -182,6 +185,25 @@
             await self._anew(event, balancer, Running.end)
             await first_end
 
+    async def _death_at_handover(self, event: Event) -> None:
+        """One of the two processes is killed in the moment in which the new one is ready."""
+        balancer = self._balancer(event)
+        rng = random.Random(event.draw)
+        async with balancer.turn:
+            old = balancer.now
+            new = await self._second(balancer)
+            if new is None or old is None:
+                return
+            await asyncio.sleep(rng.uniform(*SERIES_GAP_S))
+            if rng.random() < NEW_DIES_SHARE:
+                await new.kill()
+                return
+            balancer.now = new
+            old_end = asyncio.create_task(old.end())
+            await asyncio.sleep(rng.uniform(*SERIES_GAP_S))
+            await old.kill()
+            await old_end
+
     async def _term_at_start(self, event: Event) -> None:
         """A second process is told to end before it listens; the first one goes on."""
         balancer = self._balancer(event)
--- a/loadbalancer/testbed/soak/troubles.py
+++ b/loadbalancer/testbed/soak/troubles.py
@@ -20,6 +20,7 @@
     TERM_AT_START = ("a process is told to end before it listens", 0.0, 0.0)
     REPLACE_IN_RELOAD = ("a new process takes over during a reload", 0.0, 0.0)
     BOTH_TOLD = ("both processes of a replacement are told to end", 0.0, 0.0)
+    DEATH_AT_HANDOVER = ("one of two processes dies at the hand-over", 0.0, 0.0)
     HOLD_UP = ("a balancer stands still for up to 0.15 s", 0.02, 0.15)
     CLOCK = ("a balancer's wall clock is stepped", 1.0, 6.0)
     CALLS_FAIL = ("a balancer's system calls fail now and then", 0.5, 3.0)
--- a/loadbalancer/testbed/soak/upstream_faults.py
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -82,7 +82,8 @@
         await asyncio.sleep(event.lasts_s)
         upstream.started_ms = time.time_ns() // MS
         upstream.start()
-        self.discovery.change(self._row(upstream, "Ready"))
+        if upstream.name not in self.draining:  # else it comes back as it was: the list says so
+            self.discovery.change(self._row(upstream, "Ready"))
 
     async def _drain(self, event: Event) -> None:
         """It goes on answering: nothing but the list tells."""
