--- a/loadbalancer/cli/hollow.py
+++ b/loadbalancer/cli/hollow.py
@@ -19,7 +19,7 @@
     load_endpoints,
     save_endpoints,
 )
-from loadbalancer.proxy.upstream import Endpoint
+from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.store.wire.protocol import Row as StoreRow
 from loadbalancer.testbed.size import parties
 from loadbalancer.testbed.size.hollow import Hollows
--- a/loadbalancer/cli/roll.py
+++ b/loadbalancer/cli/roll.py
@@ -30,7 +30,7 @@
     UpstreamRestart,
 )
 from loadbalancer.leases import table
-from loadbalancer.proxy.upstream import number_of
+from loadbalancer.proxy.endpoint import number_of
 from loadbalancer.settings import MalformedError
 from loadbalancer.store.client import Client
 from loadbalancer.store.errors import ConflictError
--- a/loadbalancer/cli/sizelab.py
+++ b/loadbalancer/cli/sizelab.py
@@ -19,7 +19,7 @@
 from loadbalancer.daemon.documents import parse
 from loadbalancer.daemon.persisted import SavedEndpointList, load_endpoints, save_endpoints
 from loadbalancer.daemon.settings import read_raw
-from loadbalancer.proxy.upstream import Endpoint
+from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.testbed import results
 from loadbalancer.testbed.size import balancer as measure
 from loadbalancer.testbed.size import beside, fit
--- a/loadbalancer/daemon/site_agent.py
+++ b/loadbalancer/daemon/site_agent.py
@@ -27,7 +27,7 @@
 from loadbalancer.leases.fence import FencedReceiver, FencingPosition
 from loadbalancer.policy import api
 from loadbalancer.proxy.policy_driver import Driver
-from loadbalancer.proxy.upstream import Report
+from loadbalancer.proxy.upstream_response import Report
 from loadbalancer.store.client import Client
 from loadbalancer.store.lease_client import LeaseClient, boot_clock_ns
 from loadbalancer.store.wire.protocol import Row
--- a/loadbalancer/proxy/upstream.py
+++ b/loadbalancer/proxy/upstream.py
@@ -8,7 +8,7 @@
 from loadbalancer.policy import api
 from loadbalancer.proxy.body_stream import Body, BodyMemory
 from loadbalancer.proxy.connection_pool import ConnectionPool, Target
-from loadbalancer.proxy.endpoint import Endpoint, number_of
+from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.exchange import Exchange, ExpectedResponse, Outgoing
 from loadbalancer.proxy.messages import Response, message
 from loadbalancer.proxy.parse import MAX_BODY
@@ -20,17 +20,6 @@
     read_report,
 )
 
-__all__ = [
-    "Done",
-    "Endpoint",
-    "ExpectedBodies",
-    "Report",
-    "Timing",
-    "Upstreams",
-    "number_of",
-    "read_report",
-]
-
 MAX_KNOWN_NUMBERS = 10_000  # ids of upstreams that are remembered; in time they are ever new
 LOAD_PATH = b"/status/load"
 HEALTH_PATH = b"/health"
@@ -79,13 +68,14 @@
         columns: Collection[str],
         memory: BodyMemory,
     ) -> None:
-        self.memory = memory
         self.pool = ConnectionPool(limits, max_connections)
         self.columns = frozenset(columns)
         self.health_path = LOAD_PATH if columns else HEALTH_PATH
         self.targets: dict[int, Target] = {}
         self.disabled: set[int] = set()
         self.known_numbers: dict[int, None] = {}
+        self._expected = ExpectedResponse(MAX_BODY, memory)
+        self._expected_head = ExpectedResponse(MAX_BODY, memory, head_only=True)
 
     # ---- the list --------------------------------------------------------------------------------
 
@@ -187,7 +177,7 @@
             load = response.header(LOAD_HEADER) if response is not None else None
             done(attempt_result(result, response), response, read_report(load, self.columns))
 
-        expected = ExpectedResponse(MAX_BODY, self.memory, bodies.head_only)
+        expected = self._expected_head if bodies.head_only else self._expected
         exchange = Exchange(request, ended, bodies.request, expected)
         self.pool.start(target, exchange)
         if timing.start_by_s:
--- a/loadbalancer/testbed/size/balancer.py
+++ b/loadbalancer/testbed/size/balancer.py
@@ -21,7 +21,7 @@
 
 from loadbalancer.policy import Balancer, api
 from loadbalancer.proxy.configuration import Config
-from loadbalancer.proxy.upstream import Endpoint, number_of
+from loadbalancer.proxy.endpoint import Endpoint, number_of
 from loadbalancer.settings import Json
 from loadbalancer.testbed.size.fit import LEAST_SIZES, Slope, fit
 from loadbalancer.testbed.topology import Unusable
--- a/loadbalancer/testbed/size/hollow.py
+++ b/loadbalancer/testbed/size/hollow.py
@@ -23,7 +23,7 @@
 from loadbalancer.changefeed.messages import GLOBAL, SERVICE, Row
 from loadbalancer.changefeed.subscription import Apply, SubscriptionLimits
 from loadbalancer.policy import api
-from loadbalancer.proxy.upstream import Endpoint
+from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.settings import Json
 from loadbalancer.store.changefeed_client import ChangefeedClient, ChangefeedTarget
 from loadbalancer.store.client import Client
--- a/loadbalancer/testbed/size/keepers.py
+++ b/loadbalancer/testbed/size/keepers.py
@@ -14,9 +14,9 @@
 
 from loadbalancer.policy import api
 from loadbalancer.proxy.disabled_upstreams import DisabledUpstreams
+from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.process import Parts
 from loadbalancer.proxy.process_handover import ProcessRegistry
-from loadbalancer.proxy.upstream import Endpoint
 from loadbalancer.store import documents
 from loadbalancer.store.client import Client
 from loadbalancer.store.documents import DocumentChange
--- a/loadbalancer/testbed/size/probe.py
+++ b/loadbalancer/testbed/size/probe.py
@@ -25,6 +25,7 @@
 from loadbalancer.policy import api
 from loadbalancer.proxy import upstream
 from loadbalancer.proxy.body_stream import BodyMemory
+from loadbalancer.proxy.endpoint import Endpoint
 
 SECOND = 1_000_000_000
 START = 1_000 * SECOND
@@ -163,7 +164,7 @@
 
 
 def connections(
-    given: api.Settings, endpoints: list[upstream.Endpoint]
+    given: api.Settings, endpoints: list[Endpoint]
 ) -> tuple[upstream.Upstreams, Figures]:
     """What keeps connections to upstreams, once it has the list; none is open."""
     before = resident_kb()
@@ -199,9 +200,7 @@
         "list_kb": resident_kb() - before,
     }
     before = resident_kb()
-    endpoints = [
-        upstream.Endpoint(e, f"10.1.{i >> 8}.{i & 255}", 8080) for i, e in enumerate(listed)
-    ]
+    endpoints = [Endpoint(e, f"10.1.{i >> 8}.{i & 255}", 8080) for i, e in enumerate(listed)]
     figures["endpoints_kb"] = resident_kb() - before
     kept, of_kept = connections(given, endpoints)
     figures |= {**of_kept, "targets": len(kept.targets)}
--- a/loadbalancer/testbed/size/writer.py
+++ b/loadbalancer/testbed/size/writer.py
@@ -13,7 +13,7 @@
 
 from loadbalancer.changefeed import messages as feed
 from loadbalancer.policy import api
-from loadbalancer.proxy.upstream import Endpoint, number_of
+from loadbalancer.proxy.endpoint import Endpoint, number_of
 from loadbalancer.store.client import Client
 from loadbalancer.store.commands import Op, Result
 from loadbalancer.store.write_session import WriteOptions
--- a/tests/daemon/test_endpoint_rows.py
+++ b/tests/daemon/test_endpoint_rows.py
@@ -41,10 +41,10 @@
 from loadbalancer.proxy import discovery_watch
 from loadbalancer.proxy.disabled_upstreams import DisabledUpstreams
 from loadbalancer.proxy.discovery import Discovery
+from loadbalancer.proxy.endpoint import Endpoint, number_of
 from loadbalancer.proxy.endpoint_list import read_endpoint
 from loadbalancer.proxy.process import Parts
 from loadbalancer.proxy.process_handover import ProcessRegistry
-from loadbalancer.proxy.upstream import Endpoint, number_of
 from loadbalancer.settings import Json, MalformedError
 from loadbalancer.store import run as running
 from loadbalancer.store.client import Client
--- a/tests/daemon/test_rolling_restart.py
+++ b/tests/daemon/test_rolling_restart.py
@@ -31,7 +31,7 @@
 )
 from loadbalancer.leases.fence import FencingPosition
 from loadbalancer.policy import api
-from loadbalancer.proxy.upstream import Endpoint
+from loadbalancer.proxy.endpoint import Endpoint
 
 SECOND = 1_000_000_000
 
--- a/tests/daemon/test_state_sync.py
+++ b/tests/daemon/test_state_sync.py
@@ -21,9 +21,9 @@
 from loadbalancer.daemon.state_sync import StateSync, StateSyncOptions
 from loadbalancer.policy import Balancer, api
 from loadbalancer.proxy.disabled_upstreams import DisabledUpstreams
+from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.process import Parts
 from loadbalancer.proxy.process_handover import ProcessRegistry
-from loadbalancer.proxy.upstream import Endpoint
 from loadbalancer.store import documents
 from loadbalancer.store.documents import DocumentChange
 from loadbalancer.store.errors import ConflictError, RejectedError
--- a/tests/proxy/test_attempt_outcomes.py
+++ b/tests/proxy/test_attempt_outcomes.py
@@ -15,8 +15,8 @@
 from loadbalancer.proxy import policy_driver
 from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.messages import Response, message
-from loadbalancer.proxy.upstream import read_report
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
+from loadbalancer.proxy.upstream_response import read_report
 from tests.fakes import CLASSES, SETTINGS, Heard, answer, free_port, never, read_message, run, world
 
 R = api.AttemptResult
--- a/tests/proxy/test_upstreams.py
+++ b/tests/proxy/test_upstreams.py
@@ -13,10 +13,11 @@
 from loadbalancer.policy import Balancer, api
 from loadbalancer.proxy import discovery, discovery_watch, policy_driver, process
 from loadbalancer.proxy.body_stream import BodyMemory
+from loadbalancer.proxy.endpoint import number_of
 from loadbalancer.proxy.endpoint_list import read_endpoint
 from loadbalancer.proxy.messages import message
 from loadbalancer.proxy.policy_driver import Driver
-from loadbalancer.proxy.upstream import Timing, Upstreams, number_of
+from loadbalancer.proxy.upstream import Timing, Upstreams
 from loadbalancer.settings import MalformedError, split_address
 from loadbalancer.wallclock import StartTimes
 from tests.fakes import SECOND, SETTINGS, FakeUpstream, Heard, never, run, world
--- a/tests/test_wallclock.py
+++ b/tests/test_wallclock.py
@@ -12,7 +12,7 @@
 import pytest
 
 from loadbalancer.policy import api
-from loadbalancer.proxy.upstream import number_of
+from loadbalancer.proxy.endpoint import number_of
 from tests.fakes import SECOND, SETTINGS, Heard, run, world
 
 ROOT = Path(__file__).parent.parent
