Proxy: where attempts often wait for a connection to rest, another one is opened

What callers would see: at many requests a second to few upstreams nearly every attempt waited, up to 20 ms, as a pool that always has a connection to claim never grew.

Change: within a second eight attempts of an upstream may wait; the next one opens a connection, and the count begins anew. So a busy pool grows until few wait, and one that is met seldom opens none.

Measured: the new test of nine attempts on end failed before (no second connection), passes; the other tests of second answers pass.

--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -2,9 +2,10 @@
 
 A second response or noise that comes late behind a response would be taken for the next one's, as
 nothing in the protocol marks it. So a connection rests behind each response before it is used
-again. An exchange that finds none settled waits for the first that will be, which takes less time
-and costs the upstream less than a new one; where all are taken, one is opened. Once an upstream has
-sent unrequested bytes, connections to all rest for longer, those to that upstream the longest.
+again. An exchange that finds none settled waits for the first that will be, which costs the
+upstream less than a new one; where all are taken, or waits are frequent, one is opened. Once an
+upstream has sent unrequested bytes, connections to all rest for longer, those to that upstream the
+longest.
 """
 
 from __future__ import annotations
@@ -32,7 +33,10 @@
 SETTLE_NOISY_S = 0.1  # the same, for connections to that upstream
 NS_PER_S = 1e9
 CAUTIOUS_S = 60.0  # how long that lasts
-MAX_SETTLE_WAIT_S = SETTLE_CAUTIOUS_S  # where the rest takes longer, a connection is opened
+# A connection is opened where the rest takes longer, or so many waited within the window.
+MAX_SETTLE_WAIT_S = SETTLE_CAUTIOUS_S
+MAX_WAITS = 8
+WAIT_WINDOW_S = 1.0
 LOCAL_RETRY_S = 0.02  # before a connect that failed by this machine's fault is tried again
 SHORTAGE_LOG_S = 5.0  # between two log lines about one shortage
 
@@ -44,6 +48,7 @@
     Attributes:
         keep: Whether connections that become free are kept.
         noisy_until_s: It has sent unrequested bytes; until then its connections rest for longer.
+        waits: Exchanges that waited for a connection to rest, since `waits_from_s`.
     """
 
     endpoint: Endpoint
@@ -51,6 +56,8 @@
     timer: asyncio.TimerHandle | None = None
     keep: bool = True
     noisy_until_s: float = 0.0
+    waits: int = 0
+    waits_from_s: float = 0.0
 
 
 class ConnectionPool:
@@ -138,12 +145,24 @@
             return False
         now_s = asyncio.get_running_loop().time()
         rest_s = connection.answered_s + self._settle_s(target, now_s) - now_s
-        if rest_s > MAX_SETTLE_WAIT_S:
+        if rest_s > MAX_SETTLE_WAIT_S or self._are_waits_frequent(target, now_s):
             return False
         self._take(target, connection)
         call_after(rest_s, self._start_settled, target, connection, exchange, now_s)
         return True
 
+    @staticmethod
+    def _are_waits_frequent(target: Target, now_s: float) -> bool:
+        """Count a wait. Where they are frequent there are too few connections, and it is none."""
+        if now_s > target.waits_from_s + WAIT_WINDOW_S:
+            target.waits_from_s = now_s
+            target.waits = 0
+        target.waits += 1
+        if target.waits <= MAX_WAITS:
+            return False
+        target.waits = 0
+        return True
+
     def _start_settled(
         self, target: Target, connection: UpstreamConnection, exchange: Exchange, since_s: float
     ) -> None:
--- a/tests/proxy/test_races.py
+++ b/tests/proxy/test_races.py
@@ -914,3 +914,28 @@
             one.upstreams.close()
 
     run(test())
+
+
+def test_where_many_wait_for_a_connection_to_rest_another_is_opened() -> None:
+    """With many requests a second each would be late by up to the whole rest."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            one = OneUpstream(server)
+            one.ask()
+            with await one.link() as link:
+                await loop.sock_sendall(link, answer(200, b"first"))
+                for _ in range(connection_pool.MAX_WAITS):
+                    assert await one.ended.get() == b"first"
+                    one.ask()  # at once: it waits
+                    assert await loop.sock_recv(link, 4096) == REQUEST
+                    await loop.sock_sendall(link, answer(200, b"first"))
+                assert await one.ended.get() == b"first"
+                one.ask()
+                with await one.link() as other:
+                    await loop.sock_sendall(other, answer(200, b"other"))
+                    assert await one.ended.get() == b"other"
+            one.upstreams.close()
+
+    run(test())
