Policy: gains and bounds have names; the soak's clients ask the kernel for an end

Need: numbers stood bare in rate_controller, concurrency_limit, balancer, attempt_tracker and upstream_stats.

Change: named constants with the same values. A client of the soak asks the kernel before its last bytes, and a breach says how long behind the last byte the end came.

--- a/loadbalancer/policy/attempt_tracker.py
+++ b/loadbalancer/policy/attempt_tracker.py
@@ -19,6 +19,8 @@
 # Late answers in a row before a hedged request: one shows long work, which a second attempt
 # doubles; two show a fault of the upstream.
 HEDGE_FAILURES: Final = 2
+MAX_SLOWNESS: Final = 5.0  # of an answer, relative to what was expected
+SLOWNESS_GAIN: Final = 0.2
 FAILURES = frozenset(
     {
         api.AttemptResult.REJECTED,
@@ -133,8 +135,8 @@
         )
         if not upstream.in_subset:
             expected_ns = concurrency.expected_ns(request_class, request.cost_hint_ns)
-            slowness = min(5.0, duration_ns / max(1.0, expected_ns))
-            upstream_set.out_of_subset_slowness += 0.2 * (
+            slowness = min(MAX_SLOWNESS, duration_ns / max(1.0, expected_ns))
+            upstream_set.out_of_subset_slowness += SLOWNESS_GAIN * (
                 slowness - upstream_set.out_of_subset_slowness
             )
         # Late answers are the first sign of overload.
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -33,6 +33,10 @@
 
 MIN_TENANT_WEIGHT: Final = 1e-6
 MAX_OUT_OF_SUBSET_SLOWNESS: Final = 1.5  # slower upstreams beyond the subset are no help
+# In one interval: how far what was learned of those goes back to 1, and the gain of attempts a
+# second at each upstream.
+SLOWNESS_FADE: Final = 0.03
+ATTEMPTS_GAIN: Final = 0.2
 
 
 class Balancer:
@@ -149,7 +153,8 @@
         """Adjust widths, rates and limits to what was learned since the last time."""
         self._feedback_ns = now
         upstream_set = self.upstream_set
-        upstream_set.out_of_subset_slowness += 0.03 * (1.0 - upstream_set.out_of_subset_slowness)
+        slowness = upstream_set.out_of_subset_slowness
+        upstream_set.out_of_subset_slowness += SLOWNESS_FADE * (1.0 - slowness)
         self._update_widths()
         upstream_set.fade_error_rates()
         self.rate_controller.adjust(
@@ -157,8 +162,9 @@
         )
         availability = upstream_set.availability
         width = max(1, upstream_set.main_pool.width)
-        availability.attempts_per_upstream_s += 0.2 * (
-            self.rate_controller.finished_per_s / width - availability.attempts_per_upstream_s
+        finished_per_upstream_s = self.rate_controller.finished_per_s / width
+        availability.attempts_per_upstream_s += ATTEMPTS_GAIN * (
+            finished_per_upstream_s - availability.attempts_per_upstream_s
         )
         self._release_tokens(now)
 
--- a/loadbalancer/policy/concurrency_limit.py
+++ b/loadbalancer/policy/concurrency_limit.py
@@ -36,6 +36,13 @@
 MIN_SERVICE_TIME_GAIN: Final = 0.2
 MAX_SERVICE_TIME_GAIN: Final = 0.5
 SERVICE_TIME_GAIN_NS = 4 * SECOND
+# Gain of learned service times, deviations and intervals, and how far one sample may move them.
+SAMPLE_GAIN: Final = 0.05
+MAX_TIME_RATIO: Final = 8.0  # of a service time to the one that is known
+MAX_DEVIATION: Final = 3.0
+# Bounds of an upstream's service time, relative to what is expected.
+MIN_RELATIVE_TIME: Final = 0.1
+MAX_RELATIVE_TIME: Final = 10.0
 # Overdue attempts may leave this fraction of the window free, or one attempt.
 OVERDUE_FRACTION: Final = 0.25
 
@@ -97,21 +104,22 @@
         base = float(cost_hint_ns) if cost_hint_ns else 1.0
         known = self.service_times.get(name)
         measured = duration_ns / base
-        self.service_times[name] = (
-            measured if known is None else known + 0.05 * (min(measured, 8 * known) - known)
-        )
+        if known is None:
+            self.service_times[name] = measured
+        else:
+            bounded = min(measured, MAX_TIME_RATIO * known)
+            self.service_times[name] = known + SAMPLE_GAIN * (bounded - known)
         self.record_duration(attempt, duration_ns)
         upstream = attempt.upstream
         ratio = duration_ns / max(1.0, self.expected_ns(request_class, cost_hint_ns))
         deviation = abs(ratio / upstream.relative_service_time - 1)
-        self.deviation += 0.05 * (min(3.0, deviation) - self.deviation)
+        self.deviation += SAMPLE_GAIN * (min(MAX_DEVIATION, deviation) - self.deviation)
         now_ns = attempt.sent_ns + duration_ns
         since_last = (now_ns - upstream.last_success_ns) / SERVICE_TIME_GAIN_NS
         gain = min(MAX_SERVICE_TIME_GAIN, max(MIN_SERVICE_TIME_GAIN, since_last))
         upstream.last_success_ns = now_ns
-        upstream.relative_service_time += gain * (
-            min(10.0, max(0.1, ratio)) - upstream.relative_service_time
-        )
+        bounded_ratio = min(MAX_RELATIVE_TIME, max(MIN_RELATIVE_TIME, ratio))
+        upstream.relative_service_time += gain * (bounded_ratio - upstream.relative_service_time)
 
     def record_duration(self, attempt: Attempt, duration_ns: int) -> None:
         """Learn the time for each request that an upstream holds."""
@@ -120,7 +128,7 @@
             return
         self.sample_count += 1
         # The first samples count more: a proxy with little traffic can't wait for twenty.
-        gain = max(0.05, 1 / self.sample_count)
+        gain = max(SAMPLE_GAIN, 1 / self.sample_count)
         self.per_request_ns += gain * (max(1, duration_ns) / attempt.load - self.per_request_ns)
 
     def set_bounds(self, start_window: float, max_window: float) -> None:
@@ -145,7 +153,7 @@
         """
         ratio = min(ratio, MAX_LATENCY_RATIO)
         interval = min(SECOND, now - self.last_answer_ns)
-        self.answer_interval_ns += 0.05 * (interval - self.answer_interval_ns)
+        self.answer_interval_ns += SAMPLE_GAIN * (interval - self.answer_interval_ns)
         self.last_answer_ns = now
         gain = min(LATENCY_MAX_GAIN, self.answer_interval_ns / LATENCY_TIME_NS)
         self.latency_ratio += gain * (ratio - self.latency_ratio)
--- a/loadbalancer/policy/rate_controller.py
+++ b/loadbalancer/policy/rate_controller.py
@@ -27,6 +27,11 @@
 NO_OVERLOAD: Final = -0.1
 FAILURES_ONE_IN: Final = 8
 MAX_DECREASE: Final = 0.3  # of the rate in one interval
+# Of what was finished or served in the last interval: what the rate comes down to, and no further.
+FINISHED_FACTOR: Final = 1.2
+SERVED_FACTOR: Final = 0.9
+MIN_INCREASE: Final = 0.5  # requests a second in one interval
+DEMAND_GAIN: Final = 0.5  # of a tenant's demand, in one interval
 MIN_RATE_FRACTION: Final = 0.2  # of what was served in good times, which is forgotten in a minute
 BEST_FADE: Final = 0.98
 MIN_TENANT_RATE: Final = 0.05
@@ -100,10 +105,12 @@
         # After upstreams are lost, the rate stands far above what is served: come down to that
         # first. But where answers are quick, little was sent as little was admitted, as in the rush
         # of a start.
-        top = self.rate if is_quick else min(self.rate, 1.2 * self.finished_per_s + 1)
+        top = self.rate if is_quick else min(self.rate, FINISHED_FACTOR * self.finished_per_s + 1)
         decreased = top * (1 - min(MAX_DECREASE, excess))
         self.rate = max(
-            MIN_RATE_FRACTION * self.best_served_per_s, 0.9 * self.served_per_s, decreased
+            MIN_RATE_FRACTION * self.best_served_per_s,
+            SERVED_FACTOR * self.served_per_s,
+            decreased,
         )
 
     def _increase(self, excess: float) -> None:
@@ -114,7 +121,7 @@
             and FAILURES_ONE_IN * self.failure_count <= self.in_time_count
         )
         factor = FAST_INCREASE_FACTOR if is_fast else INCREASE_FACTOR
-        self.rate = min(START_RATE, self.rate * factor + 0.5)
+        self.rate = min(START_RATE, self.rate * factor + MIN_INCREASE)
 
     def restore(
         self, rate: float, demands: Iterable[tuple[TokenBucket[Request], float]], now: int
@@ -144,7 +151,7 @@
         last_index = -1
         for bucket in self.by_demand:
             if not bucket.request_count:
-                bucket.demand += 0.5 * (0.0 - bucket.demand)
+                bucket.demand += DEMAND_GAIN * (0.0 - bucket.demand)
                 ratio = bucket.demand / bucket.weight
                 bucket.demand_ratio = ratio
                 # Very small demands are rounded, which may change their order.
@@ -157,7 +164,8 @@
                 last_index = bucket.index
                 order.append(bucket)
         for bucket in active:
-            bucket.demand += 0.5 * (bucket.request_count * SECOND / elapsed - bucket.demand)
+            demand = bucket.request_count * SECOND / elapsed
+            bucket.demand += DEMAND_GAIN * (demand - bucket.demand)
             bucket.demand_ratio = bucket.demand / bucket.weight
             bucket.request_count = 0
             bucket.ran_short = False
--- a/loadbalancer/policy/upstream_stats.py
+++ b/loadbalancer/policy/upstream_stats.py
@@ -23,6 +23,7 @@
 ERROR_GAIN: Final = 0.3
 SUCCESS_GAIN: Final = 0.1
 ERROR_FADE: Final = 0.95
+ERROR_WEIGHT: Final = 0.9  # of the error rate in the load score
 CROSS_ZONE_PENALTY: Final = 1.4  # load factor of another zone, where crossing has a price
 
 _MASK_64: Final = 0xFFFFFFFFFFFFFFFF
@@ -94,5 +95,5 @@
         (max(upstream.in_flight, upstream.reported_load) + 1)
         * upstream.relative_service_time
         * upstream.zone_penalty
-        / (1.0 - 0.9 * upstream.error_rate)
+        / (1.0 - ERROR_WEIGHT * upstream.error_rate)
     )
--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -297,7 +297,8 @@
 
 def describe(asked: Asked) -> str:
     """A request in a few words."""
+    took_ms = (asked.ended_ns - asked.sent_ns) / MS
     return (
         f"request {asked.id} ({asked.kind.value}, {asked.wait_ms} ms, balancer {asked.balancer},"
-        f" {asked.end.value})"
+        f" {asked.end.value}, {took_ms:.1f} ms behind its last byte)"
     )
--- a/loadbalancer/testbed/soak/clients.py
+++ b/loadbalancer/testbed/soak/clients.py
@@ -9,6 +9,7 @@
 import time
 from dataclasses import dataclass
 
+from loadbalancer.proxy.tcp_state import received
 from loadbalancer.testbed.soak.history import Asked, End, History, Kind
 from loadbalancer.testbed.soak.plan import Plan
 
@@ -30,6 +31,14 @@
     writer: asyncio.StreamWriter
     used: bool = False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the other side has ended it, also where that lies unread here."""
+        transport = self.writer.transport
+        if transport.is_closing() or self.reader.at_eof():
+            return True
+        return received(transport.get_extra_info("socket")).peer_ended
+
     def close(self, reset: bool = False) -> None:
         """End it, in order or not."""
         if reset:
@@ -164,8 +173,8 @@
                     self.rng.uniform(*(CROWDED_WRITE_S if self.in_crowd else SLOW_WRITE_S))
                 )
                 data = data[cut:]
-                if link.reader.at_eof() or link.writer.transport.is_closing():
-                    return False  # it was ended before the request was whole
+                if link.has_ended:
+                    return False  # before the request was whole
             link.writer.write(data)
             async with asyncio.timeout(3.0):
                 await link.writer.drain()
