--- a/review/1/case.py
+++ b/review/1/case.py
@@ -27,7 +27,7 @@
     play,
 )
 
-ANSWER_BYTES = 16 * 1024 * 1024  # half of the longest answer that the pages name
+ANSWER_BYTES = 32_000_000  # the longest answer that the pages name
 PIECE_BYTES = 64 * 1024
 SLOW_BYTES_PER_S = 64_000  # the rate that the pages name for slow clients
 OBSERVED_S = 95.0
