--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import json
 import os
@@ -31,6 +32,14 @@
     """The case could not be played, so it says nothing about the rule."""
 
 
+def seed() -> int:
+    """Return the seed of the balancer's random numbers: `--seed N`, or 1."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    number: int = parser.parse_args().seed
+    return number
+
+
 def is_troubled() -> bool:
     """Return whether the disruption is to be played; `TROUBLE=0` leaves it out."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -346,7 +355,7 @@
             "name": self.name,
             "listen": f"{HOST}:{self.port}",
             "discovery": discovery.address,
-            "seed": "8c1f30d27a5be964",
+            "seed": f"{seed():x}",
             "limits": limits,
             "known": discovery.known(),
             "settings": settings(),
