--- a/review/1/case.py
+++ b/review/1/case.py
@@ -108,7 +108,17 @@
     if length != BODY_BYTES:
         raise EOFError
     upstream.run(call)
-    await asyncio.sleep(upstream.work_s)
+    started_s = time.monotonic()
+    ended_early = asyncio.create_task(reader.read(1))  # the balancer sends nothing more but its end
+    done, _ = await asyncio.wait({ended_early}, timeout=upstream.work_s)
+    if done:
+        worked_s = round(time.monotonic() - started_s, 3)
+        upstream.record.write(
+            "balancer gave the attempt up", upstream=upstream.name, id=call.id, worked_s=worked_s
+        )
+        raise EOFError
+    ended_early.cancel()
+    await asyncio.gather(ended_early, return_exceptions=True)
     writer.write(answer("200 OK", call.id.encode()))
     await writer.drain()
     upstream.record.write("upstream answered 200", upstream=upstream.name, id=call.id)
@@ -131,7 +141,8 @@
             new = [Client(record, f"b00c{wave:02x}{number:02x}") for number in range(UPSTREAMS)]
             clients += new
             await asyncio.gather(*(client.run(balancer.port) for client in new))
-            if any(client.is_closed for client in new):
+            if any(not client.answered for client in new):
+                await asyncio.sleep(SLOW_WORK_S)  # shows what becomes of the work at the upstream
                 break
     finally:
         await balancer.stop()
