Log a complete request whose connection is closed by a time limit

Nothing tells a phase that was not left from a body taken for incomplete, an eviction or an upstream's fault. Now `ClientConnection.on_phase_timeout` logs an error with the request and the phase if the request had arrived whole.

The new test fails without the change.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import struct
 import time
@@ -19,6 +20,8 @@
 from loadbalancer.proxy.requests import OpenRequest
 from loadbalancer.proxy.tcp_state import Socket, has_unread_data, receive_state
 
+log = logging.getLogger(__name__)
+
 # Fractions of the connection limit above which a connection closes after its answer: the first if
 # no request was open, as after invalid input, the second for all answers. Idle connections stay
 # open for 2 s, so with many clients they would use up the limit, and new connections would wait for
@@ -204,6 +207,13 @@
 
     def on_phase_timeout(self) -> None:
         """Close the connection, which has exceeded its phase's time limit."""
+        request = self.open_request
+        if self.phase is not None and request is not None and self.upload is None:
+            log.error(
+                "complete request closed by a time limit: request=%s phase=%s",
+                request.arrival.request,
+                self.phase.name,
+            )
         if self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
             self._drop_request()  # a request whose streamed body is incomplete may already be open
             self._reject_input(408, "the request did not come in time")
--- a/tests/proxy/test_frontend.py
+++ b/tests/proxy/test_frontend.py
@@ -15,6 +15,7 @@
 from loadbalancer.proxy import connection_phase, frontend, parse
 from loadbalancer.proxy.client_connection import ClientConnection
 from loadbalancer.proxy.connection_phase import Phase
+from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.resource_limits import RESERVE
 from loadbalancer.proxy.tcp_state import receive_state
 from tests.fakes import (
@@ -552,3 +553,23 @@
             await client.expect_eof()
 
     run(test())
+
+
+def test_complete_request_closed_by_a_time_limit_is_logged(
+    frontends: list[Frontend], caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a request that loses its connection without an answer and without a trace."""
+
+    async def test() -> None:
+        async with running_balancer() as harness:
+            client = await harness.client_awaiting_response("r1")
+            (connection,) = frontends[0].clients
+            frontends[0].wait(connection, Phase.BODY)  # as if its body were incomplete
+            connection.on_phase_timeout()
+            await client.expect_eof()
+            (record,) = [r for r in caplog.records if r.levelname == "ERROR"]
+            assert record.getMessage() == (
+                "complete request closed by a time limit: request=r1 phase=BODY"
+            )
+
+    run(test())
