A body that has ended no longer pauses or resumes its connection

Cause: a chunked body becomes a stream when it passes 64 KiB, already full, so marked as paused, and can end in the same parsing step. It was then ended and paused, and got its source after its end. `Body.take` resumed that source, and `ClientConnection.resume` put the connection of a complete request back into Phase.BODY (1.5 s for each 16 KiB).

A table of sizes and framings excludes bodies with a length, those that end in a later read, and those of 65,536 bytes and less or 82,000 and more.

Fix: a body has one state, in which ended and paused exclude each other, and a source is attached only while the body may receive more, in both directions. It works because only the step from paused to receiving resumes a source.

The same cause, so fixed with it: a chunked response that began and ended in one read left a stall timer on its pooled connection, which closed it under the next request (502); a body reported to the policy as replayable lost its start.

--- a/loadbalancer/proxy/body_stream.py
+++ b/loadbalancer/proxy/body_stream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Protocol
 
 MAX_LENGTH = 32 * 1024 * 1024  # bytes of the longest body that is accepted
@@ -29,6 +30,15 @@
         return MAX_BUFFERED if self.buffered < self.limit else MAX_BUFFERED_IN_SHORTAGE
 
 
+class BodyState(Enum):
+    """State of a body, as its sender's side sees it. `ENDED` and `FAILED` are final."""
+
+    RECEIVING = "more may arrive"
+    PAUSED = "more may arrive, but the buffer is full and the source does not read"
+    ENDED = "everything has arrived"
+    FAILED = "it will never be complete"
+
+
 class Source(Protocol):
     """The connection from which a body is received."""
 
@@ -43,7 +53,10 @@
 
 
 class Body:
-    """A queue of pieces that becomes complete or fails, and notifies its reader of each change.
+    """A queue of pieces that ends or fails, and notifies its reader of each change.
+
+    Only a body that may still receive more controls its source: one that has ended or failed never
+    pauses, resumes or aborts it, however full the buffer is.
 
     With `keep`, the body can be read again from its start, until pieces that were already taken
     have to be dropped to free buffer space; see `is_replayable`.
@@ -58,15 +71,13 @@
         "buffered",
         "changed",
         "dropped",
-        "ended",
-        "failed",
         "keep",
         "length",
         "memory",
         "next_index",
-        "paused",
         "pieces",
         "source",
+        "state",
         "taken_bytes",
     )
 
@@ -74,22 +85,50 @@
         self.length = length
         self.memory = memory
         self.keep = keep
+        self.state = BodyState.RECEIVING
         self.source: Source | None = None
         self.changed: Callable[[], None] | None = None
         self.pieces: list[bytes] = []
         self.next_index = 0  # index of the first piece that was not taken
         self.taken_bytes = 0  # bytes
         self.buffered = 0  # bytes
-        self.ended = False
-        self.failed = False
-        self.paused = False
         self.dropped = False  # whether pieces were deleted from the start
 
+    @property
+    def paused(self) -> bool:
+        """Whether the body waits for buffer space before it receives more."""
+        return self.state is BodyState.PAUSED
+
+    @property
+    def ended(self) -> bool:
+        """Whether everything has arrived; pieces may still have to be taken."""
+        return self.state is BodyState.ENDED
+
+    @property
+    def failed(self) -> bool:
+        """Whether the body will never be complete."""
+        return self.state is BodyState.FAILED
+
+    @property
+    def _may_receive(self) -> bool:
+        return self.state in (BodyState.RECEIVING, BodyState.PAUSED)
+
     # ---- the sender's side -----------------------------------------------------------------------
 
+    def attach(self, source: Source) -> None:
+        """Connect the source, and pause it if the buffer is already full.
+
+        The body may have ended before its source was connected: then it needs none.
+        """
+        if not self._may_receive:
+            return
+        self.source = source
+        if self.paused:
+            source.pause()
+
     def put(self, data: bytes) -> None:
         """Append a piece, and pause the source if the buffer is full."""
-        if self.failed:
+        if not self._may_receive:
             return
         self.pieces.append(data)
         self._adjust_buffered(len(data))
@@ -97,21 +136,22 @@
         if self.buffered >= max_buffered and not self.paused:
             self._drop_taken()
             if self.buffered >= max_buffered:
-                self.paused = True
+                self.state = BodyState.PAUSED
                 if self.source is not None:
                     self.source.pause()
         self._notify()
 
     def end(self) -> None:
         """Mark the body as complete."""
-        self.ended = True
-        self.source = None
-        self._notify()
+        if self._may_receive:
+            self.state = BodyState.ENDED
+            self.source = None
+            self._notify()
 
     def fail(self) -> None:
         """Mark the body as failed: it will never be complete."""
-        if not (self.ended or self.failed):
-            self.failed = True
+        if self._may_receive:
+            self.state = BodyState.FAILED
             self.source = None
             self._clear()
             self._notify()
@@ -145,11 +185,12 @@
         piece = self.pieces[self.next_index]
         self.next_index += 1
         self.taken_bytes += len(piece)
-        # Pieces that are kept for a retry are dropped only if the buffer is full.
-        if not self.keep or self.paused:
+        # Pieces that are kept for a retry are dropped only if the buffer is full, or if the retry
+        # is no longer possible.
+        if not self.keep or self.paused or self.dropped:
             self._drop_taken()
         if self.paused and self.buffered <= self.memory.max_buffered // 2:
-            self.paused = False
+            self.state = BodyState.RECEIVING
             if self.source is not None:
                 self.source.resume()
         return piece
@@ -166,8 +207,8 @@
         source = self.source
         self.source = None
         self.changed = None
-        if not self.ended:
-            self.failed = True
+        if self._may_receive:
+            self.state = BodyState.FAILED
             if source is not None:
                 source.abort()
         self._clear()
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -304,9 +304,7 @@
         else:
             self._send_continue()
             self.upload = stream
-            stream.source = self
-            if stream.paused:
-                self.pause()
+            stream.attach(self)
         if not self.driver.arrive(request):
             self.reject(0)
 
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -220,10 +220,8 @@
             exchange.body.changed = None  # answered before the body's end: stop sending it
         if response.stream is not None:
             self.streamed_response = response
-            response.stream.source = self
             self._start_stall_timer()
-            if response.stream.paused:
-                self.pause()
+            response.stream.attach(self)
             self._continue_body(response)
         else:
             self._end_response(response)
--- /dev/null
+++ b/tests/proxy/test_body_completion.py
@@ -0,0 +1,262 @@
+"""Tests of long bodies that end: what their connections do afterwards, whatever the order.
+
+A body may begin, fill its buffer and end in one read or in several. The tests cover requests and
+responses, with a length, in chunks and ended by a close.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import replace
+
+import pytest
+
+from loadbalancer.policy import api
+from loadbalancer.proxy import connection_phase, frontend, upstream_connection
+from loadbalancer.proxy.client_connection import PARSE_BYTES
+from loadbalancer.proxy.connection_phase import Phase
+from loadbalancer.proxy.frontend import Frontend
+from loadbalancer.proxy.parse import MAX_BODY
+from tests.fakes import (
+    SETTINGS,
+    BalancerHarness,
+    EventRecorder,
+    http_response,
+    read_message,
+    run,
+    running_balancer,
+)
+from tests.proxy.test_body_stream import (
+    balancer_with_raw_upstream,
+    framed_body,
+    post_head,
+    read_chunks,
+    read_head,
+)
+
+SHORT_LIMIT_S = 0.2
+CHUNK_SIZE = 8_000
+SIZES = [
+    MAX_BODY + 1,
+    70_000,
+    MAX_BODY + PARSE_BYTES - 1_000,  # the most that begins and ends in one parsing step
+    MAX_BODY + PARSE_BYTES,
+    300_000,
+]
+SPLITS = [0, 5, CHUNK_SIZE]  # bytes at the end that are sent later than the others
+
+
+def framed(size: int, framing: str) -> bytes:
+    """Return the framing headers and the encoded body of this size."""
+    if framing == "close":
+        return b"Connection: close\r\n\r\n" + bytes(size)
+    chunk_sizes = [CHUNK_SIZE] * (size // CHUNK_SIZE) if framing == "chunks" else None
+    return framed_body(bytes(size), chunk_sizes)
+
+
+async def read_body(reader: asyncio.StreamReader, head: str) -> bytes:
+    """Read the body that a head in lower case announces."""
+    if "transfer-encoding: chunked" in head:
+        return await read_chunks(reader)
+    length = head.partition("content-length: ")[2].partition("\r\n")[0]
+    return await reader.readexactly(int(length))
+
+
+class ScriptedUpstream:
+    """An upstream that reads whole requests, and passes the id of each to `respond`.
+
+    Attributes:
+        requests: The ids of the requests that were read whole.
+        connections: The connections on which requests were read.
+        request_read: Set once a request was read whole.
+    """
+
+    def __init__(self, respond: Callable[[str, asyncio.StreamWriter], Awaitable[None]]) -> None:
+        self.respond = respond
+        self.requests: list[str] = []
+        self.connections: set[asyncio.StreamWriter] = set()
+        self.request_read = asyncio.Event()
+
+    async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                head = await read_head(reader)
+                if head.startswith("post"):
+                    await read_body(reader, head)
+                name = head.partition("x-request-id: ")[2].partition("\r\n")[0]
+                self.requests.append(name)
+                self.connections.add(writer)
+                self.request_read.set()
+                await self.respond(name, writer)
+
+
+async def write_in_two_parts(
+    writer: asyncio.StreamWriter, data: bytes, late_bytes: int, harness: BalancerHarness
+) -> None:
+    """Write the last bytes only after the balancer has had time to read the others."""
+    writer.write(data[: len(data) - late_bytes])
+    if late_bytes:
+        await writer.drain()
+        await harness.ask("ready", path="/ready")
+        writer.write(data[len(data) - late_bytes :])
+
+
+# ---- requests ------------------------------------------------------------------------------------
+
+
+async def wait_for_body_limit(harness: BalancerHarness) -> None:
+    """Wait until an upload that begins now, and stalls, exceeds its time limit."""
+    client = await harness.client()
+    client.writer.write(post_head("stalled", "Content-Length: 300000") + bytes(100_000))
+    assert (await read_message(client.reader)).status == 408
+
+
+@pytest.mark.parametrize("late_bytes", SPLITS)
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("size", SIZES)
+def test_complete_request_waits_for_its_response_without_a_time_limit(
+    size: int, framing: str, late_bytes: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against closing a client's connection while a slow upstream runs its whole request.
+
+    The upstream responds when the time limit of an upload that began later has passed.
+    """
+    limits = {**connection_phase.LIMIT_S, Phase.NEW: SHORT_LIMIT_S, Phase.BODY: SHORT_LIMIT_S}
+    monkeypatch.setattr(frontend, "LIMIT_S", limits)
+    may_respond = asyncio.Event()
+
+    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
+        await may_respond.wait()
+        writer.write(http_response(200, b"done"))
+
+    async def test() -> None:
+        upstream = ScriptedUpstream(respond)
+        async with balancer_with_raw_upstream(upstream.handle) as harness:
+            client = await harness.client()
+            message = post_head("r1")[:-2] + framed(size, framing)
+            await write_in_two_parts(client.writer, message, late_bytes, harness)
+            await upstream.request_read.wait()
+            await wait_for_body_limit(harness)
+            may_respond.set()
+            response = await read_message(client.reader)
+            assert (response.status, response.body) == (200, b"done")
+            assert (await client.ask("r2")).status == 200
+
+    run(test())
+
+
+def test_complete_request_is_not_evicted_at_the_connection_limit(
+    frontends: list[Frontend], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against taking a request that waits for its response for an incomplete one."""
+    for name in ("EVICT_SILENT_S", "EVICT_NEW_S"):
+        monkeypatch.setattr(frontend, name, 0.0)
+    may_respond = asyncio.Event()
+
+    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
+        await may_respond.wait()
+        writer.write(http_response(200, b"done"))
+
+    async def test() -> None:
+        upstream = ScriptedUpstream(respond)
+        async with balancer_with_raw_upstream(upstream.handle) as harness:
+            client = await harness.client()
+            client.writer.write(post_head("r1")[:-2] + framed(70_000, "chunks"))
+            await upstream.request_read.wait()
+            frontends[0].set_max_connections(2)
+            silent_client = await harness.client()
+            assert (await harness.ask("ready", path="/ready")).status == 200
+            await silent_client.expect_eof()
+            may_respond.set()
+            assert (await read_message(client.reader)).status == 200
+
+    run(test())
+
+
+def test_complete_request_that_was_rejected_is_retried(recorder: EventRecorder) -> None:
+    """Guards against dropping the start of a body that the policy was told it can send again."""
+
+    async def respond(name: str, writer: asyncio.StreamWriter) -> None:
+        is_first = upstream.requests == [name]
+        writer.write(http_response(503, b"", "X-Not-Run: 1") if is_first else http_response(200))
+
+    upstream = ScriptedUpstream(respond)
+
+    async def test() -> None:
+        servers = [await asyncio.start_server(upstream.handle, "127.0.0.1", 0) for _ in range(2)]
+        rows = [
+            {"id": f"s-{i}", "addr": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}
+            for i, server in enumerate(servers)
+        ]
+        settings = replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=3))
+        known = {"version": 9, "full": True, "servers": rows}
+        async with running_balancer(0, settings, known=known) as harness:
+            client = await harness.client()
+            client.writer.write(post_head("r1")[:-2] + framed(70_000, "chunks"))
+            response = await read_message(client.reader)
+            assert [event.is_replayable for event in recorder.of_type(api.BodyCompleted)] == [True]
+            assert (response.status, upstream.requests) == (200, ["r1", "r1"])
+        for server in servers:
+            server.close()
+
+    run(test())
+
+
+# ---- responses -----------------------------------------------------------------------------------
+
+
+async def wait_for_stall_limit(harness: BalancerHarness) -> None:
+    """Wait until a response that begins now, and stalls, is given up."""
+    client = await harness.client()
+    client.send("stalls")
+    await read_head(client.reader)
+    with pytest.raises(ConnectionResetError):
+        await client.reader.read(-1)
+
+
+@pytest.mark.parametrize("late_bytes", SPLITS)
+@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
+@pytest.mark.parametrize("size", SIZES)
+def test_complete_response_leaves_no_stall_timer_on_its_connection(
+    size: int, framing: str, late_bytes: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against closing a reused connection, with a request on it, for an earlier response.
+
+    The upstream responds to the next request when the stall timer of a later response has expired.
+    """
+    monkeypatch.setattr(upstream_connection, "STALL_S", SHORT_LIMIT_S)
+    may_respond = asyncio.Event()
+    harnesses: list[BalancerHarness] = []
+
+    async def respond(name: str, writer: asyncio.StreamWriter) -> None:
+        if name == "long":
+            response = b"HTTP/1.1 200 OK\r\n" + framed(size, framing)
+            await write_in_two_parts(writer, response, late_bytes, harnesses[0])
+            if framing == "close":
+                writer.close()
+        elif name == "stalls":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + bytes(100_000))
+        else:
+            await may_respond.wait()
+            writer.write(http_response(200, b"done"))
+
+    async def test() -> None:
+        upstream = ScriptedUpstream(respond)
+        async with balancer_with_raw_upstream(upstream.handle) as harness:
+            harnesses.append(harness)
+            client = await harness.client()
+            client.send("long")
+            assert len(await read_body(client.reader, await read_head(client.reader))) == size
+            upstream.request_read.clear()
+            client.send("next", "pay", "POST", b"b")
+            await upstream.request_read.wait()
+            assert len(upstream.connections) == (2 if framing == "close" else 1)
+            await wait_for_stall_limit(harness)
+            may_respond.set()
+            response = await read_message(client.reader)
+            assert (response.status, response.body) == (200, b"done")
+
+    run(test())
