A paused connection reads on when its body ends or fails

Callers saw: a booking that its upstream ran at once was answered 504, since its connection carried another client's long response before, whose client did not read. A client that left a paused upload kept its connection open until the process ended.

Cause: `Body.end` and `Body.fail` forgot the source without resuming it. Where the end came while the buffer was full, `UpstreamConnection` went back to the pool with its reading paused, and the next response on it was never read.

Fix: `Body.detach` releases the source, which reads on without a time limit; `end` and `fail` call it, and so does an answer before the end of an upload. It works because every way out of the paused state now lets the source read.

--- a/loadbalancer/proxy/body_stream.py
+++ b/loadbalancer/proxy/body_stream.py
@@ -48,6 +48,9 @@
     def resume(self) -> None:
         """Resume reading because the body's buffer has capacity again."""
 
+    def release(self) -> None:
+        """Read on, if paused, because the body no longer controls the connection."""
+
     def abort(self) -> None:
         """Close the connection because the rest of the body is not needed."""
 
@@ -55,8 +58,8 @@
 class Body:
     """A queue of pieces that ends or fails, and notifies its reader of each change.
 
-    Only a body that may still receive more controls its source: one that has ended or failed never
-    pauses, resumes or aborts it, however full the buffer is.
+    Only a body that may still receive more controls its source. When it ends or fails, it releases
+    the source, which reads on even if it was paused, and never calls it again.
 
     With `keep`, the body can be read again from its start, until pieces that were already taken
     have to be dropped to free buffer space; see `is_replayable`.
@@ -126,6 +129,13 @@
         if self.paused:
             source.pause()
 
+    def detach(self) -> None:
+        """Release the source."""
+        source = self.source
+        self.source = None
+        if source is not None:
+            source.release()
+
     def put(self, data: bytes) -> None:
         """Append a piece, and pause the source if the buffer is full."""
         if not self._may_receive:
@@ -145,14 +155,14 @@
         """Mark the body as complete."""
         if self._may_receive:
             self.state = BodyState.ENDED
-            self.source = None
+            self.detach()
             self._notify()
 
     def fail(self) -> None:
         """Mark the body as failed: it will never be complete."""
         if self._may_receive:
             self.state = BodyState.FAILED
-            self.source = None
+            self.detach()
             self._clear()
             self._notify()
 
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -173,10 +173,11 @@
         """Resume reading, and restart the client's time limit."""
         self.progress_bytes = 0
         self.frontend.wait(self, Phase.BODY)
-        self._resume_reading()
+        self.release()
         self.frontend.loop.call_soon(self._parse)
 
-    def _resume_reading(self) -> None:
+    def release(self) -> None:
+        """Resume reading without a time limit."""
         if (transport := self._open_transport) is not None:
             transport.resume_reading()
 
@@ -311,7 +312,6 @@
     def _body_completed(self) -> None:
         self.upload = None
         self.frontend.leave_phase(self)
-        self._resume_reading()  # the end of the body may have arrived while its buffer was full
         if self.open_request is not None:
             deadline_ns = self.intake.deadline_ns(self.received_ns)
             self.driver.body_completed(self.open_request, deadline_ns, self.received_ns)
@@ -369,8 +369,7 @@
         self.upload = None
         if upload is not None and not upload.ended:
             close_after_answer = True  # the rest of the body would be parsed as a request
-            upload.source = None
-            self._resume_reading()
+            upload.detach()
         self.close_after_answer = (
             close_after_answer
             or not self.writer.keep_alive
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -261,10 +261,15 @@
             self.transport.pause_reading()
 
     def resume(self) -> None:
-        """Resume reading."""
+        """Resume reading, and restart the stall timer."""
+        self.release()
+        self._start_stall_timer()
+
+    def release(self) -> None:
+        """Resume reading without a time limit."""
+        self._cancel_stall_timer()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
-            self._start_stall_timer()
 
     def abort(self) -> None:
         """Close the connection at once; an exchange in progress ends as broken."""
--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -9,13 +9,17 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from dataclasses import replace
+from dataclasses import dataclass, replace
+from enum import Enum
 
 import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
 
 from loadbalancer.policy import api
 from loadbalancer.proxy import connection_phase, frontend, upstream_connection
-from loadbalancer.proxy.client_connection import PARSE_BYTES
+from loadbalancer.proxy.body_stream import MAX_BUFFERED, Body, BodyMemory
+from loadbalancer.proxy.client_connection import PARSE_BYTES, ClientConnection
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.parse import MAX_BODY
@@ -35,9 +39,15 @@
     read_chunks,
     read_head,
 )
+from tests.proxy.test_races import (
+    RETRY_SETTINGS,
+    connection_with_open_request,
+    upstream_with_full_accept_queue,
+)
 
 SHORT_LIMIT_S = 0.2
 CHUNK_SIZE = 8_000
+MORE_THAN_SOCKETS_BUFFER = 30 * 1024 * 1024
 SIZES = [
     MAX_BODY + 1,
     70_000,
@@ -104,6 +114,98 @@
         writer.write(data[len(data) - late_bytes :])
 
 
+# ---- Body and its source -------------------------------------------------------------------------
+
+
+class ReadingSource:
+    """A source that knows whether it reads, and that counts the calls of its body."""
+
+    def __init__(self) -> None:
+        self.is_reading = True
+        self.call_count = 0
+
+    def pause(self) -> None:
+        assert self.is_reading
+        self._set_reading(False)
+
+    def resume(self) -> None:
+        assert not self.is_reading
+        self._set_reading(True)
+
+    def release(self) -> None:
+        self._set_reading(True)
+
+    def abort(self) -> None:
+        self.call_count += 1
+
+    def _set_reading(self, is_reading: bool) -> None:
+        self.is_reading = is_reading
+        self.call_count += 1
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """The arrival of a piece of this size."""
+
+    size: int
+
+
+class Step(Enum):
+    """What may happen to a body beside the arrival of a piece."""
+
+    TAKE = "its reader takes a piece"
+    ATTACH = "its source is connected"
+    END = "its end arrives"
+    FAIL = "it will never be complete"
+
+
+STEPS = st.lists(
+    st.builds(Put, st.integers(1, MAX_BUFFERED + PARSE_BYTES)) | st.sampled_from(Step), max_size=30
+)
+
+
+def apply_step(body: Body, source: ReadingSource, step: Put | Step) -> None:
+    """Apply one step; the reader that parses a body sends nothing after its end."""
+    match step:
+        case Put() if not body.ended:
+            body.put(bytes(step.size))
+        case Step.TAKE:
+            body.take()
+        case Step.ATTACH if body.source is None:
+            body.attach(source)
+        case Step.END:
+            body.end()
+        case Step.FAIL:
+            body.fail()
+
+
+@seed(1)
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(STEPS, st.booleans(), st.sampled_from([0, 1 << 30]))
+def test_body_controls_its_source_only_while_it_may_receive_more(
+    steps: list[Put | Step], keep: bool, memory_limit: int
+) -> None:
+    """Guards against a source that is paused or resumed by a body that has ended or failed.
+
+    A body that can be sent again when it ends stays so until its reader discards it.
+    """
+    body, source = Body(None, BodyMemory(memory_limit), keep), ReadingSource()
+    final_call_count: int | None = None
+    is_replayable_at_end = False
+    for step in steps:
+        apply_step(body, source, step)
+        if body.ended or body.failed:
+            if final_call_count is None:
+                final_call_count = source.call_count
+                is_replayable_at_end = body.is_replayable
+            assert source.is_reading and source.call_count == final_call_count
+            assert body.source is None
+            assert body.is_replayable is is_replayable_at_end or not keep
+        else:
+            assert source.is_reading is not (body.paused and body.source is not None)
+            assert not body.paused or body.buffered
+
+
 # ---- requests ------------------------------------------------------------------------------------
 
 
@@ -191,9 +293,9 @@
             {"id": f"s-{i}", "addr": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"}
             for i, server in enumerate(servers)
         ]
-        settings = replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=3))
+        retrying = replace(SETTINGS, limits=replace(SETTINGS.limits, max_attempts=3))
         known = {"version": 9, "full": True, "servers": rows}
-        async with running_balancer(0, settings, known=known) as harness:
+        async with running_balancer(0, retrying, known=known) as harness:
             client = await harness.client()
             client.writer.write(post_head("r1")[:-2] + framed(70_000, "chunks"))
             response = await read_message(client.reader)
@@ -260,3 +362,104 @@
             assert (response.status, response.body) == (200, b"done")
 
     run(test())
+
+
+@pytest.mark.parametrize("late_bytes", SPLITS)
+@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
+@pytest.mark.parametrize("size", SIZES)
+def test_connection_is_read_after_a_response_whose_client_reads_slowly(
+    size: int,
+    framing: str,
+    late_bytes: int,
+    frontends: list[Frontend],
+    recorder: EventRecorder,
+) -> None:
+    """Guards against reusing a connection whose reading was paused when its last response ended.
+
+    The client takes nothing while the response arrives, so that the response's buffer fills.
+    """
+
+    async def respond(name: str, writer: asyncio.StreamWriter) -> None:
+        if name != "long":
+            writer.write(http_response(200, b"done"))
+            return
+        (connection,) = [c for c in frontends[0].clients if c.open_request is not None]
+        connection.pause_writing()  # as the event loop does when its client does not read
+        blocked.append(connection)
+        response = b"HTTP/1.1 200 OK\r\n" + framed(size, framing)
+        await write_in_two_parts(writer, response, late_bytes, harnesses[0])
+        if framing == "close":
+            writer.close()
+
+    harnesses: list[BalancerHarness] = []
+    blocked: list[ClientConnection] = []
+
+    async def test() -> None:
+        upstream = ScriptedUpstream(respond)
+        async with balancer_with_raw_upstream(upstream.handle) as harness:
+            harnesses.append(harness)
+            client = await harness.client()
+            client.send("long")
+            await recorder.until(lambda: recorder.of_type(api.AttemptFinished))
+            for name in ("during", "during, too"):
+                assert (await harness.ask(name, "pay", "POST", b"b")).status == 200
+            blocked[0].resume_writing()
+            assert len(await read_body(client.reader, await read_head(client.reader))) == size
+            for name in ("after", "after, too"):
+                assert (await harness.ask(name, "pay", "POST", b"b")).status == 200
+
+    run(test())
+
+
+# ---- bodies that fail ----------------------------------------------------------------------------
+
+
+def test_rest_of_a_malformed_request_is_read_after_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a reset that takes the error answer from a client that still sends."""
+    limits = {**connection_phase.LIMIT_S, Phase.LINGERING: 20.0}
+    monkeypatch.setattr(frontend, "LIMIT_S", limits)
+
+    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
+        writer.write(http_response(200))
+
+    async def test() -> None:
+        upstream = ScriptedUpstream(respond)
+        async with balancer_with_raw_upstream(upstream.handle) as harness:
+            client = await harness.client()
+            chunk = b"%x\r\n%b\r\n" % (70_000, bytes(70_000))
+            head = post_head("r1", "Transfer-Encoding: chunked")
+            client.writer.write(head + chunk + b"no chunk\r\n")
+            assert (await read_message(client.reader)).status == 400
+            client.writer.write(bytes(MORE_THAN_SOCKETS_BUFFER))
+            async with asyncio.timeout(10.0):
+                await client.writer.drain()
+
+    run(test())
+
+
+def test_client_that_leaves_a_paused_upload_frees_its_connection(
+    frontends: list[Frontend],
+) -> None:
+    """Guards against a connection that stays open because its client's close is never read."""
+
+    async def test() -> None:
+        with upstream_with_full_accept_queue() as (row, accept_next):
+            known = {"version": 1, "full": True, "servers": [row]}
+            async with running_balancer(0, settings=RETRY_SETTINGS, known=known) as harness:
+                client = await harness.client()
+                client.writer.write(post_head("r1", "Content-Length: 300000") + bytes(100_000))
+                connection = await connection_with_open_request(frontends[0])
+                while connection.upload is None or not connection.upload.paused:
+                    await asyncio.sleep(0)
+                while not frontends[0].driver.upstreams.pool.connecting:
+                    await asyncio.sleep(0)
+                assert (await harness.ask("ready", path="/ready")).status == 200
+                client.writer.transport.abort()
+                accepted = await asyncio.to_thread(accept_next)
+                with accepted:
+                    while frontends[0].clients:
+                        await asyncio.sleep(0)
+
+    run(test())
--- a/tests/proxy/test_body_stream.py
+++ b/tests/proxy/test_body_stream.py
@@ -463,6 +463,9 @@
     def resume(self) -> None:
         self.calls.append("resume")
 
+    def release(self) -> None:
+        self.calls.append("release")
+
     def abort(self) -> None:
         self.calls.append("abort")
 
