--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -4,31 +4,27 @@
 
 import asyncio
 import logging
-import socket
-import struct
 import time
 from typing import cast
 
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.client_answer import AnswerWriter
 from loadbalancer.proxy.connection_host import ConnectionHost
-from loadbalancer.proxy.connection_phase import Phase
+from loadbalancer.proxy.connection_phase import PROGRESS_BYTES, Phase
 from loadbalancer.proxy.http import BufferedReader, end_to_end
 from loadbalancer.proxy.messages import Headers, Request, Response, UnacceptableMessageError
 from loadbalancer.proxy.parse import MAX_BODY, RequestReader
 from loadbalancer.proxy.request_intake import RequestIntake
 from loadbalancer.proxy.requests import OpenRequest
-from loadbalancer.proxy.tcp_state import Socket, has_unread_data, receive_state
+from loadbalancer.proxy.tcp_state import Socket, has_unread_data, receive_state, reset_on_close
 
 log = logging.getLogger(__name__)
 
 # Fractions of the connection limit above which a connection closes after its answer: the first if
-# no request was open, as after invalid input, the second for all answers. Idle connections stay
-# open for 2 s, so with many clients they would use up the limit, and new connections would wait for
-# seconds.
+# no request was open, as after invalid input, the second for all answers. Otherwise the idle
+# connections of many clients, open for 2 s, use up the limit, and new ones wait for seconds.
 CLOSE_REJECTED_FRACTION = 0.5
 CLOSE_FRACTION = 0.6
-PROGRESS_BYTES = 16 * 1024  # bytes of a body that count as progress
 PARSE_BYTES = 16 * 1024  # parsed at a time; pipelined input stays unparsed, which takes less memory
 READY_PATH = b"/ready"
 
@@ -247,10 +243,7 @@
         An orderly close would mark the end of an answer without a length; a reset does not.
         """
         if self._open_transport is not None:
-            linger = struct.pack("ii", 1, 0)
-            cast(socket.socket, self._socket).setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, linger
-            )
+            reset_on_close(self._socket)
         self.abort()
 
     # ---- input -----------------------------------------------------------------------------------
@@ -321,13 +314,12 @@
     def serve(self, response: Response) -> None:
         """Forward an upstream's response."""
         header_fields = end_to_end(response.headers)
-        is_head = self.writer.is_head
-        if response.stream is not None and not is_head:
-            self._begin_answer(header_fields, response.stream)
-        elif is_head:
+        if self.writer.is_head:
             # The Content-Length of the answer to a GET; 0 would be wrong.
             length = response.header(b"content-length")
             self._answer(200, header_fields, b"", length=length)
+        elif response.stream is not None:
+            self._begin_answer(header_fields, response.stream)
         else:
             self._answer(200, header_fields, response.body)
 
--- a/loadbalancer/proxy/connection_phase.py
+++ b/loadbalancer/proxy/connection_phase.py
@@ -4,6 +4,8 @@
 
 from enum import Enum
 
+PROGRESS_BYTES = 16 * 1024  # bytes of a body that count as progress
+
 
 class Phase(Enum):
     """State of a client's connection that has no open request."""
--- a/loadbalancer/proxy/messages.py
+++ b/loadbalancer/proxy/messages.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 requests and responses as parsed, and the serialization of messages."""
+"""HTTP/1.1 messages while and after they are parsed, and their serialization."""
 
 from __future__ import annotations
 
@@ -18,6 +18,30 @@
         self.status = status
 
 
+class MessageHead:
+    """State of a message that is being parsed.
+
+    This is not a dataclass because one is created for every message: the default factories of a
+    dataclass cost more than the rest of its construction.
+
+    Attributes:
+        payload_size: Bytes of the body received so far.
+        size: Bytes read for the message, without reads that also contain the end of the previous
+            message.
+        complete: Whether the headers are complete; headers that follow are trailers.
+    """
+
+    __slots__ = ("body", "complete", "headers", "payload_size", "size", "target")
+
+    def __init__(self) -> None:
+        self.target = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.payload_size = 0
+        self.size = 0
+        self.complete = False
+
+
 @dataclass(slots=True)
 class Request:
     """A parsed request.
--- a/loadbalancer/proxy/parse.py
+++ b/loadbalancer/proxy/parse.py
@@ -13,7 +13,12 @@
 import httptools
 
 from loadbalancer.proxy.body_stream import MAX_LENGTH, Body, BodyMemory
-from loadbalancer.proxy.messages import Request, Response, UnacceptableMessageError
+from loadbalancer.proxy.messages import (
+    MessageHead,
+    Request,
+    Response,
+    UnacceptableMessageError,
+)
 
 MAX_BODY = 64 * 1024  # bytes; a longer body is streamed if possible
 MAX_HEAD = 16 * 1024  # bytes before the body; llhttp has no limit
@@ -47,30 +52,6 @@
 Message = TypeVar("Message", Request, Response)
 
 
-class MessageHead:
-    """State of a message that is being parsed.
-
-    This is not a dataclass because one is created for every message: the default factories of a
-    dataclass cost more than the rest of its construction.
-
-    Attributes:
-        payload_size: Bytes of the body received so far.
-        size: Bytes read for the message, without reads that also contain the end of the previous
-            message.
-        complete: Whether the headers are complete; headers that follow are trailers.
-    """
-
-    __slots__ = ("body", "complete", "headers", "payload_size", "size", "target")
-
-    def __init__(self) -> None:
-        self.target = b""
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.body = bytearray()
-        self.payload_size = 0
-        self.size = 0
-        self.complete = False
-
-
 class MessageReader(Generic[Message]):
     """Builds messages from the parser's callbacks; base class for both directions.
 
--- a/loadbalancer/proxy/tcp_state.py
+++ b/loadbalancer/proxy/tcp_state.py
@@ -14,6 +14,7 @@
 # States from `tcp_states.h`: TIME_WAIT, CLOSE (after a reset), CLOSE_WAIT, LAST_ACK, CLOSING.
 PEER_CLOSED_STATES = frozenset({6, 7, 8, 9, 11})
 NS_PER_MS = 1_000_000
+LINGER = struct.Struct("ii")  # `struct linger`: whether it is on, and its seconds
 
 
 class Socket(Protocol):
@@ -22,6 +23,9 @@
     def getsockopt(self, level: int, option: int, length: int, /) -> bytes:
         """Return the value of a socket option."""
 
+    def setsockopt(self, level: int, option: int, value: bytes, /) -> None:
+        """Set the value of a socket option."""
+
     def fileno(self) -> int:
         """Return the file descriptor."""
 
@@ -57,6 +61,15 @@
     return ReceiveState(state in PEER_CLOSED_STATES, data_age_ms * NS_PER_MS)
 
 
+def reset_on_close(sock: Socket) -> None:
+    """Let the kernel reset the connection when the socket is closed.
+
+    Raises:
+        OSError: The socket is not open.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER.pack(1, 0))
+
+
 def has_unread_data(sock: Socket) -> bool:
     """Return whether the socket has unread input: bytes, a FIN or a reset.
 
--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -103,6 +103,18 @@
                 await self.respond(name, writer)
 
 
+def respond_after(
+    may_respond: asyncio.Event,
+) -> Callable[[str, asyncio.StreamWriter], Awaitable[None]]:
+    """Return a function that gives each response only after the event."""
+
+    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
+        await may_respond.wait()
+        writer.write(http_response(200, b"done"))
+
+    return respond
+
+
 async def write_in_two_parts(
     writer: asyncio.StreamWriter, data: bytes, late_bytes: int, harness: BalancerHarness
 ) -> None:
@@ -230,12 +242,8 @@
     monkeypatch.setattr(frontend, "LIMIT_S", limits)
     may_respond = asyncio.Event()
 
-    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
-        await may_respond.wait()
-        writer.write(http_response(200, b"done"))
-
     async def test() -> None:
-        upstream = ScriptedUpstream(respond)
+        upstream = ScriptedUpstream(respond_after(may_respond))
         async with balancer_with_raw_upstream(upstream.handle) as harness:
             client = await harness.client()
             message = post_head("r1")[:-2] + framed(size, framing)
@@ -258,12 +266,8 @@
         monkeypatch.setattr(frontend, name, 0.0)
     may_respond = asyncio.Event()
 
-    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
-        await may_respond.wait()
-        writer.write(http_response(200, b"done"))
-
     async def test() -> None:
-        upstream = ScriptedUpstream(respond)
+        upstream = ScriptedUpstream(respond_after(may_respond))
         async with balancer_with_raw_upstream(upstream.handle) as harness:
             client = await harness.client()
             client.writer.write(post_head("r1")[:-2] + framed(70_000, "chunks"))
