Body: the source's call at the end of a body is named read_on

`release` stood beside `on_released` of a connection to an upstream, which says that it is free for the next exchange. Names and docstrings only.

Measured: tests/proxy/test_body_completion.py and test_body_stream.py pass.

--- a/loadbalancer/proxy/body_stream.py
+++ b/loadbalancer/proxy/body_stream.py
@@ -48,8 +48,8 @@
     def resume(self) -> None:
         """Resume reading because the body's buffer has capacity again."""
 
-    def release(self) -> None:
-        """Read on, if paused, because the body no longer controls the connection."""
+    def read_on(self) -> None:
+        """Resume reading, if paused, because the body no longer controls the connection."""
 
     def abort(self) -> None:
         """Close the connection because the rest of the body is not needed."""
@@ -58,8 +58,8 @@
 class Body:
     """A queue of pieces that ends or fails, and notifies its reader of each change.
 
-    Only a body that may still receive more controls its source. When it ends or fails, it releases
-    the source, which reads on even if it was paused, and never calls it again.
+    Only a body that may still receive more controls its source. When it ends or fails, it
+    detaches the source, which reads on even if it was paused, and never calls it again.
 
     With `keep`, the body can be read again from its start, until pieces that were already taken
     have to be dropped to free buffer space; see `is_replayable`.
@@ -130,11 +130,11 @@
             source.pause()
 
     def detach(self) -> None:
-        """Release the source."""
+        """Let the source read on, and never call it again."""
         source = self.source
         self.source = None
         if source is not None:
-            source.release()
+            source.read_on()
 
     def put(self, data: bytes) -> None:
         """Append a piece, and pause the source if the buffer is full."""
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -169,10 +169,10 @@
         """Resume reading, and restart the client's time limit."""
         self.progress_bytes = 0
         self.frontend.wait(self, Phase.BODY)
-        self.release()
+        self.read_on()
         self.frontend.loop.call_soon(self._parse)
 
-    def release(self) -> None:
+    def read_on(self) -> None:
         """Resume reading without a time limit."""
         if (transport := self._open_transport) is not None:
             transport.resume_reading()
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -262,10 +262,10 @@
 
     def resume(self) -> None:
         """Resume reading, and restart the stall timer."""
-        self.release()
+        self.read_on()
         self._start_stall_timer()
 
-    def release(self) -> None:
+    def read_on(self) -> None:
         """Resume reading without a time limit."""
         self._cancel_stall_timer()
         if self.transport is not None and not self.transport.is_closing():
--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -144,7 +144,7 @@
         assert not self.is_reading
         self._set_reading(True)
 
-    def release(self) -> None:
+    def read_on(self) -> None:
         self._set_reading(True)
 
     def abort(self) -> None:
--- a/tests/proxy/test_body_stream.py
+++ b/tests/proxy/test_body_stream.py
@@ -463,8 +463,8 @@
     def resume(self) -> None:
         self.calls.append("resume")
 
-    def release(self) -> None:
-        self.calls.append("release")
+    def read_on(self) -> None:
+        self.calls.append("read_on")
 
     def abort(self) -> None:
         self.calls.append("abort")
