Tests: the orders of a body's end no longer hang on short limits under load

The limit of uploads is shortened only once the request is at its upstream, and the stall limit is 0.5 s: a loop that is late by 0.2 s could have closed a sound upload or response.

--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -45,7 +45,8 @@
     upstream_with_full_accept_queue,
 )
 
-SHORT_LIMIT_S = 0.2
+SHORT_BODY_LIMIT_S = 0.1
+SHORT_STALL_S = 0.5
 CHUNK_SIZE = 8_000
 MORE_THAN_SOCKETS_BUFFER = 30 * 1024 * 1024
 SIZES = [
@@ -221,8 +222,13 @@
 # ---- requests ------------------------------------------------------------------------------------
 
 
-async def wait_for_body_limit(harness: BalancerHarness) -> None:
-    """Wait until an upload that begins now, and stalls, exceeds its time limit."""
+async def exceed_body_limit(harness: BalancerHarness, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten the time limit of uploads, and wait until a stalled one has exceeded it.
+
+    Every connection that was taken for an upload before has exceeded it then, too.
+    """
+    limits = {**connection_phase.LIMIT_S, Phase.BODY: SHORT_BODY_LIMIT_S}
+    monkeypatch.setattr(frontend, "LIMIT_S", limits)
     client = await harness.client()
     client.writer.write(post_head("stalled", "Content-Length: 300000") + bytes(100_000))
     assert (await read_message(client.reader)).status == 408
@@ -234,12 +240,7 @@
 def test_complete_request_waits_for_its_response_without_a_time_limit(
     size: int, framing: str, late_bytes: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against closing a client's connection while a slow upstream runs its whole request.
-
-    The upstream responds when the time limit of an upload that began later has passed.
-    """
-    limits = {**connection_phase.LIMIT_S, Phase.NEW: SHORT_LIMIT_S, Phase.BODY: SHORT_LIMIT_S}
-    monkeypatch.setattr(frontend, "LIMIT_S", limits)
+    """Guards against closing a client's connection while a slow upstream runs its whole request."""
     may_respond = asyncio.Event()
 
     async def test() -> None:
@@ -249,7 +250,7 @@
             message = post_head("r1")[:-2] + framed(size, framing)
             await write_in_two_parts(client.writer, message, late_bytes, harness)
             await upstream.request_read.wait()
-            await wait_for_body_limit(harness)
+            await exceed_body_limit(harness, monkeypatch)
             may_respond.set()
             response = await read_message(client.reader)
             assert (response.status, response.body) == (200, b"done")
@@ -333,7 +334,7 @@
 
     The upstream responds to the next request when the stall timer of a later response has expired.
     """
-    monkeypatch.setattr(upstream_connection, "STALL_S", SHORT_LIMIT_S)
+    monkeypatch.setattr(upstream_connection, "STALL_S", SHORT_STALL_S)
     may_respond = asyncio.Event()
     harnesses: list[BalancerHarness] = []
 
