Tests and testbed call the pieces that stand already: long response, source, reset

Read again, the change had written some things twice: two tests wrote and read the same long response, a second source stood beside `FakeSource`, a second size beside HUGE_BODY_SIZE, and one test had an upstream that it does not use. They are one piece each now. `reset_on_close` takes the place of four copies of its socket option, one in the testbed's relay and three in tests. `Body.attach` is used by the test that set the source by hand. Assertions and cases are the same.

The program differs by the layout of one import.

--- a/loadbalancer/proxy/parse.py
+++ b/loadbalancer/proxy/parse.py
@@ -13,12 +13,7 @@
 import httptools
 
 from loadbalancer.proxy.body_stream import MAX_LENGTH, Body, BodyMemory
-from loadbalancer.proxy.messages import (
-    MessageHead,
-    Request,
-    Response,
-    UnacceptableMessageError,
-)
+from loadbalancer.proxy.messages import MessageHead, Request, Response, UnacceptableMessageError
 
 MAX_BODY = 64 * 1024  # bytes; a longer body is streamed if possible
 MAX_HEAD = 16 * 1024  # bytes before the body; llhttp has no limit
--- a/loadbalancer/testbed/rig/relay.py
+++ b/loadbalancer/testbed/rig/relay.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 from typing import cast
 
+from loadbalancer.proxy.tcp_state import reset_on_close
 from loadbalancer.testbed.rig.taps import Tap
 from loadbalancer.testbed.silence import silence
 
@@ -247,7 +248,7 @@
         except OSError:
             # Reset, as a port without a listener would.
             with suppress(OSError):
-                link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                reset_on_close(link)
             link.close()
             pair.end()
 
--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -26,6 +26,7 @@
 from tests.fakes import (
     SETTINGS,
     BalancerHarness,
+    Client,
     EventRecorder,
     http_response,
     read_message,
@@ -33,6 +34,8 @@
     running_balancer,
 )
 from tests.proxy.test_body_stream import (
+    HUGE_BODY_SIZE,
+    FakeSource,
     balancer_with_raw_upstream,
     framed_body,
     post_head,
@@ -48,7 +51,6 @@
 SHORT_BODY_LIMIT_S = 0.1
 SHORT_STALL_S = 0.5
 CHUNK_SIZE = 8_000
-MORE_THAN_SOCKETS_BUFFER = 30 * 1024 * 1024
 SIZES = [
     MAX_BODY + 1,
     70_000,
@@ -130,30 +132,20 @@
 # ---- Body and its source -------------------------------------------------------------------------
 
 
-class ReadingSource:
-    """A source that knows whether it reads, and that counts the calls of its body."""
+class ReadingSource(FakeSource):
+    """A source that checks that it is paused only while it reads, and resumed only while paused."""
 
-    def __init__(self) -> None:
-        self.is_reading = True
-        self.call_count = 0
+    @property
+    def is_reading(self) -> bool:
+        return self.calls[-1:] != ["pause"]
 
     def pause(self) -> None:
         assert self.is_reading
-        self._set_reading(False)
+        super().pause()
 
     def resume(self) -> None:
         assert not self.is_reading
-        self._set_reading(True)
-
-    def read_on(self) -> None:
-        self._set_reading(True)
-
-    def abort(self) -> None:
-        self.call_count += 1
-
-    def _set_reading(self, is_reading: bool) -> None:
-        self.is_reading = is_reading
-        self.call_count += 1
+        super().resume()
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,15 +195,15 @@
     A body that can be sent again when it ends stays so until its reader discards it.
     """
     body, source = Body(None, BodyMemory(memory_limit), keep), ReadingSource()
-    final_call_count: int | None = None
+    final_calls: list[str] | None = None
     is_replayable_at_end = False
     for step in steps:
         apply_step(body, source, step)
         if body.ended or body.failed:
-            if final_call_count is None:
-                final_call_count = source.call_count
+            if final_calls is None:
+                final_calls = list(source.calls)
                 is_replayable_at_end = body.is_replayable
-            assert source.is_reading and source.call_count == final_call_count
+            assert source.is_reading and source.calls == final_calls
             assert body.source is None
             assert body.is_replayable is is_replayable_at_end or not keep
         else:
@@ -315,6 +307,35 @@
 # ---- responses -----------------------------------------------------------------------------------
 
 
+@dataclass(slots=True)
+class LongResponse:
+    """A response whose body has this size and framing, and whose last bytes come later."""
+
+    size: int
+    framing: str
+    late_bytes: int
+
+    async def write(self, writer: asyncio.StreamWriter, harness: BalancerHarness) -> None:
+        """Write the response, and close the connection if that ends the body."""
+        data = b"HTTP/1.1 200 OK\r\n" + framed(self.size, self.framing)
+        await write_in_two_parts(writer, data, self.late_bytes, harness)
+        if self.framing == "close":
+            writer.close()
+
+    async def read(self, client: Client) -> None:
+        """Read the response and check the size of its body."""
+        body = await read_body(client.reader, await read_head(client.reader))
+        assert len(body) == self.size
+
+
+LONG_RESPONSES = [
+    pytest.param(LongResponse(size, framing, late_bytes), id=f"{size}-{framing}-{late_bytes}")
+    for size in SIZES
+    for framing in ("length", "chunks", "close")
+    for late_bytes in SPLITS
+]
+
+
 async def wait_for_stall_limit(harness: BalancerHarness) -> None:
     """Wait until a response that begins now, and stalls, is given up."""
     client = await harness.client()
@@ -324,11 +345,9 @@
         await client.reader.read(-1)
 
 
-@pytest.mark.parametrize("late_bytes", SPLITS)
-@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
-@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("long_response", LONG_RESPONSES)
 def test_complete_response_leaves_no_stall_timer_on_its_connection(
-    size: int, framing: str, late_bytes: int, monkeypatch: pytest.MonkeyPatch
+    long_response: LongResponse, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against closing a reused connection, with a request on it, for an earlier response.
 
@@ -340,10 +359,7 @@
 
     async def respond(name: str, writer: asyncio.StreamWriter) -> None:
         if name == "long":
-            response = b"HTTP/1.1 200 OK\r\n" + framed(size, framing)
-            await write_in_two_parts(writer, response, late_bytes, harnesses[0])
-            if framing == "close":
-                writer.close()
+            await long_response.write(writer, harnesses[0])
         elif name == "stalls":
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + bytes(100_000))
         else:
@@ -356,11 +372,11 @@
             harnesses.append(harness)
             client = await harness.client()
             client.send("long")
-            assert len(await read_body(client.reader, await read_head(client.reader))) == size
+            await long_response.read(client)
             upstream.request_read.clear()
             client.send("next", "pay", "POST", b"b")
             await upstream.request_read.wait()
-            assert len(upstream.connections) == (2 if framing == "close" else 1)
+            assert len(upstream.connections) == (2 if long_response.framing == "close" else 1)
             await wait_for_stall_limit(harness)
             may_respond.set()
             response = await read_message(client.reader)
@@ -369,15 +385,9 @@
     run(test())
 
 
-@pytest.mark.parametrize("late_bytes", SPLITS)
-@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
-@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("long_response", LONG_RESPONSES)
 def test_connection_is_read_after_a_response_whose_client_reads_slowly(
-    size: int,
-    framing: str,
-    late_bytes: int,
-    frontends: list[Frontend],
-    recorder: EventRecorder,
+    long_response: LongResponse, frontends: list[Frontend], recorder: EventRecorder
 ) -> None:
     """Guards against reusing a connection whose reading was paused when its last response ended.
 
@@ -391,10 +401,7 @@
         (connection,) = [c for c in frontends[0].clients if c.open_request is not None]
         connection.pause_writing()  # as the event loop does when its client does not read
         blocked.append(connection)
-        response = b"HTTP/1.1 200 OK\r\n" + framed(size, framing)
-        await write_in_two_parts(writer, response, late_bytes, harnesses[0])
-        if framing == "close":
-            writer.close()
+        await long_response.write(writer, harnesses[0])
 
     harnesses: list[BalancerHarness] = []
     blocked: list[ClientConnection] = []
@@ -409,7 +416,7 @@
             for name in ("during", "during, too"):
                 assert (await harness.ask(name, "pay", "POST", b"b")).status == 200
             blocked[0].resume_writing()
-            assert len(await read_body(client.reader, await read_head(client.reader))) == size
+            await long_response.read(client)
             for name in ("after", "after, too"):
                 assert (await harness.ask(name, "pay", "POST", b"b")).status == 200
 
@@ -426,18 +433,14 @@
     limits = {**connection_phase.LIMIT_S, Phase.LINGERING: 20.0}
     monkeypatch.setattr(frontend, "LIMIT_S", limits)
 
-    async def respond(_: str, writer: asyncio.StreamWriter) -> None:
-        writer.write(http_response(200))
-
     async def test() -> None:
-        upstream = ScriptedUpstream(respond)
-        async with balancer_with_raw_upstream(upstream.handle) as harness:
+        async with running_balancer() as harness:
             client = await harness.client()
             chunk = b"%x\r\n%b\r\n" % (70_000, bytes(70_000))
             head = post_head("r1", "Transfer-Encoding: chunked")
             client.writer.write(head + chunk + b"no chunk\r\n")
             assert (await read_message(client.reader)).status == 400
-            client.writer.write(bytes(MORE_THAN_SOCKETS_BUFFER))
+            client.writer.write(bytes(HUGE_BODY_SIZE))
             async with asyncio.timeout(10.0):
                 await client.writer.drain()
 
--- a/tests/proxy/test_body_stream.py
+++ b/tests/proxy/test_body_stream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
@@ -19,6 +18,7 @@
 from loadbalancer.proxy.body_stream import MAX_BUFFERED, Body, BodyMemory
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.parse import MAX_BODY, RequestReader, ResponseReader
+from loadbalancer.proxy.tcp_state import reset_on_close
 from tests.fakes import (
     SETTINGS,
     Client,
@@ -185,7 +185,7 @@
             if size > MAX_BODY:
                 await client_received_data.wait()
             sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            reset_on_close(sock)
             writer.transport.abort()
         else:
             writer.close()
@@ -474,7 +474,7 @@
     """Guards against unbounded buffering, in one body and in all bodies together."""
     body_memory, fake_source = BodyMemory(1 << 20), FakeSource()
     body = Body(None, body_memory)
-    body.source = fake_source
+    body.attach(fake_source)
     body.put(bytes(MAX_BUFFERED))
     assert fake_source.calls == ["pause"] and body_memory.buffered == MAX_BUFFERED
     assert body.take() == bytes(MAX_BUFFERED)
@@ -485,7 +485,8 @@
     # Once all bodies together use up the memory, each may still buffer a small amount.
     exhausted_memory = BodyMemory(0)
     small_body = Body(None, exhausted_memory)
-    small_body.source = fake_source = FakeSource()
+    fake_source = FakeSource()
+    small_body.attach(fake_source)
     small_body.put(bytes(MAX_BUFFERED // 4))
     assert fake_source.calls == ["pause"]
     small_body.take()
--- a/tests/proxy/test_races.py
+++ b/tests/proxy/test_races.py
@@ -10,7 +10,6 @@
 import fcntl
 import os
 import socket
-import struct
 import time
 from collections.abc import Callable, Iterator
 from contextlib import closing, contextmanager, suppress
@@ -43,6 +42,7 @@
 from loadbalancer.proxy.messages import message
 from loadbalancer.proxy.process_handover import ProcessRegistry
 from loadbalancer.proxy.resource_limits import RESERVE
+from loadbalancer.proxy.tcp_state import reset_on_close
 from loadbalancer.proxy.upstream import AttemptCallback, Timing, Upstreams
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
 from loadbalancer.settings import Json
@@ -61,7 +61,6 @@
 )
 
 POST = b"POST /pay HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: %d\r\n\r\n"
-RESET = struct.pack("ii", 1, 0)  # SO_LINGER with timeout 0: close() sends a reset
 REQUEST = message(b"GET /quote HTTP/1.1", [(b"Host", b"h"), (b"X-Request-Id", b"r1")])
 
 
@@ -243,7 +242,7 @@
                     await asyncio.sleep(0)
                 connection.transport.pause_reading()
                 if disconnect == "resets":
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    reset_on_close(sock)
             rejection_released.set()
             while frontends[0].driver.open:
                 await asyncio.sleep(0)
@@ -396,7 +395,7 @@
                 elif unread == "FIN":
                     upstream_socket.shutdown(socket.SHUT_WR)
                 else:
-                    upstream_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                    reset_on_close(upstream_socket)
                     upstream_socket.close()
             upstreams.close()
             upstream_socket.close()
