Proxy: what is done with a connection's transport has a module of its own

`PeerTransport` holds the transport: its calls do nothing before it is connected and once it is closing. Behaviour as before; three tests take the socket's state from it, with the same assertions.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-from typing import cast
 
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.client_answer import AnswerWriter
@@ -14,9 +13,9 @@
 from loadbalancer.proxy.http import BufferedReader, end_to_end
 from loadbalancer.proxy.messages import Headers, Request, Response, UnacceptableMessageError
 from loadbalancer.proxy.parse import MAX_BODY, RequestReader
+from loadbalancer.proxy.peer_transport import PeerTransport
 from loadbalancer.proxy.request_intake import RequestIntake
 from loadbalancer.proxy.requests import OpenRequest
-from loadbalancer.proxy.tcp_state import Socket, has_unread_data, receive_state, reset_on_close
 
 log = logging.getLogger(__name__)
 
@@ -51,7 +50,7 @@
         self.driver = frontend.driver
         self.reader = RequestReader(memory=frontend.memory)
         self.unparsed = bytearray()
-        self.transport: asyncio.Transport | None = None
+        self.transport = PeerTransport()
         self.open_request: OpenRequest | None = None
         self.upload: Body | None = None
         self.progress_bytes = 0
@@ -68,37 +67,17 @@
         """Whether an idle or new connection has input that is not read yet."""
         if self.has_data:
             return self.phase is Phase.IDLE  # pipelined input, about to be parsed
-        return (
-            self.phase in (Phase.NEW, Phase.IDLE)
-            and self._open_transport is not None
-            and has_unread_data(self._socket)
-        )
+        return self.phase in (Phase.NEW, Phase.IDLE) and self.transport.has_unread_data
 
     @property
     def has_unsent_output(self) -> bool:
         """Whether the transport still buffers written data."""
-        transport = self._open_transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return self.transport.unsent_bytes > 0
 
     @property
     def gone(self) -> bool:
-        """Whether the client has closed its connection, according to the kernel.
-
-        The kernel is queried because the event loop may be late, or may have paused reading, and
-        has then not reported the close yet.
-        """
-        return self._open_transport is None or receive_state(self._socket)[0]
-
-    @property
-    def _open_transport(self) -> asyncio.Transport | None:
-        transport = self.transport
-        return None if transport is None or transport.is_closing() else transport
-
-    @property
-    def _socket(self) -> Socket:
-        assert self.transport is not None
-        sock: Socket = self.transport.get_extra_info("socket")
-        return sock
+        """Whether the client has closed its connection, according to the kernel."""
+        return self.transport.is_peer_gone
 
     @property
     def has_data(self) -> bool:
@@ -107,7 +86,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; called by the event loop."""
-        self.transport = cast(asyncio.Transport, transport)
+        self.transport.connect(transport)
         self.frontend.wait(self, Phase.NEW)
 
     def data_received(self, data: bytes) -> None:
@@ -117,7 +96,7 @@
         # Deadlines count from the arrival of the data in the kernel, because it may have waited in
         # the backlog or for a late event loop. A request of a client that has closed is dropped:
         # serving it would delay the requests after it until their clients give up as well.
-        gone, data_age_ns = receive_state(self._socket)
+        gone, data_age_ns = self.transport.receive_state
         if gone:
             self.abort()
             return
@@ -162,8 +141,7 @@
     def pause(self) -> None:
         """Stop reading until the upstream accepts more; meanwhile no time limit applies."""
         self.frontend.leave_phase(self)
-        if (transport := self._open_transport) is not None:
-            transport.pause_reading()
+        self.transport.pause_reading()
 
     def resume(self) -> None:
         """Resume reading, and restart the client's time limit."""
@@ -174,8 +152,7 @@
 
     def read_on(self) -> None:
         """Resume reading without a time limit."""
-        if (transport := self._open_transport) is not None:
-            transport.resume_reading()
+        self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Handle the client's end of input; called by the event loop."""
@@ -234,17 +211,15 @@
     def abort(self) -> None:
         """Close the connection immediately."""
         self.frontend.leave_phase(self)
-        if self.transport is not None:
-            self.transport.abort()
+        self.transport.abort()
 
     def reset(self) -> None:
         """Reset the connection, so that the client can tell that the answer is incomplete.
 
         An orderly close would mark the end of an answer without a length; a reset does not.
         """
-        if self._open_transport is not None:
-            reset_on_close(self._socket)
-        self.abort()
+        self.frontend.leave_phase(self)
+        self.transport.reset()
 
     # ---- input -----------------------------------------------------------------------------------
 
@@ -390,11 +365,10 @@
         """
         self.lingering = True
         self.unparsed.clear()
-        if (transport := self._open_transport) is not None:
+        if self.transport.is_open:
             self.frontend.wait(self, Phase.LINGERING)
-            transport.write_eof()
+            self.transport.write_eof()
 
     def write(self, data: bytes) -> None:
         """Write bytes, unless the connection is closing."""
-        if data and (transport := self._open_transport) is not None:
-            transport.write(data)
+        self.transport.write(data)
--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -277,7 +277,7 @@
         deadline_s: float,
     ) -> None:
         """Clean up after a failed connect, and end the exchange unless the connect is retried."""
-        was_established = connection.transport is not None
+        was_established = connection.transport.is_connected
         connection.abort()
         failure_cause = cause(Operation.CONNECT, error)
         now_s = asyncio.get_running_loop().time()
@@ -332,7 +332,7 @@
     def _on_connection_lost(self, target: Target, connection: UpstreamConnection) -> None:
         if connection.has_unrequested_bytes:
             self._on_unrequested_bytes(target)
-        if connection.transport is not None:
+        if connection.transport.is_connected:
             self.connections -= 1
         self._idle.pop(connection, None)
         if connection in target.idle:
--- /dev/null
+++ b/loadbalancer/proxy/peer_transport.py
@@ -0,0 +1,117 @@
+"""The transport of one connection, and what the kernel knows of its peer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+from loadbalancer.proxy.tcp_state import (
+    ReceiveState,
+    Socket,
+    has_unread_data,
+    receive_state,
+    reset_on_close,
+)
+
+
+class PeerTransport:
+    """A connection's transport; calls do nothing before it is connected and once it is closing.
+
+    Attributes:
+        is_connected: Whether the event loop has established the connection, even if it is closing.
+    """
+
+    __slots__ = ("_transport", "is_connected")
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self.is_connected = False
+
+    def connect(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport of the established connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.is_connected = True
+
+    @property
+    def _open_transport(self) -> asyncio.Transport | None:
+        transport = self._transport
+        return None if transport is None or transport.is_closing() else transport
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is established and not closing."""
+        return self._open_transport is not None
+
+    @property
+    def socket(self) -> Socket:
+        """The socket of the established connection."""
+        assert self._transport is not None
+        sock: Socket = self._transport.get_extra_info("socket")
+        return sock
+
+    # ---- receiving -------------------------------------------------------------------------------
+
+    @property
+    def receive_state(self) -> ReceiveState:
+        """The receive state of the established connection, according to the kernel."""
+        return receive_state(self.socket)
+
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether the kernel has input that the event loop has not read yet."""
+        return self.is_open and has_unread_data(self.socket)
+
+    @property
+    def is_peer_gone(self) -> bool:
+        """Whether the connection is closed, by this process or by its peer.
+
+        The kernel is queried because the event loop may be late, or may have paused reading, and
+        has then not reported the close yet.
+        """
+        return not self.is_open or self.receive_state.peer_closed
+
+    def pause_reading(self) -> None:
+        """Stop reading from the socket."""
+        if (transport := self._open_transport) is not None:
+            transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read from the socket again."""
+        if (transport := self._open_transport) is not None:
+            transport.resume_reading()
+
+    # ---- sending ---------------------------------------------------------------------------------
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The number of written bytes that the transport still buffers."""
+        transport = self._open_transport
+        return 0 if transport is None else transport.get_write_buffer_size()
+
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Set how many bytes the transport buffers before it pauses the writing."""
+        if (transport := self._open_transport) is not None:
+            transport.set_write_buffer_limits(high=high)
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, unless there are none."""
+        if data and (transport := self._open_transport) is not None:
+            transport.write(data)
+
+    def write_eof(self) -> None:
+        """End the sending once all written bytes are sent."""
+        if (transport := self._open_transport) is not None:
+            transport.write_eof()
+
+    # ---- closing ---------------------------------------------------------------------------------
+
+    def abort(self) -> None:
+        """Close the connection at once, without sending what the transport still buffers."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def reset(self) -> None:
+        """Close the connection at once by a reset."""
+        if self.is_open:
+            reset_on_close(self.socket)
+        self.abort()
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import cast
 
 from loadbalancer.policy.api import AttemptResult
 from loadbalancer.policy.rules import ALLOWED, Denied, Reason, Verdict
@@ -14,7 +13,7 @@
 from loadbalancer.proxy.http import LAST_CHUNK, BufferedReader, chunk
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.parse import ResponseReader
-from loadbalancer.proxy.tcp_state import has_unread_data, receive_state
+from loadbalancer.proxy.peer_transport import PeerTransport
 
 # A connection is closed if a body makes no progress for this long although its receiver has
 # capacity.
@@ -44,7 +43,7 @@
         self.on_released = on_released
         self.on_closed = on_closed
         self.reader = ResponseReader()
-        self.transport: asyncio.Transport | None = None
+        self.transport = PeerTransport()
         self.exchange: Exchange | None = None
         self.streamed_response: Response | None = None
         self.request_written = False
@@ -57,9 +56,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; called by the event loop."""
-        self.transport = cast(asyncio.Transport, transport)
+        self.transport.connect(transport)
         if self.closed:  # aborted while it was being established
-            transport.abort()  # type: ignore[attr-defined]
+            self.transport.abort()
             return
         # With a high-water mark of 0, the transport calls `pause_writing` as soon as it buffers a
         # byte, and `resume_writing` only when it has written all bytes to the socket.
@@ -72,13 +71,8 @@
         An unread byte would be taken for the next response. An unread FIN or reset would break the
         next request.
         """
-        transport = self.transport
-        return (
-            transport is not None
-            and not self.closed
-            and not transport.is_closing()
-            and not has_unread_data(transport.get_extra_info("socket"))
-        )
+        is_open = not self.closed and self.transport.is_open
+        return is_open and not self.transport.has_unread_data
 
     def start(self, exchange: Exchange, upstream_verdict: Verdict = ALLOWED) -> None:
         """Write an exchange's request, if the exchange may still start.
@@ -90,7 +84,6 @@
             exchange: The exchange.
             upstream_verdict: Whether new requests may be sent to the upstream.
         """
-        assert self.transport is not None
         data = exchange.request.begin(upstream_verdict)
         if isinstance(data, Denied):
             self.on_released(self)
@@ -136,7 +129,7 @@
         """Write the available part of the request's body while the transport accepts data."""
         exchange = self.exchange
         body = exchange.body if exchange is not None else None
-        if exchange is None or body is None or self.transport is None or exchange.written:
+        if exchange is None or body is None or exchange.written:
             return
         if body.failed:
             self.abort()  # without the body's last byte, the upstream can't run the request
@@ -153,7 +146,6 @@
             self._finish_body(exchange, body)
 
     def _finish_body(self, exchange: Exchange, body: Body) -> None:
-        assert self.transport is not None
         body.changed = None
         exchange.body = None
         exchange.written = True
@@ -212,8 +204,7 @@
         self.abort()
 
     def _complete(self, exchange: Exchange, response: Response) -> None:
-        assert self.transport is not None
-        exchange.unread_ns = receive_state(self.transport.get_extra_info("socket"))[1]
+        exchange.unread_ns = self.transport.receive_state.data_age_ns
         self.exchange = None
         self.request_written = exchange.written
         if exchange.body is not None:
@@ -257,8 +248,7 @@
         The stall timer stops, because the upstream does not cause the delay.
         """
         self._cancel_stall_timer()
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self.transport.pause_reading()
 
     def resume(self) -> None:
         """Resume reading, and restart the stall timer."""
@@ -268,12 +258,11 @@
     def read_on(self) -> None:
         """Resume reading without a time limit."""
         self._cancel_stall_timer()
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
+        self.transport.resume_reading()
 
     def abort(self) -> None:
         """Close the connection at once; an exchange in progress ends as broken."""
-        if not self.closed and self.transport is not None:
+        if not self.closed:
             self.transport.abort()
         self._clean_up()
 
--- a/tests/proxy/test_frontend.py
+++ b/tests/proxy/test_frontend.py
@@ -17,7 +17,6 @@
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.resource_limits import RESERVE
-from loadbalancer.proxy.tcp_state import receive_state
 from tests.fakes import (
     CLASSES,
     SECOND,
@@ -507,12 +506,10 @@
                 [client_frontend] = frontends
                 idle_since = client_frontend.clients_by_phase[Phase.IDLE]
                 [idle_connection] = idle_since
-                assert (
-                    isinstance(idle_connection, ClientConnection)
-                    and idle_connection.transport is not None
-                )
-                sock = idle_connection.transport.get_extra_info("socket")
-                while receive_state(sock)[1] < 30_000_000:  # its resolution is one kernel tick
+                assert isinstance(idle_connection, ClientConnection)
+                transport = idle_connection.transport
+                # The resolution of the age is one kernel tick.
+                while transport.receive_state.data_age_ns < 30_000_000:
                     await asyncio.sleep(0)
                 for client in idle_since:
                     idle_since[client] -= (
--- a/tests/proxy/test_races.py
+++ b/tests/proxy/test_races.py
@@ -193,14 +193,14 @@
         async with running_balancer() as harness:
             client = await harness.client_awaiting_response("r1")
             connection = await connection_with_open_request(frontends[0])
-            assert connection.transport is not None
             request = connection.open_request
             assert request is not None and request.attempts[0] is not None
             upstream = request.attempts[0].connection
-            assert isinstance(upstream, UpstreamConnection) and upstream.transport is not None
+            assert isinstance(upstream, UpstreamConnection)
             for transport in (connection.transport, upstream.transport):
-                sock = transport.get_extra_info("socket")
-                assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                assert transport.socket.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_NODELAY, 4
+                ) != bytes(4)
             client.close()
 
     run(test())
@@ -237,7 +237,6 @@
             with await connect_raw_socket(harness) as sock:
                 sock.send(REQUEST)
                 connection = await connection_with_open_request(frontends[0])
-                assert connection.transport is not None
                 while not any(u.received_requests for u in harness.upstreams):
                     await asyncio.sleep(0)
                 connection.transport.pause_reading()
@@ -335,7 +334,6 @@
                     while not upstreams.pool.connecting:
                         await asyncio.sleep(0)
                     if obstacle == "client closes, unread":
-                        assert connection.transport is not None
                         connection.transport.pause_reading()
                     if obstacle.startswith("client closes"):
                         client.close()
