Log which limit ends a body that makes no progress, and how far its sending had come

Both limits now log a line with the bytes written, those that the transport still buffers, and those that the peer's kernel has not acknowledged (`TIOCOUTQ`).

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -188,6 +188,8 @@
                 request.arrival.request,
                 self.phase.name,
             )
+        if self.phase is Phase.ANSWER:
+            log.info("client does not read its answer: %s", self.transport.send_report())
         if self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
             self._drop_request()  # a request whose streamed body is incomplete may already be open
             self._reject_input(408, "the request did not come in time")
--- a/loadbalancer/proxy/peer_transport.py
+++ b/loadbalancer/proxy/peer_transport.py
@@ -11,6 +11,7 @@
     has_unread_data,
     receive_state,
     reset_on_close,
+    unacknowledged_bytes,
 )
 
 
@@ -19,13 +20,15 @@
 
     Attributes:
         is_connected: Whether the event loop has established the connection, even if it is closing.
+        written_bytes: Number of bytes that were written.
     """
 
-    __slots__ = ("_transport", "is_connected")
+    __slots__ = ("_transport", "is_connected", "written_bytes")
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self.is_connected = False
+        self.written_bytes = 0
 
     def connect(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport of the established connection."""
@@ -88,6 +91,19 @@
         transport = self._open_transport
         return 0 if transport is None else transport.get_write_buffer_size()
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """The number of bytes in the kernel that the peer's kernel has not acknowledged."""
+        return unacknowledged_bytes(self.socket) if self.is_open else 0
+
+    def send_report(self) -> str:
+        """Return for a log line how far the sending has come."""
+        unacknowledged = self.unacknowledged_bytes
+        return (
+            f"written={self.written_bytes} unsent={self.unsent_bytes}"
+            f" unacknowledged={unacknowledged}"
+        )
+
     def set_write_buffer_limits(self, high: int) -> None:
         """Set how many bytes the transport buffers before it pauses the writing."""
         if (transport := self._open_transport) is not None:
@@ -96,6 +112,7 @@
     def write(self, data: bytes) -> None:
         """Write bytes, unless there are none."""
         if data and (transport := self._open_transport) is not None:
+            self.written_bytes += len(data)
             transport.write(data)
 
     def write_eof(self) -> None:
--- a/loadbalancer/proxy/tcp_state.py
+++ b/loadbalancer/proxy/tcp_state.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
 import socket
 import struct
 import sys
+import termios
 from typing import NamedTuple, Protocol
 
 # Fields of Linux's `struct tcp_info`: the connection's state, and the milliseconds since data was
@@ -14,6 +16,7 @@
 # States from `tcp_states.h`: TIME_WAIT, CLOSE (after a reset), CLOSE_WAIT, LAST_ACK, CLOSING.
 PEER_CLOSED_STATES = frozenset({6, 7, 8, 9, 11})
 NS_PER_MS = 1_000_000
+QUEUE_SIZE = struct.Struct("i")  # bytes, as the ioctl TIOCOUTQ stores them
 LINGER = struct.Struct("ii")  # `struct linger`: whether it is on, and its seconds
 
 
@@ -61,6 +64,23 @@
     return ReceiveState(state in PEER_CLOSED_STATES, data_age_ms * NS_PER_MS)
 
 
+def unacknowledged_bytes(sock: Socket) -> int:
+    """Return how many bytes in the socket's send queue the peer's kernel has not acknowledged.
+
+    If the kernel does not provide the number, the result is 0.
+    """
+    if sys.platform != "linux":
+        return 0
+    try:
+        queue_size: int
+        (queue_size,) = QUEUE_SIZE.unpack(
+            fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+        )
+    except (OSError, ValueError):  # not provided, or already closed
+        return 0
+    return queue_size
+
+
 def reset_on_close(sock: Socket) -> None:
     """Let the kernel reset the connection when the socket is closed.
 
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 from collections.abc import Callable
 
@@ -15,6 +16,8 @@
 from loadbalancer.proxy.parse import ResponseReader
 from loadbalancer.proxy.peer_transport import PeerTransport
 
+log = logging.getLogger(__name__)
+
 # A connection is closed if a body makes no progress for this long although its receiver has
 # capacity.
 STALL_S = 10.0
@@ -156,7 +159,13 @@
 
     def _start_stall_timer(self) -> None:
         self._cancel_stall_timer()
-        self.stall_timer = asyncio.get_running_loop().call_later(STALL_S, self.abort)
+        self.stall_timer = asyncio.get_running_loop().call_later(STALL_S, self._stalled)
+
+    def _stalled(self) -> None:
+        """Close the connection, whose body makes no progress."""
+        stalled = "request" if self.streamed_response is None else "response"
+        log.info("upstream stalled: body=%s %s", stalled, self.transport.send_report())
+        self.abort()
 
     def _cancel_stall_timer(self) -> None:
         if self.stall_timer is not None:
