Count what a peer acknowledges as progress of a long body, in both directions

Cause: both limits counted as progress that the transport took a piece, and the transport waits for the kernel to report the socket as writable. Linux does so only once a third of the send buffer is free, and that buffer grows to 4 MB: at 64 kB/s over 20 s pass without a write. Counting acknowledgements against the same 10 s would not do: a receiver's kernel announces the space in a full buffer only when about a tenth is free.

Change: `SendProgress` (pure) is given the time and the bytes that the peer acknowledged (`TIOCOUTQ`) each second while a long body is sent. Clients' connections and uploads use the same measure. The timer of an upload no longer shares a handle with that of a response, which it could cancel.

Tests: tests/proxy/test_slow_readers.py.

--- a/loadbalancer/proxy/client_answer.py
+++ b/loadbalancer/proxy/client_answer.py
@@ -19,9 +19,6 @@
     def reset(self) -> None:
         """Reset the connection, so that the client can tell that the answer is incomplete."""
 
-    def answer_progressed(self) -> None:
-        """Handle the writing of part of a body."""
-
     def answer_completed(self) -> None:
         """Handle the completion of the answer."""
 
@@ -94,20 +91,16 @@
         if body.failed:
             self.sink.reset()
             return
-        has_written = False
         while not self.is_blocked:
             piece = body.take()
             if piece is None:
                 break
             self.sink.write(chunk(piece) if self.in_chunks else piece)
-            has_written = True
         if body.drained:
             self.body = None
             if self.in_chunks:
                 self.sink.write(LAST_CHUNK)
             self.sink.answer_completed()
-        elif has_written:
-            self.sink.answer_progressed()
 
     def drop(self) -> None:
         """Abandon the answer in progress, which the client no longer awaits."""
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -16,6 +16,7 @@
 from loadbalancer.proxy.peer_transport import PeerTransport
 from loadbalancer.proxy.request_intake import RequestIntake
 from loadbalancer.proxy.requests import OpenRequest
+from loadbalancer.proxy.send_progress import SendState
 
 log = logging.getLogger(__name__)
 
@@ -180,7 +181,10 @@
             self.driver.client_gone(request)
 
     def on_phase_timeout(self) -> None:
-        """Close the connection, which has exceeded its phase's time limit."""
+        """Close the connection, which has exceeded its phase's time limit.
+
+        While it sends a long answer, it stays open as long as its client takes the answer.
+        """
         request = self.open_request
         if self.phase is not None and request is not None and self.upload is None:
             log.error(
@@ -189,8 +193,8 @@
                 self.phase.name,
             )
         if self.phase is Phase.ANSWER:
-            log.info("client does not read its answer: %s", self.transport.send_report())
-        if self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
+            self._check_sending()
+        elif self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
             self._drop_request()  # a request whose streamed body is incomplete may already be open
             self._reject_input(408, "the request did not come in time")
         elif self.phase in (Phase.NEW, Phase.IDLE):
@@ -198,6 +202,14 @@
         else:
             self.abort()
 
+    def _check_sending(self) -> None:
+        """Close the connection if its client no longer takes its answer; else check again later."""
+        if self.transport.check_sending(self.frontend.loop.time()) is SendState.STALLED:
+            log.info("client does not read its answer: %s", self.transport.send_report())
+            self.abort()
+        else:
+            self.frontend.wait(self, Phase.ANSWER)
+
     def fail_incomplete_request(self) -> None:
         """Reject an incomplete request at shutdown; the client may retry elsewhere."""
         if self.has_data and self.open_request is None:
@@ -327,6 +339,7 @@
     def _begin_answer(self, header_fields: Headers, body: Body) -> None:
         """Begin an answer with a streamed body."""
         self.frontend.wait(self, Phase.ANSWER)
+        self.transport.begin_sending(self.frontend.loop.time())
         self._end_request(False)
         self.writer.begin_body(header_fields, body, self.close_after_answer)
 
@@ -355,10 +368,6 @@
         if self.has_data:
             self.frontend.loop.call_soon(self._parse)
 
-    def answer_progressed(self) -> None:
-        """Restart the phase's time limit after part of an answer was written."""
-        self.frontend.wait(self, Phase.ANSWER)
-
     def _linger(self) -> None:
         """Half-close after the last answer, and discard input until the client closes too.
 
--- a/loadbalancer/proxy/connection_phase.py
+++ b/loadbalancer/proxy/connection_phase.py
@@ -4,6 +4,8 @@
 
 from enum import Enum
 
+from loadbalancer.proxy.send_progress import CHECK_INTERVAL_S
+
 PROGRESS_BYTES = 16 * 1024  # bytes of a body that count as progress
 
 
@@ -24,8 +26,8 @@
     Phase.NEW: 2.6,
     # Time for each PROGRESS_BYTES of a body.
     Phase.BODY: 1.5,
-    # Time without progress of a long response.
-    Phase.ANSWER: 10.0,
+    # Interval between two checks whether the client still takes a long answer.
+    Phase.ANSWER: CHECK_INTERVAL_S,
     # An idle connection is closed after this time; the client can open another.
     Phase.IDLE: 10.0,
     # Time for the client to read the last response and to close its side.
--- a/loadbalancer/proxy/peer_transport.py
+++ b/loadbalancer/proxy/peer_transport.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import cast
 
+from loadbalancer.proxy.send_progress import SendProgress, SendState
 from loadbalancer.proxy.tcp_state import (
     ReceiveState,
     Socket,
@@ -23,10 +24,11 @@
         written_bytes: Number of bytes that were written.
     """
 
-    __slots__ = ("_transport", "is_connected", "written_bytes")
+    __slots__ = ("_progress", "_transport", "is_connected", "written_bytes")
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
+        self._progress: SendProgress | None = None
         self.is_connected = False
         self.written_bytes = 0
 
@@ -96,12 +98,35 @@
         """The number of bytes in the kernel that the peer's kernel has not acknowledged."""
         return unacknowledged_bytes(self.socket) if self.is_open else 0
 
+    def begin_sending(self, now_s: float) -> None:
+        """Begin to check the progress of what is written from now on.
+
+        Args:
+            now_s: The event loop's time.
+        """
+        self._progress = SendProgress(now_s, self._acknowledged_bytes)
+
+    def check_sending(self, now_s: float) -> SendState:
+        """Return whether the peer still takes what is sent; the first check only begins.
+
+        Args:
+            now_s: The event loop's time.
+        """
+        if self._progress is None:
+            self.begin_sending(now_s)
+            return SendState.PROGRESSING
+        acknowledged = self._acknowledged_bytes
+        return self._progress.check(now_s, acknowledged, self.written_bytes - acknowledged)
+
+    @property
+    def _acknowledged_bytes(self) -> int:
+        return self.written_bytes - self.unsent_bytes - self.unacknowledged_bytes
+
     def send_report(self) -> str:
         """Return for a log line how far the sending has come."""
-        unacknowledged = self.unacknowledged_bytes
         return (
             f"written={self.written_bytes} unsent={self.unsent_bytes}"
-            f" unacknowledged={unacknowledged}"
+            f" unacknowledged={self.unacknowledged_bytes}"
         )
 
     def set_write_buffer_limits(self, high: int) -> None:
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -15,11 +15,12 @@
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.parse import ResponseReader
 from loadbalancer.proxy.peer_transport import PeerTransport
+from loadbalancer.proxy.send_progress import CHECK_INTERVAL_S, SendState
 
 log = logging.getLogger(__name__)
 
-# A connection is closed if a body makes no progress for this long although its receiver has
-# capacity.
+# A connection is closed if the body of a response makes no progress for this long although its
+# receiver has capacity.
 STALL_S = 10.0
 
 
@@ -32,6 +33,8 @@
 
     Attributes:
         streamed_response: The response whose body is being streamed.
+        stall_timer: Closes the connection if the body of a response stalls.
+        send_timer: The next check of a request's body that is being sent.
         request_written: Whether the last request was written completely, which reuse requires.
         has_unrequested_bytes: Whether bytes were received that belong to no request.
         idle_since: When the connection became idle (event-loop time).
@@ -51,6 +54,7 @@
         self.streamed_response: Response | None = None
         self.request_written = False
         self.stall_timer: asyncio.TimerHandle | None = None
+        self.send_timer: asyncio.TimerHandle | None = None
         self.idle_since = 0.0
         self.response_end_s = -math.inf
         self.writable = True
@@ -108,6 +112,8 @@
         self.transport.write(data)
         if exchange.body is not None:
             exchange.body.changed = self._write_body
+            self.transport.begin_sending(asyncio.get_running_loop().time())
+            self._check_sending_later()
             self._write_body()
 
     def pause_writing(self) -> None:
@@ -115,13 +121,10 @@
         self.writable = False
         if self.exchange is not None:
             self.exchange.written = False
-            if self.exchange.body is not None:
-                self._start_stall_timer()
 
     def resume_writing(self) -> None:
         """Continue when the transport has written all bytes; called by the event loop."""
         self.writable = True
-        self._cancel_stall_timer()
         if self.exchange is not None:
             if self.exchange.body is not None:
                 self._write_body()
@@ -149,6 +152,7 @@
             self._finish_body(exchange, body)
 
     def _finish_body(self, exchange: Exchange, body: Body) -> None:
+        self._cancel_send_timer()
         body.changed = None
         exchange.body = None
         exchange.written = True
@@ -157,14 +161,31 @@
 
     # ---- stall detection -------------------------------------------------------------------------
 
+    def _check_sending_later(self) -> None:
+        self.send_timer = asyncio.get_running_loop().call_later(
+            CHECK_INTERVAL_S, self._check_sending
+        )
+
+    def _check_sending(self) -> None:
+        """Close the connection if the upstream no longer takes the body of its request."""
+        if self.transport.check_sending(asyncio.get_running_loop().time()) is SendState.STALLED:
+            log.info("upstream does not read its request: %s", self.transport.send_report())
+            self.abort()
+        else:
+            self._check_sending_later()
+
+    def _cancel_send_timer(self) -> None:
+        if self.send_timer is not None:
+            self.send_timer.cancel()
+            self.send_timer = None
+
     def _start_stall_timer(self) -> None:
         self._cancel_stall_timer()
         self.stall_timer = asyncio.get_running_loop().call_later(STALL_S, self._stalled)
 
     def _stalled(self) -> None:
-        """Close the connection, whose body makes no progress."""
-        stalled = "request" if self.streamed_response is None else "response"
-        log.info("upstream stalled: body=%s %s", stalled, self.transport.send_report())
+        """Close the connection, because the body of its response makes no progress."""
+        log.info("upstream stalled within its response: %s", self.transport.send_report())
         self.abort()
 
     def _cancel_stall_timer(self) -> None:
@@ -216,6 +237,7 @@
         exchange.unread_ns = self.transport.receive_state.data_age_ns
         self.exchange = None
         self.request_written = exchange.written
+        self._cancel_send_timer()
         if exchange.body is not None:
             exchange.body.changed = None  # answered before the body's end: stop sending it
         if response.stream is not None:
@@ -284,6 +306,7 @@
             return
         self.closed = True
         self._cancel_stall_timer()
+        self._cancel_send_timer()
         self.reader.close()  # fails a body that is being received
         self.streamed_response = None
         exchange = self.exchange
--- /dev/null
+++ b/tests/proxy/test_slow_readers.py
@@ -0,0 +1,363 @@
+"""Tests of peers that read slowly, in both directions, and of peers that stop reading.
+
+The time limits are the program's own: only the tests of peers that stop reading shorten them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Iterable
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from enum import Enum
+from itertools import product
+from typing import Any
+
+import pytest
+
+from loadbalancer.proxy import connection_phase, send_progress, upstream_connection
+from loadbalancer.proxy.client_connection import ClientConnection
+from loadbalancer.proxy.connection_phase import Phase
+from loadbalancer.proxy.frontend import Frontend
+from loadbalancer.proxy.send_progress import (
+    CHECK_INTERVAL_S,
+    GRACE_S,
+    MAX_READING_S,
+    SendProgress,
+    SendState,
+)
+from loadbalancer.proxy.upstream_connection import UpstreamConnection
+from tests.fakes import BalancerHarness, http_response, run
+from tests.proxy.test_body_stream import (
+    balancer_with_raw_upstream,
+    framed_body,
+    post_head,
+    read_head,
+)
+
+SLOW_BYTES_PER_S = 64_000  # the rate that the specification names for slow clients
+SLOW_READING_S = 25.0
+PACE_S = 0.02
+MIB = 1024 * 1024
+MAX_BODY_SIZE = 32 * MIB
+CHUNK_SIZE = 50_000
+READER_LIMIT = 2048  # bytes; a client buffers hardly more than it has read
+SHORT_LIMIT_S = 0.5
+SHORT_CHECK_INTERVAL_S = 0.05
+
+
+# ---- the decision --------------------------------------------------------------------------------
+
+
+class SimulatedPeer:
+    """A peer whose kernel announces space only when a part of its receive buffer is free.
+
+    Args:
+        buffer_size: Size of its receive buffer.
+        reopening_fraction: The part of the buffer that has to be free.
+    """
+
+    def __init__(self, buffer_size: int, reopening_fraction: float) -> None:
+        self.buffer_size = buffer_size
+        self.reopens_at = buffer_size * reopening_fraction
+        self.read_bytes = 0
+        self.acknowledged_bytes = 0
+
+    def read_up_to(self, total: int) -> None:
+        """Read up to this total, and acknowledge what there is space for meanwhile."""
+        is_reading = True
+        while is_reading:
+            free = self.buffer_size - (self.acknowledged_bytes - self.read_bytes)
+            if free >= self.reopens_at:
+                self.acknowledged_bytes = min(self.acknowledged_bytes + free, MAX_BODY_SIZE)
+            is_reading = self.read_bytes < min(total, self.acknowledged_bytes)
+            self.read_bytes = max(self.read_bytes, min(total, self.acknowledged_bytes))
+
+
+def bytes_due(seconds: float, burst_s: float) -> int:
+    """Return how much a slow peer has read after this time, steadily or in bursts."""
+    reading_s = seconds // burst_s * burst_s if burst_s else seconds
+    return int(reading_s * SLOW_BYTES_PER_S)
+
+
+@pytest.mark.parametrize("burst_s", [0.0, 4.0, 8.0])
+@pytest.mark.parametrize("reopening_fraction", [0.0, 1 / 16, 1 / 10])
+@pytest.mark.parametrize("buffer_size", [4096, 65536, 1 << 20, 8 << 20, 16 << 20, 31 << 20])
+def test_peer_that_reads_at_the_slow_rate_is_never_stalled(
+    buffer_size: int, reopening_fraction: float, burst_s: float
+) -> None:
+    """Guards against closing a peer whose kernel or application takes bytes in large steps."""
+    peer = SimulatedPeer(buffer_size, reopening_fraction)
+    progress = SendProgress(0.0, 0)
+    seconds = 0.0
+    while peer.acknowledged_bytes < MAX_BODY_SIZE:
+        seconds += CHECK_INTERVAL_S
+        peer.read_up_to(bytes_due(seconds, burst_s))
+        outstanding = MAX_BODY_SIZE - peer.acknowledged_bytes
+        state = progress.check(seconds, peer.acknowledged_bytes, outstanding)
+        assert state is SendState.PROGRESSING, seconds
+
+
+@pytest.mark.parametrize("read_before", [0, 64_000, 16_000_000])
+@pytest.mark.parametrize("buffer_size", [4096, 65536, 1 << 20, 8 << 20, 15 << 20])
+def test_peer_that_stops_reading_is_stalled_within_the_limit(
+    buffer_size: int, read_before: int
+) -> None:
+    """Guards against a bound that grows with the buffers between the balancer and a dead peer."""
+    peer = SimulatedPeer(buffer_size, 0.0)
+    peer.read_up_to(read_before)
+    progress = SendProgress(0.0, 0)
+    seconds = 0.0
+    state = SendState.PROGRESSING
+    while state is SendState.PROGRESSING:
+        seconds += CHECK_INTERVAL_S
+        state = progress.check(seconds, peer.acknowledged_bytes, 1)
+    assert GRACE_S <= seconds <= GRACE_S + MAX_READING_S + CHECK_INTERVAL_S
+
+
+def test_peer_that_has_nothing_to_take_is_not_stalled() -> None:
+    """Guards against blaming a peer that has taken everything for a sender that is slow."""
+    progress = SendProgress(0.0, 0)
+    for number in range(1, 1000):
+        assert progress.check(number * CHECK_INTERVAL_S, 1000, 0) is SendState.PROGRESSING
+    just_in_time_s = 999 * CHECK_INTERVAL_S + GRACE_S - CHECK_INTERVAL_S
+    assert progress.check(just_in_time_s, 1000, 1) is SendState.PROGRESSING
+
+
+# ---- connections ---------------------------------------------------------------------------------
+
+
+class Framing(Enum):
+    """How the end of a body is known, to both receivers of a forwarded message."""
+
+    LENGTH = "it has a Content-Length"
+    CHUNKS = "it comes in chunks"
+    CLOSE = "the connection ends; the client speaks HTTP/1.0"
+
+
+@dataclass(frozen=True, slots=True)
+class Buffers:
+    """Sizes of the kernel's buffers between the balancer and a slow receiver.
+
+    Attributes:
+        body_size: More than the buffers hold and the receiver reads while it is slow.
+        receive: Size of the receiver's buffer; None: the kernel adapts it.
+        send: The same of the balancer's buffer.
+    """
+
+    body_size: int
+    receive: int | None = None
+    send: int | None = None
+
+
+SMALL = Buffers(4 * MIB, 8 * 1024, 8 * 1024)
+ADAPTED = Buffers(12 * MIB)
+LARGE = Buffers(16 * MIB, 4 * MIB)
+
+
+@dataclass(frozen=True, slots=True)
+class SlowTransfer:
+    """A long message whose receiver reads slowly, then at once.
+
+    Attributes:
+        name: The id of its request.
+        burst_s: Time between two bursts of reading; 0: it reads steadily.
+        slow_s: How long the receiver reads slowly.
+        request_headers: Additional header lines of its request.
+    """
+
+    name: str
+    framing: Framing
+    buffers: Buffers
+    burst_s: float = 0.0
+    slow_s: float = SLOW_READING_S
+    request_headers: tuple[str, ...] = ()
+
+    def body(self) -> bytes:
+        """Return the framing headers and the encoded body."""
+        if self.framing is Framing.CLOSE:
+            return b"Connection: close\r\n\r\n" + bytes(self.buffers.body_size)
+        is_chunked = self.framing is Framing.CHUNKS
+        return framed_body(
+            bytes(self.buffers.body_size),
+            [CHUNK_SIZE] * (self.buffers.body_size // CHUNK_SIZE) if is_chunked else None,
+        )
+
+    async def read(self, reader: asyncio.StreamReader, head: str) -> bool:
+        """Read the body after a head in lower case, slowly at first; return whether it is whole."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        size = 0
+        async for piece in body_pieces(reader, head):
+            size += len(piece)
+            while (elapsed_s := loop.time() - started_s) < self.slow_s:
+                if size <= bytes_due(elapsed_s, self.burst_s):
+                    break
+                await asyncio.sleep(PACE_S)
+        return size == self.buffers.body_size
+
+
+async def body_pieces(reader: asyncio.StreamReader, head: str) -> AsyncIterator[bytes]:
+    """Read the body after a head in lower case, in pieces of up to `CHUNK_SIZE`."""
+    if "transfer-encoding: chunked" in head:
+        while chunk_size := int((await reader.readline()).split(b";")[0], 16):
+            yield (await reader.readexactly(chunk_size + 2))[:-2]
+        await reader.readuntil(b"\r\n")
+        return
+    length = head.partition("content-length: ")[2].partition("\r\n")[0]
+    left = int(length) if length else MAX_BODY_SIZE
+    while left and (piece := await reader.read(min(left, CHUNK_SIZE))):
+        left -= len(piece)
+        yield piece
+
+
+def transfers(prefix: str, framings: Iterable[Framing], buffers: Buffers) -> list[SlowTransfer]:
+    """Return a transfer for each combination of framing and pace."""
+    return [
+        SlowTransfer(f"{prefix}-{framing.name}-{burst_s:.0f}".lower(), framing, buffers, burst_s)
+        for framing, burst_s in product(framings, [0.0, 8.0])
+    ]
+
+
+def set_buffer(sock: socket.socket, option: int, size: int | None) -> None:
+    """Set the size of a socket's buffer, unless it is None."""
+    if size is not None:
+        sock.setsockopt(socket.SOL_SOCKET, option, size)
+
+
+class SlowPeers:
+    """Clients and an upstream that read their messages slowly.
+
+    Args:
+        downloads: The responses that the upstream gives at once.
+        uploads: The requests that the upstream reads slowly.
+        buffers: The buffers of all of them.
+    """
+
+    def __init__(
+        self, downloads: list[SlowTransfer], uploads: list[SlowTransfer], buffers: Buffers
+    ) -> None:
+        self.downloads = {transfer.name: transfer for transfer in downloads}
+        self.uploads = {transfer.name: transfer for transfer in uploads}
+        self.buffers = buffers
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one request of the balancer on a connection."""
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await read_head(reader)
+            name = head.partition("x-request-id: ")[2].partition("\r\n")[0]
+            if name in self.downloads:
+                writer.write(b"HTTP/1.1 200 OK\r\n" + self.downloads[name].body())
+                await writer.drain()
+            elif await self.uploads[name].read(reader, head):
+                writer.write(http_response(200))
+        writer.close()
+
+    async def download(self, harness: BalancerHarness, transfer: SlowTransfer) -> bool:
+        """Request a response, and return whether it came whole."""
+        with socket.socket() as sock:
+            set_buffer(sock, socket.SO_RCVBUF, self.buffers.receive)
+            sock.connect(harness.address)
+            reader, writer = await asyncio.open_connection(sock=sock, limit=READER_LIMIT)
+            head = post_head(transfer.name, *transfer.request_headers)
+            is_old = transfer.framing is Framing.CLOSE
+            writer.write(head.replace(b"HTTP/1.1", b"HTTP/1.0") if is_old else head)
+            with suppress(ConnectionError, asyncio.IncompleteReadError):
+                return await transfer.read(reader, await read_head(reader))
+        return False
+
+    async def upload(self, harness: BalancerHarness, transfer: SlowTransfer) -> bool:
+        """Send a request, and return whether it was served."""
+        reader, writer = await asyncio.open_connection(*harness.address)
+        writer.write(post_head(transfer.name)[:-2] + transfer.body())
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            return (await read_head(reader)).startswith("http/1.1 200 ")
+        return False
+
+    async def play(self) -> list[SlowTransfer]:
+        """Play all transfers side by side, and return those that did not come whole."""
+        async with balancer_with_raw_upstream(self.serve, self.buffers.receive) as harness:
+            played = [*self.downloads.values(), *self.uploads.values()]
+            results = await asyncio.gather(
+                *(self.download(harness, transfer) for transfer in self.downloads.values()),
+                *(self.upload(harness, transfer) for transfer in self.uploads.values()),
+            )
+        return [
+            transfer for transfer, is_whole in zip(played, results, strict=True) if not is_whole
+        ]
+
+
+@pytest.fixture
+def small_send_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give all connections of balancers small send buffers."""
+    for connection_class in (ClientConnection, UpstreamConnection):
+        connection_made = connection_class.connection_made
+
+        def connected(
+            connection: Any, transport: Any, connection_made: Any = connection_made
+        ) -> None:
+            sock = transport.get_extra_info("socket")
+            set_buffer(sock, socket.SO_SNDBUF, SMALL.send)
+            connection_made(connection, transport)
+
+        monkeypatch.setattr(connection_class, "connection_made", connected)
+
+
+def play_transfers(*buffers: Buffers) -> None:
+    """Play all kinds of transfers with each of these buffers, side by side."""
+
+    async def test() -> None:
+        played = [
+            SlowPeers(
+                transfers("down", Framing, one),
+                transfers("up", [Framing.LENGTH, Framing.CHUNKS], one),
+                one,
+            ).play()
+            for one in buffers
+        ]
+        assert await asyncio.gather(*played) == [[]] * len(played)
+
+    run(test())
+
+
+def test_slow_reader_gets_the_whole_body() -> None:
+    """Guards against cutting off a peer that reads, but whose socket is not writable for long.
+
+    Both directions, each framing, adapted and large buffers, steady and in bursts.
+    """
+    play_transfers(ADAPTED, LARGE)
+
+
+def test_slow_reader_behind_small_buffers_gets_the_whole_body(small_send_buffers: None) -> None:
+    """Guards against a bound that holds only if the kernel has taken most of the body."""
+    play_transfers(SMALL, replace(LARGE, send=SMALL.send))
+
+
+@pytest.mark.parametrize("buffers", [SMALL, ADAPTED, LARGE], ids=["small", "adapted", "large"])
+@pytest.mark.parametrize("direction", ["download", "upload"])
+def test_peer_that_stops_reading_is_disconnected(
+    direction: str, buffers: Buffers, monkeypatch: pytest.MonkeyPatch, frontends: list[Frontend]
+) -> None:
+    """Guards against keeping connections for peers that take nothing, whatever their buffers."""
+    monkeypatch.setattr(send_progress, "GRACE_S", SHORT_LIMIT_S)
+    monkeypatch.setattr(send_progress, "MAX_READING_S", SHORT_LIMIT_S)
+    monkeypatch.setitem(connection_phase.LIMIT_S, Phase.ANSWER, SHORT_CHECK_INTERVAL_S)
+    monkeypatch.setattr(upstream_connection, "CHECK_INTERVAL_S", SHORT_CHECK_INTERVAL_S)
+    transfer = SlowTransfer("dead", Framing.LENGTH, buffers, 1e9, 1e9)
+    peers = SlowPeers([transfer] if direction == "download" else [], [transfer], buffers)
+
+    async def test() -> None:
+        async with balancer_with_raw_upstream(peers.serve, buffers.receive) as harness:
+            if direction == "upload":
+                assert not await peers.upload(harness, transfer)
+                return
+            assert (await harness.ask("ready", path="/ready")).status == 200
+            client = asyncio.create_task(peers.download(harness, transfer))
+            while not frontends[0].clients:
+                await asyncio.sleep(0)
+            while frontends[0].clients:
+                await asyncio.sleep(0)
+            client.cancel()
+
+    run(test())
