Keep a connection while the end of its answer waits in the process for a slow client

What callers saw: the last bytes of an answer never came, on a connection that the balancer closes after it, or keeps idle.

Cause: once the last byte is handed to the transport, the connection lingers for 1 s or is idle for up to 10 s, whether or not the transport has sent it; then it is closed without what the transport still buffers.

Change: when such a limit passes and output is unsent, the connection is checked like a long answer that goes out, each second, and ends as before once all is sent. A next request that begins meanwhile has its usual time limit.

Evidence and test: tests/proxy/test_slow_readers.py, test_end_of_a_response_waits_for_its_slow_client; with the commit before all six of its answers of 300,000 bytes lose their end (three framings, a pause of 3 s with Connection: close and of 12.5 s without), now all six come whole.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -9,7 +9,7 @@
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.client_answer import AnswerWriter
 from loadbalancer.proxy.connection_host import ConnectionHost
-from loadbalancer.proxy.connection_phase import PROGRESS_BYTES, Phase
+from loadbalancer.proxy.connection_phase import PROGRESS_BYTES, SENDING_PHASES, Phase
 from loadbalancer.proxy.http import BufferedReader, end_to_end
 from loadbalancer.proxy.messages import Headers, Request, Response, UnacceptableMessageError
 from loadbalancer.proxy.parse import MAX_BODY, RequestReader
@@ -183,7 +183,7 @@
     def on_phase_timeout(self) -> None:
         """Close the connection, which has exceeded its phase's time limit.
 
-        While it sends a long answer, it stays open as long as its client takes the answer.
+        While it still sends an answer, it stays open as long as its client takes the answer.
         """
         request = self.open_request
         if self.phase is not None and request is not None and self.upload is None:
@@ -192,8 +192,10 @@
                 request.arrival.request,
                 self.phase.name,
             )
-        if self.phase is Phase.ANSWER:
+        if self._is_sending_answer:
             self._check_sending()
+        elif self.phase is Phase.ANSWER:
+            self.frontend.wait(self, Phase.IDLE)
         elif self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
             self._drop_request()  # a request whose streamed body is incomplete may already be open
             self._reject_input(408, "the request did not come in time")
@@ -202,13 +204,20 @@
         else:
             self.abort()
 
+    @property
+    def _is_sending_answer(self) -> bool:
+        """Whether part of an answer is not sent, after the request is no longer open."""
+        return self.phase in SENDING_PHASES and (
+            self.writer.body is not None or self.has_unsent_output
+        )
+
     def _check_sending(self) -> None:
         """Close the connection if its client no longer takes its answer; else check again later."""
         if self.transport.check_sending(self.frontend.loop.time()) is SendState.STALLED:
             log.info("client does not read its answer: %s", self.transport.send_report())
             self.abort()
         else:
-            self.frontend.wait(self, Phase.ANSWER)
+            self.frontend.wait(self, Phase.LINGERING if self.lingering else Phase.ANSWER)
 
     def fail_incomplete_request(self) -> None:
         """Reject an incomplete request at shutdown; the client may retry elsewhere."""
@@ -256,7 +265,7 @@
                 reader.feed(data)
             else:
                 self._send_continue()
-                if self.phase is Phase.IDLE and self.has_data:
+                if self.phase in (Phase.IDLE, Phase.ANSWER) and self.has_data:
                     self.frontend.wait(self, Phase.NEW)
                 return
 
--- a/loadbalancer/proxy/connection_phase.py
+++ b/loadbalancer/proxy/connection_phase.py
@@ -14,11 +14,13 @@
 
     NEW = "its request is incomplete"
     BODY = "the body of its request is on its way"
-    ANSWER = "a long answer goes out, or waits for its client to read"
+    ANSWER = "a long answer goes out, or the rest of any answer waits for its client to read"
     IDLE = "between two requests"
     LINGERING = "its sending has ended; what still comes is dropped until its client ends too"
 
 
+# The phases in which an answer may still be on its way out.
+SENDING_PHASES = frozenset({Phase.ANSWER, Phase.IDLE, Phase.LINGERING})
 LIMIT_S = {
     # Counts from the connect, or from the request's first byte on a reused connection. The
     # connection of a silent or slow client must be closed within 3 s of the connect, and a client
--- a/tests/proxy/test_slow_readers.py
+++ b/tests/proxy/test_slow_readers.py
@@ -42,6 +42,9 @@
 MIB = 1024 * 1024
 MAX_BODY_SIZE = 32 * MIB
 CHUNK_SIZE = 50_000
+TAIL_BODY_SIZE = 300_000  # more than small buffers of the kernel hold
+LINGERING_PAUSE_S = 3.0
+IDLE_PAUSE_S = 12.5
 READER_LIMIT = 2048  # bytes; a client buffers hardly more than it has read
 SHORT_LIMIT_S = 0.5
 SHORT_CHECK_INTERVAL_S = 0.05
@@ -174,16 +177,6 @@
     slow_s: float = SLOW_READING_S
     request_headers: tuple[str, ...] = ()
 
-    def body(self) -> bytes:
-        """Return the framing headers and the encoded body."""
-        if self.framing is Framing.CLOSE:
-            return b"Connection: close\r\n\r\n" + bytes(self.buffers.body_size)
-        is_chunked = self.framing is Framing.CHUNKS
-        return framed_body(
-            bytes(self.buffers.body_size),
-            [CHUNK_SIZE] * (self.buffers.body_size // CHUNK_SIZE) if is_chunked else None,
-        )
-
     async def read(self, reader: asyncio.StreamReader, head: str) -> bool:
         """Read the body after a head in lower case, slowly at first; return whether it is whole."""
         loop = asyncio.get_running_loop()
@@ -198,6 +191,14 @@
         return size == self.buffers.body_size
 
 
+def framed_zeros(framing: Framing, size: int) -> bytes:
+    """Return the framing headers and the encoded body of this size."""
+    if framing is Framing.CLOSE:
+        return b"Connection: close\r\n\r\n" + bytes(size)
+    is_chunked = framing is Framing.CHUNKS
+    return framed_body(bytes(size), [CHUNK_SIZE] * (size // CHUNK_SIZE) if is_chunked else None)
+
+
 async def body_pieces(reader: asyncio.StreamReader, head: str) -> AsyncIterator[bytes]:
     """Read the body after a head in lower case, in pieces of up to `CHUNK_SIZE`."""
     if "transfer-encoding: chunked" in head:
@@ -241,6 +242,8 @@
         self.downloads = {transfer.name: transfer for transfer in downloads}
         self.uploads = {transfer.name: transfer for transfer in uploads}
         self.buffers = buffers
+        # Built before the balancer starts, because they would hold up the event loop.
+        self.bodies = {framing: framed_zeros(framing, buffers.body_size) for framing in Framing}
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one request of the balancer on a connection."""
@@ -248,7 +251,7 @@
             head = await read_head(reader)
             name = head.partition("x-request-id: ")[2].partition("\r\n")[0]
             if name in self.downloads:
-                writer.write(b"HTTP/1.1 200 OK\r\n" + self.downloads[name].body())
+                writer.write(b"HTTP/1.1 200 OK\r\n" + self.bodies[self.downloads[name].framing])
                 await writer.drain()
             elif await self.uploads[name].read(reader, head):
                 writer.write(http_response(200))
@@ -270,13 +273,13 @@
     async def upload(self, harness: BalancerHarness, transfer: SlowTransfer) -> bool:
         """Send a request, and return whether it was served."""
         reader, writer = await asyncio.open_connection(*harness.address)
-        writer.write(post_head(transfer.name)[:-2] + transfer.body())
+        writer.write(post_head(transfer.name)[:-2] + self.bodies[transfer.framing])
         with suppress(ConnectionError, asyncio.IncompleteReadError):
             return (await read_head(reader)).startswith("http/1.1 200 ")
         return False
 
-    async def play(self) -> list[SlowTransfer]:
-        """Play all transfers side by side, and return those that did not come whole."""
+    async def play(self) -> list[str]:
+        """Play all transfers side by side, and return the names of those not whole."""
         async with balancer_with_raw_upstream(self.serve, self.buffers.receive) as harness:
             played = [*self.downloads.values(), *self.uploads.values()]
             results = await asyncio.gather(
@@ -284,7 +287,9 @@
                 *(self.upload(harness, transfer) for transfer in self.uploads.values()),
             )
         return [
-            transfer for transfer, is_whole in zip(played, results, strict=True) if not is_whole
+            transfer.name
+            for transfer, is_whole in zip(played, results, strict=True)
+            if not is_whole
         ]
 
 
@@ -306,17 +311,18 @@
 
 def play_transfers(*buffers: Buffers) -> None:
     """Play all kinds of transfers with each of these buffers, side by side."""
+    groups = [
+        SlowPeers(
+            transfers("down", Framing, one),
+            transfers("up", [Framing.LENGTH, Framing.CHUNKS], one),
+            one,
+        )
+        for one in buffers
+    ]
 
     async def test() -> None:
-        played = [
-            SlowPeers(
-                transfers("down", Framing, one),
-                transfers("up", [Framing.LENGTH, Framing.CHUNKS], one),
-                one,
-            ).play()
-            for one in buffers
-        ]
-        assert await asyncio.gather(*played) == [[]] * len(played)
+        broken = await asyncio.gather(*(group.play() for group in groups))
+        assert broken == [[] for _ in groups]
 
     run(test())
 
@@ -334,6 +340,42 @@
     play_transfers(SMALL, replace(LARGE, send=SMALL.send))
 
 
+@pytest.fixture
+def large_write_buffers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have the transports of clients' connections buffer a whole response."""
+    connection_made = ClientConnection.connection_made
+
+    def connected(connection: ClientConnection, transport: Any) -> None:
+        transport.set_write_buffer_limits(high=2 * TAIL_BODY_SIZE)
+        connection_made(connection, transport)
+
+    monkeypatch.setattr(ClientConnection, "connection_made", connected)
+
+
+def test_end_of_a_response_waits_for_its_slow_client(
+    small_send_buffers: None, large_write_buffers: None
+) -> None:
+    """Guards against losing the last bytes of a response that wait in the balancer's own buffer.
+
+    The response has come whole from the upstream, so that its connection lingers or is idle; the
+    client reads nothing for longer than such a connection may stay.
+    """
+    buffers = replace(SMALL, body_size=TAIL_BODY_SIZE)
+    downloads = [
+        SlowTransfer(f"{framing.name}-{pause_s}".lower(), framing, buffers, 1e9, pause_s, headers)
+        for framing, (pause_s, headers) in product(
+            Framing, [(LINGERING_PAUSE_S, ("Connection: close",)), (IDLE_PAUSE_S, ())]
+        )
+    ]
+
+    peers = SlowPeers(downloads, [], buffers)
+
+    async def test() -> None:
+        assert await peers.play() == []
+
+    run(test())
+
+
 @pytest.mark.parametrize("buffers", [SMALL, ADAPTED, LARGE], ids=["small", "adapted", "large"])
 @pytest.mark.parametrize("direction", ["download", "upload"])
 def test_peer_that_stops_reading_is_disconnected(
