Reset the connection of a client that stopped reading: its answer must not seem whole

What callers saw: an answer to an HTTP/1.0 client, whose end is the end of the connection, was cut off by an orderly close. A client that reads on later takes the part for the whole.

Cause: the limit for clients that take nothing called `abort`, which closes with a FIN behind what the kernel still holds; a body that fails on its way and a shutdown already use `reset`.

Test: tests/proxy/test_slow_readers.py, test_client_can_tell_that_its_answer_was_cut_off, failed before ("did not raise ConnectionResetError") and passes.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -212,10 +212,10 @@
         )
 
     def _check_sending(self) -> None:
-        """Close the connection if its client no longer takes its answer; else check again later."""
+        """Reset the connection if its client no longer takes its answer; else check again later."""
         if self.transport.check_sending(self.frontend.loop.time()) is SendState.STALLED:
             log.info("client does not read its answer: %s", self.transport.send_report())
-            self.abort()
+            self.reset()
         else:
             self.frontend.wait(self, Phase.LINGERING if self.lingering else Phase.ANSWER)
 
