--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -10,15 +10,11 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, replace
-from enum import Enum
 
 import pytest
-from hypothesis import given, seed, settings
-from hypothesis import strategies as st
 
 from loadbalancer.policy import api
 from loadbalancer.proxy import connection_phase, frontend, upstream_connection
-from loadbalancer.proxy.body_stream import MAX_BUFFERED, Body, BodyMemory
 from loadbalancer.proxy.client_connection import PARSE_BYTES, ClientConnection
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.frontend import Frontend
@@ -33,16 +29,15 @@
     run,
     running_balancer,
 )
-from tests.proxy.test_body_stream import (
+from tests.raw_http import (
     HUGE_BODY_SIZE,
-    FakeSource,
     balancer_with_raw_upstream,
     framed_body,
     post_head,
     read_chunks,
     read_head,
 )
-from tests.proxy.test_races import (
+from tests.raw_sockets import (
     RETRY_SETTINGS,
     connection_with_open_request,
     upstream_with_full_accept_queue,
@@ -129,88 +124,6 @@
         writer.write(data[len(data) - late_bytes :])
 
 
-# ---- Body and its source -------------------------------------------------------------------------
-
-
-class ReadingSource(FakeSource):
-    """A source that checks that it is paused only while it reads, and resumed only while paused."""
-
-    @property
-    def is_reading(self) -> bool:
-        return self.calls[-1:] != ["pause"]
-
-    def pause(self) -> None:
-        assert self.is_reading
-        super().pause()
-
-    def resume(self) -> None:
-        assert not self.is_reading
-        super().resume()
-
-
-@dataclass(frozen=True, slots=True)
-class Put:
-    """The arrival of a piece of this size."""
-
-    size: int
-
-
-class Step(Enum):
-    """What may happen to a body beside the arrival of a piece."""
-
-    TAKE = "its reader takes a piece"
-    ATTACH = "its source is connected"
-    END = "its end arrives"
-    FAIL = "it will never be complete"
-
-
-STEPS = st.lists(
-    st.builds(Put, st.integers(1, MAX_BUFFERED + PARSE_BYTES)) | st.sampled_from(Step), max_size=30
-)
-
-
-def apply_step(body: Body, source: ReadingSource, step: Put | Step) -> None:
-    """Apply one step; the reader that parses a body sends nothing after its end."""
-    match step:
-        case Put() if not body.ended:
-            body.put(bytes(step.size))
-        case Step.TAKE:
-            body.take()
-        case Step.ATTACH if body.source is None:
-            body.attach(source)
-        case Step.END:
-            body.end()
-        case Step.FAIL:
-            body.fail()
-
-
-@seed(1)
-@settings(max_examples=500, deadline=None, derandomize=True)
-@given(STEPS, st.booleans(), st.sampled_from([0, 1 << 30]))
-def test_body_controls_its_source_only_while_it_may_receive_more(
-    steps: list[Put | Step], keep: bool, memory_limit: int
-) -> None:
-    """Guards against a source that is paused or resumed by a body that has ended or failed.
-
-    A body that can be sent again when it ends stays so until its reader discards it.
-    """
-    body, source = Body(None, BodyMemory(memory_limit), keep), ReadingSource()
-    final_calls: list[str] | None = None
-    is_replayable_at_end = False
-    for step in steps:
-        apply_step(body, source, step)
-        if body.ended or body.failed:
-            if final_calls is None:
-                final_calls = list(source.calls)
-                is_replayable_at_end = body.is_replayable
-            assert source.is_reading and source.calls == final_calls
-            assert body.source is None
-            assert body.is_replayable is is_replayable_at_end or not keep
-        else:
-            assert source.is_reading is not (body.paused and body.source is not None)
-            assert not body.paused or body.buffered
-
-
 # ---- requests ------------------------------------------------------------------------------------
 
 
--- a/tests/proxy/test_body_stream.py
+++ b/tests/proxy/test_body_stream.py
@@ -4,20 +4,15 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from dataclasses import replace
-from typing import Any
 
 import pytest
-from hypothesis import given, seed, settings
-from hypothesis import strategies as st
 
 from loadbalancer.policy import api
 from loadbalancer.proxy import connection_phase, frontend
-from loadbalancer.proxy.body_stream import MAX_BUFFERED, Body, BodyMemory
 from loadbalancer.proxy.connection_phase import Phase
-from loadbalancer.proxy.parse import MAX_BODY, RequestReader, ResponseReader
+from loadbalancer.proxy.parse import MAX_BODY
 from loadbalancer.proxy.tcp_state import reset_on_close
 from tests.fakes import (
     SETTINGS,
@@ -28,63 +23,15 @@
     run,
     running_balancer,
 )
+from tests.raw_http import (
+    HUGE_BODY_SIZE,
+    balancer_with_raw_upstream,
+    post_head,
+    read_chunks,
+    read_head,
+)
 
 LARGE_BODY = bytes(range(256)) * 1200  # 300 KiB
-# More than all socket buffers between the client and the upstream can hold.
-HUGE_BODY_SIZE = 30 * 1024 * 1024
-ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
-
-
-@asynccontextmanager
-async def balancer_with_raw_upstream(
-    handle: ConnectionHandler, receive_buffer: int | None = None, **config: Any
-) -> Any:
-    """Run a balancer with one upstream, whose connections `handle` serves.
-
-    `receive_buffer` is the size of its sockets' receive buffers; None: the kernel adapts it.
-    """
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    if receive_buffer is not None:
-        server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    port = server.sockets[0].getsockname()[1]
-    row = {"id": "raw", "addr": f"127.0.0.1:{port}", "state": "Ready"}
-    async with running_balancer(
-        0, known={"version": 9, "full": True, "servers": [row]}, **config
-    ) as harness:
-        try:
-            yield harness
-        finally:
-            server.close()
-
-
-async def read_head(reader: asyncio.StreamReader) -> str:
-    """Read the head of a message, and return it in lower case."""
-    return (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-
-
-async def read_chunks(reader: asyncio.StreamReader) -> bytes:
-    """Read a chunked body without trailers, and return its data."""
-    body = b""
-    while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
-        data = await reader.readexactly(size + 2)
-        if not size:
-            return body
-        body += data[:-2]
-
-
-def post_head(name: str, *headers: str) -> bytes:
-    """Return the head of a POST request with these additional header lines."""
-    rows = [
-        "POST /pay HTTP/1.1",
-        "Host: h",
-        f"X-Request-Id: {name}",
-        "X-Class: pay",
-        "X-Tenant: ash",
-        "X-Deadline-Ms: 3000",
-        *headers,
-    ]
-    return "\r\n".join([*rows, "", ""]).encode()
 
 
 @pytest.mark.parametrize("chunked", [False, True])
@@ -430,152 +377,3 @@
             await stalled_client.expect_eof()
 
     run(test())
-
-
-def test_head_response_has_no_body() -> None:
-    """Guards against waiting for the body that a HEAD response announces in Content-Length."""
-
-    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(asyncio.IncompleteReadError):
-            while True:
-                head = await read_head(reader)
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n")
-                if head.startswith("get"):
-                    writer.write(bytes(90_000))
-
-    async def test() -> None:
-        async with balancer_with_raw_upstream(handle) as harness:
-            client = await harness.client()
-            for method in ("HEAD", "GET", "HEAD"):
-                client.send(method + "1", method=method)
-                assert "content-length: 90000" in await read_head(client.reader)
-                if method == "GET":
-                    await client.reader.readexactly(90_000)
-
-    run(test())
-
-
-# ---- Body and BodyMemory -------------------------------------------------------------------------
-
-
-class FakeSource:
-    """Records the calls with which a body controls its source."""
-
-    def __init__(self) -> None:
-        self.calls: list[str] = []
-
-    def pause(self) -> None:
-        self.calls.append("pause")
-
-    def resume(self) -> None:
-        self.calls.append("resume")
-
-    def read_on(self) -> None:
-        self.calls.append("read_on")
-
-    def abort(self) -> None:
-        self.calls.append("abort")
-
-
-def test_full_body_pauses_its_source_and_counts_towards_total_memory() -> None:
-    """Guards against unbounded buffering, in one body and in all bodies together."""
-    body_memory, fake_source = BodyMemory(1 << 20), FakeSource()
-    body = Body(None, body_memory)
-    body.attach(fake_source)
-    body.put(bytes(MAX_BUFFERED))
-    assert fake_source.calls == ["pause"] and body_memory.buffered == MAX_BUFFERED
-    assert body.take() == bytes(MAX_BUFFERED)
-    assert fake_source.calls == ["pause", "resume"] and body_memory.buffered == 0
-    body.put(b"a")
-    body.drop()
-    assert fake_source.calls[-1] == "abort" and body_memory.buffered == 0
-    # Once all bodies together use up the memory, each may still buffer a small amount.
-    exhausted_memory = BodyMemory(0)
-    small_body = Body(None, exhausted_memory)
-    fake_source = FakeSource()
-    small_body.attach(fake_source)
-    small_body.put(bytes(MAX_BUFFERED // 4))
-    assert fake_source.calls == ["pause"]
-    small_body.take()
-    assert fake_source.calls == ["pause", "resume"]
-
-
-def test_kept_body_can_be_rewound_until_it_overflows() -> None:
-    """Guards against a retry that sends a body without its start."""
-    body = Body(None, BodyMemory(1 << 20), keep=True)
-    body.put(b"ab")
-    body.put(b"cd")
-    assert [body.take(), body.take(), body.take()] == [b"ab", b"cd", None]
-    assert body.is_replayable
-    body.rewind()
-    assert body.take() == b"ab"
-    body.put(bytes(MAX_BUFFERED))
-    assert not body.is_replayable
-
-
-# ---- input split anywhere ------------------------------------------------------------------------
-
-BODIES = st.binary(min_size=0, max_size=400).map(lambda block: block * 300)
-
-
-def split_at(data: bytes, split_points: list[int]) -> list[bytes]:
-    """Split data at these positions, which are taken modulo its length."""
-    offsets = sorted({0, len(data), *(c % (len(data) + 1) for c in split_points)})
-    return [data[a:b] for a, b in zip(offsets, offsets[1:], strict=False)]
-
-
-def framed_body(body: bytes, sizes: list[int] | None) -> bytes:
-    """Return the framing headers and the encoded body.
-
-    If `sizes` is None, the body has a Content-Length. Otherwise it is sent in chunks of these
-    sizes, with chunk extensions and a trailer.
-    """
-    if sizes is None:
-        return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
-    framed, offset = b"Transfer-Encoding: chunked\r\n\r\n", 0
-    for size in [*sizes, len(body)]:
-        piece = body[offset : offset + size]
-        if piece:
-            framed += b'%X;name="a value"\r\n%b\r\n' % (len(piece), piece)
-        offset += size
-    return framed + b"0;last\r\nX-Trailer: t\r\n\r\n"
-
-
-def read_bodies(reader: RequestReader | ResponseReader, pieces: list[bytes]) -> list[bytes]:
-    """Feed the pieces to a reader, and return the bodies of the messages that it reads."""
-    messages: list[Any] = []
-    streamed: dict[int, bytes] = {}
-    for part in pieces:
-        reader.feed(part)
-        assert reader.fault is None, reader.fault
-        while reader.ready:
-            messages.append(reader.ready.popleft())
-        for i, message in enumerate(messages):
-            while message.stream is not None and (piece := message.stream.take()) is not None:
-                streamed[i] = streamed.get(i, b"") + piece
-    assert all(m.stream is None or m.stream.drained for m in messages)
-    return [m.body if m.stream is None else streamed.get(i, b"") for i, m in enumerate(messages)]
-
-
-@seed(1)
-@settings(max_examples=60, deadline=None, derandomize=True)
-@given(
-    st.lists(BODIES, min_size=1, max_size=3),
-    st.none() | st.lists(st.integers(1, 90_000), max_size=4),
-    st.lists(st.integers(0, 10**6), max_size=8),
-)
-def test_bodies_are_the_same_wherever_input_is_split(
-    bodies: list[bytes], sizes: list[int] | None, split_points: list[int]
-) -> None:
-    """Guards against parsers that depend on where the received data is split into segments."""
-    memory = BodyMemory(1 << 30)
-    request_bytes = b"".join(
-        post_head(f"r{i}")[:-2] + framed_body(body, sizes) for i, body in enumerate(bodies)
-    )
-    assert (
-        read_bodies(RequestReader(memory=memory), split_at(request_bytes, split_points)) == bodies
-    )
-    response_bytes = b"".join(b"HTTP/1.1 200 OK\r\n" + framed_body(body, sizes) for body in bodies)
-    reader = ResponseReader()
-    reader.expect(MAX_BODY, memory)
-    assert read_bodies(reader, split_at(response_bytes, split_points)) == bodies
--- a/tests/proxy/test_deadlines.py
+++ b/tests/proxy/test_deadlines.py
@@ -35,7 +35,7 @@
     run,
     running_balancer,
 )
-from tests.proxy.test_races import (
+from tests.raw_sockets import (
     connect_raw_socket,
     connection_with_open_request,
     upstream_with_full_accept_queue,
--- a/tests/proxy/test_frontend.py
+++ b/tests/proxy/test_frontend.py
@@ -12,23 +12,26 @@
 import pytest
 
 from loadbalancer.policy import api
-from loadbalancer.proxy import connection_phase, frontend, parse
+from loadbalancer.proxy import connection_phase, frontend
 from loadbalancer.proxy.client_connection import ClientConnection
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.frontend import Frontend
-from loadbalancer.proxy.resource_limits import RESERVE
 from tests.fakes import (
     CLASSES,
     SECOND,
     SETTINGS,
     Client,
     EventRecorder,
-    FakeUpstream,
     http_response,
     read_message,
     run,
     running_balancer,
 )
+from tests.proxy.test_request_validation import raw_request
+from tests.raw_http import (
+    balancer_with_raw_upstream,
+    read_head,
+)
 
 
 def test_ready_follows_availability_of_upstreams() -> None:
@@ -44,58 +47,6 @@
     run(test())
 
 
-def test_bad_input_is_rejected_without_affecting_other_clients() -> None:
-    """Malformed requests close their connection; invalid headers only fail the request."""
-
-    async def test() -> None:
-        async with running_balancer() as harness:
-            other = await harness.client()
-            other.send("r0")
-            for junk, status in [
-                (b"\x00\x01\r\n\r\n", 400),
-                (b"GET /quote HTTP/1.1\r\nno colon\r\n\r\n", 400),
-                (b"GET /quote HTTP/1.1\r\n\r\n", 400),
-                (b"GET /" + b"x" * 70_000, 431),
-                (raw_request("Content-Length: -4"), 400),
-            ]:
-                bad = await harness.client()
-                assert (await bad.send_raw(junk)).status == status, junk[:40]
-                await bad.expect_eof()
-            client = await harness.client()
-            assert (await client.ask("r1", path="/nowhere")).status == 404
-            assert (await client.ask("r2", "unheard-of")).status == 404
-            assert (await client.ask("", X_Request_Id=None)).status == 400
-            assert (await client.ask("r3", X_Deadline_Ms="soon")).status == 400
-            assert (await client.ask("r4", X_Cost_Hint="-1")).status == 400
-            assert (await client.ask("r5", X_Tenant="stranger")).status == 200
-            assert (await client.ask("r6", X_Deadline_Ms=0)).status == 503
-            assert (await read_message(other.reader)).status == 200
-            assert (await other.ask("r7")).status == 200
-
-    run(test())
-
-
-@pytest.mark.parametrize("chunked", [False, True])
-def test_too_large_body_is_rejected_with_413(
-    chunked: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against forwarding a body above the limit, whether or not its length is announced."""
-    monkeypatch.setattr(parse, "MAX_LENGTH", 69_000)
-
-    async def test() -> None:
-        async with running_balancer() as harness:
-            client = await harness.client()
-            if chunked:
-                client.send("r1", "pay", "POST", Transfer_Encoding="chunked")
-                client.writer.write(b"11170\r\n" + b"x" * 0x11170)
-            else:
-                client.send("r1", "pay", "POST", b"x" * 70_000)
-            assert (await read_message(client.reader)).status == 413
-            assert not harness.upstreams[0].received_requests
-
-    run(test())
-
-
 def test_duplicate_id_of_open_request_is_rejected_with_409() -> None:
     """Guards against two open requests with one id, which the policy could not distinguish."""
 
@@ -152,123 +103,6 @@
     run(test())
 
 
-def test_at_connection_limit_idle_clients_are_evicted_and_busy_ones_kept(
-    monkeypatch: pytest.MonkeyPatch, recorder: EventRecorder
-) -> None:
-    """An idle connection is closed to accept another; one with an open request is not.
-
-    A client above the limit waits in the accept queue until a connection slot is free.
-    """
-    monkeypatch.setattr(frontend, "EVICT_IDLE_S", 0.0)
-
-    async def test() -> None:
-        # Room for two clients and two connections to upstreams.
-        async with running_balancer(sockets=RESERVE + 2 * 2) as harness:
-            may_respond = asyncio.Event()
-            upstream: FakeUpstream = harness.upstreams[0]
-
-            async def slow() -> bytes:
-                await may_respond.wait()
-                return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow"
-
-            idle = await harness.client()
-            assert (await idle.ask("r0")).status == 200
-            upstream.script = [slow, slow]
-            busy = [await harness.client(), await harness.client()]
-            for number, client in enumerate(busy):
-                client.send(f"b{number}")
-            await recorder.until(lambda: len(recorder.of_type(api.RequestArrived)) == 3)
-            await idle.expect_eof()
-            # Waits in the accept queue until a connection slot is free.
-            late_client = await harness.client()
-            late_client.send("r1")
-            may_respond.set()
-            for client in busy:
-                assert (await read_message(client.reader)).body == b"slow"
-            assert (await read_message(late_client.reader)).status == 200
-
-    run(test())
-
-
-def test_at_connection_limit_silent_clients_are_evicted_for_active_client() -> None:
-    """Guards against clients that connect without a request and so block all others."""
-
-    async def test() -> None:
-        async with running_balancer(sockets=RESERVE + 2 * 2) as harness:
-            silent = [await harness.client() for _ in range(20)]
-            active_client = await harness.client()
-            assert (await active_client.ask("r1")).status == 200
-            for client in silent:
-                client.close()
-
-    run(test())
-
-
-def test_at_connection_limit_silent_clients_are_evicted_before_slow_writer(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Eviction depends on the time since the last data, not on the age of the connection.
-
-    Guards against evicting a client that sends its request slowly.
-    """
-    monkeypatch.setattr(frontend, "EVICT_SILENT_S", 0.2)
-
-    async def test() -> None:
-        async with running_balancer(sockets=RESERVE + 4 * 2) as harness:
-            slow = await harness.client()
-            slow.writer.write(b"GET /quote HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n")
-            silent = []
-            # The slow client has the oldest connection, and is kept while it makes progress.
-            for letter in b"X-Class: quote\r\n\r\n":
-                await asyncio.sleep(0.03)
-                slow.writer.write(bytes([letter]))
-                silent.append(await harness.client())
-            assert (await read_message(slow.reader)).status == 200
-            for client in silent:
-                client.close()
-
-    run(test())
-
-
-def test_at_connection_limit_recently_idle_client_is_kept(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against evicting a client that is idle for less than `EVICT_IDLE_S`."""
-    monkeypatch.setattr(frontend, "EVICT_IDLE_S", 1000.0)
-    monkeypatch.setattr(frontend, "EVICT_SILENT_S", 0.0)
-    # No later connection evicts the last newcomer, so it has to time out.
-    monkeypatch.setitem(connection_phase.LIMIT_S, Phase.NEW, 0.1)
-
-    async def test() -> None:
-        async with running_balancer(sockets=RESERVE + 2 * 2) as harness:
-            idle = await harness.client()
-            assert (await idle.ask("r0")).status == 200
-            newcomers = [await harness.client() for _ in range(9)]
-            for client in newcomers:
-                await client.expect_eof()
-            assert (await idle.ask("r1")).status == 200
-
-    run(test())
-
-
-def test_at_connection_limit_connection_is_closed_after_response(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against a newcomer that waits for an idle connection's eviction."""
-    # By default an idle connection is evicted after 2 s. With more clients than connection slots,
-    # each newcomer had to wait for that.
-    for limit in ("EVICT_IDLE_S", "EVICT_SILENT_S", "EVICT_NEW_S"):
-        monkeypatch.setattr(frontend, limit, 1000.0)
-
-    async def test() -> None:
-        async with running_balancer(sockets=RESERVE + 2 * 2) as harness:
-            clients = [await harness.client() for _ in range(20)]
-            for number, client in enumerate(clients):
-                client.send(f"r{number}")
-            for client in clients:
-                assert (await read_message(client.reader)).status == 200
-
-    run(test())
-
-
 @pytest.mark.skipif(sys.platform != "linux", reason="other kernels do not report the receive state")
 def test_request_of_disconnected_client_is_not_served(recorder: EventRecorder) -> None:
     """Guards against attempts for a client that disconnected before its request was read."""
@@ -367,70 +201,6 @@
     run(test())
 
 
-def raw_request(*headers: str, start: str = "POST /pay HTTP/1.1", body: bytes = b"") -> bytes:
-    """Return a request with these additional header lines and this body, both unchecked."""
-    header_lines = ["Host: h", "X-Request-Id: r1", "X-Class: pay", *headers]
-    return "\r\n".join([start, *header_lines, "", ""]).encode() + body
-
-
-@pytest.mark.parametrize(
-    ("data", "status"),
-    [
-        # Request smuggling: a parser that prefers Transfer-Encoding would read the bytes after the
-        # empty chunk as a second request.
-        (
-            raw_request(
-                "Content-Length: 60",
-                "Transfer-Encoding: chunked",
-                body=b"0\r\n\r\nGET /quote HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n\r\n",
-            ),
-            400,
-        ),
-        (raw_request("Content-Length: 4", "Content-Length: 5", body=b"body!"), 400),
-        (raw_request("Content-Length: 60000000"), 413),
-        (raw_request("Content-Length: -4", body=b"body"), 400),
-        (raw_request("X-Request-Id: r2"), 400),
-        (raw_request("X-Class: quote"), 400),
-        (raw_request("X-Deadline-Ms: 10", "X-Deadline-Ms: 3000"), 400),
-        (raw_request(start="CONNECT /pay HTTP/1.1"), 405),
-        (raw_request("X-Pad: " + "p" * 20_000), 431),
-    ],
-)
-def test_ambiguous_or_oversized_request_is_rejected(data: bytes, status: int) -> None:
-    """Guards against request smuggling.
-
-    A request that two parsers can read differently is rejected, as is one that is too large, and
-    its connection is closed.
-    """
-
-    async def test() -> None:
-        async with running_balancer() as harness:
-            client = await harness.client()
-            assert (await client.send_raw(data)).status == status
-            await client.expect_eof()
-            assert (await harness.ask("r3")).status == 200
-            assert [m.headers["x-request-id"] for m in harness.upstreams[0].received_requests] == [
-                "r3"
-            ]
-
-    run(test())
-
-
-def test_unsupported_method_unexpected_body_and_too_long_id_are_rejected() -> None:
-    """Each request is rejected, and its connection stays usable."""
-
-    async def test() -> None:
-        async with running_balancer() as harness:
-            client = await harness.client()
-            assert (await client.ask("r1", "pay", "GET")).status == 405
-            assert (await client.ask("r1", "quote", "DELETE")).status == 405
-            assert (await client.ask("r1", "quote", "GET", b"body")).status == 400
-            assert (await client.ask("r" * 1000)).status == 400
-            assert (await client.ask("r1")).status == 200
-
-    run(test())
-
-
 def test_client_that_does_not_read_stops_its_pipelined_requests(
     monkeypatch: pytest.MonkeyPatch, recorder: EventRecorder
 ) -> None:
@@ -570,3 +340,26 @@
             )
 
     run(test())
+
+
+def test_head_response_has_no_body() -> None:
+    """Guards against waiting for the body that a HEAD response announces in Content-Length."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await read_head(reader)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n")
+                if head.startswith("get"):
+                    writer.write(bytes(90_000))
+
+    async def test() -> None:
+        async with balancer_with_raw_upstream(handle) as harness:
+            client = await harness.client()
+            for method in ("HEAD", "GET", "HEAD"):
+                client.send(method + "1", method=method)
+                assert "content-length: 90000" in await read_head(client.reader)
+                if method == "GET":
+                    await client.reader.readexactly(90_000)
+
+    run(test())
--- a/tests/proxy/test_slow_readers.py
+++ b/tests/proxy/test_slow_readers.py
@@ -21,14 +21,9 @@
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
-from tests.fakes import BalancerHarness, http_response, run
-from tests.proxy.test_body_stream import (
-    balancer_with_raw_upstream,
-    framed_body,
-    post_head,
-    read_head,
-)
+from tests.fakes import BalancerHarness, Client, http_response, read_message, run, running_balancer
 from tests.proxy.test_send_progress import bytes_due
+from tests.raw_http import balancer_with_raw_upstream, framed_body, post_head, read_head
 
 SLOW_READING_S = 25.0
 PACE_S = 0.02
@@ -36,6 +31,8 @@
 MAX_BODY_SIZE = 32 * MIB
 CHUNK_SIZE = 50_000
 TAIL_BODY_SIZE = 300_000  # more than small buffers of the kernel hold
+SHORT_BODY_SIZE = 60_000  # not streamed
+PIPELINED_REQUESTS = 40
 LINGERING_PAUSE_S = 3.0
 IDLE_PAUSE_S = 12.5
 READER_LIMIT = 2048  # bytes; a client buffers hardly more than it has read
@@ -288,6 +285,25 @@
     run(test())
 
 
+def test_short_responses_wait_for_a_client_that_reads_late(small_send_buffers: None) -> None:
+    """Guards against closing a connection as idle while responses to pipelined requests wait."""
+
+    async def test() -> None:
+        async with running_balancer() as harness:
+            upstream = harness.upstreams[0]
+            upstream.script = [http_response(200, bytes(SHORT_BODY_SIZE))] * PIPELINED_REQUESTS
+            reader, writer = await asyncio.open_connection(*harness.address, limit=READER_LIMIT)
+            client = Client(reader, writer)
+            for number in range(PIPELINED_REQUESTS):
+                client.send(f"r{number}")
+            await asyncio.sleep(IDLE_PAUSE_S)
+            # Requests that were read too late are rejected.
+            statuses = [(await read_message(reader)).status for _ in range(PIPELINED_REQUESTS)]
+            assert statuses[0] == 200 and set(statuses) <= {200, 503}
+
+    run(test())
+
+
 @pytest.fixture
 def short_limits(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten the time limits of peers that take nothing."""
