--- a/deploy/build.py
+++ b/deploy/build.py
@@ -3,13 +3,15 @@
 The copy stands in `.compiled`; its hot modules are compiled with mypyc. Where that can't be done
 (without a compiler, say) the copy is left as plain Python, and a message says so.
 
-Only what is needed is done again: the copy holds the checksum of all its sources.
+Only what is needed is done again: the copy holds the checksum of all its sources, of the compiler's
+settings and of the kind of machine. What was made on another kind of machine is made again.
 """
 
 from __future__ import annotations
 
 import hashlib
 import os
+import platform
 import shutil
 import subprocess
 import sys
@@ -30,6 +32,8 @@
 # Without these, a compiler may fuse a multiplication and an addition, which rounds once instead of
 # twice: the policy would decide differently from the uncompiled one, and by architecture.
 FLOATING_POINT_FLAGS = "-fno-fast-math -ffp-contract=off"
+# Environment variables that change what the compiler produces.
+COMPILER_VARIABLES = ("CC", "CFLAGS", "CPPFLAGS", "LDFLAGS", "LDSHARED")
 # What compiled modules have to run before they are used: one request through the policy.
 SMOKE_TEST = """
 from loadbalancer.policy import Balancer, api
@@ -40,17 +44,33 @@
 """
 
 
+def machine_kind() -> str:
+    """Return the architecture and the interpreter, which binary packages depend on."""
+    return f"{platform.machine()} {sys.version}"
+
+
 def create_environment() -> None:
-    """Create the virtual environment, unless it has the required packages."""
+    """Create the virtual environment, unless it has the required packages for this machine."""
+    folder = ROOT / ".venv"
     required = (ROOT / "requirements.txt").read_text()
-    stamp = ROOT / ".venv/requirements.txt"
-    if PYTHON.exists() and stamp.exists() and stamp.read_text() == required:
+    packages_stamp = folder / "requirements.txt"
+    machine_stamp = folder / "machine"
+    is_for_this_machine = _content(machine_stamp) == machine_kind()
+    if PYTHON.exists() and is_for_this_machine and _content(packages_stamp) == required:
         return
-    venv.create(ROOT / ".venv", with_pip=True)
+    if folder.exists() and not is_for_this_machine:
+        print(f"made again, not of this kind of machine: {folder.name}", file=sys.stderr)
+    venv.create(folder, with_pip=True, clear=not is_for_this_machine)
     subprocess.run(
         [PYTHON, "-m", "pip", "-q", "install", "-r", ROOT / "requirements.txt"], check=True
     )
-    stamp.write_text(required)
+    packages_stamp.write_text(required)
+    machine_stamp.write_text(machine_kind())
+
+
+def _content(path: Path) -> str | None:
+    """Return the content of a file, or None if it does not exist."""
+    return path.read_text() if path.exists() else None
 
 
 def sources() -> list[Path]:
@@ -70,8 +90,10 @@
 
 
 def source_checksum() -> str:
-    """Return a checksum of the interpreter, this program and all sources."""
-    total = hashlib.sha256(sys.version.encode() + Path(__file__).read_bytes())
+    """Return a checksum of the machine, the compiler's settings, this program and all sources."""
+    settings = [f"{name}={os.environ.get(name)}" for name in COMPILER_VARIABLES]
+    total = hashlib.sha256("\0".join([machine_kind(), *settings]).encode())
+    total.update(Path(__file__).read_bytes())
     for path in sources():
         total.update(str(path.relative_to(ROOT)).encode() + path.read_bytes())
     return total.hexdigest()
@@ -140,8 +162,10 @@
 def build_package(checksum: str) -> None:
     """Build the copy of the package, unless it has this checksum."""
     stamp = COMPILED / "checksum"
-    if stamp.exists() and stamp.read_text() == checksum:
+    if _content(stamp) == checksum:
         return
+    if _content(COMPILED / "machine") not in {None, machine_kind()}:
+        print(f"made again, not of this kind of machine: {COMPILED.name}", file=sys.stderr)
     fresh = ROOT / ".compiled.new"
     copy_sources(fresh)
     try:
@@ -155,6 +179,7 @@
     shutil.rmtree(fresh / "build", ignore_errors=True)
     shutil.rmtree(fresh / ".mypy_cache", ignore_errors=True)
     (fresh / "checksum").write_text(checksum)
+    (fresh / "machine").write_text(machine_kind())
     shutil.rmtree(COMPILED, ignore_errors=True)
     fresh.rename(COMPILED)
 
