Log and count list versions, upstream states, slow starts and why requests end

For the incident of the cold upstreams: of all that its timeline needs, the log of a balancer had one line. Now each process says which list version came, which upstream changed its state, when a slow start begins and ends with the estimate in force, the proxies it reckons with and the gap, and why a request was given up, retried or closed.

--- a/loadbalancer/policy/admission.py
+++ b/loadbalancer/policy/admission.py
@@ -12,6 +12,7 @@
 from loadbalancer.policy.requests import KeyQueue, Request, WaitState
 from loadbalancer.policy.timers import KeyQueueTimer, QueueDeadlineTimer, TokenTimer
 from loadbalancer.policy.token_bucket import Offer, TokenBucket
+from loadbalancer.policy.transitions import GiveUpReason
 
 # A request is rejected if the queue ahead of it would use more than this fraction of its spare
 # time. The fraction is lower for tenants that exceed their share, so their requests are rejected
@@ -40,7 +41,7 @@
         self.context.requests[request.id] = request
         expected_ns = self.context.concurrency.expected_ns(request_class, request.cost_hint_ns)
         if self._is_shed(request, now):
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.SHED_BY_PLAN)
             return
         waited_ns = now - (event.received_ns or now)
         is_late = expected_ns < request_class.latency_objective_ns < waited_ns + expected_ns
@@ -48,7 +49,7 @@
             # The proxy read the request so late that the response would miss the latency
             # objective. Serving such requests would make those queued after them late as well.
             # This rejects too many requests if `expected_ns` is far too high.
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.READ_TOO_LATE)
             return
         self.dispatcher.set_queue_deadline(request, expected_ns, now)
         # A request that still waits at its queue deadline is rejected, whatever it waits for.
@@ -120,7 +121,7 @@
         """Give up a request that is still waiting at its queue deadline."""
         if request.wait_state is not WaitState.NOT_WAITING and now >= request.queue_deadline_ns:
             self.rate_controller.unplaced_count += request.wait_state is WaitState.UPSTREAM
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.WAITED_TOO_LONG)
 
     def token_due(self, bucket: TokenBucket[Request], now: int) -> None:
         """Handle the token timer of a bucket: admit the buffered requests that now have a token."""
@@ -148,7 +149,7 @@
         else:
             offer = bucket.offer(request, now)
         if offer is Offer.OVERFLOW:
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.NO_TOKEN)
         elif offer is Offer.BUFFERED:
             request.wait_state = WaitState.TOKEN
             self.release(bucket, now)
@@ -169,6 +170,6 @@
             and len(queue.waiting) * SECOND > served_per_s * spare_ns * fraction
         ):
             self.rate_controller.unplaced_count += 1
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.QUEUE_TOO_LONG)
             return
         self.dispatcher.enqueue(request, now)
--- a/loadbalancer/policy/attempt_tracker.py
+++ b/loadbalancer/policy/attempt_tracker.py
@@ -12,6 +12,7 @@
 from loadbalancer.policy.dispatch import Dispatcher
 from loadbalancer.policy.requests import Request
 from loadbalancer.policy.timers import AttemptLateTimer, ServeQueuesTimer
+from loadbalancer.policy.transitions import GiveUpReason, RequestRetried
 from loadbalancer.policy.upstream_stats import EJECT_ERROR_RATE, UpstreamStats
 
 LATE_CHECK_NS = SECOND // 50  # between checks whether a late attempt must be cancelled
@@ -178,9 +179,14 @@
     def _retry(self, request: Request, now: int) -> None:
         """Queue a request without attempts in flight for a retry, or give it up."""
         if request.attempts and self._may_retry(request, now) and now < request.queue_deadline_ns:
+            last = request.attempts[-1]
+            assert last.result is not None
+            self.context.transitions.append(
+                RequestRetried(request.id, last.upstream.id, last.result)
+            )
             self.dispatcher.enqueue_first(request, now)
         else:
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.ATTEMPTS_FAILED)
 
     def _may_retry(self, request: Request, now: int) -> bool:
         limits = self.settings.limits
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 from loadbalancer.policy import api, learned_state
@@ -31,6 +31,7 @@
     TokenTimer,
 )
 from loadbalancer.policy.token_bucket import TokenBucket
+from loadbalancer.policy.transitions import Transition
 
 MIN_TENANT_WEIGHT: Final = 1e-6
 # Upstreams outside the subset are not used if they are slower than this, relative to expected.
@@ -77,6 +78,7 @@
         """
         actions: list[api.Action] = []
         self.context.actions = actions
+        self.context.transitions.clear()
         for event in events:
             self._handle_event(event, now)
         timer = self.timers.pop_due(now)
@@ -91,6 +93,11 @@
             actions.append(wake_up)
         return actions
 
+    @property
+    def transitions(self) -> Sequence[Transition]:
+        """What the last `handle` call decided and why, for logs and metrics."""
+        return self.context.transitions
+
     def learned_state(self) -> api.LearnedState:
         """Return the learned state, to be restored after a restart."""
         return learned_state.capture(self.context)
@@ -165,12 +172,13 @@
         self.rate_controller.adjust(
             now, self.concurrency.latency_ratio - self.concurrency.overload_ratio
         )
-        availability = upstream_set.availability
+        slow_start = upstream_set.slow_start
         width = max(1, upstream_set.main_pool.width)
         finished_per_upstream_s = self.rate_controller.finished_per_s / width
-        availability.attempts_per_upstream_s += ATTEMPTS_GAIN * (
-            finished_per_upstream_s - availability.attempts_per_upstream_s
+        slow_start.attempts_per_upstream_s += ATTEMPTS_GAIN * (
+            finished_per_upstream_s - slow_start.attempts_per_upstream_s
         )
+        slow_start.end_expired(now)
         self._release_tokens(now)
 
     def _update_widths(self) -> None:
--- a/loadbalancer/policy/completion.py
+++ b/loadbalancer/policy/completion.py
@@ -7,6 +7,7 @@
 from loadbalancer.policy.context import PolicyContext
 from loadbalancer.policy.requests import KeyQueue, Request, WaitState
 from loadbalancer.policy.timers import KeyQueueTimer
+from loadbalancer.policy.transitions import GiveUpReason, RequestGivenUp
 
 
 class Completion:
@@ -16,9 +17,10 @@
         self.context = context
         self.limits = context.settings.limits
 
-    def give_up(self, request: Request) -> None:
+    def give_up(self, request: Request, reason: GiveUpReason) -> None:
         """Reject a request that is not served if a retry is safe; otherwise fail it."""
         context = self.context
+        context.transitions.append(RequestGivenUp(request.id, reason, len(request.attempts)))
         if request.may_reject():
             delay_ns = self._retry_after_ns()
             context.actions.append(
--- a/loadbalancer/policy/context.py
+++ b/loadbalancer/policy/context.py
@@ -12,6 +12,7 @@
 from loadbalancer.policy.requests import KeyQueue, Request
 from loadbalancer.policy.timers import TimerQueue
 from loadbalancer.policy.token_bucket import TokenBucket
+from loadbalancer.policy.transitions import Transition
 from loadbalancer.policy.upstream_set import UpstreamSet
 
 # Timeout of a load query: this fraction of the shortest latency objective, between the two bounds.
@@ -38,7 +39,8 @@
         self.buckets = buckets
         self.rate_controller = rate_controller
         self.concurrency = ConcurrencyLimit()
-        self.upstream_set = UpstreamSet(settings, self.concurrency, rng)
+        self.transitions: list[Transition] = []  # of the current `Balancer.handle` call
+        self.upstream_set = UpstreamSet(settings, self.concurrency, rng, self.transitions)
         self.timers = TimerQueue()
         self.requests: dict[str, Request] = {}
         self.key_queues: dict[str, KeyQueue] = {}
--- a/loadbalancer/policy/dispatch.py
+++ b/loadbalancer/policy/dispatch.py
@@ -15,6 +15,7 @@
     AttemptOverdueTimer,
     ServeQueuesTimer,
 )
+from loadbalancer.policy.transitions import GiveUpReason
 from loadbalancer.policy.upstream_stats import UpstreamStats
 
 # An attempt is overdue once it has been in flight for its expected service time multiplied by
@@ -141,7 +142,7 @@
                 # Every eligible upstream is busy or would answer too late. The request is given
                 # up so that it does not block the queue.
                 self.context.rate_controller.unplaced_count += 1
-                self.completion.give_up(request)
+                self.completion.give_up(request, GiveUpReason.UPSTREAMS_BUSY)
             else:
                 available -= self._dispatch_first(queue, upstream, now)
 
@@ -183,7 +184,7 @@
         request = queue.waiting.popleft()
         request.wait_state = WaitState.NOT_WAITING
         if not request.may_send(upstream, now, self.limits):
-            self.completion.give_up(request)
+            self.completion.give_up(request, GiveUpReason.NOT_ALLOWED)
             return 0
         self.start_attempt(request, upstream, now)
         return int(upstream.avoid_until_ns > now)  # slow start spaces the attempts at an upstream
@@ -206,9 +207,10 @@
         )
         if request.body_complete:
             self.begin_execution(request, number, now)
-        if self.availability.is_in_slow_start(upstream, now):
-            gap_ns = self.availability.slow_start_gap_ns(upstream, now)
-            self.availability.avoid(upstream, now + gap_ns)
+        slow_start = self.availability.slow_start
+        if slow_start.is_active(upstream, now):
+            slow_start.count_attempt(upstream)
+            self.availability.avoid(upstream, now + slow_start.gap_ns(upstream, now))
             self.timers.schedule(upstream.avoid_until_ns, ServeQueuesTimer())
         timeout_ns = self._attempt_timeout_ns(request, number, now)
         self.context.actions.append(
--- a/loadbalancer/policy/pool.py
+++ b/loadbalancer/policy/pool.py
@@ -251,7 +251,7 @@
             del avoided[upstream.id]
         return width - sum(
             positions.get(number, width) < width
-            and not (upstream.in_flight and availability.is_in_slow_start(upstream, now))
+            and not (upstream.in_flight and availability.slow_start.is_active(upstream, now))
             for number, upstream in avoided.items()
         )
 
--- a/loadbalancer/policy/upstream_set.py
+++ b/loadbalancer/policy/upstream_set.py
@@ -19,6 +19,7 @@
 )
 from loadbalancer.policy.pool import MAX_SCAN, Pool, SubsetOptions
 from loadbalancer.policy.subset_ring import SubsetRing
+from loadbalancer.policy.transitions import Transition
 from loadbalancer.policy.upstream_stats import (
     CROSS_ZONE_PENALTY,
     EJECT_ERROR_RATE,
@@ -49,12 +50,17 @@
     """The upstreams of this proxy, and the pools that serve the request classes."""
 
     def __init__(
-        self, settings: api.Settings, concurrency: ConcurrencyLimit, rng: random.Random
+        self,
+        settings: api.Settings,
+        concurrency: ConcurrencyLimit,
+        rng: random.Random,
+        transitions: list[Transition],
     ) -> None:
         self.settings = settings
         self.concurrency = concurrency
         self.rng = rng
-        self.availability = Availability(settings, concurrency, rng)
+        self.availability = Availability(settings, concurrency, rng, transitions)
+        self.slow_start = self.availability.slow_start
         self.upstreams: dict[int, UpstreamStats] = {}
         # Relative service time and last start, learned before a restart, of upstreams that are not
         # listed yet.
@@ -107,8 +113,8 @@
                 upstream.failure_count = 0
                 upstream.avoid_until_ns = 0
             is_new = previous is entry
-            if self.availability.is_in_slow_start(upstream, now) and (is_restarted or is_new):
-                self.availability.avoid_before_first_attempt(upstream, now)
+            if self.slow_start.is_active(upstream, now) and (is_restarted or is_new):
+                self.availability.begin_slow_start(upstream, now)
             self.ring.update(upstream)
             self.forget_removed(upstream)
         self.update_pools(now)
@@ -167,8 +173,8 @@
             if upstream is not None:
                 upstream.enabled_ns = now
                 upstream.failure_count = 0
-                if self.availability.is_in_slow_start(upstream, now):
-                    self.availability.avoid_before_first_attempt(upstream, now)
+                if self.slow_start.is_active(upstream, now):
+                    self.availability.begin_slow_start(upstream, now)
                 else:
                     self.availability.avoid(upstream, now)
         if upstream is not None:
@@ -180,11 +186,12 @@
         """Apply a traffic plan: zone fractions, and attempt rates in slow start."""
         previous = self.plan.slow_start_rates_per_s
         self.availability.plan = plan
+        self.slow_start.planned_rates_per_s = plan.slow_start_rates_per_s
         for upstream in self.upstreams.values():
             upstream.traffic_fraction = plan.zone_fractions.get(upstream.entry.zone, 1.0)
             is_changed = plan.slow_start_rates_per_s.get(upstream.id) != previous.get(upstream.id)
-            if self.availability.is_in_slow_start(upstream, now) and is_changed:
-                self.availability.avoid_before_first_attempt(upstream, now)
+            if self.slow_start.is_active(upstream, now) and is_changed:
+                self.availability.begin_slow_start(upstream, now)
             self.ring.update(upstream)
         self.update_pools(now)
 
@@ -202,9 +209,7 @@
         for pool in self.pools.values():
             pool.update(self.ring, options)
         subset_size = self.main_pool.subset_size
-        self.availability.proxies_per_upstream = max(
-            1.0, proxies * subset_size / max(1, ready_count)
-        )
+        self.slow_start.proxies_per_upstream = max(1.0, proxies * subset_size / max(1, ready_count))
         # Bounded subsets may leave upstreams that are in no proxy's subset and serve no requests
         # yet.
         subset_upstreams = min(ready_count, subset_size * proxies)
--- a/loadbalancer/proxy/admin_api.py
+++ b/loadbalancer/proxy/admin_api.py
@@ -1,6 +1,7 @@
 """Admin API: the `mgmt` listener, which serves one call per connection.
 
     GET /-/ready                      whether this process accepts clients
+    GET /-/metrics                    counters of this process, in the Prometheus text format
     POST /-/upstreams/ID/disable      send no new request to this upstream
     POST /-/upstreams/ID/enable       use it again
 
@@ -60,14 +61,21 @@
     Args:
         ready: Whether this process accepts clients.
         switch: Disables and enables upstreams.
+        metrics_text: Returns the counters of this process.
 
     Attributes:
         calls: Open calls, oldest first.
     """
 
-    def __init__(self, ready: Callable[[], bool], switch: UpstreamSwitch) -> None:
+    def __init__(
+        self,
+        ready: Callable[[], bool],
+        switch: UpstreamSwitch,
+        metrics_text: Callable[[], str],
+    ) -> None:
         self.ready = ready
         self.switch = switch
+        self.metrics_text = metrics_text
         self.calls: dict[Call, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
@@ -119,6 +127,9 @@
                 if not self.ready():
                     raise CallDeclinedError(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
                 return "ready"
+            case ["", "-", "metrics"]:
+                require_method(request, b"GET")
+                return self.metrics_text()
             case ["", "-", "upstreams", name, "disable" | "enable" as what] if name:
                 require_method(request, b"POST")
                 name = unquote(name)
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -106,6 +106,7 @@
         self._count_progress(len(data))
         if not self.can_parse and len(self.unparsed) > MAX_BODY:
             # Requests are served one at a time; unlimited pipelined input would exhaust memory.
+            self.driver.traffic_log.request_closed("-", "too much pipelined input")
             self.abort()
             return
         self.unparsed += data
@@ -285,6 +286,7 @@
         try:
             request = self.intake.open_request(head, self, self.received_ns)
         except UnacceptableMessageError as error:
+            self.driver.traffic_log.request_closed("-", f"not acceptable, {error.status}")
             # After a complete message the connection stays usable.
             self._answer(
                 error.status, [], f"{error}\n".encode(), close_after_answer=stream is not None
@@ -298,6 +300,8 @@
             self.upload = stream
             stream.attach(self)
         if not self.driver.arrive(request):
+            name = request.arrival.request
+            self.driver.traffic_log.request_closed(name, "too many open requests")
             self.reject(0)
 
     def _body_completed(self) -> None:
@@ -332,6 +336,7 @@
 
     def _reject_input(self, status: int, reason: str) -> None:
         """Answer invalid input and stop reading."""
+        self.driver.traffic_log.request_closed("-", f"input rejected with {status}")
         self._answer(status, [], f"{reason}\n".encode(), close_after_answer=True)
 
     def _answer(
--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -100,6 +100,7 @@
             self.version = cached.version
             self.watch.on_list_known()
             self.listener(api.EndpointListKind.CACHED, cached.endpoints)
+            self._log_list(api.EndpointListKind.CACHED, cached.endpoints)
         if self.is_always_watching:
             self.subscribe(True)
 
@@ -192,8 +193,15 @@
         if endpoints or is_full or not self.is_always_watching:
             kind = api.EndpointListKind.FULL if is_full else api.EndpointListKind.DELTA
             self.listener(kind, endpoints)
+            self._log_list(kind, endpoints)
         self.driver.start_times.list_received(time.monotonic_ns())
 
+    def _log_list(self, kind: api.EndpointListKind, endpoints: list[Endpoint]) -> None:
+        driver = self.driver
+        driver.traffic_log.endpoint_list_received(
+            kind, self.version, len(endpoints), len(driver.upstreams.targets)
+        )
+
     def _target(self, poll: Poll) -> bytes:
         if poll.kind is PollKind.FULL_LIST:
             return PATH
--- a/loadbalancer/proxy/endpoint.py
+++ b/loadbalancer/proxy/endpoint.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from loadbalancer.policy import api
@@ -25,6 +25,19 @@
     started_ms: int
 
 
+class UpstreamChange(NamedTuple):
+    """A change of an upstream's state, or its restart.
+
+    Attributes:
+        name: The operators' id of the upstream, or its number if the list has no ids.
+        started_ms: When the process started, as Unix time in milliseconds; 0: long ago.
+    """
+
+    name: str
+    state: api.UpstreamState
+    started_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """An entry of the endpoint list.
@@ -33,12 +46,18 @@
         entry: The policy's entry. The driver sets its start time, which it converts from
             `started_ms` to this process's monotonic clock.
         started_ms: When the process started, as Unix time in milliseconds; 0: long ago.
+        name: The operators' id, for logs; empty where the list has numbers only.
     """
 
     entry: api.Upstream
     host: str
     port: int
     started_ms: int = 0
+    name: str = field(default="", compare=False)
+
+    def change(self, state: api.UpstreamState) -> UpstreamChange:
+        """Return the change to this state."""
+        return UpstreamChange(self.name or str(self.entry.id), state, self.started_ms)
 
     @property
     def process(self) -> UpstreamProcess:
--- a/loadbalancer/proxy/endpoint_list.py
+++ b/loadbalancer/proxy/endpoint_list.py
@@ -41,6 +41,7 @@
     """
     row = checked(raw, "server", dict)
     state = choice(row, "state", STATES, "Ready")
+    name = required(row, "id", str)
     host, port = "", 0  # a removed upstream needs no address
     if state is not api.UpstreamState.REMOVED:
         host, port = split_address(required(row, "addr", str))
@@ -55,7 +56,7 @@
         raise MalformedError("weight or started_ms is out of range")
     return Endpoint(
         api.Upstream(
-            upstream_number(required(row, "id", str)),
+            upstream_number(name),
             state,
             optional(row, "zone", str, ""),
             optional(row, "cell", int, 0),
@@ -65,6 +66,7 @@
         host,
         port,
         int(started_ms),
+        name,
     )
 
 
--- a/loadbalancer/proxy/policy_driver.py
+++ b/loadbalancer/proxy/policy_driver.py
@@ -26,6 +26,7 @@
 from loadbalancer.proxy.request_table import RequestTable
 from loadbalancer.proxy.requests import OpenRequest
 from loadbalancer.proxy.timers import call_after
+from loadbalancer.proxy.traffic_log import TrafficLog
 from loadbalancer.proxy.upstream import AttemptCallback, ExpectedBodies, Timing, Upstreams
 from loadbalancer.proxy.upstream_response import LoadReport
 from loadbalancer.wallclock import StartTimes
@@ -75,6 +76,7 @@
         self.loop = asyncio.get_running_loop()
         self.balancer = Balancer(settings, seed, time.monotonic_ns())
         self.violations = PolicyViolations()
+        self.traffic_log = TrafficLog(upstreams.name)
         self.start_times = StartTimes()
         self.pending_events: list[api.Event] = []
         self.table = RequestTable(settings.limits.max_open, self.post)
@@ -142,6 +144,7 @@
     def client_gone(self, request: OpenRequest) -> None:
         """End a request whose client has disconnected."""
         if self.table.end(request):
+            self.traffic_log.request_closed(request.arrival.request, "client gone")
             if request.stream is not None and not request.stream.ended:
                 # Without the body's last byte, which will never be received, the attempt fails too.
                 request.stream.fail()
@@ -154,10 +157,17 @@
             endpoints = [self._with_start_time(e, now_ns) for e in endpoints]
             if kind is not api.EndpointListKind.CACHED:
                 self.start_times.list_received(now_ns)
-            self.upstreams.learn(endpoints, full=kind is not api.EndpointListKind.DELTA)
+            is_full = kind is not api.EndpointListKind.DELTA
+            for change in self.upstreams.learn(endpoints, is_full):
+                self.traffic_log.upstream_changed(change)
             self.list_received.set()
         self.post(api.EndpointsUpdated(kind, [e.entry for e in endpoints]))
 
+    def metrics_text(self) -> str:
+        """Return the counters of this process in the Prometheus text format."""
+        denials = {reason.value: count for reason, count in self.violations.counts.items()}
+        return self.traffic_log.metrics_text(denials)
+
     def set_trusted(self, on: bool) -> None:
         """Set whether the endpoint list is recent enough; if not, no attempt starts."""
         self.upstreams.set_trusted(on)
@@ -196,6 +206,7 @@
         self.pending_events = []
         now = time.monotonic_ns()
         actions = self._run_policy(now, events)
+        self.traffic_log.record(self.balancer.transitions)
         if self.event_listener is not None:
             self.event_listener(now, events)
         for action in actions:
@@ -231,6 +242,9 @@
 
     def end_open(self) -> None:
         """Answer all open requests with an error because this process is shutting down."""
+        for request in self.table.requests.values():
+            if not request.finished:
+                self.traffic_log.request_closed(request.arrival.request, "shutdown")
         self.table.fail_all()
 
     # ---- actions ---------------------------------------------------------------------------------
--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -87,7 +87,9 @@
         self.frontend = Frontend(
             self.driver, listener, self.limits.shares.clients, self.body_memory
         )
-        self.admin_api = AdminApi(lambda: self.frontend.ready, self.disabled)
+        self.admin_api = AdminApi(
+            lambda: self.frontend.ready, self.disabled, self.driver.metrics_text
+        )
         self.companion: Companion | None = None
 
     def _make_discovery(self) -> Discovery | FixedList:
--- a/loadbalancer/proxy/upstream.py
+++ b/loadbalancer/proxy/upstream.py
@@ -8,7 +8,7 @@
 from loadbalancer.policy import api
 from loadbalancer.proxy.body_stream import Body, BodyMemory
 from loadbalancer.proxy.connection_pool import ConnectionPool, Target
-from loadbalancer.proxy.endpoint import Endpoint
+from loadbalancer.proxy.endpoint import Endpoint, UpstreamChange
 from loadbalancer.proxy.exchange import Exchange, ExpectedResponse, Outgoing
 from loadbalancer.proxy.messages import Response, message
 from loadbalancer.proxy.parse import MAX_BODY
@@ -79,7 +79,7 @@
 
     # ---- the list --------------------------------------------------------------------------------
 
-    def learn(self, endpoints: Iterable[Endpoint], full: bool) -> None:
+    def learn(self, endpoints: Iterable[Endpoint], full: bool) -> list[UpstreamChange]:
         """Apply an endpoint list.
 
         Idle connections to upstreams that are draining, were restarted, changed their address or
@@ -88,26 +88,39 @@
         Args:
             endpoints: All entries, or the changed entries of a delta.
             full: Whether the list is complete, so that upstreams missing from it are removed.
+
+        Returns:
+            The upstreams whose state changed, or which were restarted.
         """
         named = set()
+        changes: list[UpstreamChange] = []
         for new in endpoints:
             named.add(new.entry.id)
             self._record_number(new.entry.id)
             target = self.targets.get(new.entry.id)
             if new.entry.state is api.UpstreamState.REMOVED:
-                self._remove(new.entry.id)
+                changes += self._remove(new.entry.id)
                 continue
-            if target is None or target.endpoint.process != new.process:
+            is_restarted = target is None or target.endpoint.process != new.process
+            if target is None or is_restarted:
                 # With a new target, connections of the old process that are still in use are closed
                 # after their exchange.
                 self._remove(new.entry.id)
                 target = Target(new)
                 self.targets[new.entry.id] = target
+            if is_restarted or target.endpoint.entry.state is not new.entry.state:
+                changes.append(new.change(new.entry.state))
             target.endpoint = new
             self._update_keep(target)
         if full:
             for removed in self.targets.keys() - named:
-                self._remove(removed)
+                changes += self._remove(removed)
+        return changes
+
+    def name(self, number: int) -> str:
+        """Return the operators' id of an upstream, or its number if that is not known."""
+        target = self.targets.get(number)
+        return (target.endpoint.name if target is not None else "") or str(number)
 
     def set_trusted(self, trusted: bool) -> None:
         """Set whether the endpoint list is recent enough for attempts to start."""
@@ -136,11 +149,14 @@
         if not target.keep:
             self.pool.drop_idle(target)
 
-    def _remove(self, number: int) -> None:
+    def _remove(self, number: int) -> list[UpstreamChange]:
+        """Remove an upstream, and return the change, if it was listed."""
         target = self.targets.pop(number, None)
-        if target is not None:
-            target.keep = False
-            self.pool.drop_idle(target)
+        if target is None:
+            return []
+        target.keep = False
+        self.pool.drop_idle(target)
+        return [target.endpoint.change(api.UpstreamState.REMOVED)]
 
     # ---- the cap on connections ------------------------------------------------------------------
 
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -72,9 +72,7 @@
     assert harness.outcome["r100"] == "refused"
     harness.deliver(api.UpstreamDisabled(disabled, False))
     upstream_set = harness.balancer.upstream_set
-    assert upstream_set.upstreams[
-        disabled
-    ].is_usable and upstream_set.availability.is_in_slow_start(
+    assert upstream_set.upstreams[disabled].is_usable and upstream_set.slow_start.is_active(
         upstream_set.upstreams[disabled], harness.now
     )
     harness.advance(600 * MS)
--- a/tests/proxy/test_admin_api.py
+++ b/tests/proxy/test_admin_api.py
@@ -47,6 +47,20 @@
     return response
 
 
+def test_metrics_call_counts_requests_and_lists() -> None:
+    async def test() -> None:
+        async with balancer_with_admin_api() as (harness, admin_address):
+            assert (await harness.ask("r1")).status == 200
+            metrics = await call(admin_address, "/-/metrics", "GET")
+            assert metrics.status == 200
+            rows = metrics.body.decode().splitlines()
+            assert 'loadbalancer_upstream_state_changes_total{state="ready"} 2' in rows
+            assert "# TYPE loadbalancer_requests_given_up_total counter" in rows
+            assert (await call(admin_address, "/-/metrics")).status == 405
+
+    run(test())
+
+
 def test_valid_calls_succeed_and_invalid_ones_are_rejected() -> None:
     """Guards against wrong methods, paths, names and malformed requests that have an effect."""
 
--- a/tests/proxy/test_event_loop_waits.py
+++ b/tests/proxy/test_event_loop_waits.py
@@ -40,6 +40,8 @@
     class TimerPolicy:
         """A policy with 20 consecutive timers, each set again until it is due."""
 
+        transitions = ()
+
         def __init__(self, config: api.Settings, seed: int, now: int) -> None:
             self.due_ns, self.timers_left = 0, 20
 
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -180,7 +180,8 @@
             may_respond.set()
             assert_last_response(await read_message(waiting_client.reader), b"slow")
             assert await process.wait() == 0
-            assert process.stderr is not None and await process.stderr.read() == b""
+            assert process.stderr is not None
+            assert await next_problem(process.stderr) == b""
         upstream.stop()
         discovery.stop()
 
@@ -215,6 +216,13 @@
     run(test())
 
 
+async def next_problem(log: asyncio.StreamReader) -> bytes:
+    """Return the next line above the level of information; nothing at the end of the log."""
+    while (line := await log.readline()).startswith(b"INFO "):
+        pass
+    return line
+
+
 @pytest.mark.parametrize(
     "old_behavior", ["holds a watch", "holds the first poll", "refuses connections"]
 )
@@ -242,7 +250,7 @@
             assert process.stderr is not None
             address = listen_address(configuration)
             if old_behavior == "refuses connections":
-                assert b"no connection" in await process.stderr.readline()
+                assert b"no connection" in await next_problem(process.stderr)
             else:
                 target = "from=41&" if old_behavior == "holds a watch" else "/v1/endpoints"
                 await old_discovery.until(
