--- a/loadbalancer/cli/lab.py
+++ b/loadbalancer/cli/lab.py
@@ -338,7 +338,7 @@
     seed: Seed = 1,
     seeds: Annotated[int, typer.Option(help="How many, from there on.", min=1)] = 1,
     seconds: Annotated[float, typer.Option(help="Of each, once all are ready.", min=3.0)] = 30.0,
-    balancers: Annotated[int, typer.Option(help="Real processes.", min=1, max=100)] = 24,
+    balancers: Annotated[int, typer.Option(help="Real processes.", min=1, max=300)] = 24,
     upstreams: Annotated[int, typer.Option(min=2, max=100)] = 8,
     rate: Annotated[float, typer.Option(help="Requests a second of each balancer.")] = 4.0,
     program: Annotated[Path, typer.Option(help="Where it stands, as .compiled.")] = PROGRAM,
@@ -347,6 +347,9 @@
     repeated: Annotated[
         float, typer.Option(help="Share of all responses behind which a second one follows.")
     ] = 0.0,
+    cold: Annotated[
+        bool, typer.Option("--cold", help="Upstreams come back cold under a burst.")
+    ] = False,
 ) -> None:
     """Real balancers on loopback under troubles that overlap, judged by the rules; a breach is
     status 1.
@@ -370,6 +373,7 @@
             only=names,
             repeated=repeated,
             crowd=not names and number % CROWD_EVERY == 0,
+            cold_returns=cold,
         )
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             verdict = runner.run(play(plan))
@@ -377,6 +381,7 @@
         out.print(
             f"seed {number}: {len(verdict.breaches)} breaches, {len(verdict.unsure)} unsure; "
             f"{len(verdict.history.troubles)} troubles; {counts}"
+            f"{f'; fullest window {verdict.fullest_window:.2f}' if cold else ''}"
             f"{'' if verdict.shimmed else '; no compiler, so no system call failed'}",
             soft_wrap=True,
         )
--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -4,6 +4,7 @@
 twice        what may not be repeated runs once; a keyed request not beyond its window
 drain        nothing new to an upstream that drains, went or is disabled, behind the grace
 late begin   no attempt begins more than 0.1 s after its client closed
+slow start   a cold upstream gets no more than its budget of a window, from all balancers together
 told         an attempt tells no more than its client has left, with 0.15 s of slack
 process      no process ends by itself, with another status than 0 (but one that was told to end
              before it was ready may end by that signal), or logs what nobody foresaw
@@ -22,12 +23,14 @@
     Attempt,
     Call,
     Change,
+    ColdStart,
     End,
     History,
     Kind,
     Process,
 )
 from loadbalancer.testbed.soak.plan import EARLIEST_KILL_NS, KILL_MARGIN_NS, MS, SECOND
+from loadbalancer.testbed.soak.slow_start_check import Overload, SlowStartRules, windows
 
 # How far a moment read here may be off: readings of two sockets, and the kernel's ticks of 4 ms.
 MARGIN_NS = 30 * MS
@@ -63,8 +66,16 @@
 class Checker:
     """Judges one history."""
 
-    def __init__(self, history: History, grace_ns: int, window_ns: int) -> None:
+    def __init__(
+        self,
+        history: History,
+        grace_ns: int,
+        window_ns: int,
+        slow_start: SlowStartRules | None = None,
+    ) -> None:
         self.history = history
+        self.slow_start = slow_start
+        self.homes = {asked.id: asked.balancer for asked in history.asked}
         self.grace_ns = grace_ns
         self.window_ns = window_ns
         self.by_id: dict[str, list[Attempt]] = defaultdict(list)
@@ -80,6 +91,7 @@
             *self._answered(),
             *self._twice(),
             *self._drain(),
+            *self._slow_start(),
             *self._begun_late(),
             *self._told(),
             *self._processes(),
@@ -150,13 +162,12 @@
         by_upstream: dict[str, list[Attempt]] = defaultdict(list)
         for attempt in self.history.attempts:
             by_upstream[attempt.upstream].append(attempt)
-        homes = {asked.id: asked.balancer for asked in self.history.asked}
         for change in self.history.changes:
             until_ns = change.until_ns or 1 << 62
             for attempt in by_upstream[change.upstream]:
                 if not change.made_ns < attempt.first_ns < until_ns:
                     continue
-                home = homes.get(attempt.id, -1)
+                home = self.homes.get(attempt.id, -1)
                 ago_ns = attempt.first_ns - self._told_at(home, attempt, change)
                 if ago_ns > self.grace_ns + RULE_SLACK_NS + MARGIN_NS:
                     what = f"request {attempt.id} by balancer {home} to {attempt.upstream}"
@@ -199,13 +210,12 @@
         return min([*told, reached_ns + TERM_NS])
 
     def _disabled(self, by_upstream: dict[str, list[Attempt]]) -> Iterator[Breach]:
-        homes = {asked.id: asked.balancer for asked in self.history.asked}
         for d in self.history.disabled:
             until_ns = d.until_ns or 1 << 62
             for attempt in by_upstream[d.upstream]:
                 over_ns = attempt.first_ns - d.from_ns - self.grace_ns
                 if (
-                    homes.get(attempt.id) == d.balancer
+                    self.homes.get(attempt.id) == d.balancer
                     and over_ns > RULE_SLACK_NS + MARGIN_NS
                     and attempt.first_ns < until_ns - MARGIN_NS
                 ):
@@ -216,6 +226,48 @@
                         "drain", attempt.first_ns, f"{what}, {over_ns / 1e9:.3f} s behind the grace"
                     )
 
+    # ---- slow start ------------------------------------------------------------------------------
+
+    def _windows(self, start: ColdStart) -> Iterator[Overload]:
+        if self.slow_start is not None:
+            yield from windows(start, self.history.attempts, self.slow_start, self._is_notified)
+
+    def fullest_window(self) -> float:
+        """Return the most of its limit that a cold upstream got in a window."""
+        ratios = (w.ratio for start in self.history.cold_starts for w in self._windows(start))
+        return max(ratios, default=0.0)
+
+    def _slow_start(self) -> Iterator[Breach]:
+        """The first window over the limit of each start: the upstream falls then."""
+        for start in self.history.cold_starts:
+            first = next((w for w in self._windows(start) if w.ratio > 1.0), None)
+            if first is not None and first.is_breach:
+                age_s = (first.at_ns - start.started_ns) / SECOND
+                what = (
+                    f"upstream {start.change.upstream}, {age_s:.2f} s after its start: {first.sent}"
+                    f" in a window, at most {first.limit:.1f}; {first.notified} notified"
+                )
+                yield Breach("slow start", first.at_ns, what)
+
+    def _is_notified(self, attempt: Attempt, start: ColdStart) -> bool:
+        """Whether the process that sent it counts as notified of the start.
+
+        A process that began after the change had the upstream in its first list.
+        """
+        balancer = self.homes.get(attempt.id, -1)
+        change = start.change
+        running = [
+            process
+            for process in self.history.processes
+            if process.balancer == balancer
+            and process.started_ns < attempt.first_ns < (process.ended_ns or 1 << 62)
+        ]
+        return bool(running) and all(
+            process.started_ns >= change.made_ns
+            or self._told_ns(process, change) <= attempt.first_ns
+            for process in running
+        )
+
     # ---- attempts --------------------------------------------------------------------------------
 
     def _begun_late(self) -> Iterator[Breach]:
--- a/loadbalancer/testbed/soak/clients.py
+++ b/loadbalancer/testbed/soak/clients.py
@@ -20,6 +20,7 @@
 SHORTEST_MS, LONGEST_MS = 60, 2_500
 SLOW_WRITE_S = 0.01, 0.4
 CROWDED_WRITE_S = 0.01, 2.0  # in a crowd some take longer
+UNEVEN = 0.5, 0.5, 0.75, 0.75, 2.5  # of the mean rate; their mean is 1
 LOOK_BACK = 500  # attempts of all balancers: more than come while a request is open
 
 
@@ -61,7 +62,9 @@
         self.history = history
         self.balancer = balancer
         self.port = port
-        self.rate = plan.rate
+        self.rate = plan.client_rate
+        if plan.cold_returns:  # some balancers get several times the mean
+            self.rate *= rng.choice(UNEVEN)
         self.in_crowd = plan.crowd
         self.rng = rng
         self.kept: list[Link] = []
--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Sequence
 from typing import cast
 from urllib.parse import parse_qs
 
@@ -51,9 +52,14 @@
 
     def change(self, row: Json) -> int:
         """An upstream is so from now on; who watches is told. Gives the version."""
+        return self.change_all([row])
+
+    def change_all(self, rows: Sequence[Json]) -> int:
+        """Several upstreams are so from now on, in one version."""
         self.version += 1
-        self.rows[row["id"]] = row
-        self.changed.append((self.version, row["id"]))
+        for row in rows:
+            self.rows[row["id"]] = row
+            self.changed.append((self.version, row["id"]))
         for link in list(self.links):
             link.changed()
         return self.version
--- a/loadbalancer/testbed/soak/history.py
+++ b/loadbalancer/testbed/soak/history.py
@@ -74,6 +74,22 @@
     until_ns: int = 0  # 0: for good
 
 
+@dataclass(slots=True)
+class ColdStart:
+    """An upstream came back cold.
+
+    Attributes:
+        process: Of the upstream: it counts its starts.
+        warm_per_s: Requests a second that it serves once warm.
+        change: The list named it again.
+    """
+
+    process: int
+    started_ns: int
+    warm_per_s: float
+    change: Change
+
+
 @dataclass(slots=True)
 class Call:
     """A call to discovery by one connection. `silent_ns`: it fell silent then; `told`: the version
@@ -125,6 +141,7 @@
     asked: list[Asked] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
+    cold_starts: list[ColdStart] = field(default_factory=list)
     calls: list[Call] = field(default_factory=list)
     processes: list[Process] = field(default_factory=list)
     disabled: list[Disabled] = field(default_factory=list)
--- a/loadbalancer/testbed/soak/plan.py
+++ b/loadbalancer/testbed/soak/plan.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from loadbalancer.settings import Json
+from loadbalancer.testbed.soak.capacity import Capacity
 
 MS: Final = 1_000_000
 SECOND: Final = 1_000 * MS
@@ -23,6 +24,14 @@
 FALL_WINDOW_NS: Final = 1_500 * MS
 MEMORY_MB: Final = 192
 DESCRIPTORS: Final = 512
+# Where upstreams come back cold: each serves 16.7 requests a second, and is warm after this time.
+COLD_RETURN_NS: Final = 8 * SECOND
+CORES: Final = 2
+MEAN_WORK_S: Final = 0.12
+QUEUE: Final = 2
+COLD_RETURN_LOAD: Final = 0.7  # of what all upstreams serve, before the burst
+OBJECTIVE_NS: Final = SECOND
+COLD_RETURN_OBJECTIVE_NS: Final = 400 * MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +46,7 @@
         only: Troubles by name; empty: all.
         repeated: The share of all upstreams' responses behind which a second one follows.
         crowd: Thousands connect and never finish a request; limits are cut by half.
+        cold_returns: Upstreams of limited capacity are lost and come back cold under a burst.
     """
 
     seed: int
@@ -50,6 +60,26 @@
     only: frozenset[str] = frozenset()
     repeated: float = 0.0
     crowd: bool = False
+    cold_returns: bool = False
+
+    @property
+    def cold_ns(self) -> int:
+        """The time in which an upstream warms up."""
+        return COLD_RETURN_NS if self.cold_returns else COLD_NS
+
+    @property
+    def capacity(self) -> Capacity | None:
+        """What an upstream can serve; None: without limits."""
+        if not self.cold_returns:
+            return None
+        return Capacity(CORES, MEAN_WORK_S, QUEUE, COLD_SHARE, self.cold_ns / SECOND)
+
+    @property
+    def client_rate(self) -> float:
+        """Requests a second of each balancer, before any burst."""
+        if self.capacity is None:
+            return self.rate
+        return COLD_RETURN_LOAD * self.capacity.warm_per_s * self.upstreams / self.balancers
 
     @property
     def memory_mb(self) -> int:
@@ -69,7 +99,7 @@
         return {
             "name": name,
             "repeat": repeat,
-            "aim_ns": SECOND,
+            "aim_ns": COLD_RETURN_OBJECTIVE_NS if plan.cold_returns else OBJECTIVE_NS,
             "hard_limit_ns": LONGEST_DEADLINE_NS,
             "worth": 1.0,
             "window_ns": REPEAT_WINDOW_NS,
@@ -100,7 +130,7 @@
             "stop_sending_within_ns": DRAIN_GRACE_NS,
             "ask_within_ns": 10 * SECOND,
             "cold_from": COLD_SHARE,
-            "cold_ns": COLD_NS,
+            "cold_ns": plan.cold_ns,
             "fall_multiple": FALL_MULTIPLE,
             "overload_for_ns": FALL_WINDOW_NS,
         },
--- a/loadbalancer/testbed/soak/run.py
+++ b/loadbalancer/testbed/soak/run.py
@@ -17,17 +17,22 @@
 from loadbalancer.testbed.soak.balancers import Balancer
 from loadbalancer.testbed.soak.checker import Breach, Checker
 from loadbalancer.testbed.soak.clients import Clients
+from loadbalancer.testbed.soak.cold_returns import ColdReturns
 from loadbalancer.testbed.soak.crowd import Crowd
 from loadbalancer.testbed.soak.discovery import Discovery
 from loadbalancer.testbed.soak.discovery_faults import DiscoveryFaults
 from loadbalancer.testbed.soak.history import History
 from loadbalancer.testbed.soak.plan import (
+    COLD_SHARE,
     DRAIN_GRACE_NS,
+    FALL_MULTIPLE,
+    FALL_WINDOW_NS,
     MS,
     REPEAT_WINDOW_NS,
     SECOND,
     Plan,
 )
+from loadbalancer.testbed.soak.slow_start_check import SlowStartRules
 from loadbalancer.testbed.soak.troubles import Event, Trouble, schedule
 from loadbalancer.testbed.soak.upstream_faults import UpstreamFaults
 from loadbalancer.testbed.soak.upstreams import Upstream
@@ -41,13 +46,14 @@
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """`unsure`: breaches near which the soak itself was late; `shimmed`: system calls could be made
-    to fail.
+    to fail; `fullest_window`: the most of its limit that a cold upstream got in a window.
     """
 
     breaches: list[Breach]
     unsure: list[Breach]
     history: History
     shimmed: bool
+    fullest_window: float = 0.0
 
     @property
     def counts(self) -> dict[str, int]:
@@ -68,7 +74,14 @@
         self.library = shim.build(folder)
         self.discovery = Discovery(self.history)
         self.upstreams = [
-            Upstream(f"s-{n}", self.history, random.Random(rng.random()), WORK_S, plan.repeated)
+            Upstream(
+                f"s-{n}",
+                self.history,
+                random.Random(rng.random()),
+                WORK_S,
+                plan.repeated,
+                plan.capacity,
+            )
             for n in range(plan.upstreams)
         ]
         self.balancers = [
@@ -102,6 +115,11 @@
             *(asyncio.create_task(crowd.run()) for crowd in self.crowds),
         ]
         troubles = [asyncio.create_task(self._at(event)) for event in self._events()]
+        if self.plan.cold_returns:
+            returns = ColdReturns(
+                self.plan.seed, self.upstreams, self.clients, self.discovery, self.history
+            )
+            troubles.append(asyncio.create_task(returns.run()))
         await asyncio.sleep(self.plan.seconds)
         await asyncio.gather(*troubles)
         for task in running:
@@ -120,10 +138,16 @@
         return [e for e in events if not plan.only or e.trouble.name.lower() in plan.only]
 
     def _verdict(self) -> Verdict:
-        found = Checker(self.history, DRAIN_GRACE_NS, REPEAT_WINDOW_NS).breaches()
+        checker = Checker(self.history, DRAIN_GRACE_NS, REPEAT_WINDOW_NS, self._slow_start_rules())
+        found = checker.breaches()
         unsure = [b for b in found if b.lag_ns > UNSURE_NS]
         sure = [b for b in found if b not in unsure]
-        return Verdict(sure, unsure, self.history, self.library is not None)
+        return Verdict(
+            sure, unsure, self.history, self.library is not None, checker.fullest_window()
+        )
+
+    def _slow_start_rules(self) -> SlowStartRules:
+        return SlowStartRules(COLD_SHARE, self.plan.cold_ns, FALL_MULTIPLE, FALL_WINDOW_NS)
 
     async def _watch_lag(self) -> None:
         while True:
--- a/loadbalancer/testbed/soak/upstream_faults.py
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -23,6 +23,20 @@
 GONE_SHARE = 0.3  # of the drains: these go from the list at once
 
 
+def row_of(upstream: Upstream, state: str) -> Json:
+    """Return an upstream's entry in the list."""
+    return {
+        "id": upstream.name,
+        "addr": upstream.address,
+        "zone": "east",
+        "kind": "m",
+        "cell": 0,
+        "state": state,
+        "weight": 1.0,
+        "started_ms": upstream.started_ms,
+    }
+
+
 class UpstreamFaults:
     """Carries out the troubles of upstreams."""
 
@@ -44,24 +58,11 @@
         """Start all upstreams, and list them."""
         for upstream in self.upstreams:
             upstream.start()
-            self.discovery.change(self._row(upstream, "Ready"))
+            self.discovery.change(row_of(upstream, "Ready"))
 
     def _upstream(self, event: Event) -> Upstream:
         return self.upstreams[int(event.draw * len(self.upstreams))]
 
-    @staticmethod
-    def _row(upstream: Upstream, state: str) -> Json:
-        return {
-            "id": upstream.name,
-            "addr": upstream.address,
-            "zone": "east",
-            "kind": "m",
-            "cell": 0,
-            "state": state,
-            "weight": 1.0,
-            "started_ms": upstream.started_ms,
-        }
-
     async def _mood(self, event: Event) -> None:
         upstream = self._upstream(event)
         upstream.mood = MOODS[event.trouble]
@@ -83,7 +84,7 @@
         upstream.started_ms = time.time_ns() // MS
         upstream.start()
         if upstream.name not in self.draining:  # else it comes back as it was: the list says so
-            self.discovery.change(self._row(upstream, "Ready"))
+            self.discovery.change(row_of(upstream, "Ready"))
 
     async def _drain(self, event: Event) -> None:
         """It goes on answering: nothing but the list tells."""
@@ -93,9 +94,9 @@
         self.draining.add(upstream.name)
         state = "Gone" if event.draw * 1000 % 1 < 0.3 else "Terminating"
         change = Change(upstream.name, 0, time.monotonic_ns())
-        change.version = self.discovery.change(self._row(upstream, state))
+        change.version = self.discovery.change(row_of(upstream, state))
         self.history.changes.append(change)
         await asyncio.sleep(event.lasts_s)
         change.until_ns = time.monotonic_ns()
-        self.discovery.change(self._row(upstream, "Ready"))
+        self.discovery.change(row_of(upstream, "Ready"))
         self.draining.discard(upstream.name)
--- a/loadbalancer/testbed/soak/upstreams.py
+++ b/loadbalancer/testbed/soak/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import socket
 import time
@@ -10,7 +11,9 @@
 from typing import cast
 
 from loadbalancer.proxy.tcp_state import Socket, receive_state
+from loadbalancer.testbed.soak.capacity import Capacity, Workers
 from loadbalancer.testbed.soak.history import Attempt, History
+from loadbalancer.testbed.soak.plan import SECOND
 from loadbalancer.testbed.soak.ports import free_port
 
 HEAD_END = b"\r\n\r\n"
@@ -46,6 +49,8 @@
     Attributes:
         work_s: How long a request takes, from and to.
         repeated: The share of its responses behind which a second one follows.
+        capacity: What it can serve; None: any number of requests at once, `work_s` each.
+        workers: The cores of its process now; None without a capacity.
     """
 
     def __init__(
@@ -55,12 +60,17 @@
         rng: random.Random,
         work_s: tuple[float, float],
         repeated: float = 0.0,
+        capacity: Capacity | None = None,
     ) -> None:
         self.name = name
         self.history = history
         self.rng = rng
         self.work_s = work_s
         self.repeated = repeated
+        self.capacity = capacity
+        self.workers: Workers | None = None
+        self.is_cold = False
+        self.started_ns = 0
         self.mood = Mood.WELL
         self.process = 0
         self.started_ms = 0
@@ -80,9 +90,21 @@
         self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(1 if not self.accepting else 128)
         self.listener.setblocking(False)
+        self.is_cold = self.process > 0
         self.process += 1
+        self.started_ns = time.monotonic_ns()
+        if self.capacity is not None:
+            self.workers = Workers(self.capacity, self.rng)
         self.accept(True)
 
+    async def work(self) -> bool:
+        """Work on a request; False: it was not taken, as the queue is full."""
+        if self.workers is None:
+            await asyncio.sleep(self.rng.uniform(*self.work_s))
+            return True
+        age_s = (time.monotonic_ns() - self.started_ns) / SECOND
+        return await self.workers.work(age_s if self.is_cold else math.inf)
+
     def accept(self, on: bool) -> None:
         """Take new connections, or leave them in the queue, which is then short."""
         loop = asyncio.get_running_loop()
@@ -129,6 +151,7 @@
         self.transport: asyncio.Transport | None = None
         self.data = b""
         self.attempt: Attempt | None = None
+        self.task: asyncio.Task[None] | None = None  # works on the latest request
         self.expects = 0  # bytes of the request, its head included; 0: the head is not whole
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -137,6 +160,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.upstream.links.discard(self)
+        if self.upstream.workers is not None and self.task is not None:
+            self.task.cancel()  # work stops when its request is given up
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -155,7 +180,7 @@
             attempt, self.attempt = self.attempt, None
             attempt.whole_ns = at_ns
             self.data, self.expects = self.data[self.expects :], 0
-            asyncio.get_running_loop().create_task(self._work(attempt))
+            self.task = asyncio.get_running_loop().create_task(self._work(attempt))
 
     def _head(self, head: bytes) -> None:
         assert self.attempt is not None
@@ -175,7 +200,10 @@
             self._write(NOT_RUN)
             return
         attempt.ran = True
-        await asyncio.sleep(rng.uniform(*upstream.work_s))
+        if not await upstream.work():
+            attempt.ran = False
+            self._write(NOT_RUN)
+            return
         if mood is Mood.HANGS:
             return
         if mood is Mood.RESETS and rng.random() < 0.5:
--- a/tests/policy/test_fleet_slow_start.py
+++ b/tests/policy/test_fleet_slow_start.py
@@ -106,6 +106,45 @@
     )
 
 
+def return_under(burst: str) -> str:
+    """A quarter of 24 upstreams is lost at once and comes back cold, beside a burst."""
+    lost = "{kind='restart', at='2s', lasts='3.6s', only=[0, 4, 8, 12, 16, 20]}"
+    return f"fault=[{lost}{burst and ', '}{burst}]"
+
+
+# Guards against a slow start whose pace rises with attempts that fail under a burst.
+@pytest.mark.parametrize(
+    ("load", "burst"),
+    [
+        (0.7, "{kind='surge', at='5.5s', lasts='4s', size=4}"),
+        (0.7, "{kind='surge', at='1s', lasts='9s', size=2.5}"),
+        (1.3, ""),
+    ],
+    ids=["burst in the return", "burst since before the loss", "overload throughout"],
+)
+def test_cold_upstreams_stay_within_the_budget_when_attempts_fail_under_a_burst(
+    load: float, burst: str
+) -> None:
+    world = SlowStartRecorder(
+        topology.load(
+            "mass",
+            [
+                "length='11s'",
+                "balancers.count=200",
+                "fleet.boxes=24",
+                f"clients.load={load}",
+                return_under(burst),
+            ],
+        ),
+        1,
+        Host(),
+    )
+    world.run()
+    print(f"{world.worst_window}, {world.worst_excess:.2f} roots over N + 2")
+    assert len(world.sends) == 6
+    assert world.worst_excess <= 2.0
+
+
 def test_recorder_detects_a_policy_without_slow_start() -> None:
     """The recorder itself is checked with a faulty policy that floods cold upstreams."""
     assert run_rolling_restart(20, 24, 0.8, 20, name="broken-flooded-cold").worst_excess > 2.0
