--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -416,6 +416,19 @@
             server.stop()
 
 
+async def next_problem(log: asyncio.StreamReader) -> bytes:
+    """Return the next line above the level of information; nothing at the end of the log."""
+    while (line := await log.readline()).startswith(b"INFO "):
+        pass
+    return line
+
+
+async def read_until(log: asyncio.StreamReader, text: bytes) -> None:
+    """Read a log up to a line with this text; those before it must be of the level information."""
+    while text not in (line := await log.readline()):
+        assert line.startswith(b"INFO "), line
+
+
 def free_port() -> int:
     """Return a loopback port on which nothing listens."""
     with socket.socket() as received:
--- a/tests/proxy/test_program.py
+++ b/tests/proxy/test_program.py
@@ -17,7 +17,16 @@
 
 import pytest
 
-from tests.fakes import Client, FakeDiscovery, FakeUpstream, Message, free_port, read_message, run
+from tests.fakes import (
+    Client,
+    FakeDiscovery,
+    FakeUpstream,
+    Message,
+    free_port,
+    next_problem,
+    read_message,
+    run,
+)
 
 SETTINGS = {
     "profiles": [
@@ -216,13 +225,6 @@
     run(test())
 
 
-async def next_problem(log: asyncio.StreamReader) -> bytes:
-    """Return the next line above the level of information; nothing at the end of the log."""
-    while (line := await log.readline()).startswith(b"INFO "):
-        pass
-    return line
-
-
 @pytest.mark.parametrize(
     "old_behavior", ["holds a watch", "holds the first poll", "refuses connections"]
 )
