Slow start: an upstream's capacity follows from responses, not from own attempts

What callers saw: an upstream that came back cold under a burst was sent more than its budget by all balancers together, and fell; with it went the requests that it held.

Cause: attempts_per_upstream_s counted finished attempts, rejected, failed and timed-out ones included, as what an upstream serves, and its larger value won. The more attempts failed, the shorter the gaps at cold upstreams became: a feedback loop over the fleet that no single balancer sees.

Change: the capacity of a warm upstream is what this proxy's responses come to if all proxies are like it, at least one request in a baseline service time and at most two. So a proxy's own load can raise it by no more than a factor of two, and failures not at all. An overload does not lower it either: the baseline follows longer times over a minute.

--- a/loadbalancer/policy/availability.py
+++ b/loadbalancer/policy/availability.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from loadbalancer.policy import api
+from loadbalancer.policy.capacity_estimate import CapacityEstimate
 from loadbalancer.policy.concurrency_limit import ConcurrencyLimit
 from loadbalancer.policy.slow_start import SlowStart
 from loadbalancer.policy.transitions import Transition
@@ -33,7 +34,12 @@
             and "inflight" in settings.report_columns
             and settings.prices.probe * (LOAD_QUERIES + 1) <= MAX_QUERY_PRICE
         )
-        self.slow_start = SlowStart(settings.rules, concurrency, rng, transitions)
+        self.slow_start = SlowStart(
+            settings.rules,
+            CapacityEstimate(concurrency, max(1, settings.instance_count)),
+            rng,
+            transitions,
+        )
         self.plan = api.TrafficPlan()
         self.endpoints_trusted = True  # False: the endpoint list is too old
         self.avoided: dict[int, UpstreamStats] = {}
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -36,10 +36,7 @@
 MIN_TENANT_WEIGHT: Final = 1e-6
 # Upstreams outside the subset are not used if they are slower than this, relative to expected.
 MAX_OUT_OF_SUBSET_SLOWNESS: Final = 1.5
-# In one interval: the decay of that slowness towards 1, and the smoothing gain of the attempts a
-# second at each upstream.
-SLOWNESS_DECAY: Final = 0.03
-ATTEMPTS_GAIN: Final = 0.2
+SLOWNESS_DECAY: Final = 0.03  # of that slowness towards 1, in one interval
 
 
 class Balancer:
@@ -172,13 +169,7 @@
         self.rate_controller.adjust(
             now, self.concurrency.latency_ratio - self.concurrency.overload_ratio
         )
-        slow_start = upstream_set.slow_start
-        width = max(1, upstream_set.main_pool.width)
-        finished_per_upstream_s = self.rate_controller.finished_per_s / width
-        slow_start.attempts_per_upstream_s += ATTEMPTS_GAIN * (
-            finished_per_upstream_s - slow_start.attempts_per_upstream_s
-        )
-        slow_start.end_expired(now)
+        upstream_set.slow_start.update(now)
         self._release_tokens(now)
 
     def _update_widths(self) -> None:
--- a/loadbalancer/policy/slow_start.py
+++ b/loadbalancer/policy/slow_start.py
@@ -5,11 +5,10 @@
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final
 
 from loadbalancer.policy import api
+from loadbalancer.policy.capacity_estimate import CapacityEstimate
 from loadbalancer.policy.clock import SECOND
-from loadbalancer.policy.concurrency_limit import ConcurrencyLimit
 from loadbalancer.policy.transitions import (
     SlowStartBegan,
     SlowStartEnd,
@@ -18,8 +17,6 @@
 )
 from loadbalancer.policy.upstream_stats import UpstreamStats
 
-SLOW_START_FRACTION: Final = 0.7  # fraction of a starting upstream's capacity that is used
-
 
 @dataclass(slots=True)
 class _Start:
@@ -35,23 +32,22 @@
 
     Attributes:
         planned_rates_per_s: By upstream, attempts a second that the traffic plan allows.
-        attempts_per_upstream_s: This proxy's finished attempts a second at each upstream.
+        capacity: What an upstream serves once warm.
         proxies_per_upstream: Mean number of proxies with an upstream in their subset.
     """
 
     def __init__(
         self,
         rules: api.TrafficRules,
-        concurrency: ConcurrencyLimit,
+        capacity: CapacityEstimate,
         rng: random.Random,
         transitions: list[Transition],
     ) -> None:
         self.rules = rules
-        self.concurrency = concurrency
+        self.capacity = capacity
         self.rng = rng
         self.transitions = transitions
         self.planned_rates_per_s: Mapping[int, float] = {}
-        self.attempts_per_upstream_s = 0.0
         self.proxies_per_upstream = 1.0
         self._starts: dict[int, _Start] = {}
 
@@ -80,7 +76,7 @@
             SlowStartBegan(
                 upstream.id,
                 self._age_ns(upstream, now),
-                self._capacity_per_s() * self.proxies_per_upstream,
+                self.capacity.per_s(),
                 self.proxies_per_upstream,
                 gap_ns,
                 upstream.id in self.planned_rates_per_s,
@@ -94,8 +90,9 @@
         if start is not None:
             start.attempts += 1
 
-    def end_expired(self, now: int) -> None:
-        """End the slow start of upstreams that are warm or no longer listed."""
+    def update(self, now: int) -> None:
+        """Update the estimate, and end the slow start of upstreams that are warm or not listed."""
+        self.capacity.update(now)
         for start in list(self._starts.values()):
             upstream = start.upstream
             if upstream.entry.state is api.UpstreamState.REMOVED:
@@ -110,8 +107,8 @@
     def gap_ns(self, upstream: UpstreamStats, now: int) -> int:
         """Return the minimum time between attempts at an upstream in slow start.
 
-        Together, all proxies with the upstream in their subset stay below its capacity. A planned
-        rate takes precedence.
+        The proxies with the upstream in their subset divide what the settings allow it at its age,
+        of the capacity that it has once warm. A planned rate takes precedence.
         """
         rules = self.rules
         planned = self.planned_rates_per_s.get(upstream.id)
@@ -121,22 +118,9 @@
         capacity = (
             rules.slow_start_capacity + (1 - rules.slow_start_capacity) * age / rules.slow_start_ns
         )
-        served_per_s = self._capacity_per_s()
-        return int(
-            SECOND / (SLOW_START_FRACTION * rules.overload_multiple * capacity * served_per_s)
-        )
+        allowed_per_s = rules.overload_multiple * capacity * self.capacity.per_s()
+        return int(SECOND * self.proxies_per_upstream / allowed_per_s)
 
     @staticmethod
     def _age_ns(upstream: UpstreamStats, now: int) -> int:
         return max(0, now - upstream.started_ns)  # clock skew may put the start in the future
-
-    def _capacity_per_s(self) -> float:
-        """Return this proxy's share of a warm upstream's capacity, in requests a second.
-
-        It is the larger of two estimates: this proxy's finished attempts at each upstream, and the
-        rate that follows from the service time.
-        """
-        return max(
-            self.attempts_per_upstream_s,
-            SECOND / self.concurrency.per_request_ns / self.proxies_per_upstream,
-        )
--- a/loadbalancer/policy/upstream_set.py
+++ b/loadbalancer/policy/upstream_set.py
@@ -209,6 +209,7 @@
         for pool in self.pools.values():
             pool.update(self.ring, options)
         subset_size = self.main_pool.subset_size
+        self.slow_start.capacity.ready_count = ready_count
         self.slow_start.proxies_per_upstream = max(1.0, proxies * subset_size / max(1, ready_count))
         # Bounded subsets may leave upstreams that are in no proxy's subset and serve no requests
         # yet.
