Slow start: a process without samples assumes a slow upstream, not a fast one

Cause: until the first sample the service time was the initial value of the load queries, 20 ms or 0.08 of the shortest objective, so an upstream counted for 50 requests a second and more. A first connection is no sample, so a process with little traffic reckoned so for seconds.

Change: until something is measured, the shortest latency objective stands for the service time: an upstream that meets it serves at least as much.

Evidence: the new test of tests/policy/test_capacity_estimate.py failed before (50 requests a second where 2.5 follow from an objective of 400 ms).

--- a/loadbalancer/policy/capacity_estimate.py
+++ b/loadbalancer/policy/capacity_estimate.py
@@ -26,6 +26,8 @@
         proxies: Number of proxies that send to the same upstreams.
 
     Attributes:
+        assumed_service_ns: Service time while nothing is measured. It has to be longer than the
+            true one.
         ready_count: Number of usable upstreams.
         served_count: Responses since the last update.
     """
@@ -33,6 +35,7 @@
     def __init__(self, concurrency: ConcurrencyLimit, proxies: int) -> None:
         self.concurrency = concurrency
         self.proxies = proxies
+        self.assumed_service_ns = float(SECOND)
         self.ready_count = 0
         self.served_count = 0
         self._served_per_s = 0.0
@@ -70,4 +73,7 @@
         return min(max(served_per_s, single_per_s), START_WINDOW * single_per_s)
 
     def _service_ns(self) -> float:
-        return self._baseline_ns or self.concurrency.per_request_ns
+        if self._baseline_ns:
+            return self._baseline_ns
+        has_samples = self.concurrency.sample_count > 0
+        return self.concurrency.per_request_ns if has_samples else self.assumed_service_ns
--- a/loadbalancer/policy/context.py
+++ b/loadbalancer/policy/context.py
@@ -48,6 +48,7 @@
         self.shortest_objective_ns = min(
             (cls.latency_objective_ns for cls in settings.classes.values()), default=SECOND
         )
+        self.upstream_set.slow_start.capacity.assumed_service_ns = float(self.shortest_objective_ns)
         query_ns = LOAD_QUERY_FRACTION * self.shortest_objective_ns
         self.load_query_ns = int(max(MIN_LOAD_QUERY_NS, min(MAX_LOAD_QUERY_NS, query_ns)))
         self.concurrency.per_request_ns = min(
--- a/tests/policy/test_capacity_estimate.py
+++ b/tests/policy/test_capacity_estimate.py
@@ -8,6 +8,7 @@
 from loadbalancer.policy.attempt import Attempt
 from loadbalancer.policy.capacity_estimate import CapacityEstimate
 from loadbalancer.policy.concurrency_limit import ConcurrencyLimit
+from loadbalancer.policy.transitions import SlowStartBegan
 from loadbalancer.policy.upstream_stats import UpstreamStats
 
 SECOND, MS = 1_000_000_000, 1_000_000
@@ -65,6 +66,21 @@
     assert capacity.per_s() == pytest.approx(before, rel=0.25)
 
 
+# Guards against a balancer that has just started and takes upstreams for very fast.
+def test_a_process_without_samples_assumes_the_shortest_objective_as_service_time() -> None:
+    settings = api.Settings(
+        instance_count=200,
+        classes={"read": api.RequestClass("read", latency_objective_ns=400 * MS)},
+        rules=api.TrafficRules(slow_start_ns=8 * SECOND),
+    )
+    balancer = Balancer(settings, seed=1, now=0)
+    cold = api.Upstream(9, started_ns=SECOND)
+    balancer.handle(SECOND, [api.EndpointsUpdated(api.EndpointListKind.FULL, [cold])])
+    [began] = balancer.transitions
+    assert isinstance(began, SlowStartBegan)
+    assert began.capacity_per_s == pytest.approx(2.5)
+
+
 # Guards against a balancer that takes failed and refused attempts for capacity.
 @pytest.mark.parametrize(
     "result",
