Slow start: the gap between attempts has a state of its own, which nothing resets

What callers saw: nothing by itself; a cold upstream whose attempts fail now and then, or that the list names again, was sent more than its share.

Cause: avoid_until_ns served both the ejection of outliers and the gap of slow start. A success after a failure, an error rate shared by many upstreams and a change of the list set it back, and with it the gap.

Change: slow start keeps when the next attempt may start, by upstream and start, also while the upstream is not listed. Ejection keeps its own time.

Two tests looked at avoid_until_ns of upstreams in slow start; they ask for the same through is_avoided and next_attempt_ns.

--- a/loadbalancer/policy/availability.py
+++ b/loadbalancer/policy/availability.py
@@ -49,16 +49,23 @@
         upstream.avoid_until_ns = until_ns
         self.avoided[upstream.id] = upstream
 
-    def begin_slow_start(self, upstream: UpstreamStats, now: int) -> None:
-        """Delay the first attempt at an upstream that started recently by a random time."""
-        self.avoid(upstream, self.slow_start.begin(upstream, now))
+    def is_avoided(self, upstream: UpstreamStats, now: int) -> bool:
+        """Return whether an attempt has to wait, after a failure or in slow start."""
+        if now < upstream.avoid_until_ns:
+            return True
+        slow_start = self.slow_start
+        return slow_start.is_active(upstream, now) and not slow_start.may_attempt(upstream, now)
+
+    def note_avoided(self, upstream: UpstreamStats) -> None:
+        """Count an upstream in slow start as avoided for as long as it is."""
+        self.avoided[upstream.id] = upstream
 
     def accepts(self, upstream: UpstreamStats, now: int) -> bool:
         """Return whether this upstream may receive an attempt now.
 
         Draws a random number if the traffic plan limits the upstream to a fraction.
         """
-        if not upstream.is_usable or not self.endpoints_trusted or now < upstream.avoid_until_ns:
+        if not upstream.is_usable or not self.endpoints_trusted or self.is_avoided(upstream, now):
             return False
         fraction = upstream.traffic_fraction
         if fraction < 1.0 and self.rng.random() >= fraction:
--- a/loadbalancer/policy/dispatch.py
+++ b/loadbalancer/policy/dispatch.py
@@ -187,7 +187,7 @@
             self.completion.give_up(request, GiveUpReason.NOT_ALLOWED)
             return 0
         self.start_attempt(request, upstream, now)
-        return int(upstream.avoid_until_ns > now)  # slow start spaces the attempts at an upstream
+        return int(self.availability.is_avoided(upstream, now))  # slow start spaces its attempts
 
     def start_attempt(self, request: Request, upstream: UpstreamStats, now: int) -> None:
         """Start an attempt and schedule its timers."""
@@ -209,9 +209,9 @@
             self.begin_execution(request, number, now)
         slow_start = self.availability.slow_start
         if slow_start.is_active(upstream, now):
-            slow_start.count_attempt(upstream)
-            self.availability.avoid(upstream, now + slow_start.gap_ns(upstream, now))
-            self.timers.schedule(upstream.avoid_until_ns, ServeQueuesTimer())
+            next_attempt_ns = slow_start.attempt_started(upstream, now)
+            self.availability.note_avoided(upstream)
+            self.timers.schedule(next_attempt_ns, ServeQueuesTimer())
         timeout_ns = self._attempt_timeout_ns(request, number, now)
         self.context.actions.append(
             api.StartAttempt(request.id, upstream.id, timeout_ns, start_by_ns)
--- a/loadbalancer/policy/pool.py
+++ b/loadbalancer/policy/pool.py
@@ -247,7 +247,7 @@
         positions = self.positions
         width = self.width
         avoided = availability.avoided
-        for upstream in [u for u in avoided.values() if u.avoid_until_ns <= now]:
+        for upstream in [u for u in avoided.values() if not availability.is_avoided(u, now)]:
             del avoided[upstream.id]
         return width - sum(
             positions.get(number, width) < width
--- a/loadbalancer/policy/slow_start.py
+++ b/loadbalancer/policy/slow_start.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from loadbalancer.policy import api
@@ -20,20 +20,30 @@
 
 @dataclass(slots=True)
 class _Start:
-    """One slow start of an upstream."""
+    """One slow start of an upstream.
+
+    It is kept until the upstream is warm, also while it is not listed, so that an upstream that is
+    listed again is not sent more.
+
+    Attributes:
+        proxies: Number of proxies that share the upstream.
+        next_attempt_ns: When this proxy may send the next attempt.
+    """
 
     upstream: UpstreamStats
     started_ns: int
+    proxies: float
+    next_attempt_ns: int = 0
     attempts: int = 0
+    is_reported: bool = False  # as ended
 
 
 class SlowStart:
-    """Decides how far apart this proxy's attempts at a starting upstream are.
+    """Decides when this proxy may send attempts to starting upstreams.
 
     Attributes:
-        planned_rates_per_s: By upstream, attempts a second that the traffic plan allows.
         capacity: What an upstream serves once warm.
-        proxies_per_upstream: Mean number of proxies with an upstream in their subset.
+        planned_rates_per_s: By upstream, attempts a second that the traffic plan allows.
     """
 
     def __init__(
@@ -48,78 +58,126 @@
         self.rng = rng
         self.transitions = transitions
         self.planned_rates_per_s: Mapping[int, float] = {}
-        self.proxies_per_upstream = 1.0
         self._starts: dict[int, _Start] = {}
 
     def is_active(self, upstream: UpstreamStats, now: int) -> bool:
         """Return whether the upstream is in slow start, that is, started recently."""
         # Due to clock skew the start may be in the future. The upstream is in slow start then too,
         # unless slow start is off (0).
-        started_ns = upstream.started_ns
+        return self._is_recent(upstream.started_ns, now)
+
+    def _is_recent(self, started_ns: int, now: int) -> bool:
         return bool(started_ns) and now - started_ns < self.rules.slow_start_ns > 0
 
-    def begin(self, upstream: UpstreamStats, now: int) -> int:
-        """Return the time of the first attempt, which is drawn at random within the gap.
+    def may_attempt(self, upstream: UpstreamStats, now: int) -> bool:
+        """Return whether an attempt at an upstream in slow start may start now."""
+        start = self._starts.get(upstream.id)
+        if start is None:
+            return True
+        return now >= start.next_attempt_ns
+
+    def next_attempt_ns(self, upstream: UpstreamStats) -> int:
+        """Return when the next attempt at an upstream may start; 0 outside of slow start."""
+        start = self._starts.get(upstream.id)
+        return start.next_attempt_ns if start is not None else 0
+
+    # ---- begin and end ---------------------------------------------------------------------------
+
+    def begin(self, upstream: UpstreamStats, proxies: float, now: int) -> None:
+        """Begin the slow start of an upstream, or space its attempts anew after a change.
 
-        The first attempts of all proxies must not reach the upstream together.
+        The first attempt is delayed by a time drawn at random within the gap: the first attempts of
+        all proxies must not reach the upstream together. An upstream that is listed anew keeps its
+        time.
         """
         start = self._starts.get(upstream.id)
         if start is not None and start.started_ns != upstream.started_ns:
             self._end(start, SlowStartEnd.RESTARTED)
             start = None
+        is_listed_anew = start is not None and start.upstream is not upstream
         if start is None:
-            self._starts[upstream.id] = _Start(upstream, upstream.started_ns)
-        else:
-            start.upstream = upstream  # listed anew
+            start = self._starts[upstream.id] = _Start(upstream, upstream.started_ns, proxies)
+        start.upstream = upstream
+        start.proxies = proxies
+        start.is_reported = False
         gap_ns = self.gap_ns(upstream, now)
+        if not is_listed_anew:
+            self._draw_first_attempt(start, now)
         self.transitions.append(
             SlowStartBegan(
                 upstream.id,
                 self._age_ns(upstream, now),
                 self.capacity.per_s(),
-                self.proxies_per_upstream,
+                proxies,
                 gap_ns,
                 upstream.id in self.planned_rates_per_s,
             )
         )
-        return now + int(self.rng.random() * gap_ns)
 
-    def count_attempt(self, upstream: UpstreamStats) -> None:
-        """Count an attempt at an upstream in slow start."""
+    def starting(self) -> Iterable[UpstreamStats]:
+        """Return the upstreams whose slow start this proxy has noticed."""
+        return [start.upstream for start in self._starts.values()]
+
+    def set_proxies(self, upstream: UpstreamStats, proxies: float) -> None:
+        """Set the number of proxies that share an upstream."""
+        self._starts[upstream.id].proxies = proxies
+
+    def _draw_first_attempt(self, start: _Start, now: int) -> None:
+        gap_ns = self.gap_ns(start.upstream, now)
+        start.next_attempt_ns = now + int(self.rng.random() * gap_ns)
+
+    def attempt_started(self, upstream: UpstreamStats, now: int) -> int:
+        """Count an attempt at an upstream in slow start.
+
+        Returns:
+            When the next one may start.
+        """
         start = self._starts.get(upstream.id)
-        if start is not None:
-            start.attempts += 1
+        if start is None:
+            return now
+        start.attempts += 1
+        start.next_attempt_ns = now + self.gap_ns(upstream, now)
+        return start.next_attempt_ns
 
     def update(self, now: int) -> None:
         """Update the estimate, and end the slow start of upstreams that are warm or not listed."""
         self.capacity.update(now)
         for start in list(self._starts.values()):
             upstream = start.upstream
-            if upstream.entry.state is api.UpstreamState.REMOVED:
-                self._end(start, SlowStartEnd.REMOVED)
-            elif not self.is_active(upstream, now):
+            if not self._is_recent(start.started_ns, now):
                 self._end(start, SlowStartEnd.WARMED_UP)
+            elif upstream.entry.state is api.UpstreamState.REMOVED:
+                self._report_end(start, SlowStartEnd.REMOVED)
 
     def _end(self, start: _Start, reason: SlowStartEnd) -> None:
-        self.transitions.append(SlowStartEnded(start.upstream.id, start.attempts, reason))
+        self._report_end(start, reason)
         del self._starts[start.upstream.id]
 
+    def _report_end(self, start: _Start, reason: SlowStartEnd) -> None:
+        if not start.is_reported:
+            start.is_reported = True
+            self.transitions.append(SlowStartEnded(start.upstream.id, start.attempts, reason))
+
+    # ---- spacing ---------------------------------------------------------------------------------
+
     def gap_ns(self, upstream: UpstreamStats, now: int) -> int:
-        """Return the minimum time between attempts at an upstream in slow start.
+        """Return the minimum time between this proxy's attempts at an upstream in slow start.
 
-        The proxies with the upstream in their subset divide what the settings allow it at its age,
-        of the capacity that it has once warm. A planned rate takes precedence.
+        The proxies that share the upstream divide what the settings allow it at its age, of the
+        capacity that it has once warm. A planned rate takes precedence.
         """
         rules = self.rules
         planned = self.planned_rates_per_s.get(upstream.id)
         if planned is not None:
             return int(SECOND / planned) if planned > 0 else rules.slow_start_ns
+        start = self._starts.get(upstream.id)
+        proxies = start.proxies if start is not None else 1.0
         age = self._age_ns(upstream, now)
-        capacity = (
+        fraction = (
             rules.slow_start_capacity + (1 - rules.slow_start_capacity) * age / rules.slow_start_ns
         )
-        allowed_per_s = rules.overload_multiple * capacity * self.capacity.per_s()
-        return int(SECOND * self.proxies_per_upstream / allowed_per_s)
+        allowed_per_s = rules.overload_multiple * fraction * self.capacity.per_s()
+        return int(SECOND * max(1.0, proxies) / allowed_per_s)
 
     @staticmethod
     def _age_ns(upstream: UpstreamStats, now: int) -> int:
--- a/loadbalancer/policy/upstream_set.py
+++ b/loadbalancer/policy/upstream_set.py
@@ -68,6 +68,7 @@
         self.reset_rate = 0.0  # fraction of recent attempts that were reset
         self.prefers_key_upstreams = True
         self.out_of_subset_slowness = 1.0  # actual to expected service time outside the subset
+        self.proxies_per_upstream = 1.0  # mean number of proxies with an upstream in their subset
         self.disabled_ids: set[int] = set()  # disabled by operators, whether listed or not
         self.enabled_ns: dict[int, int] = {}  # when operators enabled an upstream again
         self.ring = SubsetRing()
@@ -98,6 +99,7 @@
         """Apply a complete endpoint list or a delta."""
         if event.kind is not api.EndpointListKind.DELTA:
             self._remove_unlisted({entry.id for entry in event.upstreams})
+        starting: list[UpstreamStats] = []
         own_zone = self.settings.zone if self.settings.prices.cross_zone else ""
         for entry in event.upstreams:
             upstream = self.upstreams.get(entry.id) or self._add(entry)
@@ -114,10 +116,16 @@
                 upstream.avoid_until_ns = 0
             is_new = previous is entry
             if self.slow_start.is_active(upstream, now) and (is_restarted or is_new):
-                self.availability.begin_slow_start(upstream, now)
+                starting.append(upstream)
             self.ring.update(upstream)
             self.forget_removed(upstream)
         self.update_pools(now)
+        for upstream in starting:
+            self._begin_slow_start(upstream, now)
+
+    def _begin_slow_start(self, upstream: UpstreamStats, now: int) -> None:
+        self.slow_start.begin(upstream, self.proxies_per_upstream, now)
+        self.availability.note_avoided(upstream)
 
     def _remove_unlisted(self, present_ids: set[int]) -> None:
         for upstream in [u for u in self.upstreams.values() if u.id not in present_ids]:
@@ -173,27 +181,30 @@
             if upstream is not None:
                 upstream.enabled_ns = now
                 upstream.failure_count = 0
-                if self.slow_start.is_active(upstream, now):
-                    self.availability.begin_slow_start(upstream, now)
-                else:
-                    self.availability.avoid(upstream, now)
+                self.availability.avoid(upstream, now)
         if upstream is not None:
             upstream.is_disabled = event.is_disabled
             self.ring.update(upstream)
         self.update_pools(now)
+        is_enabled_now = upstream is not None and upstream.enabled_ns == now
+        if upstream is not None and is_enabled_now and self.slow_start.is_active(upstream, now):
+            self._begin_slow_start(upstream, now)
 
     def set_plan(self, plan: api.TrafficPlan, now: int) -> None:
         """Apply a traffic plan: zone fractions, and attempt rates in slow start."""
         previous = self.plan.slow_start_rates_per_s
         self.availability.plan = plan
         self.slow_start.planned_rates_per_s = plan.slow_start_rates_per_s
+        changed: list[UpstreamStats] = []
         for upstream in self.upstreams.values():
             upstream.traffic_fraction = plan.zone_fractions.get(upstream.entry.zone, 1.0)
             is_changed = plan.slow_start_rates_per_s.get(upstream.id) != previous.get(upstream.id)
             if self.slow_start.is_active(upstream, now) and is_changed:
-                self.availability.begin_slow_start(upstream, now)
+                changed.append(upstream)
             self.ring.update(upstream)
         self.update_pools(now)
+        for upstream in changed:
+            self._begin_slow_start(upstream, now)
 
     def update_pools(self, now: int) -> None:
         """Update the candidates of each pool and the bounds of the concurrency limit."""
@@ -210,7 +221,10 @@
             pool.update(self.ring, options)
         subset_size = self.main_pool.subset_size
         self.slow_start.capacity.ready_count = ready_count
-        self.slow_start.proxies_per_upstream = max(1.0, proxies * subset_size / max(1, ready_count))
+        self.proxies_per_upstream = max(1.0, proxies * subset_size / max(1, ready_count))
+        for upstream in self.slow_start.starting():
+            self.slow_start.set_proxies(upstream, self.proxies_per_upstream)
+            self.availability.note_avoided(upstream)
         # Bounded subsets may leave upstreams that are in no proxy's subset and serve no requests
         # yet.
         subset_upstreams = min(ready_count, subset_size * proxies)
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -924,10 +924,11 @@
         harness.deliver(
             api.EndpointsUpdated(api.EndpointListKind.FULL, upstreams(4) + upstreams(1, 9, started))
         )
-    avoid_delays = {
-        harness.balancer.upstream_set.upstreams[9].avoid_until_ns - started for harness in harnesses
+    delays = {
+        upstream_set.slow_start.next_attempt_ns(upstream_set.upstreams[9]) - started
+        for upstream_set in (harness.balancer.upstream_set for harness in harnesses)
     }
-    assert len(avoid_delays) == len(harnesses) and max(avoid_delays) > 100 * MS
+    assert len(delays) == len(harnesses) and max(delays) > 100 * MS
     for i in range(80):
         for harness in harnesses:
             harness.deliver(*(arrival(f"c{i}-{j}", harness.now) for j in range(2)))
--- a/tests/policy/test_upstream_set.py
+++ b/tests/policy/test_upstream_set.py
@@ -214,7 +214,8 @@
     )
     proxy.run_load(1, 40)
     pool = proxy.balancer.upstream_set.main_pool
-    avoided = [s for s in pool.candidates[: pool.width] if s.avoid_until_ns > proxy.now]
+    availability = pool.availability
+    avoided = [s for s in pool.candidates[: pool.width] if availability.is_avoided(s, proxy.now)]
     assert any(s.in_flight for s in avoided)
     assert pool.available_count(proxy.now) == pool.width - sum(not s.in_flight for s in avoided)
 
