Slow start: only proxies that are reckoned with send to a cold upstream

What callers saw: part of the incident: an upstream that came back cold was sent more than its budget, as more balancers sent to it than each reckoned with.

Cause: each proxy divided an upstream's capacity by the mean number of proxies with an upstream in their subset. Others sent as well: pools that had grown beyond their subset under load (a quarter to a third of the attempts in the traces), and, while a zone returns one upstream at a time, all proxies of that zone, as they prefer it. Measured on the program before, 200 proxies, zone of one upstream: 1.57 of the proxies reckoned with have it in their subset, and 4.8 times as many may send in all.

Change: a proxy sends to an upstream in slow start only if it has it in its subset, and reckons with the number of proxies that do: exact for those that take it in ring order, an even spread of proxies over zones for the others (policy/subset_layout.py). In fleets of up to eight proxies, and where subsets are not small, all send and all are reckoned with; so too for an upstream that operators enable. A proxy may have as many attempts in flight there as makes four for all.

--- a/loadbalancer/policy/availability.py
+++ b/loadbalancer/policy/availability.py
@@ -70,11 +70,12 @@
         fraction = upstream.traffic_fraction
         if fraction < 1.0 and self.rng.random() >= fraction:
             return False
-        # An upstream that has failed or is in slow start gets one attempt at a time. If load is
-        # queried before each attempt, this proxy's attempts in flight do not limit other upstreams.
-        limit = (
-            1
-            if upstream.failure_count or self.slow_start.is_active(upstream, now)
-            else self.concurrency.per_upstream
-        )
+        # An upstream that has failed gets one attempt at a time. If load is queried before each
+        # attempt, this proxy's attempts in flight do not limit other upstreams.
+        if upstream.failure_count:
+            limit = 1
+        elif self.slow_start.is_active(upstream, now):
+            limit = self.slow_start.max_in_flight(upstream)
+        else:
+            limit = self.concurrency.per_upstream
         return upstream.in_flight < limit or (self.queries_load and not upstream.failure_count)
--- a/loadbalancer/policy/pool.py
+++ b/loadbalancer/policy/pool.py
@@ -10,6 +10,7 @@
 
 from loadbalancer.policy import api, rules
 from loadbalancer.policy.availability import Availability
+from loadbalancer.policy.subset_layout import SubsetLayout
 from loadbalancer.policy.subset_ring import SubsetRing
 from loadbalancer.policy.upstream_stats import (
     CROSS_ZONE_PENALTY,
@@ -34,6 +35,7 @@
 MIN_SUBSET: Final = 4
 PREFERRED_SUBSET: Final = 10  # large enough to tolerate paused upstreams
 MAX_SUBSET_SHARING: Final = 6  # proxies that may share an upstream to reach PREFERRED_SUBSET
+SMALL_FLEET: Final = 8  # proxies, all of which send to an upstream in slow start
 
 _MASK_64: Final = 0xFFFFFFFFFFFFFFFF
 
@@ -63,6 +65,7 @@
         # One of the classes of the pool, all of which are eligible for the same upstreams.
         self.request_class = request_class
         self.ring = SubsetRing()
+        self.layout = SubsetLayout(1, 0, 0)
         self.candidates: list[UpstreamStats] = []
         self.subset_size = 0
         self.width = 0
@@ -108,12 +111,38 @@
         # in its zone, so it needs upstreams of both kinds to compare their service times.
         any_zone_count = max(section, -(-size // 2))
         subset = ring.subset(first, any_zone_count, size)
+        is_for_all = size == count or self.has_more_than_subset or options.proxies <= SMALL_FLEET
+        self.layout = self._layout(options.proxies, size, any_zone_count, is_for_all)
         # Every proxy includes upstreams that operators enabled recently, because operators check
         # that traffic reaches them.
         if options.enabled:
             subset += ring.outside_subset(first, any_zone_count, subset, options.enabled)
         self._set_subset(subset)
 
+    def _layout(
+        self, proxies: int, size: int, any_zone_count: int, is_for_all: bool
+    ) -> SubsetLayout:
+        ring = self.ring
+        count = len(ring.ready)
+        if is_for_all:
+            return SubsetLayout(proxies, count, count)
+        zone_counts = ring.zone_counts.values()
+        if not self.availability.settings.prices.cross_zone or len(zone_counts) <= 1:
+            return SubsetLayout(proxies, count, size)
+        return SubsetLayout(proxies, count, any_zone_count, size - any_zone_count, zone_counts)
+
+    @property
+    def is_shared_by_all(self) -> bool:
+        """Whether every proxy may send to all eligible upstreams, also to those in slow start."""
+        return self.layout.ordered_size >= self.count
+
+    def proxies_sharing(self, upstream: UpstreamStats) -> float:
+        """Return how many proxies have an upstream in this pool's subset; 0: it is not eligible."""
+        index = self.ring.index(upstream)
+        if index is None:
+            return 0.0
+        return self.layout.proxies_at(index, self.ring.zone_counts[upstream.entry.zone])
+
     def _set_subset(self, subset: list[UpstreamStats]) -> None:
         count = self.count
         self.subset_size = len(subset)
--- a/loadbalancer/policy/slow_start.py
+++ b/loadbalancer/policy/slow_start.py
@@ -1,10 +1,14 @@
-"""Slow start: the spacing of this proxy's attempts at upstreams that started recently."""
+"""Slow start: the spacing of this proxy's attempts at upstreams that started recently.
+
+The bound on what all proxies send together is derived in `docs/design/slow-start.md`.
+"""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import Final
 
 from loadbalancer.policy import api
 from loadbalancer.policy.capacity_estimate import CapacityEstimate
@@ -17,6 +21,10 @@
 )
 from loadbalancer.policy.upstream_stats import UpstreamStats
 
+# Attempts in flight at a starting upstream, of all proxies together, that are allowed at least.
+# A proxy has one in flight, or more if few proxies share the upstream.
+SHARED_IN_FLIGHT: Final = 4
+
 
 @dataclass(slots=True)
 class _Start:
@@ -26,7 +34,7 @@
     listed again is not sent more.
 
     Attributes:
-        proxies: Number of proxies that share the upstream.
+        proxies: Number of proxies that share the upstream; 0: this proxy is none of them.
         next_attempt_ns: When this proxy may send the next attempt.
     """
 
@@ -74,13 +82,20 @@
         start = self._starts.get(upstream.id)
         if start is None:
             return True
-        return now >= start.next_attempt_ns
+        is_sharing = start.proxies > 0 or upstream.id in self.planned_rates_per_s
+        return is_sharing and now >= start.next_attempt_ns
 
     def next_attempt_ns(self, upstream: UpstreamStats) -> int:
         """Return when the next attempt at an upstream may start; 0 outside of slow start."""
         start = self._starts.get(upstream.id)
         return start.next_attempt_ns if start is not None else 0
 
+    def max_in_flight(self, upstream: UpstreamStats) -> int:
+        """Return how many attempts this proxy may have in flight at an upstream in slow start."""
+        start = self._starts.get(upstream.id)
+        proxies = start.proxies if start is not None else 1.0
+        return max(1, round(SHARED_IN_FLIGHT / max(1.0, proxies)))
+
     # ---- begin and end ---------------------------------------------------------------------------
 
     def begin(self, upstream: UpstreamStats, proxies: float, now: int) -> None:
@@ -118,9 +133,13 @@
         """Return the upstreams whose slow start this proxy has noticed."""
         return [start.upstream for start in self._starts.values()]
 
-    def set_proxies(self, upstream: UpstreamStats, proxies: float) -> None:
-        """Set the number of proxies that share an upstream."""
-        self._starts[upstream.id].proxies = proxies
+    def set_proxies(self, upstream: UpstreamStats, proxies: float, now: int) -> None:
+        """Set the number of proxies that share an upstream; 0: this proxy is none of them."""
+        start = self._starts[upstream.id]
+        is_joining = proxies > 0 and not start.proxies
+        start.proxies = proxies
+        if is_joining:  # as others do at the same time, after the same change of the list
+            self._draw_first_attempt(start, now)
 
     def _draw_first_attempt(self, start: _Start, now: int) -> None:
         gap_ns = self.gap_ns(start.upstream, now)
--- a/loadbalancer/policy/subset_ring.py
+++ b/loadbalancer/policy/subset_ring.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import bisect
+from typing import Final
 
 from loadbalancer.policy import api, rules
 from loadbalancer.policy.upstream_stats import BY_LOCAL_POSITION, BY_RING_POSITION, UpstreamStats
 
+MAX_ZONES: Final = 64  # zones without upstreams are remembered up to this number of zones
+
 
 class SubsetRing:
     """The usable upstreams in several orders.
@@ -20,6 +23,7 @@
         same_zone: The upstreams of `ready` without a cross-zone penalty.
         local_order: All usable upstreams, in an order specific to this proxy.
         start_times: The known times of their last starts, sorted.
+        zone_counts: Number of upstreams of `ready` by zone, zones that had some included.
     """
 
     def __init__(self) -> None:
@@ -27,12 +31,15 @@
         self.same_zone: list[UpstreamStats] = []
         self.local_order: list[UpstreamStats] = []
         self.start_times: list[int] = []
+        self.zone_counts: dict[str, int] = {}
 
     def add(self, upstream: UpstreamStats) -> None:
         """Insert an upstream that became usable."""
         upstream.in_ring = True
         upstream.in_ring_same_zone = upstream.zone_penalty == 1.0
         upstream.ring_started_ns = upstream.started_ns
+        upstream.ring_zone = upstream.entry.zone
+        self._count_zone(upstream.ring_zone, 1)
         bisect.insort(self.ready, upstream, key=BY_RING_POSITION)
         bisect.insort(self.local_order, upstream, key=BY_LOCAL_POSITION)
         if upstream.in_ring_same_zone:
@@ -44,6 +51,7 @@
         """Remove an upstream that is no longer usable."""
         position = upstream.ring_position
         upstream.in_ring = False
+        self._count_zone(upstream.ring_zone, -1)
         del self.ready[bisect.bisect_left(self.ready, position, key=BY_RING_POSITION)]
         local = upstream.local_position
         del self.local_order[bisect.bisect_left(self.local_order, local, key=BY_LOCAL_POSITION)]
@@ -58,6 +66,7 @@
             upstream.in_ring
             and upstream.in_ring_same_zone is (upstream.zone_penalty == 1.0)
             and upstream.ring_started_ns == upstream.started_ns
+            and upstream.ring_zone == upstream.entry.zone
         )
         if upstream.is_usable is upstream.in_ring and (is_current or not upstream.in_ring):
             return
@@ -66,6 +75,18 @@
         if upstream.is_usable:
             self.add(upstream)
 
+    def _count_zone(self, zone: str, change: int) -> None:
+        counts = self.zone_counts
+        counts[zone] = counts.get(zone, 0) + change
+        if not counts[zone] and len(counts) > MAX_ZONES:
+            del counts[zone]
+
+    def index(self, upstream: UpstreamStats) -> int | None:
+        """Return the index of an upstream in `ready`, or None if it is not in the ring."""
+        index = bisect.bisect_left(self.ready, upstream.ring_position, key=BY_RING_POSITION)
+        is_in_ring = index < len(self.ready) and self.ready[index] is upstream
+        return index if is_in_ring else None
+
     def started_since(self, since_ns: int) -> int:
         """Return the number of upstreams that started after this time."""
         return len(self.start_times) - bisect.bisect_right(self.start_times, since_ns)
@@ -78,6 +99,8 @@
         ring.local_order = [
             u for u in self.local_order if rules.is_eligible(u.entry, request_class)
         ]
+        for upstream in ring.ready:
+            ring._count_zone(upstream.entry.zone, 1)
         return ring
 
     def subset(self, first: int, any_zone_count: int, count: int) -> list[UpstreamStats]:
@@ -134,9 +157,8 @@
         subset_ids = {upstream.id for upstream in subset}
         selected = []
         for upstream in upstreams:
-            index = bisect.bisect_left(self.ready, upstream.ring_position, key=BY_RING_POSITION)
-            is_in_ring = index < total and self.ready[index] is upstream
-            if is_in_ring and upstream.id not in subset_ids:
+            index = self.index(upstream)
+            if index is not None and upstream.id not in subset_ids:
                 distance = (index - first) % total
                 is_later = distance >= any_zone_count and upstream.zone_penalty != 1.0
                 selected.append((is_later, distance, upstream.id, upstream))
--- a/loadbalancer/policy/upstream_set.py
+++ b/loadbalancer/policy/upstream_set.py
@@ -68,7 +68,6 @@
         self.reset_rate = 0.0  # fraction of recent attempts that were reset
         self.prefers_key_upstreams = True
         self.out_of_subset_slowness = 1.0  # actual to expected service time outside the subset
-        self.proxies_per_upstream = 1.0  # mean number of proxies with an upstream in their subset
         self.disabled_ids: set[int] = set()  # disabled by operators, whether listed or not
         self.enabled_ns: dict[int, int] = {}  # when operators enabled an upstream again
         self.ring = SubsetRing()
@@ -124,9 +123,29 @@
             self._begin_slow_start(upstream, now)
 
     def _begin_slow_start(self, upstream: UpstreamStats, now: int) -> None:
-        self.slow_start.begin(upstream, self.proxies_per_upstream, now)
+        self.slow_start.begin(upstream, self.proxies_sharing(upstream), now)
         self.availability.note_avoided(upstream)
 
+    def proxies_sharing(self, upstream: UpstreamStats) -> float:
+        """Return how many proxies may send to an upstream in slow start.
+
+        Those are the proxies with the upstream in their subset: others, which use it only while
+        they are overloaded, are not known, and do not send to it.
+
+        Returns:
+            0 if this proxy is none of them.
+        """
+        proxies = float(max(1, self.settings.instance_count))
+        is_for_all = upstream.enabled_ns or any(
+            pool.is_shared_by_all and pool.ring.index(upstream) is not None
+            for pool in self.pools.values()
+        )
+        if is_for_all:
+            return proxies
+        if not upstream.in_subset:
+            return 0.0
+        return min(proxies, sum(pool.proxies_sharing(upstream) for pool in self.pools.values()))
+
     def _remove_unlisted(self, present_ids: set[int]) -> None:
         for upstream in [u for u in self.upstreams.values() if u.id not in present_ids]:
             upstream.entry = upstream.entry._replace(state=api.UpstreamState.REMOVED)
@@ -221,9 +240,8 @@
             pool.update(self.ring, options)
         subset_size = self.main_pool.subset_size
         self.slow_start.capacity.ready_count = ready_count
-        self.proxies_per_upstream = max(1.0, proxies * subset_size / max(1, ready_count))
         for upstream in self.slow_start.starting():
-            self.slow_start.set_proxies(upstream, self.proxies_per_upstream)
+            self.slow_start.set_proxies(upstream, self.proxies_sharing(upstream), now)
             self.availability.note_avoided(upstream)
         # Bounded subsets may leave upstreams that are in no proxy's subset and serve no requests
         # yet.
--- a/loadbalancer/policy/upstream_stats.py
+++ b/loadbalancer/policy/upstream_stats.py
@@ -68,6 +68,7 @@
     in_ring: bool = False
     in_ring_same_zone: bool = False
     ring_started_ns: int = 0
+    ring_zone: str = ""
 
     @property
     def is_usable(self) -> bool:
