Soak: a process that starts as discovery comes back no longer ends the soak

Cause: Discovery.come_back awaits each listener while it goes through the addresses, and a process that starts adds one. It goes through a copy now; who is added meanwhile listens by itself.

--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -47,7 +47,7 @@
     async def come_back(self) -> None:
         """Take calls again."""
         self.down = False
-        for port, process in self.process_at.items():
+        for port, process in list(self.process_at.items()):  # processes start meanwhile
             self.servers[port] = await self._listen(port, process)
 
     def change(self, row: Json) -> int:
