Slow start: two processes of one balancer divide its share of a cold upstream

What callers saw: nothing by itself; while balancers are replaced, two processes of each run, and each sent a cold upstream the whole share of one: up to twice the budget if all are replaced as upstreams return. Found by reading, on the paths related to the incident.

Change: the process count goes to the policy as an event, and stretches the gap.

--- a/loadbalancer/policy/api.py
+++ b/loadbalancer/policy/api.py
@@ -299,6 +299,12 @@
     slow_start_rates_per_s: Mapping[int, float] = {}
 
 
+class ProcessCountChanged(NamedTuple):
+    """Another process of this proxy runs beside this one, or no longer does."""
+
+    processes: int  # this one included
+
+
 Event = (
     EndpointsUpdated
     | EndpointTrustChanged
@@ -313,6 +319,7 @@
     | UpstreamDisabled
     | LearnedState
     | TrafficPlan
+    | ProcessCountChanged
 )
 
 # ---- actions -------------------------------------------------------------------------------------
--- a/loadbalancer/policy/rate_controller.py
+++ b/loadbalancer/policy/rate_controller.py
@@ -48,7 +48,7 @@
     Attributes:
         rate: R, in requests a second.
         finished_per_s: Attempts a second that finished in the last interval.
-        served_per_s: Attempts a second that finished successfully and in time.
+        served_per_s: Attempts a second that finished in time, errors of upstreams included.
     """
 
     def __init__(self, buckets: list[TokenBucket[Request]], now: int) -> None:
--- a/loadbalancer/policy/slow_start.py
+++ b/loadbalancer/policy/slow_start.py
@@ -52,6 +52,7 @@
     Attributes:
         capacity: What an upstream serves once warm.
         planned_rates_per_s: By upstream, attempts a second that the traffic plan allows.
+        processes: Processes of this proxy, which divide its share among them.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         self.rng = rng
         self.transitions = transitions
         self.planned_rates_per_s: Mapping[int, float] = {}
+        self.processes = 1
         self._starts: dict[int, _Start] = {}
 
     def is_active(self, upstream: UpstreamStats, now: int) -> bool:
@@ -196,7 +198,7 @@
             rules.slow_start_capacity + (1 - rules.slow_start_capacity) * age / rules.slow_start_ns
         )
         allowed_per_s = rules.overload_multiple * fraction * self.capacity.per_s()
-        return int(SECOND * max(1.0, proxies) / allowed_per_s)
+        return int(SECOND * max(1.0, proxies) * self.processes / allowed_per_s)
 
     @staticmethod
     def _age_ns(upstream: UpstreamStats, now: int) -> int:
--- a/loadbalancer/proxy/policy_driver.py
+++ b/loadbalancer/proxy/policy_driver.py
@@ -81,6 +81,7 @@
         self.pending_events: list[api.Event] = []
         self.table = RequestTable(settings.limits.max_open, self.post)
         self.list_received = asyncio.Event()
+        self._processes = 1
         self.event_listener: Callable[[int, Sequence[api.Event]], None] | None = None
 
     @property
@@ -163,6 +164,12 @@
             self.list_received.set()
         self.post(api.EndpointsUpdated(kind, [e.entry for e in endpoints]))
 
+    def set_process_count(self, processes: int) -> None:
+        """Set how many processes of this balancer run, this one included."""
+        if processes != self._processes:
+            self._processes = processes
+            self.post(api.ProcessCountChanged(processes))
+
     def metrics_text(self) -> str:
         """Return the counters of this process in the Prometheus text format."""
         denials = {reason.value: count for reason, count in self.violations.counts.items()}
--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -103,10 +103,15 @@
         self.disabled.start()  # before the first endpoint list arrives
         self.discovery.start(self.config.known)
         self.limits.start(self.frontend, self.upstreams, self.body_memory)
+        self._count_processes()
+        self.registry.on_check(self._count_processes)
         self.registry.watch()
         if admin_socket is not None:
             await self.admin_api.start(admin_socket)
 
+    def _count_processes(self) -> None:
+        self.driver.set_process_count(1 + len(self.registry.others))
+
     async def _start_gossip(self) -> None:
         config = self.config
         if config.peer_listen is not None and config.settings.limits.peers:
--- a/tests/policy/test_slow_start_spacing.py
+++ b/tests/policy/test_slow_start_spacing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from loadbalancer.policy import Balancer, api
 
 SECOND, MS = 1_000_000_000, 1_000_000
@@ -84,3 +86,13 @@
         balancer.handle(now, [api.EndpointsUpdated(api.EndpointListKind.DELTA, [entry])])
     _, now = attempt_at_cold(balancer, now)
     assert now - last >= needed_ns
+
+
+# Guards against two processes of one balancer that each take its whole share.
+def test_two_processes_of_a_balancer_divide_its_share() -> None:
+    balancer = balancer_with_a_cold_upstream()
+    alone_ns = gap_ns(balancer, START)
+    balancer.handle(START, [api.ProcessCountChanged(2)])
+    assert gap_ns(balancer, START) == pytest.approx(2 * alone_ns, rel=0.01)
+    balancer.handle(START, [api.ProcessCountChanged(1)])
+    assert gap_ns(balancer, START) == alone_ns
