Soak: a seeded bug, balancers that take failures for capacity, is found

The test plays the copy of the program with the fault of the incident seeded into its policy: seed 3, 100 processes before 8 upstreams, the rule on slow start is found broken, and no other.

--- a/tests/testbed/test_soak_cold_returns.py
+++ b/tests/testbed/test_soak_cold_returns.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import shutil
 from pathlib import Path
 
 import pytest
@@ -105,6 +106,41 @@
     run(test())
 
 
+def program_that_takes_failures_for_capacity(folder: Path) -> Path:
+    """Copy the program, with the fault of the incident seeded into it."""
+    shutil.copytree(PROGRAM / "loadbalancer", folder / "loadbalancer")
+    policy = folder / "loadbalancer" / "policy"
+    for name, correct, faulty in (
+        (
+            "capacity_estimate.py",
+            "return min(max(served_per_s, single_per_s), START_WINDOW * single_per_s)",
+            "return max(served_per_s, single_per_s)",
+        ),
+        (
+            "attempt_tracker.py",
+            "self.rate_controller.failure_count += 1\n",
+            "self.rate_controller.failure_count += 1\n"
+            "        self.upstream_set.slow_start.capacity.served_count += 1\n",
+        ),
+    ):
+        text = (policy / name).read_text()
+        assert text.count(correct) == 1
+        (policy / name).write_text(text.replace(correct, faulty))
+    return folder
+
+
+def test_the_soak_finds_balancers_that_take_failures_for_capacity(tmp_path: Path) -> None:
+    async def test() -> None:
+        program = program_that_takes_failures_for_capacity(tmp_path)
+        plan = Plan(3, 14.0, 100, 8, 0.0, program, only=frozenset({"hold_up"}), cold_returns=True)
+        verdict = await play(plan)
+        found = {breach.rule for breach in (*verdict.breaches, *verdict.unsure)}
+        assert found == {"slow start"}
+        assert verdict.fullest_window > 1.0
+
+    run(test())
+
+
 # Guards against balancers that take failed attempts for capacity: together they overloaded
 # upstreams that came back cold under a burst.
 def test_balancers_together_stay_within_the_budget_of_cold_upstreams() -> None:
