Soak: a breach by a process's end has the last line that it logged

A process ended with status 2 in one of two series that ran side by side, and the verdict did not say why. Suspected, not traced: both draw their ports from one range, so that one may take what the other has given out.

--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -40,6 +40,7 @@
 RULE_SLACK_NS = 50 * MS
 TERM_NS, HOLD_TERM_NS = 6 * SECOND, 2 * SECOND
 LONG_BODY = 64 * 1024  # beyond it, the pages time the first bytes of the answer
+MAX_LOGGED = 200  # characters of a log line in a breach
 BAD_LOG = ("Traceback", "ERROR", "never retrieved", "violation")
 # What operators are told in so many words, and is no defect.
 FORESEEN = (
@@ -317,14 +318,16 @@
             at_ns = p.ended_ns or p.started_ns
             name = f"process {p.number} of balancer {p.balancer}"
             if not p.killed_ns and not ended_well(p):
-                yield Breach("process", at_ns, f"{name} ended with {p.status}")
+                last_line = (p.log.splitlines() or ["no log"])[-1]
+                what = f"{name} ended with {p.status}: {last_line[:MAX_LOGGED]}"
+                yield Breach("process", at_ns, what)
             if p.memory_limit_mb and p.memory_mb > p.memory_limit_mb:
                 yield Breach("memory", at_ns, f"{name} needed {p.memory_mb:.0f} MB")
             for line in p.log.splitlines():
                 if any(bad in line for bad in BAD_LOG) and not any(
                     known in line for known in FORESEEN
                 ):
-                    yield Breach("process", at_ns, f"{name}: {line[:200]}")
+                    yield Breach("process", at_ns, f"{name}: {line[:MAX_LOGGED]}")
 
 
 def ended_well(process: Process) -> bool:
