--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -148,3 +148,8 @@
     assert calls.read_text().splitlines() == ["-m venv --clear .venv"]
     assert create_with_script(tmp_path, "second").stderr == f"{MADE_AGAIN}: .venv\n"
     assert len(calls.read_text().splitlines()) == 2
+    (tmp_path / "pyproject.toml").write_text("changed")
+    assert create_with_script(tmp_path, "second").stderr == ""
+    assert len(calls.read_text().splitlines()) == 3
+    # `review/build.sh` looks at this note.
+    assert (tmp_path / ".venv/.made-for").read_text() == "changed"
