--- a/loadbalancer/testbed/soak/cold_returns.py
+++ b/loadbalancer/testbed/soak/cold_returns.py
@@ -95,6 +95,7 @@
         """Start upstreams, and list them a little later, in one change."""
         started_ns = time.monotonic_ns()
         for upstream in upstreams:
+            upstream.die()  # another trouble may have started it
             upstream.started_ms = time.time_ns() // MS
             upstream.start()
         await asyncio.sleep(LISTED_AFTER_S)
--- a/loadbalancer/testbed/soak/upstream_faults.py
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -81,6 +81,8 @@
             return
         upstream.die()
         await asyncio.sleep(event.lasts_s)
+        if upstream.listener is not None:
+            return  # another trouble has started it
         upstream.started_ms = time.time_ns() // MS
         upstream.start()
         if upstream.name not in self.draining:  # else it comes back as it was: the list says so
