Slow start: a process that has just started learns from its first responses

Cause: until the first sample, which takes a second attempt on a connection, the shortest objective stood for the service time, and the served rate began at none and took seconds to come up.

Change: the durations of first responses, which are too long rather than too short as they include the setup of a connection, bound the assumed time; the served rate is the mean since the start until that is longer than its time constant.

--- a/loadbalancer/policy/attempt_tracker.py
+++ b/loadbalancer/policy/attempt_tracker.py
@@ -142,7 +142,7 @@
             upstream_set.out_of_subset_slowness += SLOWNESS_GAIN * (
                 slowness - upstream_set.out_of_subset_slowness
             )
-        upstream_set.slow_start.capacity.served_count += 1
+        upstream_set.slow_start.capacity.record_response(duration_ns)
         # Late responses are the first sign of overload.
         is_late = attempt.sent_ns + duration_ns > request.latency_objective_ns
         self.rate_controller.in_time_count += not is_late
--- a/loadbalancer/policy/capacity_estimate.py
+++ b/loadbalancer/policy/capacity_estimate.py
@@ -29,7 +29,6 @@
         assumed_service_ns: Service time while nothing is measured. It has to be longer than the
             true one.
         ready_count: Number of usable upstreams.
-        served_count: Responses since the last update.
     """
 
     def __init__(self, concurrency: ConcurrencyLimit, proxies: int) -> None:
@@ -37,20 +36,33 @@
         self.proxies = proxies
         self.assumed_service_ns = float(SECOND)
         self.ready_count = 0
-        self.served_count = 0
+        self._served_count = 0  # since the last update
         self._served_per_s = 0.0
+        self._observed_ns = 0
+        # Durations of the first responses, which include the setup of a connection.
+        self._first_count = 0
+        self._first_total_ns = 0
         self._baseline_ns = 0.0  # service time of a request without overload; 0: not measured
         self._updated_ns = 0
 
+    def record_response(self, duration_ns: int) -> None:
+        """Count a response of an upstream, and its duration while nothing better is measured."""
+        self._served_count += 1
+        if not self.concurrency.sample_count:
+            self._first_count += 1
+            self._first_total_ns += max(1, duration_ns)
+
     def update(self, now: int) -> None:
         """Update the served rate and the baseline service time."""
         elapsed_ns = now - self._updated_ns if self._updated_ns else SECOND
         if elapsed_ns <= 0:
             return
         self._updated_ns = now
-        served_per_s = self.served_count * SECOND / elapsed_ns
-        self.served_count = 0
-        gain = min(1.0, elapsed_ns / SERVED_TIME_NS)
+        served_per_s = self._served_count * SECOND / elapsed_ns
+        self._served_count = 0
+        # The mean since the start, until that is longer than the time constant.
+        self._observed_ns = min(SERVED_TIME_NS, self._observed_ns + elapsed_ns)
+        gain = min(1.0, elapsed_ns / self._observed_ns)
         self._served_per_s += gain * (served_per_s - self._served_per_s)
         if not self.concurrency.sample_count:
             return
@@ -75,5 +87,8 @@
     def _service_ns(self) -> float:
         if self._baseline_ns:
             return self._baseline_ns
-        has_samples = self.concurrency.sample_count > 0
-        return self.concurrency.per_request_ns if has_samples else self.assumed_service_ns
+        if self.concurrency.sample_count:
+            return self.concurrency.per_request_ns
+        if self._first_count:
+            return min(self.assumed_service_ns, self._first_total_ns / self._first_count)
+        return self.assumed_service_ns
