--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -37,6 +37,7 @@
         self.servers[port], self.process_at[port] = server, process
         if self.down:
             server.close()
+            await server.wait_closed()
         return f"127.0.0.1:{port}"
 
     async def _listen(self, port: int, process: int) -> asyncio.Server:
@@ -48,7 +49,8 @@
         """Take calls again."""
         self.down = False
         for port, process in list(self.process_at.items()):  # processes start meanwhile
-            self.servers[port] = await self._listen(port, process)
+            if not self.servers[port].is_serving():
+                self.servers[port] = await self._listen(port, process)
 
     def change(self, row: Json) -> int:
         """An upstream is so from now on; who watches is told. Gives the version."""
--- a/loadbalancer/testbed/soak/upstream_faults.py
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -99,6 +99,7 @@
         change.version = self.discovery.change(row_of(upstream, state))
         self.history.changes.append(change)
         await asyncio.sleep(event.lasts_s)
-        change.until_ns = time.monotonic_ns()
-        self.discovery.change(row_of(upstream, "Ready"))
         self.draining.discard(upstream.name)
+        if not change.until_ns:  # else it was lost meanwhile, and has come back
+            change.until_ns = time.monotonic_ns()
+            self.discovery.change(row_of(upstream, "Ready"))
