Soak: what is lost is listed by nothing else, and ports are not given out twice

Traced: an upstream that drained was lost and started again, and the end of its drain listed it as ready 0.4 s before the cold return did; the soak's own history had it as gone until then. Nothing but the cold return lists a lost upstream now.

Two soaks side by side could give out one port (a process ended with status 2 in such a pair, suspected before): a port is reserved by a datagram socket.

--- a/loadbalancer/testbed/soak/cold_returns.py
+++ b/loadbalancer/testbed/soak/cold_returns.py
@@ -37,7 +37,11 @@
 
 
 class ColdReturns:
-    """Loses upstreams and starts them again, while the clients' rate rises."""
+    """Loses upstreams and starts them again, while the clients' rate rises.
+
+    Attributes:
+        lost_names: The upstreams that are lost now.
+    """
 
     def __init__(
         self,
@@ -55,6 +59,7 @@
         count = max(1, round(self.rng.uniform(*LOST_SHARE) * len(upstreams)))
         self.lost = self.rng.sample(list(upstreams), count)
         self.burst = self.rng.uniform(*BURST)
+        self.lost_names: set[str] = set()
 
     async def run(self) -> None:
         """Lose them, begin the burst, and start them again."""
@@ -87,6 +92,7 @@
     def _lose(self, upstreams: Sequence[Upstream]) -> None:
         for upstream in upstreams:
             upstream.die()
+            self.lost_names.add(upstream.name)
         version = self.discovery.change_all([row_of(u, "Gone") for u in upstreams])
         now_ns = time.monotonic_ns()
         self.history.changes += [Change(u.name, version, now_ns) for u in upstreams]
@@ -102,6 +108,7 @@
         version = self.discovery.change_all([row_of(u, "Ready") for u in upstreams])
         listed_ns = time.monotonic_ns()
         names = {upstream.name for upstream in upstreams}
+        self.lost_names -= names
         for change in self.history.changes:
             if change.upstream in names and not change.until_ns:
                 change.until_ns = listed_ns
--- a/loadbalancer/testbed/soak/ports.py
+++ b/loadbalancer/testbed/soak/ports.py
@@ -8,20 +8,23 @@
 
 LEAST = 12_000
 RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
-_given: set[int] = set()
+# By port, a datagram socket bound to it: other soaks on this machine pass over the port, while
+# listeners for connections are not in its way.
+_reserved: dict[int, socket.socket] = {}
 
 
 def free_port() -> int:
-    """A loopback port that nobody listens at, and that was not given before."""
+    """A loopback port that nobody listens at, and that no soak was given before."""
     most = int(RANGE.read_text().split()[0]) if RANGE.exists() else 32_000
     while True:
         port = random.SystemRandom().randrange(LEAST, max(LEAST + 1000, most))
-        if port in _given:
-            continue
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with socket.socket() as taken:
             try:
+                reservation.bind(("127.0.0.1", port))
                 taken.bind(("127.0.0.1", port))
             except OSError:
+                reservation.close()
                 continue
-        _given.add(port)
+        _reserved[port] = reservation
         return port
--- a/loadbalancer/testbed/soak/run.py
+++ b/loadbalancer/testbed/soak/run.py
@@ -96,7 +96,12 @@
         self.balancer_faults = BalancerFaults(
             self.balancers, self.clients, self.upstreams, self.history
         )
-        self.upstream_faults = UpstreamFaults(self.upstreams, self.discovery, self.history)
+        self.cold_returns = ColdReturns(
+            plan.seed, self.upstreams, self.clients, self.discovery, self.history
+        )
+        self.upstream_faults = UpstreamFaults(
+            self.upstreams, self.discovery, self.history, self.cold_returns.lost_names
+        )
         self.began_s = 0.0
         self.actions: dict[Trouble, Callable[[Event], Awaitable[None]]] = {
             **self.balancer_faults.actions,
@@ -116,10 +121,7 @@
         ]
         troubles = [asyncio.create_task(self._at(event)) for event in self._events()]
         if self.plan.cold_returns:
-            returns = ColdReturns(
-                self.plan.seed, self.upstreams, self.clients, self.discovery, self.history
-            )
-            troubles.append(asyncio.create_task(returns.run()))
+            troubles.append(asyncio.create_task(self.cold_returns.run()))
         await asyncio.sleep(self.plan.seconds)
         await asyncio.gather(*troubles)
         for task in running:
--- a/loadbalancer/testbed/soak/upstream_faults.py
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 
 from loadbalancer.settings import Json
 from loadbalancer.testbed.soak.discovery import Discovery
@@ -38,15 +38,27 @@
 
 
 class UpstreamFaults:
-    """Carries out the troubles of upstreams."""
+    """Carries out the troubles of upstreams.
+
+    Args:
+        upstreams: All of them.
+        discovery: Lists them.
+        history: Notes their changes.
+        lost: Those that are gone until another trouble starts them: nothing lists them before.
+    """
 
     def __init__(
-        self, upstreams: Sequence[Upstream], discovery: Discovery, history: History
+        self,
+        upstreams: Sequence[Upstream],
+        discovery: Discovery,
+        history: History,
+        lost: Collection[str] = (),
     ) -> None:
         self.upstreams = upstreams
         self.discovery = discovery
         self.history = history
         self.draining: set[str] = set()
+        self.lost = lost
         self.actions: dict[Trouble, Callable[[Event], Awaitable[None]]] = {
             Trouble.FULL_QUEUE: self._full_queue,
             Trouble.CRASH: self._crash,
@@ -81,8 +93,8 @@
             return
         upstream.die()
         await asyncio.sleep(event.lasts_s)
-        if upstream.listener is not None:
-            return  # another trouble has started it
+        if upstream.listener is not None or upstream.name in self.lost:
+            return  # another trouble has started it, or will
         upstream.started_ms = time.time_ns() // MS
         upstream.start()
         if upstream.name not in self.draining:  # else it comes back as it was: the list says so
@@ -93,6 +105,8 @@
         upstream = self._upstream(event)
         if upstream.name in self.draining or len(self.draining) > len(self.upstreams) // 2:
             return
+        if upstream.name in self.lost:
+            return
         self.draining.add(upstream.name)
         state = "Gone" if event.draw * 1000 % 1 < 0.3 else "Terminating"
         change = Change(upstream.name, 0, time.monotonic_ns())
@@ -100,6 +114,6 @@
         self.history.changes.append(change)
         await asyncio.sleep(event.lasts_s)
         self.draining.discard(upstream.name)
-        if not change.until_ns:  # else it was lost meanwhile, and has come back
+        if not change.until_ns and upstream.name not in self.lost:
             change.until_ns = time.monotonic_ns()
             self.discovery.change(row_of(upstream, "Ready"))
--- a/tests/testbed/test_soak_cold_returns.py
+++ b/tests/testbed/test_soak_cold_returns.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import shutil
+import socket
 from pathlib import Path
 
 import pytest
@@ -23,6 +24,7 @@
     Process,
 )
 from loadbalancer.testbed.soak.plan import Plan
+from loadbalancer.testbed.soak.ports import free_port
 from loadbalancer.testbed.soak.run import play
 from loadbalancer.testbed.soak.slow_start_check import SlowStartRules, limit
 from tests.fakes import run
@@ -141,6 +143,19 @@
     run(test())
 
 
+# Guards against two soaks side by side that give out the same port.
+def test_a_port_that_was_given_out_is_free_for_its_listener_alone() -> None:
+    port = free_port()
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", port))
+        listener.listen()
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other,
+        pytest.raises(OSError, match="in use"),
+    ):
+        other.bind(("127.0.0.1", port))
+
+
 # Guards against balancers that take failed attempts for capacity: together they overloaded
 # upstreams that came back cold under a burst.
 def test_balancers_together_stay_within_the_budget_of_cold_upstreams() -> None:
