--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -166,7 +166,7 @@
         for change in self.history.changes:
             until_ns = change.until_ns or 1 << 62
             for attempt in by_upstream[change.upstream]:
-                if not change.made_ns < attempt.first_ns < until_ns:
+                if not change.made_ns < attempt.first_ns < until_ns - MARGIN_NS:
                     continue
                 home = self.homes.get(attempt.id, -1)
                 ago_ns = attempt.first_ns - self._told_at(home, attempt, change)
