--- a/loadbalancer/cli/lab.py
+++ b/loadbalancer/cli/lab.py
@@ -367,6 +367,10 @@
     long_answers: Annotated[
         float, typer.Option(help="Share of the requests whose answer is long and written slowly.")
     ] = 0.0,
+    long_messages: Annotated[
+        float,
+        typer.Option(help="Share of the requests with a long body, or an answer in lumps."),
+    ] = 0.0,
 ) -> None:
     """Real balancers on loopback under troubles that overlap, judged by the rules; a breach is
     status 1.
@@ -396,6 +400,7 @@
             descriptors=descriptors,
             long_answers=long_answers,
             flood=flood,
+            long_messages=long_messages,
         )
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             verdict = runner.run(play(plan))
--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -1,6 +1,8 @@
 """The invariants, judged from the history alone: it shares nothing with the program.
 
 cut          an answer that its upstream still wrote is not cut off, unless its client left
+given up     what may not be repeated is not given up before its client's time, nor a request whose
+             client still writes it
 answered     each request that was taken has one whole answer by half a second behind its time
 twice        what may not be repeated runs once; a keyed request not beyond its window
 drain        nothing new to an upstream that drains, went or is disabled, behind the grace
@@ -37,6 +39,7 @@
 # How far a moment read here may be off: readings of two sockets, and the kernel's ticks of 4 ms.
 MARGIN_NS = 30 * MS
 LATE_ANSWER_NS = 500 * MS
+ANSWER_MARGIN_NS = 50 * MS  # before its client's time, a balancer may answer that it is over
 PROCESS_END_NS = 200 * MS  # its connections close within so long before its end
 LATE_BEGIN_NS = 100 * MS
 TOLD_SLACK_NS = 150 * MS
@@ -94,6 +97,7 @@
         found = [
             *self._answered(),
             *self._cut(),
+            *self._given_up(),
             *self._twice(),
             *self._drain(),
             *self._slow_start(),
@@ -166,14 +170,42 @@
             return False
         if not asked.is_long_answer and attempt.cut_ns >= asked.due_ns - MARGIN_NS:
             return False
-        # A process that was told to end ends before it would be killed.
-        return not any(
-            p.balancer == asked.balancer
-            and p.term_ns
-            and abs(attempt.cut_ns - p.ended_ns) < PROCESS_END_NS
+        return not self._is_process_end(asked, attempt.cut_ns)
+
+    def _is_process_end(self, asked: Asked, at_ns: int) -> bool:
+        """Whether a process that was told to end did so then, before it would be killed."""
+        return any(
+            p.balancer == asked.balancer and p.term_ns and abs(at_ns - p.ended_ns) < PROCESS_END_NS
             for p in self.history.processes
         )
 
+    # ---- attempts given up -----------------------------------------------------------------------
+
+    def _given_up(self) -> Iterator[Breach]:
+        for asked in self.history.asked:
+            if asked.end is End.LEFT or self._excused(asked):
+                continue
+            if self._is_refused_while_written(asked):
+                what = f"{describe(asked)}: answered {asked.status} while its client wrote it"
+                yield Breach("given up", asked.ended_ns, what)
+            for attempt in self.by_id[asked.id]:
+                if self._is_given_up_early(asked, attempt):
+                    left_s = (asked.due_ns - attempt.given_up_ns) / SECOND
+                    what = f"{describe(asked)} at {attempt.upstream}, {left_s:.2f} s too early"
+                    yield Breach("given up", attempt.given_up_ns, what)
+
+    @staticmethod
+    def _is_refused_while_written(asked: Asked) -> bool:
+        """Whether a client that writes slowly, but does, was told that it took too long."""
+        return asked.form is not None and asked.status == HTTPStatus.REQUEST_TIMEOUT
+
+    def _is_given_up_early(self, asked: Asked, attempt: Attempt) -> bool:
+        if asked.kind is not Kind.PAY or not asked.sent_ns or not attempt.given_up_ns:
+            return False
+        until_ns = min(asked.due_ns, asked.ended_ns) - MARGIN_NS
+        in_time = asked.sent_ns <= attempt.given_up_ns < until_ns - ANSWER_MARGIN_NS
+        return in_time and not self._is_process_end(asked, attempt.given_up_ns)
+
     # ---- effects ---------------------------------------------------------------------------------
 
     def _twice(self) -> Iterator[Breach]:
@@ -319,7 +351,7 @@
         asked_by_id = {asked.id: asked for asked in self.history.asked if asked.sent_ns}
         for attempt in self.history.attempts:
             asked = asked_by_id.get(attempt.id)
-            if asked is None or not attempt.whole_ns or len(asked.body) > LONG_BODY:
+            if asked is None or not attempt.whole_ns or asked.body_bytes > LONG_BODY:
                 continue
             left_ns = asked.sent_ns + asked.wait_ms * MS - attempt.whole_ns
             over_ns = attempt.told_ms * MS - left_ns - self._held_up(asked, attempt)
--- a/loadbalancer/testbed/soak/clients.py
+++ b/loadbalancer/testbed/soak/clients.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import random
+import socket
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 
 from loadbalancer.proxy.tcp_state import receive_state
 from loadbalancer.testbed.soak.history import Asked, End, History, Kind
 from loadbalancer.testbed.soak.long_answers import AnswerForm
+from loadbalancer.testbed.soak.long_requests import RequestForm
 from loadbalancer.testbed.soak.plan import Plan
 
 SECOND, MS = 1_000_000_000, 1_000_000
@@ -20,6 +23,11 @@
 LONG_ANSWER_PATIENCE_S = 6.0  # more than the slowest long answer takes
 PATIENCE_S = 1.0  # over a request's time, before it is called unanswered
 SHORTEST_MS, LONGEST_MS = 60, 2_500
+SHORTEST_LONG_MS = 300  # deadline of a request with a long message
+LONGEST_WRITE_S = 12.0  # a client that has not written a long request by then leaves
+# Of the requests with a long message: those whose answer stops, those with a long body, and of
+# these those whose answer is long too.
+STOPPING_SHARE, LONG_REQUEST_SHARE, BOTH_SHARE = 0.15, 0.5, 0.3
 SLOW_WRITE_S = 0.01, 0.4
 CROWDED_WRITE_S = 0.01, 2.0  # in a crowd some take longer
 UNEVEN = 0.5, 0.5, 0.75, 0.75, 2.5  # of the mean rate; their mean is 1
@@ -69,6 +77,7 @@
             self.rate *= rng.choice(UNEVEN)
         self.in_crowd = bool(plan.crowd)
         self.long_answers = plan.long_answers
+        self.long_messages = plan.long_messages
         self.rng = rng
         self.kept: list[Link] = []
         self.count = 0
@@ -104,6 +113,8 @@
         asked = Asked(f"{self.balancer}-{self.count}", kind, self.balancer, wait_ms, body)
         if self.long_answers and rng.random() < self.long_answers:
             asked.query = AnswerForm.draw(rng).query
+        if self.long_messages and rng.random() < self.long_messages:
+            self._draw_long_messages(asked)
         how = rng.random()
         if how < 0.03:
             await self._half(asked)
@@ -112,6 +123,19 @@
         leaves_s = rng.uniform(0.0, wait_ms / 1000) if how < 0.15 else None
         await self._ask(asked, leaves_s, slow=0.15 <= how < 0.2)
 
+    def _draw_long_messages(self, asked: Asked) -> None:
+        """Give a request a long answer, an answer that stops, a long body, or both of the long."""
+        rng = self.rng
+        asked.wait_ms = int(rng.uniform(SHORTEST_LONG_MS, LONGEST_MS))
+        is_request = asked.kind is not Kind.READ and rng.random() < LONG_REQUEST_SHARE
+        if is_request:
+            asked.body = b""
+            asked.form = RequestForm.draw(rng)
+        if rng.random() < STOPPING_SHARE:
+            asked.query = AnswerForm.draw_stopping(rng).query
+        elif not is_request or rng.random() < BOTH_SHARE:
+            asked.query = AnswerForm.draw_lumps(rng).query
+
     async def _half(self, asked: Asked) -> None:
         """Stops in the middle of a request, and stays."""
         link = await self._new()
@@ -128,6 +152,9 @@
         if link is None:
             return
         asked.reused = link.used
+        if asked.form is not None:
+            await self._ask_at_length(asked, asked.form, link)
+            return
         if not await self._written(asked, link, slow):
             asked.end = End.NOT_TAKEN
             link.close()
@@ -135,7 +162,7 @@
         asked.sent_ns = time.monotonic_ns()
         limit_s = asked.wait_ms / 1000 + PATIENCE_S if leaves_s is None else leaves_s
         if asked.query and leaves_s is None:
-            limit_s += LONG_ANSWER_PATIENCE_S
+            limit_s += LONG_ANSWER_PATIENCE_S + AnswerForm.of_target(f"?{asked.query}").longest_s
         try:
             async with asyncio.timeout(limit_s):
                 keep = await self._answer(asked, link)
@@ -155,6 +182,43 @@
             self.history.asked.append(again)
             await self._ask(again, None, slow=False, fresh=True)
 
+    async def _ask_at_length(self, asked: Asked, form: RequestForm, link: Link) -> None:
+        """Send a request with a long body, and read its answer, which may come before its end."""
+        writing = asyncio.create_task(self._write_at_length(asked, form, link))
+        answering = asyncio.create_task(self._answer(asked, link))
+        await asyncio.wait(
+            (writing, answering), timeout=LONGEST_WRITE_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        if asked.sent_ns and not answering.done():
+            limit_s = asked.wait_ms / 1000 + PATIENCE_S + LONG_ANSWER_PATIENCE_S
+            limit_s += AnswerForm.of_target(f"?{asked.query}").longest_s
+            await asyncio.wait((answering,), timeout=limit_s)
+        if not answering.done():
+            asked.end = End.UNANSWERED if asked.sent_ns else End.LEFT
+        elif not asked.sent_ns and asked.end is End.CLOSED:
+            asked.end = End.NOT_TAKEN
+        asked.ended_ns = time.monotonic_ns()
+        for task in (writing, answering):
+            task.cancel()
+        await asyncio.gather(writing, answering, return_exceptions=True)
+        link.close()
+
+    async def _write_at_length(self, asked: Asked, form: RequestForm, link: Link) -> None:
+        """Write a request; it counts as sent when its last write has returned."""
+        link.used = True
+        if form.send_buffer:
+            sock = link.writer.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, form.send_buffer)
+        # With limits of 0, `drain` returns once the kernel has taken everything.
+        link.writer.transport.set_write_buffer_limits(high=0)
+        link.writer.write(self._message(asked))
+        with suppress(OSError):
+            for pause_s, piece in form.pieces(self.rng):
+                await asyncio.sleep(pause_s)
+                link.writer.write(piece)
+                await link.writer.drain()
+            asked.sent_ns = time.monotonic_ns()
+
     async def _link(self, fresh: bool) -> Link | None:
         """Return a connection; None where there is none."""
         has_kept = self._has_way() and bool(self.kept) and not self.in_crowd
@@ -194,15 +258,18 @@
 
     def _message(self, asked: Asked) -> bytes:
         method = "GET" if asked.kind is Kind.READ else "POST"
+        query = asked.query if asked.form is None else f"{asked.query}&{asked.form.query}"
         rows = [
-            f"{method} /{asked.kind.value}?obj=key{self.rng.randrange(40)}&{asked.query} HTTP/1.1",
+            f"{method} /{asked.kind.value}?obj=key{self.rng.randrange(40)}&{query} HTTP/1.1",
             "Host: soak",
             f"X-Request-Id: {asked.id}",
             f"X-Class: {asked.kind.value}",
             "X-Tenant: ash",
             f"X-Deadline-Ms: {asked.wait_ms}",
         ]
-        if asked.kind is not Kind.READ:
+        if asked.form is not None:
+            rows.append(asked.form.header)
+        elif asked.kind is not Kind.READ:
             rows.append(f"Content-Length: {len(asked.body)}")
         return "\r\n".join([*rows, "", ""]).encode() + asked.body
 
--- a/loadbalancer/testbed/soak/history.py
+++ b/loadbalancer/testbed/soak/history.py
@@ -8,7 +8,8 @@
 from enum import Enum
 from typing import Final
 
-from loadbalancer.testbed.soak.long_answers import LONG_ANSWER_BYTES, AnswerForm, Framing
+from loadbalancer.testbed.soak.long_answers import AnswerForm
+from loadbalancer.testbed.soak.long_requests import RequestForm
 
 NS_PER_MS: Final = 1_000_000
 
@@ -52,6 +53,7 @@
     proper: bool = True  # the answer was an upstream's to this request
     query: str = ""  # asks for a form of answer
     first_ns: int = 0  # the first byte of the answer came
+    form: RequestForm | None = None  # of a long body, which `body` does not hold
 
     @property
     def due_ns(self) -> int:
@@ -61,8 +63,12 @@
     @property
     def is_long_answer(self) -> bool:
         """Whether a proxy has to take its answer for a long one, whose first byte is timed."""
-        form = AnswerForm.of_target(f"?{self.query}")
-        return form.size > LONG_ANSWER_BYTES or form.framing is not Framing.LENGTH
+        return AnswerForm.of_target(f"?{self.query}").is_long
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of its body."""
+        return self.form.size if self.form is not None else len(self.body)
 
 
 @dataclass(slots=True)
@@ -79,6 +85,7 @@
     whole_ns: int = 0
     ran: bool = False
     cut_ns: int = 0  # its connection was closed while the upstream still wrote the answer
+    given_up_ns: int = 0  # its connection was closed before the upstream began to answer
 
 
 @dataclass(slots=True)
--- a/loadbalancer/testbed/soak/long_answers.py
+++ b/loadbalancer/testbed/soak/long_answers.py
@@ -17,16 +17,31 @@
 LATE_BODY_S: Final = 0.6
 LUMP_S: Final = 0.4
 LONG_ANSWER_BYTES: Final = 64 * 1024  # beyond it, the pages time the first bytes
+# Answers in lumps: the size of a lump, how many there are, and the longest pause between two.
+LUMP_BYTES: Final = (8_000, 1_000_000)
+MAX_LUMPS: Final = 9
+PAUSE_MS: Final = (1, 1_900)
+MAX_PAUSES_MS: Final = 6_000  # all pauses of one answer together, in the mean
+# Answers that stop: after how many bytes, of how many that were announced where a length is.
+STOP_BYTES: Final = (1, 4_000)
+STOPPED_LENGTH: Final = 60_000
+MS_PER_S: Final = 1_000
 
 
 class Framing(Enum):
-    """How the end of an answer is known."""
+    """How the end of a message is known."""
 
     LENGTH = "length"
     CHUNKED = "chunked"
     CLOSE = "close"
 
 
+def log_uniform(rng: random.Random, bounds: tuple[int, int]) -> int:
+    """Return a number between the bounds; each order of magnitude is equally likely."""
+    low, high = bounds
+    return min(high, int(low * (high / low) ** rng.random()))
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerForm:
     """What an upstream answers to one request.
@@ -36,6 +51,10 @@
         rate: Bytes a second; 0: all at once.
         shape: `steady`; `late-body`, some time after the head; `lumps`.
         hold_ms: How long the upstream works on the request; None: the usual time.
+        lump: Bytes that are written at a time, with a pause between; 0: as `shape` says.
+        pause_ms: The pause between two lumps, or the longest if each is drawn anew.
+        is_regular: Whether all pauses are alike.
+        stop: Bytes of the body behind which nothing more comes; 0: it comes to its end.
     """
 
     size: int = 0
@@ -43,6 +62,10 @@
     framing: Framing = Framing.LENGTH
     shape: str = "steady"
     hold_ms: int | None = None
+    lump: int = 0
+    pause_ms: int = 0
+    is_regular: bool = True
+    stop: int = 0
 
     @classmethod
     def of_target(cls, target: str) -> AnswerForm:
@@ -55,6 +78,10 @@
             Framing(fields.get("framing", "length")),
             fields.get("shape", "steady"),
             None if hold_ms is None else int(hold_ms),
+            int(fields.get("lump", 0)),
+            int(fields.get("pause_ms", 0)),
+            fields.get("regular", "1") == "1",
+            int(fields.get("stop", 0)),
         )
 
     @classmethod
@@ -64,10 +91,48 @@
             rng.choice(SIZES), rng.choice(RATES), rng.choice(list(Framing)), rng.choice(SHAPES)
         )
 
+    @classmethod
+    def draw_lumps(cls, rng: random.Random) -> AnswerForm:
+        """Return a random answer of over 64 KiB in lumps, with pauses up to `PAUSE_MS`."""
+        lump = log_uniform(rng, LUMP_BYTES)
+        fewest = LONG_ANSWER_BYTES // lump + 1
+        lumps = rng.randint(max(2, fewest), max(2, MAX_LUMPS))
+        longest_ms = min(PAUSE_MS[1], 2 * MAX_PAUSES_MS // lumps)
+        return cls(
+            lump * lumps,
+            framing=rng.choice(list(Framing)),
+            lump=lump,
+            pause_ms=log_uniform(rng, (PAUSE_MS[0], longest_ms)),
+            is_regular=rng.random() < 0.5,
+        )
+
+    @classmethod
+    def draw_stopping(cls, rng: random.Random) -> AnswerForm:
+        """Return a random answer that stops after a few bytes, and never ends."""
+        stop = rng.randint(*STOP_BYTES)
+        return cls(STOPPED_LENGTH, framing=rng.choice(list(Framing)), lump=stop, stop=stop)
+
     @property
     def query(self) -> str:
         """The fields that `of_target` reads."""
-        return f"size={self.size}&rate={self.rate}&framing={self.framing.value}&shape={self.shape}"
+        query = f"size={self.size}&rate={self.rate}&framing={self.framing.value}&shape={self.shape}"
+        if self.lump:
+            regular = int(self.is_regular)
+            query += f"&lump={self.lump}&pause_ms={self.pause_ms}&regular={regular}"
+        return f"{query}&stop={self.stop}" if self.stop else query
+
+    @property
+    def is_long(self) -> bool:
+        """Whether a proxy has to take the answer for a long one, whose first byte is timed."""
+        is_shown_long = self.size > LONG_ANSWER_BYTES or self.framing is not Framing.LENGTH
+        return is_shown_long and not self.stop
+
+    @property
+    def longest_s(self) -> float:
+        """The most time that the upstream takes to write it."""
+        if not self.lump:
+            return LATE_BODY_S + LUMP_S + (self.size / self.rate if self.rate else 0.0)
+        return self.size / self.lump * self.pause_ms / MS_PER_S
 
     def head(self) -> bytes:
         """Return the head of the answer."""
@@ -81,6 +146,18 @@
     def pieces(self, body: bytes) -> Iterator[tuple[float, bytes]]:
         """Yield pauses in seconds, and what is written after each."""
         body = body.ljust(self.size, b"-")
+        yield from self._lumps(body) if self.lump else self._shaped(body)
+        if self.framing is Framing.CHUNKED and not self.stop:
+            yield 0.0, b"0\r\n\r\n"
+
+    def _lumps(self, body: bytes) -> Iterator[tuple[float, bytes]]:
+        rng = random.Random(self.size)
+        end = self.stop or len(body)
+        for start in range(0, end, self.lump):
+            pause_ms = self.pause_ms if self.is_regular else rng.uniform(PAUSE_MS[0], self.pause_ms)
+            yield pause_ms / MS_PER_S if start else 0.0, self._framed(body[start:end][: self.lump])
+
+    def _shaped(self, body: bytes) -> Iterator[tuple[float, bytes]]:
         pause_s = PIECE_BYTES / self.rate if self.rate else 0.0
         owed_s = LATE_BODY_S if self.shape == "late-body" else 0.0
         piece_bytes = PIECE_BYTES if self.rate else FAST_PIECE_BYTES
@@ -90,8 +167,6 @@
             owed_s += pause_s
             yield 0.0 if is_held else owed_s, self._framed(piece)
             owed_s = owed_s if is_held else 0.0
-        if self.framing is Framing.CHUNKED:
-            yield 0.0, b"0\r\n\r\n"
 
     def _framed(self, piece: bytes) -> bytes:
         if self.framing is Framing.CHUNKED:
--- a/loadbalancer/testbed/soak/plan.py
+++ b/loadbalancer/testbed/soak/plan.py
@@ -54,6 +54,8 @@
         descriptors: The limit on a balancer's descriptors; None as above.
         flood: What one client sends to each balancer at full speed; None: nothing.
         long_answers: The share of the requests that ask for a long answer, written slowly.
+        long_messages: The share of the requests with a long answer in lumps, an answer that stops,
+            or a long body that its client writes or its upstream reads slowly.
         cold_returns: Upstreams of limited capacity are lost and come back cold under a burst.
     """
 
@@ -74,6 +76,7 @@
     descriptors: int | None = None
     long_answers: float = 0.0
     flood: Flood | None = None
+    long_messages: float = 0.0
 
     @property
     def cold_ns(self) -> int:
--- a/loadbalancer/testbed/soak/upstreams.py
+++ b/loadbalancer/testbed/soak/upstreams.py
@@ -14,11 +14,12 @@
 from loadbalancer.testbed.soak.capacity import Capacity, Workers
 from loadbalancer.testbed.soak.history import Attempt, History
 from loadbalancer.testbed.soak.long_answers import AnswerForm, Framing
+from loadbalancer.testbed.soak.long_requests import SMALL_RECEIVE_BUFFER, Reading
 from loadbalancer.testbed.soak.plan import SECOND
 from loadbalancer.testbed.soak.ports import free_port
+from loadbalancer.testbed.soak.request_reader import RequestHead, RequestReader
 
 MS_PER_S = 1_000
-HEAD_END = b"\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -151,12 +152,15 @@
         self.upstream = upstream
         self.process = upstream.process
         self.transport: asyncio.Transport | None = None
-        self.data = b""
+        self.reader = RequestReader(self._head, self._request_completed)
+        self.reading = Reading()
+        self.read_timer: asyncio.TimerHandle | None = None
+        self.read_ns = 0  # when the latest input arrived
         self.attempt: Attempt | None = None
         self.task: asyncio.Task[None] | None = None  # works on the latest request
-        self.expects = 0  # bytes of the request, its head included; 0: the head is not whole
         self.form = AnswerForm()
         self.writes: Attempt | None = None  # whose long answer is being written
+        self.works: Attempt | None = None  # whose answer has not begun
         self.resumed = asyncio.Event()
         self.resumed.set()
 
@@ -169,11 +173,16 @@
         self.resumed.set()
         if self.writes is not None:
             self.writes.cut_ns = time.monotonic_ns()
+        for attempt in (self.attempt, self.works):
+            if attempt is not None:
+                attempt.given_up_ns = time.monotonic_ns()
+        if self.read_timer is not None:
+            self.read_timer.cancel()
         if self.upstream.workers is not None and self.task is not None:
             self.task.cancel()  # work stops when its request is given up
 
     def abort(self) -> None:
-        self.writes = None
+        self.writes = self.attempt = self.works = None
         if self.transport is not None and not self.transport.is_closing():
             # As the pages have it for a process that dies; an orderly end would complete an answer
             # that is framed by the close.
@@ -189,30 +198,39 @@
     def data_received(self, data: bytes) -> None:
         assert self.transport is not None
         sock: Socket = self.transport.get_extra_info("socket")
-        at_ns = time.monotonic_ns() - receive_state(sock)[1]
-        if not self.data:
-            self.attempt = Attempt("", self.upstream.name, self.process, at_ns, 0)
-        self.data += data
-        if not self.expects and HEAD_END in self.data:
-            self._head(self.data.partition(HEAD_END)[0])
-        if self.expects and len(self.data) >= self.expects and self.attempt is not None:
-            attempt, self.attempt = self.attempt, None
-            attempt.whole_ns = at_ns
-            self.data, self.expects = self.data[self.expects :], 0
-            self.task = asyncio.get_running_loop().create_task(self._work(attempt))
-
-    def _head(self, head: bytes) -> None:
+        self.read_ns = time.monotonic_ns() - receive_state(sock)[1]
+        if self.attempt is None:
+            self.attempt = Attempt("", self.upstream.name, self.process, self.read_ns, 0)
+        if not self.reader.feed(data):
+            self.abort()
+            return
+        pause_s = self.reading.pause_s(len(data)) if self.attempt is not None else 0.0
+        if pause_s:
+            self.transport.pause_reading()
+            self.read_timer = asyncio.get_running_loop().call_later(pause_s, self._read_on)
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _head(self, head: RequestHead) -> None:
         assert self.attempt is not None
-        headers = {
-            name.lower(): value.strip()
-            for name, _, value in (row.partition(b":") for row in head.split(b"\r\n")[1:])
-        }
-        self.form = AnswerForm.of_target(head.split(b" ", 2)[1].decode("latin-1"))
-        self.attempt.id = headers.get(b"x-request-id", b"").decode()
-        self.attempt.told_ms = int(headers.get(b"x-deadline-ms", b"0"))
-        self.expects = len(head) + len(HEAD_END) + int(headers.get(b"content-length", b"0"))
+        self.form = AnswerForm.of_target(head.target)
+        self.reading = Reading.of_target(head.target)
+        if self.reading.rate and self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+        self.attempt.id = head.headers.get("x-request-id", "")
+        self.attempt.told_ms = int(head.headers.get("x-deadline-ms", "0"))
         self.upstream.history.attempts.append(self.attempt)
 
+    def _request_completed(self) -> None:
+        attempt, self.attempt = self.attempt, None
+        assert attempt is not None
+        attempt.whole_ns = self.read_ns
+        self.works = attempt
+        self.task = asyncio.get_running_loop().create_task(self._work(attempt))
+
     async def _work(self, attempt: Attempt) -> None:
         upstream, rng = self.upstream, self.upstream.rng
         mood = upstream.mood
@@ -250,14 +268,16 @@
 
     async def _write_slowly(self, attempt: Attempt, form: AnswerForm, body: bytes) -> None:
         self._write(form.head())
-        self.writes = attempt
+        self.writes = None if form.stop else attempt
         for pause_s, piece in form.pieces(body):
             await asyncio.sleep(pause_s)
             await self.resumed.wait()
-            if self.writes is None or attempt.cut_ns:
+            if self.writes is not attempt and not form.stop:
                 return
             self._write(piece)
         self.writes = None
+        if form.stop:
+            return
         if form.framing is Framing.CLOSE and self.transport is not None:
             self.transport.close()
 
@@ -268,5 +288,6 @@
         self._write(rng.choice((response(body), UNLIKE, response(body, b"X-Copy: 1\r\n"))))
 
     def _write(self, data: bytes) -> None:
+        self.works = None
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
