Log: a message that ends in transit has a line and a count; give-ups say what failed

Need: in the reports "upstream stalled within its response" named no request, "attempts failed" did not say what had failed, and the ends of long messages could not be joined to the clients' records.

Change: `proxy/message_end_log.py` writes a bounded line for each message that had begun and ends before its end: direction, request, upstream, state, cause, bytes received and passed on, age of the latest piece; `loadbalancer_messages_cut_total` counts them by direction, state and cause. The line of a request that is given up ends with the result and the upstream of its last attempt.

--- a/loadbalancer/policy/completion.py
+++ b/loadbalancer/policy/completion.py
@@ -20,7 +20,7 @@
     def give_up(self, request: Request, reason: GiveUpReason) -> None:
         """Reject a request that is not served if a retry is safe; otherwise fail it."""
         context = self.context
-        context.transitions.append(RequestGivenUp(request.id, reason, len(request.attempts)))
+        context.transitions.append(self._record(request, reason))
         if request.may_reject():
             delay_ns = self._retry_after_ns()
             context.actions.append(
@@ -30,6 +30,14 @@
             context.actions.append(api.FailRequest(request.id))
         self.finish(request)
 
+    @staticmethod
+    def _record(request: Request, reason: GiveUpReason) -> RequestGivenUp:
+        if not request.attempts:
+            return RequestGivenUp(request.id, reason, 0)
+        last = request.attempts[-1]
+        attempts = len(request.attempts)
+        return RequestGivenUp(request.id, reason, attempts, last.result, last.upstream.id)
+
     def _retry_after_ns(self) -> float:
         rng = self.context.rng
         longest_ns = self.limits.max_retry_after_ns
--- a/loadbalancer/policy/transitions.py
+++ b/loadbalancer/policy/transitions.py
@@ -62,11 +62,18 @@
 
 
 class RequestGivenUp(NamedTuple):
-    """A request was rejected or failed after this number of attempts."""
+    """A request was rejected or failed after this number of attempts.
+
+    Attributes:
+        result: The result of its last attempt; None: it has none.
+        upstream: The upstream of that attempt.
+    """
 
     request: str
     reason: GiveUpReason
     attempts: int
+    result: api.AttemptResult | None = None
+    upstream: int = 0
 
 
 class RequestRetried(NamedTuple):
--- a/loadbalancer/proxy/attempt.py
+++ b/loadbalancer/proxy/attempt.py
@@ -55,6 +55,11 @@
     client_gone: Callable[[OpenRequest], None]
     promised_ms: int = 0
 
+    @property
+    def name(self) -> str:
+        """The request's id."""
+        return self.request.arrival.request
+
     def verdict(self, now_ns: int) -> rules.Verdict:
         """Return whether the request allows the attempt to start now."""
         request = self.request
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -14,6 +14,7 @@
 from loadbalancer.proxy.http import BufferedReader, end_to_end
 from loadbalancer.proxy.input_buffer import InputBuffer
 from loadbalancer.proxy.memory_account import CLIENT_CONNECTION_BYTES, Charge, Pressure
+from loadbalancer.proxy.message_end_log import UNKNOWN, Cause, Direction, MessageEnd
 from loadbalancer.proxy.messages import Headers, Request, Response, UnacceptableMessageError
 from loadbalancer.proxy.parse import MAX_BODY, RequestReader
 from loadbalancer.proxy.peer_transport import PeerTransport, ReadPause
@@ -196,7 +197,7 @@
         status, reason = 413, "the request is too large now"
         if not self.reader.in_body and not self.upload.is_active:
             status, reason = 431, "the head is too large now"
-        self._drop_request()
+        self._drop_request(Cause.MEMORY)
         self._reject_input(status, reason)
 
     def stop_reading(self) -> None:
@@ -233,8 +234,27 @@
         if waited_ns < request.wait_ns:
             self.upload.watch_later(self._watch_paused_upload)
         else:
+            self._record_upload_end("client time")
             self.driver.upload_overdue(request)
 
+    def _record_upload_end(self, cause: str) -> None:
+        """Log that the body which the client sends ends before its end was seen."""
+        request = self.open_request
+        if request is None or self.upload.body is None or self.upload.has_ended:
+            return
+        self.driver.message_ends.record(
+            MessageEnd(
+                request.arrival.request,
+                UNKNOWN,
+                Direction.REQUEST,
+                self.upload.body.state.name.lower(),
+                cause,
+                self.reader.payload_size,
+                request.acknowledged_bytes,
+                time.monotonic_ns() - self.received_ns,
+            )
+        )
+
     def upload_resumed(self) -> None:
         """Resume reading, and restart the client's time limit."""
         self.frontend.wait(self, Phase.BODY)
@@ -263,10 +283,11 @@
     def _client_left(self) -> None:
         """Discard pipelined input and the open request."""
         self.lingering = True
-        self._drop_request()
+        self._drop_request(Cause.CLIENT_GONE)
 
-    def _drop_request(self) -> None:
+    def _drop_request(self, cause: Cause) -> None:
         """Drop the open request, whose answer the client no longer awaits."""
+        self._record_upload_end(cause.value)
         self.upload.finish()
         self.writer.drop()
         request = self.open_request
@@ -291,7 +312,8 @@
         elif self.phase is Phase.ANSWER:
             self.frontend.wait(self, Phase.IDLE)
         elif self.phase in (Phase.NEW, Phase.BODY) and self.has_data:
-            self._drop_request()  # a request whose streamed body is incomplete may already be open
+            # A request whose streamed body is incomplete may already be open.
+            self._drop_request(Cause.CLIENT_PAUSE)
             self._reject_input(408, "the request did not come in time")
         elif self.phase in (Phase.NEW, Phase.IDLE):
             self._linger()
@@ -373,7 +395,7 @@
         elif reader.ready:
             self._handle_request(reader.ready.popleft())
         elif reader.fault is not None:
-            self._drop_request()
+            self._drop_request(Cause.MALFORMED)
             self._reject_input(reader.fault.status, str(reader.fault))
         elif self.upload.is_paused:
             return False
--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -23,8 +23,9 @@
 from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.memory_account import MemoryAccount
+from loadbalancer.proxy.message_end_log import MessageEndLog
 from loadbalancer.proxy.timers import call_after
-from loadbalancer.proxy.upstream_connection import UpstreamConnection
+from loadbalancer.proxy.upstream_connection import UpstreamConnection, UpstreamLog
 
 log = logging.getLogger(__name__)
 
@@ -72,6 +73,7 @@
         connections: Number of connections that are open or being opened.
         trusted: Whether the endpoint list is recent enough for attempts to start.
         connecting: The tasks that open connections.
+        message_ends: Logs the messages that ended in transit.
         cautious_until_s: Until when the settle time of all connections is longer because an
             upstream has sent unrequested bytes.
     """
@@ -87,6 +89,7 @@
         self.cautious_until_s = 0.0
         self._idle: dict[UpstreamConnection, None] = {}  # to all upstreams, longest idle first
         self._next_shortage_log_s = 0.0
+        self.message_ends = MessageEndLog()
 
     def set_max_connections(self, connections: int) -> None:
         """Set the cap on all connections, and close idle connections that exceed it."""
@@ -261,6 +264,7 @@
                 partial(self._release, target),
                 partial(self._on_connection_lost, target),
                 self.memory,
+                UpstreamLog(target.endpoint.name, self.message_ends),
             )
             try:
                 await self._open(target.endpoint, connection, deadline_s)
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -47,6 +47,10 @@
     def may_finish(self) -> bool:
         """Return whether the last byte of a streamed body may be written now."""
 
+    @property
+    def name(self) -> str:
+        """The request's id, for log lines."""
+
 
 @dataclass(frozen=True, slots=True)
 class FixedRequest:
@@ -62,6 +66,11 @@
         """Return True, because the request has no streamed body."""
         return True
 
+    @property
+    def name(self) -> str:
+        """A dash, as there is no id."""
+        return "-"
+
 
 @dataclass(frozen=True, slots=True)
 class ExpectedResponse:
--- a/loadbalancer/proxy/policy_driver.py
+++ b/loadbalancer/proxy/policy_driver.py
@@ -23,6 +23,7 @@
 from loadbalancer.proxy.endpoint import Endpoint, upstream_number
 from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.memory_account import Charge
+from loadbalancer.proxy.message_end_log import MessageEndLog
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.policy_violations import PolicyViolations
 from loadbalancer.proxy.request_table import RequestTable
@@ -79,6 +80,11 @@
         """Number of unanswered requests."""
         return self.table.open
 
+    @property
+    def message_ends(self) -> MessageEndLog:
+        """Logs the messages that ended in transit, in both directions."""
+        return self.upstreams.pool.message_ends
+
     # ---- events ----------------------------------------------------------------------------------
 
     def post(self, event: api.Event) -> None:
@@ -177,7 +183,12 @@
         """Return the counters of this process in the Prometheus text format."""
         denials = {reason.value: count for reason, count in self.violations.counts.items()}
         account = self.history_charge.account
-        return f"{self.traffic_log.metrics_text(denials)}\n{account.metrics_text()}"
+        parts = (
+            self.traffic_log.metrics_text(denials),
+            self.message_ends.metrics_text(),
+            account.metrics_text(),
+        )
+        return "\n".join(parts)
 
     def set_trusted(self, on: bool) -> None:
         """Set whether the endpoint list is recent enough; if not, no attempt starts."""
--- a/loadbalancer/proxy/traffic_log.py
+++ b/loadbalancer/proxy/traffic_log.py
@@ -121,13 +121,14 @@
     def _given_up(self, given_up: RequestGivenUp) -> None:
         reason = given_up.reason.value
         self.count(GIVEN_UP, reason)
-        self.lines.write(
-            reason,
-            "request given up: request=%s reason=%r attempts=%d",
-            given_up.request,
-            reason,
-            given_up.attempts,
-        )
+        message = "request given up: request=%s reason=%r attempts=%d"
+        values = (given_up.request, reason, given_up.attempts)
+        if given_up.result is None:
+            self.lines.write(reason, message, *values)
+            return
+        result = given_up.result.name.lower()
+        upstream = self.upstream_name(given_up.upstream)
+        self.lines.write(reason, f"{message} result=%s upstream=%s", *values, result, upstream)
 
     def _retried(self, retried: RequestRetried) -> None:
         result = retried.result.name.lower()
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -6,6 +6,7 @@
 import logging
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from loadbalancer.policy.api import AttemptResult
 from loadbalancer.policy.rules import ALLOWED, Denied, Reason, Verdict
@@ -13,6 +14,7 @@
 from loadbalancer.proxy.exchange import NS_PER_S, Exchange
 from loadbalancer.proxy.http import LAST_CHUNK, BufferedReader, chunk
 from loadbalancer.proxy.memory_account import UPSTREAM_CONNECTION_BYTES, Charge, MemoryAccount
+from loadbalancer.proxy.message_end_log import Cause, Direction, MessageEnd, MessageEndLog
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.parse import MAX_BODY, ResponseReader
 from loadbalancer.proxy.peer_transport import PeerTransport, ReadPause
@@ -33,6 +35,19 @@
 LATE_ANSWER_PAUSE_S = 0.75
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLog:
+    """Where the messages are logged that end in transit on a connection.
+
+    Attributes:
+        upstream: The operators' id of the upstream.
+        message_ends: The log.
+    """
+
+    upstream: str
+    message_ends: MessageEndLog
+
+
 class UpstreamConnection(BufferedReader):
     """A connection to one process of an upstream.
 
@@ -40,8 +55,11 @@
         on_released: Called when the connection is free for the next exchange.
         on_closed: Called once when the connection is closed.
         memory: The account of this process.
+        upstream_log: Where messages are logged that end in transit; None: nowhere.
 
     Attributes:
+        request_name: The id of the latest request.
+        piece_s: When the latest piece of its response arrived (event-loop time).
         charge: What this process holds for the connection.
         streamed_response: The response whose body is being streamed.
         stall_timer: Closes the connection if the body of a response stalls.
@@ -60,7 +78,11 @@
         on_released: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
         memory: MemoryAccount,
+        upstream_log: UpstreamLog | None = None,
     ) -> None:
+        self.upstream_log = upstream_log
+        self.request_name = "-"
+        self.piece_s = 0.0
         self.memory = memory
         self.charge = Charge(memory)
         self.on_released = on_released
@@ -132,6 +154,7 @@
             asyncio.get_running_loop().call_soon(exchange.give_up, result)
             return
         self.exchange = exchange
+        self.request_name = exchange.request.name
         exchange.connection = self
         expected = exchange.expected
         self.reader.expect(expected.max_body, expected.memory, expected.head_only)
@@ -174,6 +197,7 @@
             return
         while self.writable:
             if body.ends_next and not exchange.request.may_finish():
+                self._record_request_end(Cause.NOT_ALLOWED.value)
                 self.abort()  # without the body's last byte, the upstream can't run the request
                 return
             piece = body.take()
@@ -201,7 +225,12 @@
     def _check_sending(self) -> None:
         """Close the connection if the upstream no longer takes the body of its request."""
         if self.transport.check_sending(asyncio.get_running_loop().time()) is SendState.STALLED:
-            log.info("upstream does not read its request: %s", self.transport.send_report())
+            log.info(
+                "upstream does not read its request: request=%s %s",
+                self.request_name,
+                self.transport.send_report(),
+            )
+            self._record_request_end(Cause.UPSTREAM_STALLED.value)
             self.abort()
         else:
             self._check_sending_later()
@@ -224,9 +253,62 @@
 
     def _stalled(self) -> None:
         """Close the connection, because the body of its response makes no progress."""
-        log.info("upstream stalled within its response: %s", self.transport.send_report())
+        log.info(
+            "upstream stalled within its response: request=%s %s",
+            self.request_name,
+            self.transport.send_report(),
+        )
+        self._record_response_end("silence")
         self.abort()
 
+    # ---- messages that end in transit ------------------------------------------------------------
+
+    def _record_response_end(self, cause: str) -> None:
+        """Log that the response which is being forwarded ends before its end was seen."""
+        response = self.streamed_response
+        if self.upstream_log is None or response is None or response.stream is None:
+            return
+        age_s = asyncio.get_running_loop().time() - self.piece_s
+        self.streamed_response = None
+        self.upstream_log.message_ends.record(
+            MessageEnd(
+                self.request_name,
+                self.upstream_log.upstream,
+                Direction.RESPONSE,
+                "forwarded",
+                cause,
+                self.reader.payload_size,
+                response.stream.taken_bytes,
+                int(age_s * NS_PER_S),
+            )
+        )
+
+    @property
+    def _close_cause(self) -> Cause:
+        """Why the connection closes under a response that is being forwarded."""
+        response = self.streamed_response
+        is_dropped = response is not None and response.stream is not None and response.stream.failed
+        return Cause.CLIENT_GONE if is_dropped else Cause.UPSTREAM_CLOSED
+
+    def _record_request_end(self, cause: str) -> None:
+        """Log that the body which is being sent ends before all of it was sent."""
+        exchange = self.exchange
+        body = exchange.body if exchange is not None else None
+        if self.upstream_log is None or body is None:
+            return
+        self.upstream_log.message_ends.record(
+            MessageEnd(
+                self.request_name,
+                self.upstream_log.upstream,
+                Direction.REQUEST,
+                body.state.name.lower(),
+                cause,
+                body.taken_bytes + body.buffered,
+                self.transport.acknowledged_bytes,
+                self.transport.receive_state.data_age_ns,
+            )
+        )
+
     def _cancel_stall_timer(self) -> None:
         if self.stall_timer is not None:
             self.stall_timer.cancel()
@@ -240,6 +322,7 @@
         reader = self.reader
         if self.streamed_response is not None:
             self._start_stall_timer()
+            self.piece_s = asyncio.get_running_loop().time()
             reader.feed(data)
             self._continue_body(self.streamed_response)
             return
@@ -315,6 +398,7 @@
             exchange.body.changed = None  # answered before the body's end: stop sending it
         if response.stream is not None:
             self.streamed_response = response
+            self.piece_s = asyncio.get_running_loop().time()
             self._start_stall_timer()
             response.stream.attach(self)
             self._continue_body(response)
@@ -326,6 +410,7 @@
         """Check whether the body of a streamed response is complete or malformed."""
         assert streamed_response.stream is not None
         if self.reader.fault is not None:
+            self._record_response_end(Cause.MALFORMED.value)
             self.abort()
         elif streamed_response.stream.ended:
             self._cancel_stall_timer()
@@ -382,6 +467,7 @@
         self._cancel_stall_timer()
         self._cancel_send_timer()
         self._cancel_hold_timer()
+        self._record_response_end(self._close_cause.value)
         self.reader.close()  # fails a body that is being received
         self.streamed_response = None
         exchange = self.exchange
--- a/tests/proxy/test_duplicate_responses.py
+++ b/tests/proxy/test_duplicate_responses.py
@@ -28,6 +28,10 @@
 class StubAttempt:
     """An attempt that starts unless the upstream may not be used."""
 
+    @property
+    def name(self) -> str:
+        return "stub"
+
     def begin(self, upstream_verdict: Verdict) -> bytes | Denied:
         return upstream_verdict if isinstance(upstream_verdict, Denied) else REQUEST
 
--- a/tests/proxy/test_traffic_log.py
+++ b/tests/proxy/test_traffic_log.py
@@ -21,6 +21,7 @@
 from loadbalancer.proxy.bounded_log import MAX_KINDS, MAX_LINES_PER_SECOND, BoundedLog
 from loadbalancer.proxy.endpoint import Endpoint, UpstreamChange, upstream_number
 from loadbalancer.proxy.memory_account import MemoryAccount
+from loadbalancer.proxy.message_end_log import Direction, MessageEnd, MessageEndLog
 from loadbalancer.proxy.traffic_log import TrafficLog
 from loadbalancer.proxy.upstream import Upstreams
 
@@ -144,3 +145,27 @@
     balancer = Balancer(settings, seed=1, now=0)
     balancer.handle(1, [api.RequestArrived("r", "read", "", deadline_ns=SECOND)])
     assert list(balancer.transitions) == [RequestGivenUp("r", GiveUpReason.NO_TOKEN, 0)]
+
+
+def test_a_request_that_is_given_up_says_what_failed_last(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+    log = TrafficLog(lambda number: f"s-{number}")
+    result = api.AttemptResult.TIMEOUT
+    log.record([RequestGivenUp("r1", GiveUpReason.ATTEMPTS_FAILED, 2, result, 7)])
+    [line] = caplog.messages
+    assert line.endswith("reason='attempts failed' attempts=2 result=timeout upstream=s-7")
+
+
+def test_a_message_that_ends_in_transit_is_one_line_and_one_count(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    log = MessageEndLog()
+    end = MessageEnd("r1", "s-a", Direction.RESPONSE, "long", "silence", 70_000, 66_000, SECOND)
+    log.record(end)
+    assert caplog.messages == [
+        "message cut: direction=response request=r1 upstream=s-a state='long' cause='silence' "
+        "received=70000 sent=66000 piece_age_s=1.000"
+    ]
+    labels = 'direction="response",state="long",cause="silence"'
+    assert f"loadbalancer_messages_cut_total{{{labels}}} 1" in log.metrics_text().splitlines()
