Answers: one module decides when a response ends; a lump after 0.75 s is not too late

Seen by callers: answers of 132,770 to 214,375 bytes without a length, in lumps, were reset exactly 0.75 s behind the last byte that the client got, while their upstream wrote on (ten lines of the evidence). An answer that stopped right before its client's time ended up to 0.75 s behind it.

Cause: a response without a length that had given up to 64 KiB counted as short, and was given 0.75 s for its next piece. The timer started before the piece was counted, so the size was that of one piece ago. The class: what a message will be was inferred from the pieces so far by a constant in each place (stall timer, hold, late check).

Change: `policy/message_end.py`, pure: states of a response (short, may be long, long, held by us, complete), in a table the clocks that may end each, and the limits. The connection reports pieces after they were counted and its own pauses, and looks at the limit when it is reached, so that no timer is set for each piece. Up to 4 KiB a response ends 0.35 s behind its client's time, however lately it gave a piece; beyond, it also has to be silent for 2.5 s; beyond 64 KiB, for 10 s. `STALL_S` is `SILENCE_NS` now; test_body_completion shortens that in its place.

--- /dev/null
+++ b/loadbalancer/policy/message_end.py
@@ -0,0 +1,348 @@
+"""Decides when a long message in transit ends although its end has not been seen.
+
+A connection reports what it sees of a message: a piece after it was counted, a pause of its own, an
+acknowledgement. From that alone, the state of the message and `RESPONSE_RULES` or `REQUEST_RULES`
+follow which clock may end it, by what, and when. `docs/design/message-ends.md` has the table with
+its reasons.
+
+All times are nanoseconds of the monotonic clock, which the caller passes in.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from loadbalancer.policy.clock import SECOND
+
+MILLISECOND: Final = SECOND // 1000
+
+LONG_BYTES: Final = 64 * 1024  # beyond it, the first bytes of an answer are timed, not its last
+# A response without a length that has given no more than this by its client's time counts as short.
+SHORT_BYTES: Final = 4 * 1024
+# Until half a second behind its client's time an answer is only late; a process may be held up for
+# 0.15 s of it.
+LATE_NS: Final = 350 * MILLISECOND
+# The longest silence within a response that may turn out to be long: peers pause for up to 2 s, and
+# this process may be held up.
+UNDECIDED_SILENCE_NS: Final = 2_500 * MILLISECOND
+SILENCE_NS: Final = 10 * SECOND  # the same of one that is known to be long
+# A response without a length is held for a retry, in case it breaks off, for at most this time and
+# this fraction of the time that is left; then it is forwarded as it comes.
+MAX_HOLD_NS: Final = 100 * MILLISECOND
+HOLD_FRACTION: Final = 0.5
+# An attempt whose response has begun and goes on after a pause of at most this is giving its
+# answer.
+RESPONSE_PAUSE_NS: Final = 500 * MILLISECOND
+
+# The most that a client's kernel holds of what the client has written.
+CLIENT_BUFFER_BYTES: Final = 4 * 1024 * 1024
+# A client from which nothing comes for this long although it is read has nothing buffered.
+IDLE_NS: Final = 50 * MILLISECOND
+MAX_SAMPLES: Final = 256
+# The time for each part of a body: more than the pauses of a client that writes slowly, and less
+# than the 3 s within which one that stops is owed its end.
+UPLOAD_PAUSE_NS: Final = 2_600 * MILLISECOND
+
+
+class ResponseState(Enum):
+    """State of a response, as far as it has come."""
+
+    AWAITED = "awaited"
+    ARRIVING = "arriving, not forwarded"
+    SHORT = "forwarded, short so far"
+    UNDECIDED = "forwarded, may be long"
+    LONG = "forwarded, long"
+    HELD = "not read, as its client reads slowly"
+    COMPLETE = "complete"
+
+
+class RequestState(Enum):
+    """State of a request's body, as far as it has come."""
+
+    ARRIVING = "its client sends it"
+    BLOCKED = "not read, its client has more to send"
+    UNREAD = "not read, its client may have sent all"
+    COMPLETE = "complete"
+
+
+class Clock(Enum):
+    """What runs out when a message ends without its end."""
+
+    OBJECTIVE = "objective"
+    CLIENT_TIME = "client time"
+    LATE_TIME = "client time and lateness"
+    UNDECIDED_SILENCE = "silence of a message that may be long"
+    SILENCE = "silence"
+    CLIENT_PAUSE = "pause of the client"
+    UPSTREAM_PAUSE = "pause of the upstream"
+
+
+class Ending(Enum):
+    """How a message ends when its clocks have run out."""
+
+    ATTEMPT = "its attempt is given up, and the request retried or answered"
+    ANSWER = "its client is answered, and the attempt given up"
+    RESET = "both connections are reset"
+    NOTHING = "nothing ends it"
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """What may end a message in one state.
+
+    Attributes:
+        clocks: The clocks that end it.
+        ending: What ends it.
+        needs_all: Whether all clocks have to run out; else the first one ends it.
+    """
+
+    clocks: tuple[Clock, ...]
+    ending: Ending
+    needs_all: bool = True
+
+
+RESPONSE_RULES: Final[dict[ResponseState, Rule]] = {
+    # `rules.may_give_up` says when the objective may end an attempt.
+    ResponseState.AWAITED: Rule((Clock.OBJECTIVE, Clock.CLIENT_TIME), Ending.ATTEMPT, False),
+    ResponseState.ARRIVING: Rule((Clock.OBJECTIVE, Clock.CLIENT_TIME), Ending.ATTEMPT, False),
+    ResponseState.SHORT: Rule((Clock.LATE_TIME,), Ending.RESET),
+    ResponseState.UNDECIDED: Rule((Clock.LATE_TIME, Clock.UNDECIDED_SILENCE), Ending.RESET),
+    ResponseState.LONG: Rule((Clock.SILENCE,), Ending.RESET),
+    ResponseState.HELD: Rule((), Ending.NOTHING),
+    ResponseState.COMPLETE: Rule((), Ending.NOTHING),
+}
+REQUEST_RULES: Final[dict[RequestState, Rule]] = {
+    RequestState.ARRIVING: Rule((Clock.CLIENT_PAUSE,), Ending.ANSWER),
+    RequestState.BLOCKED: Rule((Clock.UPSTREAM_PAUSE,), Ending.ANSWER),
+    RequestState.UNREAD: Rule((Clock.CLIENT_TIME, Clock.UPSTREAM_PAUSE), Ending.ANSWER, False),
+    RequestState.COMPLETE: Rule((Clock.CLIENT_TIME,), Ending.ANSWER),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """When a message ends unless more of it is seen, and by which clock."""
+
+    at_ns: int
+    clock: Clock
+
+
+def hold_ns(attempt_left_ns: int | None) -> int:
+    """Return for how long a response without a length is held back.
+
+    Args:
+        attempt_left_ns: Time until its attempt is late; None: it has no limit.
+    """
+    if attempt_left_ns is None:
+        return MAX_HOLD_NS
+    return max(0, min(MAX_HOLD_NS, int(HOLD_FRACTION * attempt_left_ns)))
+
+
+def is_arriving(since_piece_ns: int | None) -> bool:
+    """Return whether a response that is not forwarded yet is on its way.
+
+    Args:
+        since_piece_ns: Time since a part of it arrived; None: none has.
+    """
+    return since_piece_ns is not None and since_piece_ns < RESPONSE_PAUSE_NS
+
+
+class ResponseTransit:
+    """A response that is forwarded while it arrives.
+
+    Args:
+        length: The length that was announced; None: its end is a last chunk or the close.
+        deadline_ns: Its client's deadline; None: not known.
+        now_ns: The time.
+
+    Attributes:
+        received_bytes: Bytes of the body that have arrived.
+        piece_ns: When the latest piece arrived, or when it was read on after a pause of ours.
+        is_held: Whether it is not read because its client reads slowly.
+        is_complete: Whether its end was seen.
+    """
+
+    def __init__(self, length: int | None, deadline_ns: int | None, now_ns: int) -> None:
+        self.length = length
+        self.deadline_ns = deadline_ns
+        self.received_bytes = 0
+        self.piece_ns = now_ns
+        self.is_held = False
+        self.is_complete = False
+
+    def piece_received(self, received_bytes: int, now_ns: int) -> bool:
+        """Note a piece; return whether the state has changed.
+
+        Args:
+            received_bytes: Bytes of the body that have arrived, this piece included.
+            now_ns: The time.
+        """
+        state = self.state
+        self.received_bytes = received_bytes
+        self.piece_ns = now_ns
+        return self.state is not state
+
+    def hold(self) -> None:
+        """Note that it is not read further, because its client reads slowly."""
+        self.is_held = True
+
+    def read_on(self, now_ns: int) -> None:
+        """Note that it is read again."""
+        self.is_held = False
+        self.piece_ns = now_ns
+
+    def complete(self) -> None:
+        """Note that its end was seen."""
+        self.is_complete = True
+
+    @property
+    def state(self) -> ResponseState:
+        """The state that follows from what was seen so far."""
+        if self.is_complete:
+            return ResponseState.COMPLETE
+        if self.is_held:
+            return ResponseState.HELD
+        if (self.length or 0) > LONG_BYTES or self.received_bytes > LONG_BYTES:
+            return ResponseState.LONG
+        if self.length is None and self.received_bytes > SHORT_BYTES:
+            return ResponseState.UNDECIDED
+        return ResponseState.SHORT
+
+    @property
+    def limit(self) -> Limit | None:
+        """When it ends unless more of it is seen; None: nothing ends it."""
+        rule = RESPONSE_RULES[self.state]
+        limits = [self._limit(clock) for clock in rule.clocks]
+        return max(limits, key=lambda limit: limit.at_ns, default=None)
+
+    def _limit(self, clock: Clock) -> Limit:
+        if clock is Clock.LATE_TIME and self.deadline_ns is not None:
+            return Limit(self.deadline_ns + LATE_NS, clock)
+        if clock is Clock.UNDECIDED_SILENCE and self.deadline_ns is not None:
+            return Limit(self.piece_ns + UNDECIDED_SILENCE_NS, clock)
+        return Limit(self.piece_ns + SILENCE_NS, Clock.SILENCE)
+
+
+@dataclass(frozen=True, slots=True)
+class UploadView:
+    """What is seen of a body that is not read further.
+
+    Attributes:
+        read_bytes: Bytes of the body that were read and parsed.
+        unread_bytes: Bytes that have arrived and were not parsed, in this process and the kernel.
+        taken_bytes: Bytes that its upstream has acknowledged.
+    """
+
+    read_bytes: int
+    unread_bytes: int
+    taken_bytes: int
+
+
+class RequestTransit:
+    """The body of a request while it arrives, and since when its client's time may be running.
+
+    The time counts from the return of the client's last write. What the client has written may lie
+    in its own kernel, so that the end of the body is not seen yet. The client is known to have been
+    sending at a moment if nothing of it was buffered then, or if its kernel can't have held
+    everything that has come since, or is still to come.
+
+    Args:
+        length: The length that was announced; None: it comes in chunks.
+        wait_ns: How long its client waits from its last byte.
+        now_ns: The time.
+
+    Attributes:
+        sending_ns: The latest moment at which its client is known to have been sending.
+        is_paused: Whether it is not read, because its upstream does not take more.
+    """
+
+    def __init__(self, length: int | None, wait_ns: int, now_ns: int) -> None:
+        self.length = length
+        self.wait_ns = wait_ns
+        self.sending_ns = now_ns
+        self.is_paused = False
+        self._was_paused = False
+        self._state = RequestState.ARRIVING
+        self._active_ns = now_ns
+        self._taken_bytes = 0
+        self._taken_ns = now_ns
+        self._samples: deque[tuple[int, int]] = deque(maxlen=MAX_SAMPLES)
+
+    def piece_read(self, arrived_bytes: int, now_ns: int) -> None:
+        """Note that more was read.
+
+        Args:
+            arrived_bytes: Bytes that have arrived so far.
+            now_ns: The time.
+        """
+        if now_ns - self._active_ns >= IDLE_NS:
+            self._note_sending(now_ns)
+        self._active_ns = now_ns
+        self._note_arrived(arrived_bytes, now_ns)
+
+    def pause(self, now_ns: int) -> None:
+        """Note that it is not read further."""
+        self.is_paused = True
+        self._was_paused = True
+        self._taken_ns = now_ns
+
+    def resume(self, now_ns: int) -> None:
+        """Note that it is read again."""
+        self.is_paused = False
+        self._active_ns = now_ns
+        self._state = RequestState.ARRIVING
+
+    def view(self, view: UploadView, now_ns: int) -> RequestState:
+        """Note what is seen of a body that is not read further, and return its state."""
+        if view.taken_bytes != self._taken_bytes:
+            self._taken_bytes = view.taken_bytes
+            self._taken_ns = now_ns
+        arrived_bytes = view.read_bytes + view.unread_bytes
+        self._note_arrived(arrived_bytes, now_ns)
+        is_far_from_end = (
+            self.length is not None and arrived_bytes + CLIENT_BUFFER_BYTES < self.length
+        )
+        self._state = RequestState.UNREAD
+        if is_far_from_end or not view.unread_bytes:
+            self.sending_ns = now_ns
+            self._state = RequestState.BLOCKED
+        return self._state
+
+    def _note_sending(self, now_ns: int) -> None:
+        """Note that the client had nothing buffered until now, and was sending."""
+        self.sending_ns = now_ns
+        self._was_paused = False
+        self._samples.clear()
+
+    def _note_arrived(self, arrived_bytes: int, now_ns: int) -> None:
+        samples = self._samples
+        while samples and samples[0][1] + CLIENT_BUFFER_BYTES <= arrived_bytes:
+            self.sending_ns = max(self.sending_ns, samples.popleft()[0])
+        if not samples or now_ns - samples[-1][0] >= IDLE_NS:
+            samples.append((now_ns, arrived_bytes))
+
+    @property
+    def limit(self) -> Limit | None:
+        """When its client is answered unless more is seen; None: the caller's limit on pauses."""
+        if not self.is_paused:
+            return None
+        limits = [self._limit(clock) for clock in REQUEST_RULES[self._state].clocks]
+        return min(limits, key=lambda limit: limit.at_ns, default=None)
+
+    def _limit(self, clock: Clock) -> Limit:
+        from_ns = self._taken_ns if clock is Clock.UPSTREAM_PAUSE else self.sending_ns
+        return Limit(from_ns + self.wait_ns, clock)
+
+    def sent_ns(self, received_ns: int) -> int:
+        """Return from when its client's time counts, now that its end was seen.
+
+        Args:
+            received_ns: When its last byte arrived; the client's last write was earlier if this
+                process had paused.
+        """
+        if not self._was_paused:
+            return received_ns
+        return min(received_ns, self.sending_ns + LATE_NS)
--- a/loadbalancer/policy/rules.py
+++ b/loadbalancer/policy/rules.py
@@ -15,15 +15,13 @@
 from enum import Enum
 
 from loadbalancer.policy import api
+from loadbalancer.policy.message_end import is_arriving
 
 MILLISECOND = 1_000_000
 # The timeout that an attempt announces to its upstream may exceed the client's remaining time by
 # at most this amount. The specification allows 150 ms; the remaining 50 ms cover a delay of the
 # process between `may_complete_body` and the write.
 TIMEOUT_SLACK_NS = 100 * MILLISECOND
-# An attempt whose response has begun and goes on after a pause of at most this is giving its
-# answer.
-RESPONSE_PAUSE_NS = 500 * MILLISECOND
 
 
 class Reason(Enum):
@@ -192,7 +190,6 @@
         request_finished: The request is over, so that nobody waits for the response.
         since_response_ns: Time since a part of the response arrived; None: none has arrived.
     """
-    is_arriving = since_response_ns is not None and since_response_ns < RESPONSE_PAUSE_NS
-    if is_arriving and not request_finished:
+    if is_arriving(since_response_ns) and not request_finished:
         return DENIED[Reason.RESPONSE_ARRIVING]
     return ALLOWED
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -13,7 +13,8 @@
 from typing import Final, Protocol
 
 from loadbalancer.policy.api import AttemptResult
-from loadbalancer.policy.rules import RESPONSE_PAUSE_NS, Allowed, Denied, Verdict, may_give_up
+from loadbalancer.policy.message_end import RESPONSE_PAUSE_NS
+from loadbalancer.policy.rules import Allowed, Denied, Verdict, may_give_up
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.memory_account import MemoryAccount
 from loadbalancer.proxy.messages import Response
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -5,10 +5,12 @@
 import asyncio
 import logging
 import math
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from loadbalancer.policy.api import AttemptResult
+from loadbalancer.policy.message_end import ResponseTransit, hold_ns
 from loadbalancer.policy.rules import ALLOWED, Denied, Reason, Verdict
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.exchange import NS_PER_S, Exchange
@@ -16,23 +18,13 @@
 from loadbalancer.proxy.memory_account import UPSTREAM_CONNECTION_BYTES, Charge, MemoryAccount
 from loadbalancer.proxy.message_end_log import Cause, Direction, MessageEnd, MessageEndLog
 from loadbalancer.proxy.messages import Response
-from loadbalancer.proxy.parse import MAX_BODY, ResponseReader
+from loadbalancer.proxy.parse import ResponseReader
 from loadbalancer.proxy.peer_transport import PeerTransport, ReadPause
 from loadbalancer.proxy.send_progress import CHECK_INTERVAL_S, SendState
 
 log = logging.getLogger(__name__)
 
-# A connection is closed if the body of a response makes no progress for this long although its
-# receiver has capacity.
-STALL_S = 10.0
-# A response without a length is held for a retry, in case it breaks off, for at most this time and
-# this fraction of the time that is left; then it is forwarded as it comes.
-MAX_HOLD_S = 0.1
-HOLD_FRACTION = 0.5
-# One that may still turn out to be short has to make progress from this time behind its client's
-# deadline on; until half a second behind it an answer is only late.
-LATE_ANSWER_S = 0.35
-LATE_ANSWER_PAUSE_S = 0.75
+MIN_WAIT_S = 0.001  # before the limit of a response is looked at again
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,13 +51,12 @@
 
     Attributes:
         request_name: The id of the latest request.
-        piece_s: When the latest piece of its response arrived (event-loop time).
+        transit: The response that is being streamed, as `policy/message_end.py` sees it.
         charge: What this process holds for the connection.
         streamed_response: The response whose body is being streamed.
-        stall_timer: Closes the connection if the body of a response stalls.
+        transit_timer: The next look at the limit of the response that is being streamed.
         hold_timer: Forwards a response without a length as it comes.
         response_began_s: When the head of the current response was complete (event-loop time).
-        client_deadline_s: The deadline of the client that gets the streamed response.
         send_timer: The next check of a request's body that is being sent.
         request_written: Whether the last request was written completely, which reuse requires.
         has_unrequested_bytes: Whether bytes were received that belong to no request.
@@ -82,7 +73,7 @@
     ) -> None:
         self.upstream_log = upstream_log
         self.request_name = "-"
-        self.piece_s = 0.0
+        self.transit: ResponseTransit | None = None
         self.memory = memory
         self.charge = Charge(memory)
         self.on_released = on_released
@@ -92,11 +83,10 @@
         self.exchange: Exchange | None = None
         self.streamed_response: Response | None = None
         self.request_written = False
-        self.stall_timer: asyncio.TimerHandle | None = None
+        self.transit_timer: asyncio.TimerHandle | None = None
         self.send_timer: asyncio.TimerHandle | None = None
         self.hold_timer: asyncio.TimerHandle | None = None
         self.response_began_s = 0.0
-        self.client_deadline_s = math.inf
         self.idle_since = 0.0
         self.response_end_s = -math.inf
         self.writable = True
@@ -215,7 +205,7 @@
         if body.length is None:
             self.transport.write(LAST_CHUNK)
 
-    # ---- stall detection -------------------------------------------------------------------------
+    # ---- limits ----------------------------------------------------------------------------------
 
     def _check_sending_later(self) -> None:
         self.send_timer = asyncio.get_running_loop().call_later(
@@ -240,46 +230,57 @@
             self.send_timer.cancel()
             self.send_timer = None
 
-    def _start_stall_timer(self) -> None:
-        self._cancel_stall_timer()
+    def _watch_transit(self) -> None:
+        """Look again at the response that is being streamed when its limit is reached."""
+        self._cancel_transit_timer()
+        transit = self.transit
+        limit = transit.limit if transit is not None else None
+        if limit is None:
+            return
+        left_s = (limit.at_ns - time.monotonic_ns()) / NS_PER_S
         loop = asyncio.get_running_loop()
-        stall_s = STALL_S
-        response = self.streamed_response
-        has_length = response is None or response.stream is None or response.stream.length
-        if not has_length and self.reader.payload_size <= MAX_BODY:
-            late_s = self.client_deadline_s + LATE_ANSWER_S - loop.time()
-            stall_s = min(STALL_S, max(LATE_ANSWER_PAUSE_S, late_s))
-        self.stall_timer = loop.call_later(stall_s, self._stalled)
-
-    def _stalled(self) -> None:
-        """Close the connection, because the body of its response makes no progress."""
-        log.info(
-            "upstream stalled within its response: request=%s %s",
-            self.request_name,
-            self.transport.send_report(),
-        )
-        self._record_response_end("silence")
+        self.transit_timer = loop.call_later(max(MIN_WAIT_S, left_s), self._check_transit)
+
+    def _check_transit(self) -> None:
+        """Close the connection if the response has reached its limit."""
+        limit = self.transit.limit if self.transit is not None else None
+        if limit is None or time.monotonic_ns() < limit.at_ns:
+            self._watch_transit()
+            return
+        self._record_response_end(limit.clock.value)
         self.abort()
 
+    def _cancel_transit_timer(self) -> None:
+        if self.transit_timer is not None:
+            self.transit_timer.cancel()
+            self.transit_timer = None
+
+    def _end_transit(self) -> None:
+        """Forget the response, which is complete or will never be."""
+        self._cancel_transit_timer()
+        self.streamed_response = None
+        self.transit = None
+
     # ---- messages that end in transit ------------------------------------------------------------
 
     def _record_response_end(self, cause: str) -> None:
         """Log that the response which is being forwarded ends before its end was seen."""
         response = self.streamed_response
-        if self.upstream_log is None or response is None or response.stream is None:
+        transit = self.transit
+        self._end_transit()
+        if self.upstream_log is None or transit is None or response is None:
             return
-        age_s = asyncio.get_running_loop().time() - self.piece_s
-        self.streamed_response = None
+        assert response.stream is not None
         self.upstream_log.message_ends.record(
             MessageEnd(
                 self.request_name,
                 self.upstream_log.upstream,
                 Direction.RESPONSE,
-                "forwarded",
+                transit.state.value,
                 cause,
-                self.reader.payload_size,
+                transit.received_bytes,
                 response.stream.taken_bytes,
-                int(age_s * NS_PER_S),
+                time.monotonic_ns() - transit.piece_ns,
             )
         )
 
@@ -309,11 +310,6 @@
             )
         )
 
-    def _cancel_stall_timer(self) -> None:
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
-            self.stall_timer = None
-
     # ---- the response ----------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
@@ -321,9 +317,8 @@
         exchange = self.exchange
         reader = self.reader
         if self.streamed_response is not None:
-            self._start_stall_timer()
-            self.piece_s = asyncio.get_running_loop().time()
             reader.feed(data)
+            self._note_piece()
             self._continue_body(self.streamed_response)
             return
         if exchange is None:
@@ -343,6 +338,13 @@
         elif reader.is_receiving:
             self._note_response(exchange)
 
+    def _note_piece(self) -> None:
+        """Note a piece of the response that is being streamed, after it was counted."""
+        if self.transit is not None and self.reader.in_message:
+            now_ns = time.monotonic_ns()
+            if self.transit.piece_received(self.reader.payload_size, now_ns):
+                self._watch_transit()
+
     def _note_response(self, exchange: Exchange) -> None:
         """Note that a part of the response has arrived; hold a response without a length."""
         loop = asyncio.get_running_loop()
@@ -351,8 +353,9 @@
             self.response_began_s = now_s
         exchange.response_s = now_s
         if self.hold_timer is None and self.reader.may_be_long:
-            hold_s = min(MAX_HOLD_S, HOLD_FRACTION * (exchange.timeout_at_s - now_s))
-            self.hold_timer = loop.call_later(max(0.0, hold_s), self._forward_now)
+            left_s = exchange.timeout_at_s - now_s
+            held_ns = hold_ns(None if math.isinf(left_s) else int(left_s * NS_PER_S))
+            self.hold_timer = loop.call_later(held_ns / NS_PER_S, self._forward_now)
 
     def _forward_now(self) -> None:
         """Forward a response without a length as it comes, before the attempt could be late."""
@@ -390,7 +393,6 @@
             held_ns = self.transport.receive_state.data_age_ns
         exchange.unread_ns = held_ns
         self._cancel_hold_timer()
-        self.client_deadline_s = exchange.deadline_s
         self.exchange = None
         self.request_written = exchange.written
         self._cancel_send_timer()
@@ -398,14 +400,21 @@
             exchange.body.changed = None  # answered before the body's end: stop sending it
         if response.stream is not None:
             self.streamed_response = response
-            self.piece_s = asyncio.get_running_loop().time()
-            self._start_stall_timer()
+            self.transit = self._begin_transit(response.stream, exchange.deadline_s)
+            self._watch_transit()
             response.stream.attach(self)
             self._continue_body(response)
         else:
             self._end_response(response)
         exchange.finish(AttemptResult.OK, response)
 
+    def _begin_transit(self, stream: Body, deadline_s: float) -> ResponseTransit:
+        deadline_ns = None if math.isinf(deadline_s) else int(deadline_s * NS_PER_S)
+        now_ns = time.monotonic_ns()
+        transit = ResponseTransit(stream.length, deadline_ns, now_ns)
+        transit.piece_received(self.reader.payload_size, now_ns)
+        return transit
+
     def _continue_body(self, streamed_response: Response) -> None:
         """Check whether the body of a streamed response is complete or malformed."""
         assert streamed_response.stream is not None
@@ -413,8 +422,7 @@
             self._record_response_end(Cause.MALFORMED.value)
             self.abort()
         elif streamed_response.stream.ended:
-            self._cancel_stall_timer()
-            self.streamed_response = None
+            self._end_transit()
             self._end_response(streamed_response)
 
     def _end_response(self, response: Response) -> None:
@@ -432,21 +440,21 @@
             self.abort()
 
     def pause(self) -> None:
-        """Pause reading because the receiver of the response's body is slow.
-
-        The stall timer stops, because the upstream does not cause the delay.
-        """
-        self._cancel_stall_timer()
+        """Pause reading because the receiver of the response's body is slow."""
+        if self.transit is not None:
+            self.transit.hold()
+            self._watch_transit()
         self.transport.pause_reading(ReadPause.BODY)
 
     def resume(self) -> None:
-        """Resume reading, and restart the stall timer."""
+        """Resume reading, and count the silence of the upstream from now on."""
         self.read_on()
-        self._start_stall_timer()
+        if self.transit is not None:
+            self.transit.read_on(time.monotonic_ns())
+            self._watch_transit()
 
     def read_on(self) -> None:
         """Resume reading without a time limit."""
-        self._cancel_stall_timer()
         self.transport.resume_reading(ReadPause.BODY)
 
     def abort(self) -> None:
@@ -464,7 +472,6 @@
             return
         self.closed = True
         self.charge.release()
-        self._cancel_stall_timer()
         self._cancel_send_timer()
         self._cancel_hold_timer()
         self._record_response_end(self._close_cause.value)
--- a/tests/proxy/test_body_completion.py
+++ b/tests/proxy/test_body_completion.py
@@ -13,14 +13,15 @@
 
 import pytest
 
-from loadbalancer.policy import api
-from loadbalancer.proxy import connection_phase, frontend, upstream_connection
+from loadbalancer.policy import api, message_end
+from loadbalancer.proxy import connection_phase, frontend
 from loadbalancer.proxy.client_connection import ClientConnection
 from loadbalancer.proxy.connection_phase import Phase
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.input_buffer import PARSE_BYTES
 from loadbalancer.proxy.parse import MAX_BODY
 from tests.fakes import (
+    SECOND,
     SETTINGS,
     BalancerHarness,
     Client,
@@ -267,7 +268,7 @@
 
     The upstream responds to the next request when the stall timer of a later response has expired.
     """
-    monkeypatch.setattr(upstream_connection, "STALL_S", SHORT_STALL_S)
+    monkeypatch.setattr(message_end, "SILENCE_NS", int(SHORT_STALL_S * SECOND))
     may_respond = asyncio.Event()
     harnesses: list[BalancerHarness] = []
 
