Requests: the client's time counts from its last write, wherever its last bytes lie

Seen by callers: bodies of 963 kB and 4 MB in chunks, read at 50 to 116 kB/s by their upstream, were answered 504 up to 19.5 s behind the client's time. Clients that wrote with pauses over 1.5 s got 408.

Cause: while a body was not read further, the client's time started anew whenever the upstream took a piece, unless a Content-Length showed that the rest had arrived; what lay in the client's own buffers counted as not sent. In the table of the module before: a state that took its clock from the progress of another peer.

Change: `RequestTransit` keeps the latest moment at which the client is known to have been sending: nothing of it was left to read while its connection was open, or its kernel (4 MB) can't have held all that came since or is to come. From then its time runs, whatever its upstream takes. While the account is calm (under 0.12 of it in use) a body is read ahead, up to 8 MB each, so that its end is seen in most cases. A client has 2.6 s for each 16 KiB of a body. Relief counts a body that is read ahead to its connection.

--- a/loadbalancer/policy/message_end.py
+++ b/loadbalancer/policy/message_end.py
@@ -39,8 +39,10 @@
 
 # The most that a client's kernel holds of what the client has written.
 CLIENT_BUFFER_BYTES: Final = 4 * 1024 * 1024
-# A client from which nothing comes for this long although it is read has nothing buffered.
-IDLE_NS: Final = 50 * MILLISECOND
+# A client has nothing buffered once nothing of it is left to read although its connection could be
+# read, and so its kernel could send, for this long.
+DRAIN_NS: Final = 250 * MILLISECOND
+SAMPLE_NS: Final = 50 * MILLISECOND  # between two samples of what has arrived
 MAX_SAMPLES: Final = 256
 # The time for each part of a body: more than the pauses of a client that writes slowly, and less
 # than the 3 s within which one that stops is owed its end.
@@ -266,21 +268,21 @@
         self.is_paused = False
         self._was_paused = False
         self._state = RequestState.ARRIVING
-        self._active_ns = now_ns
+        self._open_ns = now_ns  # since then its connection is read, or could send while it is not
         self._taken_bytes = 0
         self._taken_ns = now_ns
         self._samples: deque[tuple[int, int]] = deque(maxlen=MAX_SAMPLES)
 
-    def piece_read(self, arrived_bytes: int, now_ns: int) -> None:
+    def piece_read(self, arrived_bytes: int, is_drained: bool, now_ns: int) -> None:
         """Note that more was read.
 
         Args:
             arrived_bytes: Bytes that have arrived so far.
+            is_drained: Whether nothing is left to read.
             now_ns: The time.
         """
-        if now_ns - self._active_ns >= IDLE_NS:
+        if is_drained and now_ns - self._open_ns >= DRAIN_NS:
             self._note_sending(now_ns)
-        self._active_ns = now_ns
         self._note_arrived(arrived_bytes, now_ns)
 
     def pause(self, now_ns: int) -> None:
@@ -288,12 +290,17 @@
         self.is_paused = True
         self._was_paused = True
         self._taken_ns = now_ns
+        self._open_ns = now_ns
 
     def resume(self, now_ns: int) -> None:
         """Note that it is read again."""
         self.is_paused = False
-        self._active_ns = now_ns
         self._state = RequestState.ARRIVING
+        self.reading_resumed(now_ns)
+
+    def reading_resumed(self, now_ns: int) -> None:
+        """Note that its connection is read again, whatever had paused it."""
+        self._open_ns = now_ns
 
     def view(self, view: UploadView, now_ns: int) -> RequestState:
         """Note what is seen of a body that is not read further, and return its state."""
@@ -305,8 +312,9 @@
         is_far_from_end = (
             self.length is not None and arrived_bytes + CLIENT_BUFFER_BYTES < self.length
         )
+        is_drained = not view.unread_bytes and now_ns - self._open_ns >= DRAIN_NS
         self._state = RequestState.UNREAD
-        if is_far_from_end or not view.unread_bytes:
+        if is_far_from_end or is_drained:
             self.sending_ns = now_ns
             self._state = RequestState.BLOCKED
         return self._state
@@ -321,7 +329,7 @@
         samples = self._samples
         while samples and samples[0][1] + CLIENT_BUFFER_BYTES <= arrived_bytes:
             self.sending_ns = max(self.sending_ns, samples.popleft()[0])
-        if not samples or now_ns - samples[-1][0] >= IDLE_NS:
+        if not samples or now_ns - samples[-1][0] >= SAMPLE_NS:
             samples.append((now_ns, arrived_bytes))
 
     @property
--- a/loadbalancer/policy/rules.py
+++ b/loadbalancer/policy/rules.py
@@ -24,6 +24,10 @@
 TIMEOUT_SLACK_NS = 100 * MILLISECOND
 
 
+# The part of the client's time that is announced to the upstream of a streamed body.
+STREAMED_TIME_FRACTION = 0.5
+
+
 class Reason(Enum):
     """Reasons for which the rules deny an operation."""
 
@@ -170,6 +174,18 @@
     return max(1, (min(deadlines_ns) - now_ns) // MILLISECOND)
 
 
+def announced_ns(left_ns: int) -> int:
+    """Return the time that is announced to the upstream of a streamed body.
+
+    The rest is left for sending the body: at its last byte, no more may have been announced than
+    its client still has.
+
+    Args:
+        left_ns: The client's time, from the body's last byte or, if that has arrived, from now.
+    """
+    return int(STREAMED_TIME_FRACTION * left_ns)
+
+
 def may_complete_body(timeout_ms: int, now_ns: int, client_deadline_ns: int) -> Verdict:
     """Return whether the last byte of a body may be written.
 
--- a/loadbalancer/proxy/attempt.py
+++ b/loadbalancer/proxy/attempt.py
@@ -91,12 +91,16 @@
             self.report_denial(verdict, "connection established")
             return verdict
         request = self.request
-        if request.arrival.body_complete:
+        if request.stream is None:
             deadline_ns = request.arrival.deadline_ns
             self.promised_ms = rules.remaining_ms(now_ns, deadline_ns, self.limits.expires_ns)
         else:
-            # The client's timeout counts from the body's last byte, which is not yet received.
-            self.promised_ms = rules.remaining_ms(0, request.wait_ns, self.limits.timeout_ns)
+            # The upstream counts from the body's last byte, which may take long to send.
+            left_ns = request.wait_ns
+            if request.arrival.body_complete:
+                left_ns = request.arrival.deadline_ns - now_ns
+            limit_ns = rules.announced_ns(left_ns)
+            self.promised_ms = rules.remaining_ms(0, limit_ns, self.limits.timeout_ns)
         if request.stream is not None:
             request.stream.rewind()
         return attempt_request(request, self.promised_ms)
--- a/loadbalancer/proxy/body_stream.py
+++ b/loadbalancer/proxy/body_stream.py
@@ -49,7 +49,8 @@
     detaches the source, which reads on even if it was paused, and never calls it again.
 
     With `keep`, the body can be read again from its start, until pieces that were already taken
-    have to be dropped to free buffer space; see `is_replayable`.
+    have to be dropped to free buffer space; see `is_replayable`. Such a body is read ahead as far
+    as the account allows.
 
     Args:
         length: The length in the sender's Content-Length; None: the body is chunked.
@@ -129,10 +130,9 @@
             return
         self.pieces.append(data)
         self._adjust_buffered(len(data))
-        max_buffered = self.memory.buffer_bytes
-        if self.buffered >= max_buffered and not self.paused:
+        if self.buffered >= self.memory.buffer_bytes and not self.paused:
             self._drop_taken()
-            if self.buffered >= max_buffered:
+            if self.buffered >= self._max_buffered:
                 self.state = BodyState.PAUSED
                 if self.source is not None:
                     self.source.pause()
@@ -182,11 +182,11 @@
         piece = self.pieces[self.next_index]
         self.next_index += 1
         self.taken_bytes += len(piece)
-        # Pieces that are kept for a retry are dropped only if the buffer is full, or if the retry
-        # is no longer possible.
-        if not self.keep or self.paused or self.dropped:
+        # Pieces that are kept for a retry are dropped only if the buffer has its full size, or if
+        # the retry is no longer possible.
+        if not self.keep or self.dropped or self._is_full_size:
             self._drop_taken()
-        if self.paused and self.buffered <= self.memory.buffer_bytes // 2:
+        if self.paused and self.buffered <= self._max_buffered // 2:
             self.state = BodyState.RECEIVING
             if self.source is not None:
                 self.source.resume()
@@ -212,6 +212,18 @@
 
     # ---- the buffer ------------------------------------------------------------------------------
 
+    @property
+    def _is_full_size(self) -> bool:
+        """Whether a body that may receive more buffers as much as one usually may."""
+        return self._may_receive and self.buffered >= self.memory.buffer_bytes
+
+    @property
+    def _max_buffered(self) -> int:
+        """Bytes at which the source is paused."""
+        if self.keep:
+            return self.memory.read_ahead_bytes(self.buffered)
+        return self.memory.buffer_bytes
+
     def _drop_taken(self) -> None:
         """Delete the pieces that were taken."""
         if self.next_index:
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -6,6 +6,7 @@
 import logging
 import time
 
+from loadbalancer.policy.message_end import UploadView
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.client_answer import AnswerWriter
 from loadbalancer.proxy.client_upload import ClientUpload
@@ -153,6 +154,10 @@
 
     def _count_progress(self, size: int) -> None:
         """Restart the time limit of a slow upload for each part of it that has arrived."""
+        if self.upload.is_active:
+            arrived_bytes = self.reader.payload_size + len(self.unparsed) + size
+            is_drained = size < self._offered_bytes
+            self.upload.piece_read(arrived_bytes, is_drained, self.received_ns)
         is_uploading = self.phase in (Phase.NEW, Phase.BODY) and self.reader.in_body
         if is_uploading and self.upload.count(size):
             self.frontend.wait(self, Phase.BODY)
@@ -169,7 +174,12 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of memory that this process holds for the client."""
+        """Bytes of memory that this process holds for the client, an incomplete body included."""
+        return self._charged_bytes + self.upload.buffered_bytes
+
+    @property
+    def _charged_bytes(self) -> int:
+        """The same without the body, which charges the account itself."""
         held_bytes = CLIENT_CONNECTION_BYTES + len(self.unparsed)
         if self.reader.head is not None or self.reader.ready:
             held_bytes += self.reader.held_bytes
@@ -180,7 +190,7 @@
         return held_bytes
 
     def _update_charge(self) -> None:
-        self.charge.replace(self.held_bytes)
+        self.charge.replace(self._charged_bytes)
 
     def give_way(self) -> None:
         """Free the memory of an incomplete request, or of pipelined input; close after the answer.
@@ -207,34 +217,32 @@
     def resume_after_relief(self) -> None:
         """Read again, and parse what has come."""
         self.transport.resume_reading(ReadPause.MEMORY)
+        self.upload.reading_resumed()
         self._parse_later()
 
     # ---- called by the upload --------------------------------------------------------------------
 
     def upload_paused(self) -> None:
-        """Stop reading until the upstream accepts more; meanwhile no time limit applies."""
+        """Stop reading until the upstream accepts more, or the client's time is over."""
         self.frontend.leave_phase(self)
         self.transport.pause_reading(ReadPause.BODY)
         self._watch_paused_upload()
 
     def _watch_paused_upload(self) -> None:
-        """Answer the request by its client's time, which runs while the client can't send more.
-
-        Once the rest of the body has arrived in the kernel, the time counts from its arrival.
-        Until then, it starts anew whenever the upstream takes a part of the body.
-        """
+        """Answer the request by its client's time, which may run while its body is not read."""
         request = self.open_request
-        if request is None or not self.upload.is_paused:
+        if request is None:
+            return
+        now_ns = time.monotonic_ns()
+        unread_bytes = len(self.unparsed) + self.transport.unread_bytes
+        view = UploadView(self.reader.payload_size, unread_bytes, request.acknowledged_bytes)
+        limit = self.upload.limit(view, now_ns)
+        if limit is None:
             return
-        waited_ns = self.upload.stalled_ns(request.acknowledged_bytes, time.monotonic_ns())
-        rest_bytes = self.upload.rest_bytes(self.reader.payload_size)
-        arrived_bytes = len(self.unparsed) + self.transport.unread_bytes
-        if rest_bytes is not None and arrived_bytes >= rest_bytes:
-            waited_ns = self.transport.receive_state.data_age_ns
-        if waited_ns < request.wait_ns:
+        if now_ns < limit.at_ns:
             self.upload.watch_later(self._watch_paused_upload)
         else:
-            self._record_upload_end("client time")
+            self._record_upload_end(limit.clock.value)
             self.driver.upload_overdue(request)
 
     def _record_upload_end(self, cause: str) -> None:
@@ -435,18 +443,19 @@
             self.frontend.leave_phase(self)
         else:
             self._send_continue()
-            self.upload.begin(stream)
+            self.upload.begin(stream, request.wait_ns)
         if not self.driver.arrive(request):
             name = request.arrival.request
             self.driver.traffic_log.request_closed(name, "too many open requests")
             self.reject(0)
 
     def _body_completed(self) -> None:
+        sent_ns = self.upload.sent_ns(self.received_ns)
         self.upload.finish()
         self.frontend.leave_phase(self)
         if self.open_request is not None:
-            deadline_ns = self.intake.deadline_ns(self.received_ns)
-            self.driver.body_completed(self.open_request, deadline_ns, self.received_ns)
+            deadline_ns = self.intake.deadline_ns(sent_ns)
+            self.driver.body_completed(self.open_request, deadline_ns, sent_ns)
 
     # ---- output ----------------------------------------------------------------------------------
 
--- a/loadbalancer/proxy/client_upload.py
+++ b/loadbalancer/proxy/client_upload.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from loadbalancer.policy.message_end import Limit, RequestTransit, UploadView
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.connection_phase import PROGRESS_BYTES
 
@@ -17,7 +18,7 @@
     """The client's connection, as its upload uses it."""
 
     def upload_paused(self) -> None:
-        """Stop reading until the upstream accepts more; meanwhile no time limit applies."""
+        """Stop reading until the upstream accepts more, or the client's time is over."""
 
     def upload_resumed(self) -> None:
         """Read again, and restart the time limit."""
@@ -53,16 +54,16 @@
 
     Attributes:
         body: The body; None: the open request has none that is streamed.
+        transit: Decides when the client is answered while the body is paused.
         progress_bytes: Bytes received since the time limit was last restarted.
     """
 
     __slots__ = (
-        "_acknowledged_bytes",
-        "_progress_ns",
         "_timer",
         "body",
         "host",
         "progress_bytes",
+        "transit",
     )
 
     def __init__(self, host: UploadHost) -> None:
@@ -70,8 +71,7 @@
         self.body: Body | None = None
         self.progress_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
-        self._acknowledged_bytes = 0
-        self._progress_ns = 0
+        self.transit: RequestTransit | None = None
 
     @property
     def is_active(self) -> bool:
@@ -88,14 +88,26 @@
         """Whether the body's buffer is full, because its upstream does not accept more."""
         return self.body is not None and self.body.paused
 
-    def begin(self, body: Body) -> None:
-        """Become the source of a body."""
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the body that wait for its upstream, or are kept for a retry."""
+        return 0 if self.body is None else self.body.buffered
+
+    def begin(self, body: Body, wait_ns: int) -> None:
+        """Become the source of a body.
+
+        Args:
+            body: The body.
+            wait_ns: How long the client waits from its last byte.
+        """
         self.body = body
+        self.transit = RequestTransit(body.length, wait_ns, time.monotonic_ns())
         body.attach(self)
 
     def finish(self) -> None:
         """Forget the body, which has arrived or is no longer wanted."""
         self.body = None
+        self.transit = None
         self._cancel_watch()
 
     def cut_off(self) -> bool:
@@ -120,27 +132,36 @@
         self.progress_bytes = 0
         return True
 
-    def rest_bytes(self, received_bytes: int) -> int | None:
-        """Return how much of the body was not read; None if its length is not known.
+    def piece_read(self, arrived_bytes: int, is_drained: bool, now_ns: int) -> None:
+        """Note that more of the body was read.
 
         Args:
-            received_bytes: Bytes of the body that were read.
+            arrived_bytes: Bytes of it that have arrived so far.
+            is_drained: Whether nothing is left to read.
+            now_ns: When they arrived.
         """
-        if self.body is None or self.body.length is None:
+        if self.transit is not None:
+            self.transit.piece_read(arrived_bytes, is_drained, now_ns)
+
+    def limit(self, view: UploadView, now_ns: int) -> Limit | None:
+        """Return when the client is answered, from what is seen of a paused body."""
+        if self.transit is None or not self.is_paused:
             return None
-        return self.body.length - received_bytes
+        self.transit.view(view, now_ns)
+        return self.transit.limit
 
-    def stalled_ns(self, acknowledged_bytes: int, now_ns: int) -> int:
-        """Return for how long the upstream has taken nothing, in nanoseconds.
+    def sent_ns(self, received_ns: int) -> int:
+        """Return from when the client's time counts, now that the body has ended.
 
         Args:
-            acknowledged_bytes: Bytes that the upstream has acknowledged.
-            now_ns: The time.
+            received_ns: When the last byte arrived.
         """
-        if acknowledged_bytes != self._acknowledged_bytes:
-            self._acknowledged_bytes = acknowledged_bytes
-            self._progress_ns = now_ns
-        return now_ns - self._progress_ns
+        return received_ns if self.transit is None else self.transit.sent_ns(received_ns)
+
+    def reading_resumed(self) -> None:
+        """Note that the connection is read again after a pause that the body did not cause."""
+        if self.transit is not None:
+            self.transit.reading_resumed(time.monotonic_ns())
 
     def watch_later(self, check: Callable[[], None]) -> None:
         """Call `check` after a while, unless the body is read on or ends before."""
@@ -156,13 +177,16 @@
 
     def pause(self) -> None:
         """Stop reading: the buffer is full."""
-        self._progress_ns = time.monotonic_ns()
+        if self.transit is not None:
+            self.transit.pause(time.monotonic_ns())
         self.host.upload_paused()
 
     def resume(self) -> None:
         """Read again: the buffer has capacity."""
         self.progress_bytes = 0
         self._cancel_watch()
+        if self.transit is not None:
+            self.transit.resume(time.monotonic_ns())
         self.host.upload_resumed()
 
     def read_on(self) -> None:
--- a/loadbalancer/proxy/connection_phase.py
+++ b/loadbalancer/proxy/connection_phase.py
@@ -4,8 +4,10 @@
 
 from enum import Enum
 
+from loadbalancer.policy.message_end import UPLOAD_PAUSE_NS
 from loadbalancer.proxy.send_progress import CHECK_INTERVAL_S
 
+NS_PER_S = 1e9
 PROGRESS_BYTES = 16 * 1024  # bytes of a body that count as progress
 
 
@@ -27,7 +29,7 @@
     # may take 2 s to send a head.
     Phase.NEW: 2.6,
     # Time for each PROGRESS_BYTES of a body.
-    Phase.BODY: 1.5,
+    Phase.BODY: UPLOAD_PAUSE_NS / NS_PER_S,
     # Interval between two checks whether the client still takes a long answer.
     Phase.ANSWER: CHECK_INTERVAL_S,
     # An idle connection is closed after this time; the client can open another.
--- a/loadbalancer/proxy/memory_account.py
+++ b/loadbalancer/proxy/memory_account.py
@@ -43,6 +43,9 @@
 )
 RELIEVED_FRACTION: Final = 0.7  # relief goes on until no more than this is in use
 FULL_BUFFER_BYTES: Final = 64 * KIB
+# Bodies of requests are read ahead while less than this fraction of the limit is in use.
+READ_AHEAD_FRACTION: Final = 0.12
+MAX_READ_AHEAD_BYTES: Final = 8 * KIB * KIB  # of one body
 BUFFER_BYTES: Final = {
     Pressure.NONE: FULL_BUFFER_BYTES,
     Pressure.SMALLER_BUFFERS: 16 * KIB,
@@ -75,6 +78,7 @@
         """Set what this process may hold."""
         self.limit_bytes = limit_bytes
         self._levels = [(level, int(part * limit_bytes)) for level, part in PRESSURE_FRACTIONS]
+        self._read_ahead_until_bytes = int(READ_AHEAD_FRACTION * limit_bytes)
         self._pressure_from_bytes = min(from_bytes for _, from_bytes in self._levels)
         self._relief_from_bytes = dict(self._levels)[Pressure.RELIEF]
 
@@ -106,6 +110,18 @@
             return FULL_BUFFER_BYTES
         return BUFFER_BYTES[self.pressure]
 
+    def read_ahead_bytes(self, buffered_bytes: int) -> int:
+        """Return how many bytes the body of a request may buffer.
+
+        It is read ahead of its upstream, as its client's time counts from its end.
+
+        Args:
+            buffered_bytes: Bytes that it buffers now.
+        """
+        free_bytes = self._read_ahead_until_bytes - self.held_bytes
+        read_ahead_bytes = min(MAX_READ_AHEAD_BYTES, buffered_bytes + free_bytes)
+        return max(self.buffer_bytes, read_ahead_bytes)
+
     def metrics_text(self) -> str:
         """Return the account in the Prometheus text format."""
         rows = [
--- a/tests/policy/test_message_end.py
+++ b/tests/policy/test_message_end.py
@@ -4,10 +4,12 @@
 
 from dataclasses import dataclass
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from loadbalancer.policy.message_end import (
+    CLIENT_BUFFER_BYTES,
+    DRAIN_NS,
     HOLD_FRACTION,
     LATE_NS,
     LONG_BYTES,
@@ -21,8 +23,10 @@
     Clock,
     Ending,
     RequestState,
+    RequestTransit,
     ResponseState,
     ResponseTransit,
+    UploadView,
     hold_ns,
 )
 
@@ -170,3 +174,156 @@
     endless = {state for state, rule in RESPONSE_RULES.items() if rule.ending is Ending.NOTHING}
     assert endless == {ResponseState.HELD, ResponseState.COMPLETE}
     assert all(rule.clocks for rule in REQUEST_RULES.values())
+
+
+# ---- requests ------------------------------------------------------------------------------------
+
+
+class Client:
+    """A client that has a body to write, its kernel's buffer, and a proxy that reads and pauses.
+
+    Attributes:
+        written: Bytes that its writes have handed to its kernel.
+        wrote_ns: When its last write returned; None: it has more to write.
+        arrived: Bytes that have reached the proxy's kernel.
+    """
+
+    def __init__(self, size: int, send_buffer: int, window: int) -> None:
+        self.size = size
+        self.send_buffer = send_buffer
+        self.window = window
+        self.written = 0
+        self.arrived = 0
+        self.read = 0
+        self.wrote_ns: int | None = None
+
+    def send(self, now_ns: int, at_most: int) -> None:
+        """Write and send what the buffers, the window and its own pace allow."""
+        can_arrive = self.read + self.window
+        room = min(self.size, can_arrive + self.send_buffer, self.written + at_most)
+        self.written = max(self.written, room)
+        self.arrived = max(self.arrived, min(self.written, can_arrive))
+        if self.written == self.size and self.wrote_ns is None:
+            self.wrote_ns = now_ns
+
+    def read_up_to(self, limit: int, now_ns: int) -> bool:
+        """Read what comes, up to this byte; return whether nothing is left to read.
+
+        The network is fast: what the client's kernel holds comes as soon as the window is open.
+        """
+        while self.read < min(limit, self.arrived):
+            self.read = min(limit, self.arrived)
+            self.send(now_ns, self.size)
+        return self.read == self.arrived
+
+
+@dataclass(frozen=True)
+class Upload:
+    """An upload whose upstream reads slowly."""
+
+    size: int
+    has_length: bool
+    send_buffer: int
+    window: int
+    buffer: int  # of the proxy
+    rate: int  # bytes that the upstream takes in a millisecond
+    burst_ms: int
+    wait_ms: int
+
+
+uploads = st.builds(
+    Upload,
+    st.integers(LONG_BYTES + 1, 8 * 1024 * 1024),
+    st.booleans(),
+    st.integers(16 * 1024, CLIENT_BUFFER_BYTES),
+    st.integers(16 * 1024, 1024 * 1024),
+    st.sampled_from([4 * 1024, 64 * 1024, 1024 * 1024]),
+    st.integers(40, 5_000),
+    st.sampled_from([1, 20, 600]),
+    st.integers(300, 3_000),
+)
+STEP_MS = 10
+
+
+def answered_ns(upload: Upload, client: Client) -> int:
+    """Play an upload, and return when its client is answered at the latest."""
+    length = upload.size if upload.has_length else None
+    transit = RequestTransit(length, upload.wait_ms * MILLISECOND, START)
+    taken = 0
+    now_ms = 0
+    while True:
+        now_ms += STEP_MS
+        now_ns = START + now_ms * MILLISECOND
+        client.send(now_ns, upload.size)
+        if now_ms % max(STEP_MS, upload.burst_ms // STEP_MS * STEP_MS) == 0:
+            taken = min(client.read, taken + upload.rate * max(STEP_MS, upload.burst_ms))
+        if transit.is_paused and client.read - taken <= upload.buffer // 2:
+            transit.resume(now_ns)
+        if not transit.is_paused:
+            is_drained = client.read_up_to(taken + upload.buffer, now_ns)
+            transit.piece_read(client.arrived, is_drained, now_ns)
+            if client.read == upload.size:
+                return transit.sent_ns(now_ns) + upload.wait_ms * MILLISECOND
+            if client.read - taken >= upload.buffer:
+                transit.pause(now_ns)
+        if transit.is_paused:
+            transit.view(UploadView(client.read, client.arrived - client.read, taken), now_ns)
+            limit = transit.limit
+            assert limit is not None
+            if limit.at_ns <= now_ns:
+                return now_ns
+
+
+@settings(deadline=None)
+@given(uploads)
+def test_the_answer_to_a_request_is_not_late_wherever_its_last_bytes_lie(upload: Upload) -> None:
+    client = Client(upload.size, upload.send_buffer, upload.window)
+    at_ns = answered_ns(upload, client)
+    if client.wrote_ns is not None:
+        due_ns = client.wrote_ns + upload.wait_ms * MILLISECOND
+        assert at_ns + HELD_UP_NS <= due_ns + LOST_NS + STEP_MS * MILLISECOND
+
+
+@settings(deadline=None)
+@given(uploads, st.integers(64, 2_000))
+def test_a_client_that_still_sends_is_not_answered(upload: Upload, client_rate: int) -> None:
+    """Its upstream takes all that it sends, at once."""
+    transit = RequestTransit(None, upload.wait_ms * MILLISECOND, START)
+    client = Client(upload.size, upload.send_buffer, upload.window)
+    now_ms = 0
+    while client.written < min(upload.size, 4_000 * client_rate):
+        now_ms += STEP_MS
+        now_ns = START + now_ms * MILLISECOND
+        client.send(now_ns, client_rate * STEP_MS)
+        client.read = client.arrived
+        transit.piece_read(client.arrived, True, now_ns)
+    assert transit.limit is None
+    transit.pause(START + now_ms * MILLISECOND)
+    transit.view(UploadView(client.read, 0, client.read), START + now_ms * MILLISECOND)
+    limit = transit.limit
+    assert limit is not None
+    waited_ms = upload.wait_ms if now_ms * MILLISECOND >= DRAIN_NS else upload.wait_ms - now_ms
+    assert limit.at_ns >= START + (now_ms + waited_ms) * MILLISECOND - STEP_MS * MILLISECOND
+
+
+def test_an_upload_that_its_upstream_does_not_read_is_answered_by_the_clients_time() -> None:
+    transit = RequestTransit(32 * 1024 * 1024, SECOND, START)
+    transit.pause(START)
+    assert transit.view(UploadView(100_000, 50_000, 0), START) is RequestState.BLOCKED
+    limit = transit.limit
+    assert limit is not None
+    assert (limit.at_ns, limit.clock) == (START + SECOND, Clock.UPSTREAM_PAUSE)
+    transit.view(UploadView(100_000, 50_000, 1), START + SECOND // 2)
+    limit = transit.limit
+    assert limit is not None and limit.at_ns == START + SECOND + SECOND // 2
+
+
+def test_progress_of_the_upstream_does_not_start_the_clients_time_anew() -> None:
+    transit = RequestTransit(None, SECOND, START)
+    for step in range(9):
+        now_ns = START + step * SECOND // 10
+        transit.pause(now_ns)
+        transit.view(UploadView(100_000 + step, 50_000, step), now_ns)
+        limit = transit.limit
+        assert limit is not None and limit.at_ns == START + SECOND
+        transit.resume(now_ns)
