Attempts: what could not be sent again is not given up before its client's time

Seen by callers: bookings whose upstream works for 2 s of 3 s got 502 at the objective of 0.75 s after a few of them, with most of their time left, and did not know whether they were made; streamed bodies got 504 at the objective while their upstream still read them.

Cause: a late attempt was given up where requests waited or the upstreams seemed overloaded, and without leave to cancel always, whatever could follow. Bodies that were complete and those on their way had rules of their own (`_attempt_timeout_ns`).

Change: `rules.is_repeatable` (effect, window, whether the body is still there) decides in one place, asked by the policy and again by the driver; `may_give_up` denies the rest.

--- a/loadbalancer/policy/attempt_tracker.py
+++ b/loadbalancer/policy/attempt_tracker.py
@@ -223,12 +223,15 @@
 
         The attempt is cancelled if requests wait for its capacity, the upstreams are overloaded, or
         the traffic plan forbids hedging. Otherwise it continues, since the upstream executes it
-        anyway and the client still gets a response.
+        anyway and the client still gets a response. It also continues until the client's deadline
+        if the request could not be sent again.
         """
         attempt = request.attempts[number]
         if attempt.result is not None or request.is_finished:
             return
         attempt.is_late = True
+        if not request.is_repeatable(now):
+            return
         if (
             request.queue.waiting
             or self.concurrency.is_overloaded()
--- a/loadbalancer/policy/dispatch.py
+++ b/loadbalancer/policy/dispatch.py
@@ -232,6 +232,8 @@
             if request.body_complete:
                 self.schedule_late_check(request, number, now)
             return 0
+        if not request.is_repeatable(now):
+            return 0
         if not request.body_complete:
             return request_class.latency_objective_ns
         return max(1, request.latency_objective_ns - now)
--- a/loadbalancer/policy/requests.py
+++ b/loadbalancer/policy/requests.py
@@ -124,6 +124,12 @@
         )
         return rules.may_repeat(self.request_class, now - possibly_executed[0].sent_ns, same_scope)
 
+    def is_repeatable(self, now: int) -> bool:
+        """Return whether a further attempt is possible after one that may have been executed."""
+        first = next(iter(self.possibly_executed()), None)
+        since_first_ns = 0 if first is None else now - first.sent_ns
+        return rules.is_repeatable(self.request_class, self.is_replayable, since_first_ns)
+
     def start_by_ns(self, now: int) -> int:
         """Return the time from now until which a repeated execution may start; 0: no limit."""
         possibly_executed = (
--- a/loadbalancer/policy/rules.py
+++ b/loadbalancer/policy/rules.py
@@ -47,6 +47,7 @@
     OUTSIDE_DEDUPLICATION_SCOPE = "it may have run, and this upstream does not drop its repeats"
     TIMEOUT_TOO_LONG = "it told more time than its client has left"
     RESPONSE_ARRIVING = "its answer is arriving"
+    NOT_REPEATABLE = "it may not be sent again, and its client still waits"
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,13 +200,31 @@
     return ALLOWED
 
 
-def may_give_up(request_finished: bool, since_response_ns: int | None) -> Verdict:
+def is_repeatable(
+    request_class: api.RequestClass, body_available: bool, since_first_ns: int
+) -> bool:
+    """Return whether a request that may have been executed may have a further attempt anywhere.
+
+    Args:
+        request_class: The class of the request.
+        body_available: Whether its body can be sent again from the start.
+        since_first_ns: Time since the first attempt that may have been executed.
+    """
+    verdict = may_repeat(request_class, since_first_ns, same_scope=True)
+    return body_available and not isinstance(verdict, Denied)
+
+
+def may_give_up(request_finished: bool, since_response_ns: int | None, repeatable: bool) -> Verdict:
     """Return whether an attempt may be given up because it is late, before its client's deadline.
 
     Args:
         request_finished: The request is over, so that nobody waits for the response.
         since_response_ns: Time since a part of the response arrived; None: none has arrived.
+        repeatable: Whether the request may have a further attempt; if not, giving up gains its
+            client nothing, and leaves it without knowing whether the request had an effect.
     """
+    if not repeatable and not request_finished:
+        return DENIED[Reason.NOT_REPEATABLE]
     if is_arriving(since_response_ns) and not request_finished:
         return DENIED[Reason.RESPONSE_ARRIVING]
     return ALLOWED
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -158,12 +158,17 @@
         self.timeout_at_s = loop.time() + seconds
         self.timer = loop.call_later(seconds, self._late)
 
-    def give_up_verdict(self, request_finished: bool) -> Verdict:
-        """Return whether the exchange may be given up because it is late."""
+    def give_up_verdict(self, request_finished: bool, repeatable: bool = True) -> Verdict:
+        """Return whether the exchange may be given up because it is late.
+
+        Args:
+            request_finished: Whether nobody waits for the response.
+            repeatable: Whether the request may have a further attempt.
+        """
         if self.response_s is None:
-            return may_give_up(request_finished, None)
+            return may_give_up(request_finished, None, repeatable)
         since_response_s = asyncio.get_running_loop().time() - self.response_s
-        return may_give_up(request_finished, int(since_response_s * NS_PER_S))
+        return may_give_up(request_finished, int(since_response_s * NS_PER_S), repeatable)
 
     def _late(self) -> None:
         """Expire, unless the response is arriving and the client still waits."""
--- a/loadbalancer/proxy/policy_driver.py
+++ b/loadbalancer/proxy/policy_driver.py
@@ -17,7 +17,7 @@
 
 from loadbalancer.policy import Balancer, api
 from loadbalancer.policy.execution_history import REMEMBERED_REQUEST_BYTES
-from loadbalancer.policy.rules import Allowed, Denied, Verdict, may_repeat
+from loadbalancer.policy.rules import Allowed, Denied, Verdict, is_repeatable, may_repeat
 from loadbalancer.proxy.attempt import AttemptLimits, OutgoingAttempt
 from loadbalancer.proxy.driver_interfaces import Discovery, Gossip
 from loadbalancer.proxy.endpoint import Endpoint, upstream_number
@@ -128,10 +128,11 @@
         )
         request.completed_ns = time.monotonic_ns()
         self.table.watch_deadline(request)
+        timeout_ns = request.timeout_ns if self._is_repeatable(request) else 0
         for exchange in request.attempts:
             if exchange is not None:
                 exchange.expire_in(
-                    self._remaining_ns(request, request.timeout_ns) / 1e9,
+                    self._remaining_ns(request, timeout_ns) / 1e9,
                     self._remaining_ns(request, 0) / 1e9,
                 )
         self.post(
@@ -321,9 +322,16 @@
         exchange = request.attempts[action.attempt] if request is not None else None
         if exchange is None or request is None:
             return
-        if isinstance(exchange.give_up_verdict(request.finished), Allowed):
+        repeatable = self._is_repeatable(request)
+        if isinstance(exchange.give_up_verdict(request.finished, repeatable), Allowed):
             exchange.give_up(api.AttemptResult.CANCELLED)
 
+    def _is_repeatable(self, request: OpenRequest) -> bool:
+        """Return whether a request that is being executed may have a further attempt."""
+        request_class = self.settings.classes[request.arrival.class_name]
+        body_available = request.stream is None or request.stream.is_replayable
+        return is_repeatable(request_class, body_available, 0)
+
     def _send_attempt(self, action: api.StartAttempt, now: int) -> None:
         request = self.table.get(action.request)
         if request is None:
--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -170,13 +170,13 @@
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError):
-            head = await read_head(reader)
-            reading = Reading.of_target(head.split(" ", 2)[1])
-            async for piece in body_pieces(reader, head):
-                await asyncio.sleep(reading.pause_s(len(piece)))
-            await asyncio.sleep(work_s)
-            writer.write(http_response(200))
-            await reader.read()
+            while True:
+                head = await read_head(reader)
+                reading = Reading.of_target(head.split(" ", 2)[1])
+                async for piece in body_pieces(reader, head):
+                    await asyncio.sleep(reading.pause_s(len(piece)))
+                await asyncio.sleep(work_s)
+                writer.write(http_response(200))
         writer.close()
 
     return serve
