Hedging: the policy knows that a streamed body goes to one upstream at a time

The policy hedged a request whose streamed body had arrived and could still be replayed; the driver denied it at the last moment, since the body is being written to the first upstream. Nothing was sent twice.

Change: `Request.is_streamed`, from which `verdict` limits the attempts in flight to one.

--- a/loadbalancer/policy/requests.py
+++ b/loadbalancer/policy/requests.py
@@ -74,10 +74,12 @@
     queried: list[UpstreamStats] = field(default_factory=list)  # upstreams with a load query
     queried_ns: int = 0
     handle: RequestHandle = field(init=False)
+    is_streamed: bool = field(init=False)  # its body can be sent to one upstream at a time
 
     def __post_init__(self) -> None:
-        """Create the handle for the timers."""
+        """Create the handle for the timers, and note whether the body is streamed."""
         self.handle = RequestHandle(self)
+        self.is_streamed = not self.body_complete
 
     @property
     def in_flight(self) -> int:
@@ -99,7 +101,7 @@
             response_started=self.response_started,
             body_available=self.is_replayable or not self.attempts,
         )
-        verdict = rules.may_attempt(attempt, limits, rules.max_in_flight(limits))
+        verdict = rules.may_attempt(attempt, limits, rules.max_in_flight(limits, self.is_streamed))
         if isinstance(verdict, Denied):
             return verdict
         if not upstream.is_usable:
--- a/tests/policy/test_giving_up.py
+++ b/tests/policy/test_giving_up.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Final
+from types import SimpleNamespace
+from typing import Final, cast
 
 import pytest
 
 from loadbalancer.policy import api, rules
+from loadbalancer.policy.attempt import Attempt
 from loadbalancer.policy.message_end import RESPONSE_PAUSE_NS
+from loadbalancer.policy.requests import Request, RequestQueue
 from loadbalancer.policy.rules import ALLOWED, DENIED, Reason
+from loadbalancer.policy.token_bucket import TokenBucket
+from loadbalancer.policy.upstream_stats import UpstreamStats
 
 WINDOW_NS: Final = 5_000_000_000
 CLASSES: Final = {
@@ -48,3 +53,22 @@
     assert rules.may_give_up(False, RESPONSE_PAUSE_NS, repeatable=True) == ALLOWED
     verdict = rules.may_give_up(False, RESPONSE_PAUSE_NS - 1, repeatable=True)
     assert verdict == DENIED[Reason.RESPONSE_ARRIVING]
+
+
+# The soak's seed 2: a hedged request was denied at the last moment, as its body was streamed.
+@pytest.mark.parametrize("is_streamed", [False, True])
+def test_a_streamed_request_has_one_attempt_at_a_time(is_streamed: bool) -> None:
+    upstream = cast(
+        UpstreamStats, SimpleNamespace(is_usable=True, entry=api.Upstream(7), result=None)
+    )
+    queue = cast(RequestQueue, None)
+    bucket = cast("TokenBucket[Request]", None)
+    effect = api.Effect.IDEMPOTENT
+    request = Request(
+        "r", CLASSES[effect], bucket, queue, WINDOW_NS, WINDOW_NS, 0, body_complete=not is_streamed
+    )
+    request.body_complete = True
+    request.attempts.append(Attempt(upstream, 0, 1.0, 1.0))
+    limits = api.Limits(max_attempts=3, may_hedge=True)
+    verdict = request.verdict(upstream, 1, limits)
+    assert verdict == (DENIED[Reason.TOO_MANY_IN_FLIGHT] if is_streamed else ALLOWED)
