Shutdown: a long answer under way is not cut off by the end of its process

Seen by callers: behind SIGTERM a process ended itself 0.65 s behind the longest deadline, and reset the long answers that it still forwarded.

Cause: the shutdown waits for answers by their deadlines; an answer beyond 64 KiB has none once its first bytes have come.

Change: once the final answers are written, all connections but those with an answer under way close, and the process waits for these, 60 s at most. The tests of the shutdown shorten that time too.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -348,6 +348,11 @@
         if self.has_data and self.open_request is None:
             self._reject_input(503, "not taken")
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a long answer is under way, or its end waits for its client to read."""
+        return self._is_sending_answer
+
     def close_for_shutdown(self) -> None:
         """Close the connection at shutdown; an incomplete answer must not seem complete."""
         if self.writer.body is not None:
--- a/loadbalancer/proxy/frontend.py
+++ b/loadbalancer/proxy/frontend.py
@@ -341,6 +341,14 @@
         for client in list(self.clients):
             client.close_for_shutdown()
 
+    def close_unless_answering(self) -> bool:
+        """Close all connections but those with a long answer under way; return whether any is."""
+        self._pause()
+        answering = [client for client in self.clients if client.is_answering]
+        for client in self.clients.difference(answering):
+            client.close_for_shutdown()
+        return bool(answering)
+
     async def wait_until_closed(self, until_ns: int) -> bool:
         """Wait until all connections are closed, at most until a monotonic time in ns."""
         with suppress(TimeoutError):
--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -32,6 +32,8 @@
 
 ADMIN_DESCRIPTORS = MAX_CALLS + ACCEPT_BATCH + 1  # reserved for the admin API
 FINAL_ANSWERS_TIMEOUT_S = 0.1  # time to write the final answers once the answer deadline has passed
+# Time for long answers that are under way then; the platform usually kills the process earlier.
+LONG_ANSWERS_TIMEOUT_S = 60.0
 # A process that takes over waits at most this long for the other process to free its share of the
 # descriptors, and again for the first endpoint list, because it must accept clients within 6 s.
 TAKEOVER_TIMEOUT_S = 2.0
@@ -159,14 +161,26 @@
         if not await frontend.wait_until_closed(frontend.answer_deadline_ns):
             frontend.end_open()
             self._accept_queued_clients()
-            if not await frontend.wait_until_closed(
-                time.monotonic_ns() + int(FINAL_ANSWERS_TIMEOUT_S * 1e9)
-            ):
+            if not await self._wait_for_last_answers():
                 log.info(
                     "shutdown with client connections open: connections=%d",
                     frontend.connections_open,
                 )
 
+    async def _wait_for_last_answers(self) -> bool:
+        """Wait for the final answers, then for long answers that are under way.
+
+        Returns:
+            Whether all connections are closed.
+        """
+        frontend = self.frontend
+        now_ns = time.monotonic_ns()
+        if await frontend.wait_until_closed(now_ns + int(FINAL_ANSWERS_TIMEOUT_S * 1e9)):
+            return True
+        if not frontend.close_unless_answering():
+            return False
+        return await frontend.wait_until_closed(now_ns + int(LONG_ANSWERS_TIMEOUT_S * 1e9))
+
     def _accept_queued_clients(self) -> None:
         """Raise the limit so that queued clients are accepted; closing the queue would reset them.
 
--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -13,6 +13,8 @@
 
 import pytest
 
+from loadbalancer.proxy import frontend
+from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.testbed.soak.long_answers import AnswerForm, Framing
 from loadbalancer.testbed.soak.long_requests import SEND_BUFFERS, Reading, RequestForm
 from tests.fakes import MS, SECOND, SETTINGS, http_response, read_message, run
@@ -350,3 +352,29 @@
             await gather(*(play(harness.address, n, *case) for n, case in enumerate(cases)))
 
     run(main())
+
+
+# ---- the end of the process ----------------------------------------------------------------------
+
+
+# A process that was told to end cut off the long answers that it still forwarded.
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_long_answer_under_way_is_not_cut_off_by_a_planned_restart(
+    framing: Framing, frontends: list[Frontend], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend, "MAX_SHUTDOWN_DEADLINE_NS", SECOND // 10)
+    monkeypatch.setattr(frontend, "SHUTDOWN_MARGIN_NS", SECOND // 10)
+    form = AnswerForm(150_000, 0, framing, lump=30_000, pause_ms=500)
+
+    async def main() -> None:
+        settings = SETTINGS_BY_CANCEL[True]
+        async with balancer_with_raw_upstream(answer_as_asked, settings=settings) as harness:
+            reader, writer = await asyncio.open_connection(*harness.address)
+            writer.write(with_target(head_of("r", 500, "Content-Length: 0"), form.query))
+            answer_head = await read_head(reader)
+            frontends[0].drain()
+            received = sum([len(piece) async for piece in body_pieces(reader, answer_head)])
+            assert received == form.size
+            assert await asyncio.wait_for(frontends[0].wait_until_closed(1 << 62), LATE_S * 10)
+
+    run(main())
--- a/tests/proxy/test_shutdown_races.py
+++ b/tests/proxy/test_shutdown_races.py
@@ -34,7 +34,8 @@
 
 
 def shorten_shutdown(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Set the deadline of open requests at shutdown and its margin to 0.1 s."""
+    """Set the deadline of open requests, its margin and that of long answers to 0.1 s."""
+    monkeypatch.setattr(balancer_process, "LONG_ANSWERS_TIMEOUT_S", 0.1)
     monkeypatch.setattr(frontend, "MAX_SHUTDOWN_DEADLINE_NS", SECOND // 10)
     monkeypatch.setattr(frontend, "SHUTDOWN_MARGIN_NS", SECOND // 10)
 
