Queues: a request that waits when its body is complete is given up by its deadline

A request whose body had arrived while it waited for an upstream, a token or its key had no timer of the policy at its deadline, and was answered 8 ms behind it by the driver's last resort.

Cause: the queue deadline was set anew with the end of the body, its timer was not (it stood at that of the upload, 600 s).

Change: `body_completed` schedules the timer.

Result: the new test fails without the change and passes with it.

--- a/loadbalancer/policy/attempt_tracker.py
+++ b/loadbalancer/policy/attempt_tracker.py
@@ -11,7 +11,7 @@
 from loadbalancer.policy.context import PolicyContext
 from loadbalancer.policy.dispatch import Dispatcher
 from loadbalancer.policy.requests import Request
-from loadbalancer.policy.timers import AttemptLateTimer, ServeQueuesTimer
+from loadbalancer.policy.timers import AttemptLateTimer, QueueDeadlineTimer, ServeQueuesTimer
 from loadbalancer.policy.transitions import GiveUpReason, RequestRetried
 from loadbalancer.policy.upstream_stats import EJECT_ERROR_RATE, UpstreamStats
 
@@ -69,6 +69,7 @@
         )
         expected_ns = self.concurrency.expected_ns(request_class, request.cost_hint_ns)
         self.dispatcher.set_queue_deadline(request, expected_ns, now)
+        self.timers.schedule(request.queue_deadline_ns, QueueDeadlineTimer(request))
         for number, attempt in enumerate(request.attempts):
             if attempt.awaits_body and attempt.result is None:
                 attempt.awaits_body = False
--- a/tests/policy/test_giving_up.py
+++ b/tests/policy/test_giving_up.py
@@ -14,6 +14,7 @@
 from loadbalancer.policy.rules import ALLOWED, DENIED, Reason
 from loadbalancer.policy.token_bucket import TokenBucket
 from loadbalancer.policy.upstream_stats import UpstreamStats
+from tests.bench import MS, PAY, SECOND, PolicyHarness, arrival
 
 WINDOW_NS: Final = 5_000_000_000
 CLASSES: Final = {
@@ -72,3 +73,17 @@
     limits = api.Limits(max_attempts=3, may_hedge=True)
     verdict = request.verdict(upstream, 1, limits)
     assert verdict == (DENIED[Reason.TOO_MANY_IN_FLIGHT] if is_streamed else ALLOWED)
+
+
+# A request whose body had come while it waited for an upstream was not given up by the policy, but
+# answered by the driver's last resort ("request not answered by its deadline").
+def test_a_request_that_waits_when_its_body_is_complete_is_given_up_by_its_deadline() -> None:
+    harness = PolicyHarness()
+    harness.deliver(api.EndpointTrustChanged(False))
+    streamed = arrival(1, harness.now, PAY, wait_ns=600 * SECOND)._replace(body_complete=False)
+    harness.deliver(streamed)
+    harness.advance(SECOND)
+    assert "r1" not in harness.outcome
+    harness.deliver(api.BodyCompleted("r1", harness.now + 500 * MS, harness.now, True))
+    harness.advance(490 * MS)
+    assert harness.outcome["r1"] == "refused"
