--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from loadbalancer.policy.api import AttemptResult
-from loadbalancer.policy.message_end import ResponseTransit, hold_ns
+from loadbalancer.policy.message_end import Clock, hold_ns
 from loadbalancer.policy.rules import ALLOWED, Denied, Reason, Verdict
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.exchange import NS_PER_S, Exchange
@@ -20,12 +20,11 @@
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.parse import ResponseReader
 from loadbalancer.proxy.peer_transport import PeerTransport, ReadPause
+from loadbalancer.proxy.response_watch import ResponseWatch
 from loadbalancer.proxy.send_progress import CHECK_INTERVAL_S, SendState
 
 log = logging.getLogger(__name__)
 
-MIN_WAIT_S = 0.001  # before the limit of a response is looked at again
-
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLog:
@@ -51,10 +50,9 @@
 
     Attributes:
         request_name: The id of the latest request.
-        transit: The response that is being streamed, as `policy/message_end.py` sees it.
+        response_watch: Closes the connection if the response that is being streamed has its limit.
         charge: What this process holds for the connection.
         streamed_response: The response whose body is being streamed.
-        transit_timer: The next look at the limit of the response that is being streamed.
         hold_timer: Forwards a response without a length as it comes.
         response_began_s: When the head of the current response was complete (event-loop time).
         send_timer: The next check of a request's body that is being sent.
@@ -73,7 +71,7 @@
     ) -> None:
         self.upstream_log = upstream_log
         self.request_name = "-"
-        self.transit: ResponseTransit | None = None
+        self.response_watch = ResponseWatch(self._limit_reached)
         self.memory = memory
         self.charge = Charge(memory)
         self.on_released = on_released
@@ -83,7 +81,6 @@
         self.exchange: Exchange | None = None
         self.streamed_response: Response | None = None
         self.request_written = False
-        self.transit_timer: asyncio.TimerHandle | None = None
         self.send_timer: asyncio.TimerHandle | None = None
         self.hold_timer: asyncio.TimerHandle | None = None
         self.response_began_s = 0.0
@@ -230,44 +227,18 @@
             self.send_timer.cancel()
             self.send_timer = None
 
-    def _watch_transit(self) -> None:
-        """Look again at the response that is being streamed when its limit is reached."""
-        self._cancel_transit_timer()
-        transit = self.transit
-        limit = transit.limit if transit is not None else None
-        if limit is None:
-            return
-        left_s = (limit.at_ns - time.monotonic_ns()) / NS_PER_S
-        loop = asyncio.get_running_loop()
-        self.transit_timer = loop.call_later(max(MIN_WAIT_S, left_s), self._check_transit)
-
-    def _check_transit(self) -> None:
-        """Close the connection if the response has reached its limit."""
-        limit = self.transit.limit if self.transit is not None else None
-        if limit is None or time.monotonic_ns() < limit.at_ns:
-            self._watch_transit()
-            return
-        self._record_response_end(limit.clock.value)
+    def _limit_reached(self, clock: Clock) -> None:
+        """Close the connection, because the response that is being streamed has its limit."""
+        self._record_response_end(clock.value)
         self.abort()
 
-    def _cancel_transit_timer(self) -> None:
-        if self.transit_timer is not None:
-            self.transit_timer.cancel()
-            self.transit_timer = None
-
-    def _end_transit(self) -> None:
-        """Forget the response, which is complete or will never be."""
-        self._cancel_transit_timer()
-        self.streamed_response = None
-        self.transit = None
-
     # ---- messages that end in transit ------------------------------------------------------------
 
     def _record_response_end(self, cause: str) -> None:
         """Log that the response which is being forwarded ends before its end was seen."""
         response = self.streamed_response
-        transit = self.transit
-        self._end_transit()
+        transit = self.response_watch.end()
+        self.streamed_response = None
         if self.upstream_log is None or transit is None or response is None:
             return
         assert response.stream is not None
@@ -318,7 +289,8 @@
         reader = self.reader
         if self.streamed_response is not None:
             reader.feed(data)
-            self._note_piece()
+            if reader.in_message:
+                self.response_watch.piece_received(reader.payload_size)
             self._continue_body(self.streamed_response)
             return
         if exchange is None:
@@ -338,13 +310,6 @@
         elif reader.is_receiving:
             self._note_response(exchange)
 
-    def _note_piece(self) -> None:
-        """Note a piece of the response that is being streamed, after it was counted."""
-        if self.transit is not None and self.reader.in_message:
-            now_ns = time.monotonic_ns()
-            if self.transit.piece_received(self.reader.payload_size, now_ns):
-                self._watch_transit()
-
     def _note_response(self, exchange: Exchange) -> None:
         """Note that a part of the response has arrived; hold a response without a length."""
         loop = asyncio.get_running_loop()
@@ -400,21 +365,15 @@
             exchange.body.changed = None  # answered before the body's end: stop sending it
         if response.stream is not None:
             self.streamed_response = response
-            self.transit = self._begin_transit(response.stream, exchange.deadline_s)
-            self._watch_transit()
+            self.response_watch.begin(
+                response.stream.length, exchange.deadline_s, self.reader.payload_size
+            )
             response.stream.attach(self)
             self._continue_body(response)
         else:
             self._end_response(response)
         exchange.finish(AttemptResult.OK, response)
 
-    def _begin_transit(self, stream: Body, deadline_s: float) -> ResponseTransit:
-        deadline_ns = None if math.isinf(deadline_s) else int(deadline_s * NS_PER_S)
-        now_ns = time.monotonic_ns()
-        transit = ResponseTransit(stream.length, deadline_ns, now_ns)
-        transit.piece_received(self.reader.payload_size, now_ns)
-        return transit
-
     def _continue_body(self, streamed_response: Response) -> None:
         """Check whether the body of a streamed response is complete or malformed."""
         assert streamed_response.stream is not None
@@ -422,7 +381,8 @@
             self._record_response_end(Cause.MALFORMED.value)
             self.abort()
         elif streamed_response.stream.ended:
-            self._end_transit()
+            self.response_watch.end()
+            self.streamed_response = None
             self._end_response(streamed_response)
 
     def _end_response(self, response: Response) -> None:
@@ -441,17 +401,13 @@
 
     def pause(self) -> None:
         """Pause reading because the receiver of the response's body is slow."""
-        if self.transit is not None:
-            self.transit.hold()
-            self._watch_transit()
+        self.response_watch.hold()
         self.transport.pause_reading(ReadPause.BODY)
 
     def resume(self) -> None:
         """Resume reading, and count the silence of the upstream from now on."""
         self.read_on()
-        if self.transit is not None:
-            self.transit.read_on(time.monotonic_ns())
-            self._watch_transit()
+        self.response_watch.read_on()
 
     def read_on(self) -> None:
         """Resume reading without a time limit."""
@@ -475,6 +431,7 @@
         self._cancel_send_timer()
         self._cancel_hold_timer()
         self._record_response_end(self._close_cause.value)
+        self.response_watch.close()
         self.reader.close()  # fails a body that is being received
         self.streamed_response = None
         exchange = self.exchange
