Soak: four seeded bugs of long messages, each found within ten seeds

Need: the soak has to find a pause limit of 0.75 s, a limit that is taken before its piece is counted, a client's time that starts anew with progress, and an attempt given up at the objective.

Change: bodies of up to 12 MB, as the kernels between client and upstream held those of 4 MB; small receive buffers of upstreams from the start; a pause of up to 0.2 s between head and first lump; a paused upstream sees that its connection was closed. The checker takes a refusal of a request that no upstream had whole for no early end, as it can be sent again.

--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -202,9 +202,11 @@
     def _is_given_up_early(self, asked: Asked, attempt: Attempt) -> bool:
         if asked.kind is not Kind.PAY or not asked.sent_ns or not attempt.given_up_ns:
             return False
-        until_ns = min(asked.due_ns, asked.ended_ns) - MARGIN_NS
-        in_time = asked.sent_ns <= attempt.given_up_ns < until_ns - ANSWER_MARGIN_NS
-        return in_time and not self._is_process_end(asked, attempt.given_up_ns)
+        if asked.end is End.SERVED or (asked.end is End.REFUSED and not attempt.whole_ns):
+            return False  # what an upstream never had whole may be refused: it can be sent again
+        until_ns = asked.due_ns - MARGIN_NS - ANSWER_MARGIN_NS
+        is_early = asked.sent_ns <= attempt.given_up_ns < until_ns
+        return is_early and not self._is_process_end(asked, attempt.given_up_ns)
 
     # ---- effects ---------------------------------------------------------------------------------
 
--- a/loadbalancer/testbed/soak/long_answers.py
+++ b/loadbalancer/testbed/soak/long_answers.py
@@ -21,6 +21,7 @@
 LUMP_BYTES: Final = (8_000, 1_000_000)
 MAX_LUMPS: Final = 9
 PAUSE_MS: Final = (1, 1_900)
+MAX_FIRST_MS: Final = 200  # between the head and the first lump: within the client's time
 MAX_PAUSES_MS: Final = 6_000  # all pauses of one answer together, in the mean
 # Answers that stop: after how many bytes, of how many that were announced where a length is.
 STOP_BYTES: Final = (1, 4_000)
@@ -55,6 +56,7 @@
         pause_ms: The pause between two lumps, or the longest if each is drawn anew.
         is_regular: Whether all pauses are alike.
         stop: Bytes of the body behind which nothing more comes; 0: it comes to its end.
+        first_ms: The pause between the head and the first lump.
     """
 
     size: int = 0
@@ -66,6 +68,7 @@
     pause_ms: int = 0
     is_regular: bool = True
     stop: int = 0
+    first_ms: int = 0
 
     @classmethod
     def of_target(cls, target: str) -> AnswerForm:
@@ -82,6 +85,7 @@
             int(fields.get("pause_ms", 0)),
             fields.get("regular", "1") == "1",
             int(fields.get("stop", 0)),
+            int(fields.get("first_ms", 0)),
         )
 
     @classmethod
@@ -104,6 +108,7 @@
             lump=lump,
             pause_ms=log_uniform(rng, (PAUSE_MS[0], longest_ms)),
             is_regular=rng.random() < 0.5,
+            first_ms=rng.choice((0, rng.randint(1, MAX_FIRST_MS))),
         )
 
     @classmethod
@@ -119,6 +124,7 @@
         if self.lump:
             regular = int(self.is_regular)
             query += f"&lump={self.lump}&pause_ms={self.pause_ms}&regular={regular}"
+            query += f"&first_ms={self.first_ms}"
         return f"{query}&stop={self.stop}" if self.stop else query
 
     @property
@@ -155,7 +161,8 @@
         end = self.stop or len(body)
         for start in range(0, end, self.lump):
             pause_ms = self.pause_ms if self.is_regular else rng.uniform(PAUSE_MS[0], self.pause_ms)
-            yield pause_ms / MS_PER_S if start else 0.0, self._framed(body[start:end][: self.lump])
+            pause_ms = pause_ms if start else self.first_ms
+            yield pause_ms / MS_PER_S, self._framed(body[start:end][: self.lump])
 
     def _shaped(self, body: bytes) -> Iterator[tuple[float, bytes]]:
         pause_s = PIECE_BYTES / self.rate if self.rate else 0.0
--- a/loadbalancer/testbed/soak/long_requests.py
+++ b/loadbalancer/testbed/soak/long_requests.py
@@ -10,7 +10,7 @@
 
 from loadbalancer.testbed.soak.long_answers import Framing, log_uniform
 
-SIZE_BYTES: Final = (66_000, 4_000_000)
+SIZE_BYTES: Final = (66_000, 12_000_000)  # more than all kernels' buffers on the way hold
 READ_RATES: Final = (40_000, 160_000)  # bytes a second, of an upstream that reads slowly
 READ_BURST_S: Final = 0.6  # for so long an upstream that reads in bursts reads nothing
 SEND_BUFFERS: Final = (16_384, 4_194_304)  # bytes
--- a/loadbalancer/testbed/soak/run.py
+++ b/loadbalancer/testbed/soak/run.py
@@ -23,6 +23,7 @@
 from loadbalancer.testbed.soak.discovery_faults import DiscoveryFaults
 from loadbalancer.testbed.soak.flood import Flooder
 from loadbalancer.testbed.soak.history import History
+from loadbalancer.testbed.soak.long_requests import SMALL_RECEIVE_BUFFER
 from loadbalancer.testbed.soak.plan import (
     COLD_SHARE,
     DRAIN_GRACE_NS,
@@ -85,6 +86,9 @@
             )
             for n in range(plan.upstreams)
         ]
+        if plan.long_messages:
+            for upstream in self.upstreams:
+                upstream.receive_buffer = SMALL_RECEIVE_BUFFER
         self.balancers = [
             Balancer(n, folder / f"n{n}", plan, self.history, self.discovery, self.library)
             for n in range(plan.balancers)
--- a/loadbalancer/testbed/soak/upstreams.py
+++ b/loadbalancer/testbed/soak/upstreams.py
@@ -14,12 +14,13 @@
 from loadbalancer.testbed.soak.capacity import Capacity, Workers
 from loadbalancer.testbed.soak.history import Attempt, History
 from loadbalancer.testbed.soak.long_answers import AnswerForm, Framing
-from loadbalancer.testbed.soak.long_requests import SMALL_RECEIVE_BUFFER, Reading
+from loadbalancer.testbed.soak.long_requests import Reading
 from loadbalancer.testbed.soak.plan import SECOND
 from loadbalancer.testbed.soak.ports import free_port
 from loadbalancer.testbed.soak.request_reader import RequestHead, RequestReader
 
 MS_PER_S = 1_000
+CLOSE_CHECK_S = 0.02  # between two looks of an upstream that does not read
 NOT_RUN = b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -54,6 +55,7 @@
         repeated: The share of its responses behind which a second one follows.
         capacity: What it can serve; None: any number of requests at once, `work_s` each.
         workers: The cores of its process now; None without a capacity.
+        receive_buffer: Bytes of its connections' receive buffers; None: the kernel adapts them.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.repeated = repeated
         self.capacity = capacity
         self.workers: Workers | None = None
+        self.receive_buffer: int | None = None
         self.is_cold = False
         self.started_ns = 0
         self.mood = Mood.WELL
@@ -90,6 +93,8 @@
         """Listen, each time at the same port."""
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_buffer is not None:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
         self.listener.bind(("127.0.0.1", self.port))
         self.listener.listen(1 if not self.accepting else 128)
         self.listener.setblocking(False)
@@ -207,19 +212,28 @@
         pause_s = self.reading.pause_s(len(data)) if self.attempt is not None else 0.0
         if pause_s:
             self.transport.pause_reading()
-            self.read_timer = asyncio.get_running_loop().call_later(pause_s, self._read_on)
+            self._read_on_at(asyncio.get_running_loop().time() + pause_s)
 
-    def _read_on(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+    def _read_on_at(self, at_s: float) -> None:
+        """Read on at this time; until then look whether the balancer has closed the connection."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        loop = asyncio.get_running_loop()
+        sock: Socket = self.transport.get_extra_info("socket")
+        if receive_state(sock).peer_closed:
+            if self.attempt is not None:
+                self.attempt.given_up_ns = time.monotonic_ns()
+            self.abort()
+        elif loop.time() >= at_s:
             self.transport.resume_reading()
+        else:
+            pause_s = min(CLOSE_CHECK_S, at_s - loop.time())
+            self.read_timer = loop.call_later(pause_s, self._read_on_at, at_s)
 
     def _head(self, head: RequestHead) -> None:
         assert self.attempt is not None
         self.form = AnswerForm.of_target(head.target)
         self.reading = Reading.of_target(head.target)
-        if self.reading.rate and self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
         self.attempt.id = head.headers.get("x-request-id", "")
         self.attempt.told_ms = int(head.headers.get("x-deadline-ms", "0"))
         self.upstream.history.attempts.append(self.attempt)
--- a/tests/testbed/test_soak_long_messages.py
+++ b/tests/testbed/test_soak_long_messages.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import shutil
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Final
 
+import pytest
+import uvloop
+
 import loadbalancer
 from loadbalancer.testbed.soak.checker import Checker
 from loadbalancer.testbed.soak.history import Asked, Attempt, End, History, Kind, Process
@@ -19,6 +25,7 @@
 PROGRAM: Final = Path(loadbalancer.__file__).parent.parent
 START: Final = 100 * SECOND
 DRAWS: Final = 300
+SOAK_TIMEOUT_S: Final = 60.0
 
 
 def history_of(kind: Kind, given_up_ns: int, status: int = 502) -> History:
@@ -86,6 +93,73 @@
     assert [bursts.pause_s(30_000) for _ in range(4)] == [0.0, 0.6, 0.0, 0.6]
 
 
+@dataclass(frozen=True)
+class SeededBug:
+    """A fault that is put into a copy of the program: a text of a module, and its replacement."""
+
+    module: str
+    sound: str
+    faulty: str
+    rules: frozenset[str]
+    memory_mb: int = 192
+
+
+SEEDED_BUGS: Final = {
+    "pauses of 0.75 s": SeededBug(
+        "policy/message_end.py",
+        "UNDECIDED_SILENCE_NS: Final = 2_500",
+        "UNDECIDED_SILENCE_NS: Final = 750",
+        frozenset({"cut"}),
+    ),
+    "a limit before its piece is counted": SeededBug(
+        "proxy/upstream_connection.py",
+        "            reader.feed(data)\n"
+        "            if reader.in_message:\n"
+        "                self.response_watch.piece_received(reader.payload_size)\n",
+        "            self.response_watch.piece_received(reader.payload_size)\n"
+        "            reader.feed(data)\n",
+        frozenset({"cut"}),
+    ),
+    "the client's time anew with each progress": SeededBug(
+        "policy/message_end.py",
+        "            self._taken_bytes = view.taken_bytes\n",
+        "            self._taken_bytes = view.taken_bytes\n"
+        "            self._note_sending(now_ns)\n",
+        frozenset({"answered"}),
+        memory_mb=32,
+    ),
+    "given up at the objective": SeededBug(
+        "proxy/policy_driver.py",
+        "request.timeout_ns if self._is_repeatable(request) else 0\n",
+        "self.settings.classes[request.arrival.class_name].latency_objective_ns\n",
+        frozenset({"given up"}),
+    ),
+}
+MAX_SEEDS: Final = 10
+
+
+@pytest.mark.parametrize("name", SEEDED_BUGS)
+def test_a_seeded_bug_is_found_within_ten_seeds(name: str, tmp_path: Path) -> None:
+    bug = SEEDED_BUGS[name]
+    shutil.copytree(PROGRAM / "loadbalancer", tmp_path / "loadbalancer")
+    module = tmp_path / "loadbalancer" / bug.module
+    text = module.read_text()
+    assert text.count(bug.sound) == 1
+    module.write_text(text.replace(bug.sound, bug.faulty))
+
+    async def is_found(seed: int) -> bool:
+        only = frozenset({"clock"})
+        plan = Plan(seed, 8.0, 4, 8, 14.0, tmp_path, only=only, long_messages=0.9)
+        verdict = await play(replace(plan, memory_mb=bug.memory_mb))
+        return bug.rules <= {breach.rule for breach in verdict.breaches}
+
+    for seed in range(1, MAX_SEEDS + 1):
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            if runner.run(asyncio.wait_for(is_found(seed), SOAK_TIMEOUT_S)):
+                return
+    pytest.fail(f"not found: {name}")
+
+
 # Issue 72: long messages with pauses were cut off, answered late or given up.
 def test_a_short_soak_with_long_messages_keeps_the_rules() -> None:
     async def test() -> None:
