Uploads: a paused body is looked at in an iteration of its own, not while it is parsed

Cause: a body is paused while its input is parsed; since the client's time no longer starts anew there, the first look could answer its client, and close the parser, in the middle of that.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -226,7 +226,8 @@
         """Stop reading until the upstream accepts more, or the client's time is over."""
         self.frontend.leave_phase(self)
         self.transport.pause_reading(ReadPause.BODY)
-        self._watch_paused_upload()
+        # Not now: the body is paused while its input is parsed.
+        self.upload.watch_later(self._watch_paused_upload)
 
     def _watch_paused_upload(self) -> None:
         """Answer the request by its client's time, which may run while its body is not read."""
