Answers: one whose body begins long after its head is not cut off

Change: the head alone is a state of its own, ended like an answer that may be long (2.5 s of silence and the client's time, both). A short answer whose pieces come behind its client's time has 0.35 s from the latest of them, so that its first piece does not end it at once.

--- a/loadbalancer/policy/message_end.py
+++ b/loadbalancer/policy/message_end.py
@@ -23,7 +23,7 @@
 # A response without a length that has given no more than this by its client's time counts as short.
 SHORT_BYTES: Final = 4 * 1024
 # Until half a second behind its client's time an answer is only late; a process may be held up for
-# 0.15 s of it.
+# 0.15 s of it. So long, too, is the silence of a short answer that goes on behind that time.
 LATE_NS: Final = 350 * MILLISECOND
 # The longest silence within a response that may turn out to be long: peers pause for up to 2 s, and
 # this process may be held up.
@@ -54,6 +54,7 @@
 
     AWAITED = "awaited"
     ARRIVING = "arriving, not forwarded"
+    HEAD = "forwarded, its head alone"
     SHORT = "forwarded, short so far"
     UNDECIDED = "forwarded, may be long"
     LONG = "forwarded, long"
@@ -75,7 +76,7 @@
 
     OBJECTIVE = "objective"
     CLIENT_TIME = "client time"
-    LATE_TIME = "client time and lateness"
+    LATE_TIME = "client time, or the latest piece behind it, and lateness"
     UNDECIDED_SILENCE = "silence of a message that may be long"
     SILENCE = "silence"
     CLIENT_PAUSE = "pause of the client"
@@ -110,6 +111,7 @@
     # `rules.may_give_up` says when the objective may end an attempt.
     ResponseState.AWAITED: Rule((Clock.OBJECTIVE, Clock.CLIENT_TIME), Ending.ATTEMPT, False),
     ResponseState.ARRIVING: Rule((Clock.OBJECTIVE, Clock.CLIENT_TIME), Ending.ATTEMPT, False),
+    ResponseState.HEAD: Rule((Clock.LATE_TIME, Clock.UNDECIDED_SILENCE), Ending.RESET),
     ResponseState.SHORT: Rule((Clock.LATE_TIME,), Ending.RESET),
     ResponseState.UNDECIDED: Rule((Clock.LATE_TIME, Clock.UNDECIDED_SILENCE), Ending.RESET),
     ResponseState.LONG: Rule((Clock.SILENCE,), Ending.RESET),
@@ -209,9 +211,11 @@
             return ResponseState.HELD
         if (self.length or 0) > LONG_BYTES or self.received_bytes > LONG_BYTES:
             return ResponseState.LONG
-        if self.length is None and self.received_bytes > SHORT_BYTES:
-            return ResponseState.UNDECIDED
-        return ResponseState.SHORT
+        if self.length is not None:
+            return ResponseState.SHORT
+        if not self.received_bytes:
+            return ResponseState.HEAD
+        return ResponseState.UNDECIDED if self.received_bytes > SHORT_BYTES else ResponseState.SHORT
 
     @property
     def limit(self) -> Limit | None:
@@ -222,7 +226,7 @@
 
     def _limit(self, clock: Clock) -> Limit:
         if clock is Clock.LATE_TIME and self.deadline_ns is not None:
-            return Limit(self.deadline_ns + LATE_NS, clock)
+            return Limit(max(self.deadline_ns, self.piece_ns) + LATE_NS, clock)
         if clock is Clock.UNDECIDED_SILENCE and self.deadline_ns is not None:
             return Limit(self.piece_ns + UNDECIDED_SILENCE_NS, clock)
         return Limit(self.piece_ns + SILENCE_NS, Clock.SILENCE)
--- a/loadbalancer/testbed/soak/long_answers.py
+++ b/loadbalancer/testbed/soak/long_answers.py
@@ -21,7 +21,10 @@
 LUMP_BYTES: Final = (8_000, 1_000_000)
 MAX_LUMPS: Final = 9
 PAUSE_MS: Final = (1, 1_900)
-MAX_FIRST_MS: Final = 200  # between the head and the first lump: within the client's time
+MAX_FIRST_MS: Final = 1_900  # between the head and the first lump
+# The first piece of an answer in lumps may be short; the first lump follows soon.
+FIRST_BYTES: Final = (1, 4_000)
+FIRST_PAUSE_MS: Final = 100
 MAX_PAUSES_MS: Final = 6_000  # all pauses of one answer together, in the mean
 # Answers that stop: after how many bytes, of how many that were announced where a length is.
 STOP_BYTES: Final = (1, 4_000)
@@ -56,7 +59,8 @@
         pause_ms: The pause between two lumps, or the longest if each is drawn anew.
         is_regular: Whether all pauses are alike.
         stop: Bytes of the body behind which nothing more comes; 0: it comes to its end.
-        first_ms: The pause between the head and the first lump.
+        first_ms: The pause between the head and the first piece.
+        first: Bytes of the first piece; 0: it is a lump.
     """
 
     size: int = 0
@@ -69,6 +73,7 @@
     is_regular: bool = True
     stop: int = 0
     first_ms: int = 0
+    first: int = 0
 
     @classmethod
     def of_target(cls, target: str) -> AnswerForm:
@@ -86,6 +91,7 @@
             fields.get("regular", "1") == "1",
             int(fields.get("stop", 0)),
             int(fields.get("first_ms", 0)),
+            int(fields.get("first", 0)),
         )
 
     @classmethod
@@ -109,6 +115,7 @@
             pause_ms=log_uniform(rng, (PAUSE_MS[0], longest_ms)),
             is_regular=rng.random() < 0.5,
             first_ms=rng.choice((0, rng.randint(1, MAX_FIRST_MS))),
+            first=rng.choice((0, rng.randint(*FIRST_BYTES))),
         )
 
     @classmethod
@@ -124,7 +131,7 @@
         if self.lump:
             regular = int(self.is_regular)
             query += f"&lump={self.lump}&pause_ms={self.pause_ms}&regular={regular}"
-            query += f"&first_ms={self.first_ms}"
+            query += f"&first_ms={self.first_ms}&first={self.first}"
         return f"{query}&stop={self.stop}" if self.stop else query
 
     @property
@@ -138,7 +145,8 @@
         """The most time that the upstream takes to write it."""
         if not self.lump:
             return LATE_BODY_S + LUMP_S + (self.size / self.rate if self.rate else 0.0)
-        return self.size / self.lump * self.pause_ms / MS_PER_S
+        lumps = self.size / self.lump
+        return (self.first_ms + FIRST_PAUSE_MS + lumps * self.pause_ms) / MS_PER_S
 
     def head(self) -> bytes:
         """Return the head of the answer."""
@@ -159,10 +167,14 @@
     def _lumps(self, body: bytes) -> Iterator[tuple[float, bytes]]:
         rng = random.Random(self.size)
         end = self.stop or len(body)
-        for start in range(0, end, self.lump):
-            pause_ms = self.pause_ms if self.is_regular else rng.uniform(PAUSE_MS[0], self.pause_ms)
-            pause_ms = pause_ms if start else self.first_ms
-            yield pause_ms / MS_PER_S, self._framed(body[start:end][: self.lump])
+        before_ms: float = self.first_ms
+        if self.first:
+            yield before_ms / MS_PER_S, self._framed(body[: self.first])
+            before_ms = FIRST_PAUSE_MS
+        for start in range(self.first, end, self.lump):
+            yield before_ms / MS_PER_S, self._framed(body[start:end][: self.lump])
+            regular_ms = float(self.pause_ms)
+            before_ms = regular_ms if self.is_regular else rng.uniform(PAUSE_MS[0], regular_ms)
 
     def _shaped(self, body: bytes) -> Iterator[tuple[float, bytes]]:
         pause_s = PIECE_BYTES / self.rate if self.rate else 0.0
--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -121,6 +121,30 @@
     run(main())
 
 
+# A long answer was cut off whose body began more than 0.35 s behind its client's time.
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_long_answer_whose_body_begins_late_is_not_cut_off(framing: Framing) -> None:
+    async def play(address: tuple[str, int], number: int, first_ms: int, wait_ms: int) -> None:
+        form = AnswerForm(90_000, 0, framing, lump=2_000, pause_ms=50, first_ms=first_ms)
+        reader, writer = await asyncio.open_connection(*address)
+        head = head_of(f"r{number}", wait_ms, "Content-Length: 0")
+        writer.write(with_target(head, form.query))
+        answer_head = await read_head(reader)
+        received = sum([len(piece) async for piece in body_pieces(reader, answer_head)])
+        assert received == form.size, form
+
+    async def main() -> None:
+        async with balancer_with_raw_upstream(
+            answer_as_asked, settings=SETTINGS_BY_CANCEL[True]
+        ) as harness:
+            cases = [(600, 125), (600, 300), (900, 300), (1_900, 300), (1_900, 1_000)]
+            await gather(
+                *(play(harness.address, number, *case) for number, case in enumerate(cases))
+            )
+
+    run(main())
+
+
 # An answer that stops after a few bytes held its client longer than half a second behind its time.
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_an_answer_that_stops_early_is_over_by_its_clients_time(framing: Framing) -> None:
