Requests: a client's kernel holds twice the send buffer that it was asked for

Cause: the rule that a client is still sending while more than 4 MB of its length are missing. Linux doubles what SO_SNDBUF asks for: a client that set 4 MB had 7.0 MB taken in one go with nothing read (measured here; 3.5 MB with the default). So the body counted as still being sent for minutes after the client's last write. CLIENT_BUFFER_BYTES is 8 MB now.

What it costs: where memory is scarce, so that a body is not read ahead, the last 8 MB count as perhaps sent, not the last 4.

--- a/loadbalancer/policy/message_end.py
+++ b/loadbalancer/policy/message_end.py
@@ -37,8 +37,9 @@
 # answer.
 RESPONSE_PAUSE_NS: Final = 500 * MILLISECOND
 
-# The most that a client's kernel holds of what the client has written.
-CLIENT_BUFFER_BYTES: Final = 4 * 1024 * 1024
+# The most that a client's kernel holds of what the client has written: it takes twice the 4 MB that
+# a send buffer is set to.
+CLIENT_BUFFER_BYTES: Final = 8 * 1024 * 1024
 # A client has nothing buffered once nothing of it is left to read although its connection could be
 # read, and so its kernel could send, for this long.
 DRAIN_NS: Final = 250 * MILLISECOND
