Uploads: a client's time runs while its body waits, and only from its last write

The last piece of one that writes slowly left something, or came sooner, so that its time was counted from seconds before.

Change: a look stays due from the first read that leaves something, or the first pause, until the body is read as it comes. RequestState.BACKLOGGED is a body that is read more slowly than it comes; its clock is the client's time, from the latest moment at which what came was read as it came, or from the arrival of what its length announces. A read behind one that left nothing tells that its client was sending, and a pause of ours counts only where something was left to read. A request's time begins with the arrival of its head, not with its parsing. Where the last write was not seen, 0.25 s are added (0.35 before): half of what an answer may be late, as the turn of a busy process comes on top.

--- a/loadbalancer/policy/message_end.py
+++ b/loadbalancer/policy/message_end.py
@@ -43,6 +43,9 @@
 # A client has nothing buffered once nothing of it is left to read although its connection could be
 # read, and so its kernel could send, for this long.
 DRAIN_NS: Final = 250 * MILLISECOND
+# By how much a client's time is counted from later than it is known to have been sending, if its
+# last write was not seen: half of what an answer may be late.
+UNSEEN_END_NS: Final = 250 * MILLISECOND
 SAMPLE_NS: Final = 50 * MILLISECOND  # between two samples of what has arrived
 MAX_SAMPLES: Final = 256
 # The time for each part of a body: more than the pauses of a client that writes slowly, and less
@@ -67,6 +70,7 @@
     """State of a request's body, as far as it has come."""
 
     ARRIVING = "its client sends it"
+    BACKLOGGED = "read more slowly than it comes, its client may have sent all"
     BLOCKED = "not read, its client has more to send"
     UNREAD = "not read, its client may have sent all"
     COMPLETE = "complete"
@@ -93,6 +97,14 @@
     NOTHING = "nothing ends it"
 
 
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """When a message ends unless more of it is seen, and by which clock."""
+
+    at_ns: int
+    clock: Clock
+
+
 @dataclass(frozen=True, slots=True)
 class Rule:
     """What may end a message in one state.
@@ -107,6 +119,11 @@
     ending: Ending
     needs_all: bool = True
 
+    def limit(self, limits: list[Limit]) -> Limit | None:
+        """Return the one of its clocks' limits that ends a message; None: there are none."""
+        decisive = max if self.needs_all else min
+        return decisive(limits, key=lambda limit: limit.at_ns, default=None)
+
 
 RESPONSE_RULES: Final[dict[ResponseState, Rule]] = {
     # `rules.may_give_up` says when the objective may end an attempt.
@@ -121,20 +138,13 @@
 }
 REQUEST_RULES: Final[dict[RequestState, Rule]] = {
     RequestState.ARRIVING: Rule((Clock.CLIENT_PAUSE,), Ending.ANSWER),
+    RequestState.BACKLOGGED: Rule((Clock.CLIENT_TIME,), Ending.ANSWER),
     RequestState.BLOCKED: Rule((Clock.UPSTREAM_PAUSE,), Ending.ANSWER),
     RequestState.UNREAD: Rule((Clock.CLIENT_TIME, Clock.UPSTREAM_PAUSE), Ending.ANSWER, False),
     RequestState.COMPLETE: Rule((Clock.CLIENT_TIME,), Ending.ANSWER),
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Limit:
-    """When a message ends unless more of it is seen, and by which clock."""
-
-    at_ns: int
-    clock: Clock
-
-
 def hold_ns(attempt_left_ns: int | None) -> int:
     """Return for how long a response without a length is held back.
 
@@ -167,7 +177,6 @@
         received_bytes: Bytes of the body that have arrived.
         piece_ns: When the latest piece arrived, or when it was read on after a pause of ours.
         is_held: Whether it is not read because its client reads slowly.
-        is_complete: Whether its end was seen.
     """
 
     def __init__(self, length: int | None, deadline_ns: int | None, now_ns: int) -> None:
@@ -176,7 +185,6 @@
         self.received_bytes = 0
         self.piece_ns = now_ns
         self.is_held = False
-        self.is_complete = False
 
     def piece_received(self, received_bytes: int, now_ns: int) -> bool:
         """Note a piece; return whether the state has changed.
@@ -199,15 +207,9 @@
         self.is_held = False
         self.piece_ns = now_ns
 
-    def complete(self) -> None:
-        """Note that its end was seen."""
-        self.is_complete = True
-
     @property
     def state(self) -> ResponseState:
         """The state that follows from what was seen so far."""
-        if self.is_complete:
-            return ResponseState.COMPLETE
         if self.is_held:
             return ResponseState.HELD
         if (self.length or 0) > LONG_BYTES or self.received_bytes > LONG_BYTES:
@@ -222,8 +224,7 @@
     def limit(self) -> Limit | None:
         """When it ends unless more of it is seen; None: nothing ends it."""
         rule = RESPONSE_RULES[self.state]
-        limits = [self._limit(clock) for clock in rule.clocks]
-        return max(limits, key=lambda limit: limit.at_ns, default=None)
+        return rule.limit([self._limit(clock) for clock in rule.clocks])
 
     def _limit(self, clock: Clock) -> Limit:
         if clock is Clock.LATE_TIME and self.deadline_ns is not None:
@@ -235,17 +236,19 @@
 
 @dataclass(frozen=True, slots=True)
 class UploadView:
-    """What is seen of a body that is not read further.
+    """What is seen of a body whose end was not seen.
 
     Attributes:
         read_bytes: Bytes of the body that were read and parsed.
         unread_bytes: Bytes that have arrived and were not parsed, in this process and the kernel.
         taken_bytes: Bytes that its upstream has acknowledged.
+        arrived_ns: When the latest bytes arrived in the kernel.
     """
 
     read_bytes: int
     unread_bytes: int
     taken_bytes: int
+    arrived_ns: int
 
 
 class RequestTransit:
@@ -259,70 +262,96 @@
     Args:
         length: The length that was announced; None: it comes in chunks.
         wait_ns: How long its client waits from its last byte.
+        received_ns: When the latest bytes arrived in the kernel.
         now_ns: The time.
 
     Attributes:
         sending_ns: The latest moment at which its client is known to have been sending.
         is_paused: Whether it is not read, because its upstream does not take more.
+        state: Its state when it was last looked at.
     """
 
-    def __init__(self, length: int | None, wait_ns: int, now_ns: int) -> None:
+    def __init__(self, length: int | None, wait_ns: int, received_ns: int, now_ns: int) -> None:
         self.length = length
         self.wait_ns = wait_ns
-        self.sending_ns = now_ns
+        self.sending_ns = received_ns
         self.is_paused = False
         self._was_paused = False
-        self._state = RequestState.ARRIVING
-        self._open_ns = now_ns  # since then its connection is read, or could send while it is not
+        self.state = RequestState.ARRIVING
+        self._open_ns = now_ns  # since then its kernel could send, as far as is known
+        self._is_drained = True  # whether the latest read left nothing
+        self._drained_ns = received_ns  # until then, whatever came was read as it came
+        self._has_all = False  # whether all that its length announces has arrived
+        self._arrived_ns = received_ns
         self._taken_bytes = 0
         self._taken_ns = now_ns
         self._samples: deque[tuple[int, int]] = deque(maxlen=MAX_SAMPLES)
 
-    def piece_read(self, arrived_bytes: int, is_drained: bool, now_ns: int) -> None:
+    def piece_read(self, arrived_bytes: int, is_drained: bool, received_ns: int) -> None:
         """Note that more was read.
 
         Args:
             arrived_bytes: Bytes that have arrived so far.
             is_drained: Whether nothing is left to read.
-            now_ns: The time.
+            received_ns: When the latest of them arrived in the kernel.
         """
-        if is_drained and now_ns - self._open_ns >= DRAIN_NS:
-            self._note_sending(now_ns)
-        self._note_arrived(arrived_bytes, now_ns)
+        if self._is_drained:
+            self._drained_ns = received_ns
+            if received_ns - self._open_ns >= DRAIN_NS:
+                self._note_sending(received_ns)
+        self._is_drained = is_drained
+        self._note_arrived(arrived_bytes, received_ns)
 
     def pause(self, now_ns: int) -> None:
         """Note that it is not read further."""
         self.is_paused = True
+        self.state = RequestState.UNREAD
         self._was_paused = True
         self._taken_ns = now_ns
-        self._open_ns = now_ns
 
-    def resume(self, now_ns: int) -> None:
-        """Note that it is read again."""
+    def resume(self, is_drained: bool, now_ns: int) -> None:
+        """Note that it is read again.
+
+        Args:
+            is_drained: Whether nothing is left to read.
+            now_ns: The time.
+        """
         self.is_paused = False
-        self._state = RequestState.ARRIVING
-        self.reading_resumed(now_ns)
+        self.state = RequestState.ARRIVING
+        self.reading_resumed(is_drained, now_ns)
 
-    def reading_resumed(self, now_ns: int) -> None:
-        """Note that its connection is read again, whatever had paused it."""
-        self._open_ns = now_ns
+    def reading_resumed(self, is_drained: bool, now_ns: int) -> None:
+        """Note that its connection is read again, whatever had paused it.
+
+        Args:
+            is_drained: Whether nothing is left to read.
+            now_ns: The time.
+        """
+        if not is_drained:
+            self._open_ns = now_ns  # until now, the kernel may have had no room for more
 
     def view(self, view: UploadView, now_ns: int) -> RequestState:
-        """Note what is seen of a body that is not read further, and return its state."""
+        """Note what is seen of a body whose end was not seen, and return its state."""
         if view.taken_bytes != self._taken_bytes:
             self._taken_bytes = view.taken_bytes
             self._taken_ns = now_ns
         arrived_bytes = view.read_bytes + view.unread_bytes
         self._note_arrived(arrived_bytes, now_ns)
+        self._arrived_ns = view.arrived_ns
+        self._has_all = self.length is not None and arrived_bytes >= self.length
         is_far_from_end = (
             self.length is not None and arrived_bytes + CLIENT_BUFFER_BYTES < self.length
         )
         is_drained = not view.unread_bytes and now_ns - self._open_ns >= DRAIN_NS
-        self._state = RequestState.UNREAD
-        if is_far_from_end or is_drained:
+        is_sending = is_far_from_end or is_drained
+        if is_sending:
             self.sending_ns = now_ns
-            self._state = RequestState.BLOCKED
-        return self._state
+        if self.is_paused:
+            self.state = RequestState.BLOCKED if is_sending else RequestState.UNREAD
+        else:
+            is_backlogged = view.unread_bytes and not is_sending
+            self.state = RequestState.BACKLOGGED if is_backlogged else RequestState.ARRIVING
+        return self.state
 
     def _note_sending(self, now_ns: int) -> None:
         """Note that the client had nothing buffered until now, and was sending."""
@@ -340,22 +369,32 @@
     @property
     def limit(self) -> Limit | None:
         """When its client is answered unless more is seen; None: the caller's limit on pauses."""
-        if not self.is_paused:
+        if self.state is RequestState.ARRIVING:
             return None
-        limits = [self._limit(clock) for clock in REQUEST_RULES[self._state].clocks]
-        return min(limits, key=lambda limit: limit.at_ns, default=None)
+        rule = REQUEST_RULES[self.state]
+        return rule.limit([self._limit(clock) for clock in rule.clocks])
 
     def _limit(self, clock: Clock) -> Limit:
-        from_ns = self._taken_ns if clock is Clock.UPSTREAM_PAUSE else self.sending_ns
+        from_ns = self._taken_ns if clock is Clock.UPSTREAM_PAUSE else self._client_time_from_ns
         return Limit(from_ns + self.wait_ns, clock)
 
+    @property
+    def _client_time_from_ns(self) -> int:
+        """From when its client's time counts, as far as is known."""
+        if self._has_all:
+            return self.sent_ns(self._arrived_ns)
+        return self._sending_until_ns
+
     def sent_ns(self, received_ns: int) -> int:
         """Return from when its client's time counts, now that its end was seen.
 
         Args:
             received_ns: When its last byte arrived; the client's last write was earlier if this
-                process had paused.
+                process had not read it as it came.
         """
-        if not self._was_paused:
-            return received_ns
-        return min(received_ns, self.sending_ns + LATE_NS)
+        return min(received_ns, self._sending_until_ns + UNSEEN_END_NS)
+
+    @property
+    def _sending_until_ns(self) -> int:
+        """Until when its client was sending, as far as is known."""
+        return self.sending_ns if self._was_paused else max(self.sending_ns, self._drained_ns)
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -156,8 +156,10 @@
         """Restart the time limit of a slow upload for each part of it that has arrived."""
         if self.upload.is_active:
             arrived_bytes = self.reader.payload_size + len(self.unparsed) + size
-            is_drained = size < self._offered_bytes
+            is_drained = size < self._offered_bytes or not self.transport.unread_bytes
             self.upload.piece_read(arrived_bytes, is_drained, self.received_ns)
+            if not is_drained:
+                self.upload.watch_later(self._check_upload)
         is_uploading = self.phase in (Phase.NEW, Phase.BODY) and self.reader.in_body
         if is_uploading and self.upload.count(size):
             self.frontend.wait(self, Phase.BODY)
@@ -213,6 +215,7 @@
     def stop_reading(self) -> None:
         """Stop reading, because memory is scarce; the time limit of the phase goes on."""
         self.transport.pause_reading(ReadPause.MEMORY)
+        self.upload.watch_later(self._check_upload)
 
     def resume_after_relief(self) -> None:
         """Read again, and parse what has come."""
@@ -227,21 +230,35 @@
         self.frontend.leave_phase(self)
         self.transport.pause_reading(ReadPause.BODY)
         # Not now: the body is paused while its input is parsed.
-        self.upload.watch_later(self._watch_paused_upload)
+        self.upload.watch_later(self._check_upload)
 
-    def _watch_paused_upload(self) -> None:
-        """Answer the request by its client's time, which may run while its body is not read."""
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes that have arrived and were not parsed, in this process and the kernel."""
+        return len(self.unparsed) + self.transport.unread_bytes
+
+    @property
+    def has_unread_body(self) -> bool:
+        """Whether bytes of the body have arrived that were not parsed."""
+        return self.unread_bytes > 0
+
+    def _check_upload(self) -> None:
+        """Answer the request by its client's time, which may run before its end is seen."""
         request = self.open_request
         if request is None:
             return
         now_ns = time.monotonic_ns()
-        unread_bytes = len(self.unparsed) + self.transport.unread_bytes
-        view = UploadView(self.reader.payload_size, unread_bytes, request.acknowledged_bytes)
+        view = UploadView(
+            self.reader.payload_size,
+            self.unread_bytes,
+            request.acknowledged_bytes,
+            now_ns - self.transport.receive_state.data_age_ns,
+        )
         limit = self.upload.limit(view, now_ns)
         if limit is None:
             return
         if now_ns < limit.at_ns:
-            self.upload.watch_later(self._watch_paused_upload)
+            self.upload.watch_later(self._check_upload)
         else:
             self._record_upload_end(limit.clock.value)
             self.driver.upload_overdue(request)
@@ -449,7 +466,7 @@
             self.frontend.leave_phase(self)
         else:
             self._send_continue()
-            self.upload.begin(stream, request.wait_ns)
+            self.upload.begin(stream, request.wait_ns, self.received_ns)
         if not self.driver.arrive(request):
             name = request.arrival.request
             self.driver.traffic_log.request_closed(name, "too many open requests")
--- a/loadbalancer/proxy/client_upload.py
+++ b/loadbalancer/proxy/client_upload.py
@@ -11,7 +11,7 @@
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.connection_phase import PROGRESS_BYTES
 
-WATCH_S: Final = 0.05  # between two looks at a paused upload
+WATCH_S: Final = 0.05  # between two looks at an upload that is not read as it comes
 
 
 class UploadHost(Protocol):
@@ -26,6 +26,10 @@
     def read_on(self) -> None:
         """Read again, without a time limit."""
 
+    @property
+    def has_unread_body(self) -> bool:
+        """Whether bytes of the body have arrived that were not parsed."""
+
     def abort(self) -> None:
         """Close the connection at once."""
 
@@ -33,6 +37,8 @@
 class _ClosedHost:
     """Host of an upload whose connection is closed."""
 
+    has_unread_body = False
+
     def upload_paused(self) -> None:
         """Do nothing."""
 
@@ -54,7 +60,7 @@
 
     Attributes:
         body: The body; None: the open request has none that is streamed.
-        transit: Decides when the client is answered while the body is paused.
+        transit: Decides when the client is answered while the body is not read as it comes.
         progress_bytes: Bytes received since the time limit was last restarted.
     """
 
@@ -93,15 +99,16 @@
         """Bytes of the body that wait for its upstream, or are kept for a retry."""
         return 0 if self.body is None else self.body.buffered
 
-    def begin(self, body: Body, wait_ns: int) -> None:
+    def begin(self, body: Body, wait_ns: int, received_ns: int) -> None:
         """Become the source of a body.
 
         Args:
             body: The body.
             wait_ns: How long the client waits from its last byte.
+            received_ns: When the latest bytes arrived in the kernel.
         """
         self.body = body
-        self.transit = RequestTransit(body.length, wait_ns, time.monotonic_ns())
+        self.transit = RequestTransit(body.length, wait_ns, received_ns, time.monotonic_ns())
         body.attach(self)
 
     def finish(self) -> None:
@@ -132,20 +139,20 @@
         self.progress_bytes = 0
         return True
 
-    def piece_read(self, arrived_bytes: int, is_drained: bool, now_ns: int) -> None:
+    def piece_read(self, arrived_bytes: int, is_drained: bool, received_ns: int) -> None:
         """Note that more of the body was read.
 
         Args:
             arrived_bytes: Bytes of it that have arrived so far.
             is_drained: Whether nothing is left to read.
-            now_ns: When they arrived.
+            received_ns: When the latest of them arrived in the kernel.
         """
         if self.transit is not None:
-            self.transit.piece_read(arrived_bytes, is_drained, now_ns)
+            self.transit.piece_read(arrived_bytes, is_drained, received_ns)
 
     def limit(self, view: UploadView, now_ns: int) -> Limit | None:
-        """Return when the client is answered, from what is seen of a paused body."""
-        if self.transit is None or not self.is_paused:
+        """Return when the client is answered, from what is seen; None: it is read as it comes."""
+        if self.transit is None or self.has_ended:
             return None
         self.transit.view(view, now_ns)
         return self.transit.limit
@@ -161,12 +168,17 @@
     def reading_resumed(self) -> None:
         """Note that the connection is read again after a pause that the body did not cause."""
         if self.transit is not None:
-            self.transit.reading_resumed(time.monotonic_ns())
+            is_drained = not self.host.has_unread_body
+            self.transit.reading_resumed(is_drained, time.monotonic_ns())
 
     def watch_later(self, check: Callable[[], None]) -> None:
-        """Call `check` after a while, unless the body is read on or ends before."""
-        self._cancel_watch()
-        self._timer = asyncio.get_running_loop().call_later(WATCH_S, check)
+        """Call `check` after a while, unless the body ends before or a check is due already."""
+        if self.is_active and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(WATCH_S, self._look, check)
+
+    def _look(self, check: Callable[[], None]) -> None:
+        self._timer = None
+        check()
 
     def _cancel_watch(self) -> None:
         if self._timer is not None:
@@ -184,9 +196,8 @@
     def resume(self) -> None:
         """Read again: the buffer has capacity."""
         self.progress_bytes = 0
-        self._cancel_watch()
         if self.transit is not None:
-            self.transit.resume(time.monotonic_ns())
+            self.transit.resume(not self.host.has_unread_body, time.monotonic_ns())
         self.host.upload_resumed()
 
     def read_on(self) -> None:
--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -310,6 +310,37 @@
     run(main())
 
 
+# Issue 72: a busy process read a request slowly that its kernel had, and answered it seconds late.
+@pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
+def test_a_request_that_a_busy_process_reads_slowly_is_answered_by_its_clients_time(
+    framing: Framing,
+) -> None:
+    async def stall(address: tuple[str, int], name: str) -> asyncio.StreamWriter:
+        """Hold memory of the process with a request that stops before its end."""
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(head_of(name, 3_000, "Content-Length: 60000") + bytes(59_000))
+        await writer.drain()
+        return writer
+
+    def hold_up() -> None:
+        """Let each turn of the event loop take long."""
+        time.sleep(LATE_S / 10)
+        asyncio.get_running_loop().call_soon(hold_up)
+
+    async def main() -> None:
+        async with balancer_with_raw_upstream(
+            read_as_asked(), settings=SETTINGS_BY_CANCEL[True], memory_mb=1
+        ) as harness:
+            stalled = [await stall(harness.address, f"s{number}") for number in range(7)]
+            asyncio.get_running_loop().call_soon(hold_up)
+            answered = await send(harness.address, "r", RequestForm(200_000, framing), 500)
+            assert answered.after_s <= 0.5 + LATE_S
+            for writer in stalled:
+                writer.transport.abort()
+
+    run(main())
+
+
 # A client that writes slowly, but does write, was told that its request took too long.
 @pytest.mark.parametrize("framing", [Framing.LENGTH, Framing.CHUNKED])
 def test_a_client_that_writes_with_pauses_is_not_given_up(framing: Framing) -> None:
