--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -22,6 +22,7 @@
 from tests.raw_http import ConnectionHandler, balancer_with_raw_upstream, post_head, read_head
 
 LATE_S: Final = 0.5  # an answer that comes later behind its client's time is lost
+STALLED: Final = 26  # requests that together hold over a third of the least account
 SMALL_BUFFER: Final = 8 * 1024
 READ_BYTES: Final = 64 * 1024
 FRAMINGS: Final = (Framing.CHUNKED, Framing.CLOSE, Framing.LENGTH)
@@ -331,7 +332,7 @@
         async with balancer_with_raw_upstream(
             read_as_asked(), settings=SETTINGS_BY_CANCEL[True], memory_mb=1
         ) as harness:
-            stalled = [await stall(harness.address, f"s{number}") for number in range(7)]
+            stalled = [await stall(harness.address, f"s{number}") for number in range(STALLED)]
             asyncio.get_running_loop().call_soon(hold_up)
             answered = await send(harness.address, "r", RequestForm(200_000, framing), 500)
             assert answered.after_s <= 0.5 + LATE_S
