Logging: a request that was cut names its state, and counts its bytes once

"message cut: direction=request" gave the state of the body's queue in place of the state whose clock had ended it, and counted pieces that are kept for a retry twice, once as taken and once as buffered. ClientUpload.state is RequestTransit's; Body.received_bytes counts each piece once. What the upstream's connection logs of a request keeps the state of the queue: it knows no other.

Measured: test_received_bytes_count_each_piece_once; the old sum gives 8 of 5 bytes there.

--- a/loadbalancer/proxy/body_stream.py
+++ b/loadbalancer/proxy/body_stream.py
@@ -104,6 +104,12 @@
     def _may_receive(self) -> bool:
         return self.state in (BodyState.RECEIVING, BodyState.PAUSED)
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes that have arrived, whether or not they were taken."""
+        waiting = self.pieces[self.next_index :]
+        return self.taken_bytes + sum(map(len, waiting))
+
     # ---- the sender's side -----------------------------------------------------------------------
 
     def attach(self, source: Source) -> None:
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -273,7 +273,7 @@
                 request.arrival.request,
                 UNKNOWN,
                 Direction.REQUEST,
-                self.upload.body.state.name.lower(),
+                self.upload.state,
                 cause,
                 self.reader.payload_size,
                 request.acknowledged_bytes,
--- a/loadbalancer/proxy/client_upload.py
+++ b/loadbalancer/proxy/client_upload.py
@@ -94,6 +94,11 @@
         """Whether the body's buffer is full, because its upstream does not accept more."""
         return self.body is not None and self.body.paused
 
+    @property
+    def state(self) -> str:
+        """The state of the body, for log lines."""
+        return "-" if self.transit is None else self.transit.state.value
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the body that wait for its upstream, or are kept for a retry."""
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -275,7 +275,7 @@
                 Direction.REQUEST,
                 body.state.name.lower(),
                 cause,
-                body.taken_bytes + body.buffered,
+                body.received_bytes,
                 self.transport.acknowledged_bytes,
                 self.transport.receive_state.data_age_ns,
             )
--- a/tests/proxy/test_body.py
+++ b/tests/proxy/test_body.py
@@ -42,6 +42,16 @@
         self.calls.append("abort")
 
 
+# The line of a message that was cut counted the pieces that are kept for a retry twice.
+def test_received_bytes_count_each_piece_once() -> None:
+    body = Body(None, MemoryAccount(1 << 20), keep=True)
+    body.put(b"abc")
+    body.put(b"de")
+    assert body.received_bytes == 5
+    assert body.take() == b"abc"
+    assert (body.buffered, body.received_bytes) == (5, 5)
+
+
 def test_full_body_pauses_its_source_and_counts_towards_total_memory() -> None:
     """Guards against unbounded buffering, in one body and in all bodies together."""
     body_memory, fake_source = MemoryAccount(1 << 20), FakeSource()
