Refactoring: one place for units of time and for constants of messages in transit

Read again, behaviour unchanged: - MILLISECOND stood in rules, request_head and message_end, NS_PER_S in eight modules of the proxy (three of them new); both are in policy/clock.py. - WATCH_S, MIN_CHECK_S and its twin MIN_WAIT_S stood beside the table; they are UPLOAD_CHECK_NS and MIN_CHECK_NS in message_end. - ClientUpload got the same callback passed at three places and called it by way of another; it calls its host, as for pause and resume. - ClientConnection.is_answering repeated a private property; there is one. - What ended a message is passed as Cause or Clock, not as its text. The response's method is named for ending the watch, which it does; an assignment behind it was dead.

--- a/loadbalancer/policy/message_end.py
+++ b/loadbalancer/policy/message_end.py
@@ -15,9 +15,7 @@
 from enum import Enum
 from typing import Final
 
-from loadbalancer.policy.clock import SECOND
-
-MILLISECOND: Final = SECOND // 1000
+from loadbalancer.policy.clock import MILLISECOND, SECOND
 
 LONG_BYTES: Final = 64 * 1024  # beyond it, the first bytes of an answer are timed, not its last
 # A response without a length that has given no more than this by its client's time counts as short.
@@ -51,6 +49,8 @@
 # The time for each part of a body: more than the pauses of a client that writes slowly, and less
 # than the 3 s within which one that stops is owed its end.
 UPLOAD_PAUSE_NS: Final = 2_600 * MILLISECOND
+UPLOAD_CHECK_NS: Final = 50 * MILLISECOND  # between two looks at one that is not read as it comes
+MIN_CHECK_NS: Final = MILLISECOND  # before a limit is looked at again
 
 
 class ResponseState(Enum):
--- a/loadbalancer/policy/rules.py
+++ b/loadbalancer/policy/rules.py
@@ -15,15 +15,13 @@
 from enum import Enum
 
 from loadbalancer.policy import api
+from loadbalancer.policy.clock import MILLISECOND
 from loadbalancer.policy.message_end import is_arriving
 
-MILLISECOND = 1_000_000
 # The timeout that an attempt announces to its upstream may exceed the client's remaining time by
 # at most this amount. The specification allows 150 ms; the remaining 50 ms cover a delay of the
 # process between `may_complete_body` and the write.
 TIMEOUT_SLACK_NS = 100 * MILLISECOND
-
-
 # The part of the client's time that is announced to the upstream of a streamed body.
 STREAMED_TIME_FRACTION = 0.5
 
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -6,7 +6,7 @@
 import logging
 import time
 
-from loadbalancer.policy.message_end import UploadView
+from loadbalancer.policy.message_end import Clock, UploadView
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.client_answer import AnswerWriter
 from loadbalancer.proxy.client_upload import ClientUpload
@@ -159,7 +159,7 @@
             is_drained = size < self._offered_bytes or not self.transport.unread_bytes
             self.upload.piece_read(arrived_bytes, is_drained, self.received_ns)
             if not is_drained:
-                self.upload.watch_later(self._check_upload)
+                self.upload.check_later()
         is_uploading = self.phase in (Phase.NEW, Phase.BODY) and self.reader.in_body
         if is_uploading and self.upload.count(size):
             self.frontend.wait(self, Phase.BODY)
@@ -215,7 +215,7 @@
     def stop_reading(self) -> None:
         """Stop reading, because memory is scarce; the time limit of the phase goes on."""
         self.transport.pause_reading(ReadPause.MEMORY)
-        self.upload.watch_later(self._check_upload)
+        self.upload.check_later()
 
     def resume_after_relief(self) -> None:
         """Read again, and parse what has come."""
@@ -230,7 +230,7 @@
         self.frontend.leave_phase(self)
         self.transport.pause_reading(ReadPause.BODY)
         # Not now: the body is paused while its input is parsed.
-        self.upload.watch_later(self._check_upload)
+        self.upload.check_later()
 
     @property
     def unread_bytes(self) -> int:
@@ -242,7 +242,7 @@
         """Whether bytes of the body have arrived that were not parsed."""
         return self.unread_bytes > 0
 
-    def _check_upload(self) -> None:
+    def check_upload(self) -> None:
         """Answer the request by its client's time, which may run before its end is seen."""
         request = self.open_request
         if request is None:
@@ -258,12 +258,12 @@
         if limit is None:
             return
         if now_ns < limit.at_ns:
-            self.upload.watch_later(self._check_upload)
+            self.upload.check_later()
         else:
-            self._record_upload_end(limit.clock.value)
+            self._record_upload_end(limit.clock)
             self.driver.upload_overdue(request)
 
-    def _record_upload_end(self, cause: str) -> None:
+    def _record_upload_end(self, cause: Cause | Clock) -> None:
         """Log that the body which the client sends ends before its end was seen."""
         request = self.open_request
         if request is None or self.upload.body is None or self.upload.has_ended:
@@ -274,7 +274,7 @@
                 UNKNOWN,
                 Direction.REQUEST,
                 self.upload.state,
-                cause,
+                cause.value,
                 self.reader.payload_size,
                 request.acknowledged_bytes,
                 time.monotonic_ns() - self.received_ns,
@@ -313,7 +313,7 @@
 
     def _drop_request(self, cause: Cause) -> None:
         """Drop the open request, whose answer the client no longer awaits."""
-        self._record_upload_end(cause.value)
+        self._record_upload_end(cause)
         self.upload.finish()
         self.writer.drop()
         request = self.open_request
@@ -333,7 +333,7 @@
                 request.arrival.request,
                 self.phase.name,
             )
-        if self._is_sending_answer:
+        if self.is_answering:
             self._check_sending()
         elif self.phase is Phase.ANSWER:
             self.frontend.wait(self, Phase.IDLE)
@@ -347,7 +347,7 @@
             self.abort()
 
     @property
-    def _is_sending_answer(self) -> bool:
+    def is_answering(self) -> bool:
         """Whether part of an answer is not sent, after the request is no longer open."""
         return self.phase in SENDING_PHASES and (
             self.writer.body is not None or self.has_unsent_output
@@ -366,11 +366,6 @@
         if self.has_data and self.open_request is None:
             self._reject_input(503, "not taken")
 
-    @property
-    def is_answering(self) -> bool:
-        """Whether a long answer is under way, or its end waits for its client to read."""
-        return self._is_sending_answer
-
     def close_for_shutdown(self) -> None:
         """Close the connection at shutdown; an incomplete answer must not seem complete."""
         if self.writer.body is not None:
--- a/loadbalancer/proxy/client_upload.py
+++ b/loadbalancer/proxy/client_upload.py
@@ -4,15 +4,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 from typing import Final, Protocol
 
-from loadbalancer.policy.message_end import Limit, RequestTransit, UploadView
+from loadbalancer.policy.clock import NS_PER_S
+from loadbalancer.policy.message_end import UPLOAD_CHECK_NS, Limit, RequestTransit, UploadView
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.connection_phase import PROGRESS_BYTES
 
-WATCH_S: Final = 0.05  # between two looks at an upload that is not read as it comes
-
 
 class UploadHost(Protocol):
     """The client's connection, as its upload uses it."""
@@ -23,6 +21,9 @@
     def upload_resumed(self) -> None:
         """Read again, and restart the time limit."""
 
+    def check_upload(self) -> None:
+        """Answer the request if its client's time is over."""
+
     def read_on(self) -> None:
         """Read again, without a time limit."""
 
@@ -45,6 +46,9 @@
     def upload_resumed(self) -> None:
         """Do nothing."""
 
+    def check_upload(self) -> None:
+        """Do nothing."""
+
     def read_on(self) -> None:
         """Do nothing."""
 
@@ -120,7 +124,7 @@
         """Forget the body, which has arrived or is no longer wanted."""
         self.body = None
         self.transit = None
-        self._cancel_watch()
+        self._cancel_check()
 
     def cut_off(self) -> bool:
         """Forget the body; return whether a part of it has not arrived, and is not wanted."""
@@ -176,16 +180,17 @@
             is_drained = not self.host.has_unread_body
             self.transit.reading_resumed(is_drained, time.monotonic_ns())
 
-    def watch_later(self, check: Callable[[], None]) -> None:
-        """Call `check` after a while, unless the body ends before or a check is due already."""
+    def check_later(self) -> None:
+        """Let the host check the upload after a while, unless a check is due already."""
         if self.is_active and self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(WATCH_S, self._look, check)
+            check_s = UPLOAD_CHECK_NS / NS_PER_S
+            self._timer = asyncio.get_running_loop().call_later(check_s, self._check)
 
-    def _look(self, check: Callable[[], None]) -> None:
+    def _check(self) -> None:
         self._timer = None
-        check()
+        self.host.check_upload()
 
-    def _cancel_watch(self) -> None:
+    def _cancel_check(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/loadbalancer/proxy/connection_phase.py
+++ b/loadbalancer/proxy/connection_phase.py
@@ -4,10 +4,10 @@
 
 from enum import Enum
 
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.policy.message_end import UPLOAD_PAUSE_NS
 from loadbalancer.proxy.send_progress import CHECK_INTERVAL_S
 
-NS_PER_S = 1e9
 PROGRESS_BYTES = 16 * 1024  # bytes of a body that count as progress
 
 
--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -19,6 +19,7 @@
 
 from loadbalancer.errnos import Cause, Operation, cause
 from loadbalancer.policy import api
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.policy.rules import Verdict, may_use
 from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.exchange import Exchange
@@ -35,7 +36,6 @@
 SETTLE_S = 0.02
 SETTLE_CAUTIOUS_S = 0.03  # after any upstream has sent unrequested bytes
 SETTLE_NOISY_S = 0.1  # for connections to the upstream that has sent unrequested bytes
-NS_PER_S = 1e9
 CAUTIOUS_PERIOD_S = 60.0  # how long the longer settle times apply
 # A new connection is opened if the settle time takes longer than MAX_SETTLE_WAIT_S, or if more than
 # MAX_SETTLE_WAITS exchanges had to wait within WAIT_WINDOW_S. A wait is short compared with most
--- a/loadbalancer/proxy/endpoint_staleness.py
+++ b/loadbalancer/proxy/endpoint_staleness.py
@@ -15,6 +15,7 @@
 from enum import Enum
 from typing import Final
 
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.proxy.policy_driver import Driver
 from loadbalancer.proxy.timers import call_after
 
@@ -24,7 +25,6 @@
 # Sends stop this long before the drain rule's grace period ends, because the process may be delayed
 # between reading the clock and writing.
 PROCESSING_MARGIN_S: Final = 0.2
-NS_PER_S: Final = 1e9
 
 
 class Staleness(Enum):
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -10,19 +10,17 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Protocol
 
 from loadbalancer.policy.api import AttemptResult
-from loadbalancer.policy.message_end import RESPONSE_PAUSE_NS
+from loadbalancer.policy.clock import NS_PER_S
+from loadbalancer.policy.message_end import MIN_CHECK_NS, RESPONSE_PAUSE_NS
 from loadbalancer.policy.rules import Allowed, Denied, Verdict, may_give_up
 from loadbalancer.proxy.body_stream import Body
 from loadbalancer.proxy.memory_account import MemoryAccount
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.parse import MAX_BODY
 
-NS_PER_S: Final = 1e9
-MIN_CHECK_S: Final = 0.001  # before a late exchange whose response arrives is looked at again
-
 
 class ExchangeConnection(Protocol):
     """The connection that carries an exchange."""
@@ -179,7 +177,7 @@
             self.expire()
             return
         check_s = min(self.deadline_s, self.response_s + RESPONSE_PAUSE_NS / NS_PER_S)
-        self.timer = loop.call_later(max(MIN_CHECK_S, check_s - now_s), self._late)
+        self.timer = loop.call_later(max(MIN_CHECK_NS / NS_PER_S, check_s - now_s), self._late)
 
     def start_within(self, seconds: float) -> None:
         """End the exchange as not sent unless it starts on a connection within this time."""
--- a/loadbalancer/proxy/memory_relief.py
+++ b/loadbalancer/proxy/memory_relief.py
@@ -15,6 +15,7 @@
 from enum import Enum
 from typing import Final, Protocol
 
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.proxy.bounded_log import BoundedLog
 from loadbalancer.proxy.memory_account import CLIENT_CONNECTION_BYTES, MemoryAccount
 from loadbalancer.proxy.timers import call_after
@@ -24,7 +25,6 @@
 RETRY_S: Final = 0.01  # between two looks at an account that could not be relieved
 MIN_HELD_BYTES: Final = CLIENT_CONNECTION_BYTES + 1024
 MIN_SILENCE_NS: Final = 1_000_000  # an incomplete request that moves counts as silent for so long
-NS_PER_S: Final = 1e9
 
 
 class Step(Enum):
--- a/loadbalancer/proxy/message_end_log.py
+++ b/loadbalancer/proxy/message_end_log.py
@@ -8,11 +8,11 @@
 from enum import Enum
 from typing import Final
 
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.proxy.bounded_log import BoundedLog
 
 log = logging.getLogger(__name__)
 
-NS_PER_S: Final = 1e9
 METRIC: Final = "loadbalancer_messages_cut_total"
 UNKNOWN: Final = "-"
 
--- a/loadbalancer/proxy/request_head.py
+++ b/loadbalancer/proxy/request_head.py
@@ -7,11 +7,11 @@
 from urllib.parse import unquote_plus
 
 from loadbalancer.policy import api
+from loadbalancer.policy.clock import MILLISECOND
 from loadbalancer.proxy.messages import Request, UnacceptableMessageError
 
 MAX_ID = 128  # bytes of a request id, which is a table key and appears in the log
 MAX_DIGITS = 15
-MILLISECOND = 1_000_000
 MICROSECOND = 1_000
 KEY_FIELD = "obj="
 
--- a/loadbalancer/proxy/response_watch.py
+++ b/loadbalancer/proxy/response_watch.py
@@ -6,12 +6,9 @@
 import math
 import time
 from collections.abc import Callable
-from typing import Final
 
-from loadbalancer.policy.message_end import Clock, ResponseTransit
-
-NS_PER_S: Final = 1e9
-MIN_WAIT_S: Final = 0.001  # before the limit is looked at again
+from loadbalancer.policy.clock import NS_PER_S
+from loadbalancer.policy.message_end import MIN_CHECK_NS, Clock, ResponseTransit
 
 
 def _ignore(_clock: Clock) -> None:
@@ -88,9 +85,9 @@
         self._cancel()
         limit = self.transit.limit if self.transit is not None else None
         if limit is not None:
-            left_s = (limit.at_ns - time.monotonic_ns()) / NS_PER_S
+            left_ns = limit.at_ns - time.monotonic_ns()
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(max(MIN_WAIT_S, left_s), self._check)
+            self._timer = loop.call_later(max(MIN_CHECK_NS, left_ns) / NS_PER_S, self._check)
 
     def _check(self) -> None:
         limit = self.transit.limit if self.transit is not None else None
--- a/loadbalancer/proxy/traffic_log.py
+++ b/loadbalancer/proxy/traffic_log.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from loadbalancer.policy import api
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.policy.transitions import (
     RequestGivenUp,
     RequestRetried,
@@ -23,7 +24,6 @@
 
 log = logging.getLogger(__name__)
 
-NS_PER_S: Final = 1e9
 PREFIX: Final = "loadbalancer_"
 
 
--- a/loadbalancer/proxy/upstream_connection.py
+++ b/loadbalancer/proxy/upstream_connection.py
@@ -10,10 +10,11 @@
 from dataclasses import dataclass
 
 from loadbalancer.policy.api import AttemptResult
+from loadbalancer.policy.clock import NS_PER_S
 from loadbalancer.policy.message_end import Clock, hold_ns
 from loadbalancer.policy.rules import ALLOWED, Denied, Reason, Verdict
 from loadbalancer.proxy.body_stream import Body
-from loadbalancer.proxy.exchange import NS_PER_S, Exchange
+from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.http import LAST_CHUNK, BufferedReader, chunk
 from loadbalancer.proxy.memory_account import UPSTREAM_CONNECTION_BYTES, Charge, MemoryAccount
 from loadbalancer.proxy.message_end_log import Cause, Direction, MessageEnd, MessageEndLog
@@ -184,7 +185,7 @@
             return
         while self.writable:
             if body.ends_next and not exchange.request.may_finish():
-                self._record_request_end(Cause.NOT_ALLOWED.value)
+                self._record_request_end(Cause.NOT_ALLOWED)
                 self.abort()  # without the body's last byte, the upstream can't run the request
                 return
             piece = body.take()
@@ -217,7 +218,7 @@
                 self.request_name,
                 self.transport.send_report(),
             )
-            self._record_request_end(Cause.UPSTREAM_STALLED.value)
+            self._record_request_end(Cause.UPSTREAM_STALLED)
             self.abort()
         else:
             self._check_sending_later()
@@ -229,13 +230,13 @@
 
     def _limit_reached(self, clock: Clock) -> None:
         """Close the connection, because the response that is being streamed has its limit."""
-        self._record_response_end(clock.value)
+        self._end_streaming(clock)
         self.abort()
 
     # ---- messages that end in transit ------------------------------------------------------------
 
-    def _record_response_end(self, cause: str) -> None:
-        """Log that the response which is being forwarded ends before its end was seen."""
+    def _end_streaming(self, cause: Cause | Clock) -> None:
+        """Forget the response that is being forwarded, and log that its end was not seen."""
         response = self.streamed_response
         transit = self.response_watch.end()
         self.streamed_response = None
@@ -248,7 +249,7 @@
                 self.upstream_log.upstream,
                 Direction.RESPONSE,
                 transit.state.value,
-                cause,
+                cause.value,
                 transit.received_bytes,
                 response.stream.taken_bytes,
                 time.monotonic_ns() - transit.piece_ns,
@@ -262,7 +263,7 @@
         is_dropped = response is not None and response.stream is not None and response.stream.failed
         return Cause.CLIENT_GONE if is_dropped else Cause.UPSTREAM_CLOSED
 
-    def _record_request_end(self, cause: str) -> None:
+    def _record_request_end(self, cause: Cause) -> None:
         """Log that the body which is being sent ends before all of it was sent."""
         exchange = self.exchange
         body = exchange.body if exchange is not None else None
@@ -274,7 +275,7 @@
                 self.upstream_log.upstream,
                 Direction.REQUEST,
                 body.state.name.lower(),
-                cause,
+                cause.value,
                 body.received_bytes,
                 self.transport.acknowledged_bytes,
                 self.transport.receive_state.data_age_ns,
@@ -378,7 +379,7 @@
         """Check whether the body of a streamed response is complete or malformed."""
         assert streamed_response.stream is not None
         if self.reader.fault is not None:
-            self._record_response_end(Cause.MALFORMED.value)
+            self._end_streaming(Cause.MALFORMED)
             self.abort()
         elif streamed_response.stream.ended:
             self.response_watch.end()
@@ -430,10 +431,9 @@
         self.charge.release()
         self._cancel_send_timer()
         self._cancel_hold_timer()
-        self._record_response_end(self._close_cause.value)
+        self._end_streaming(self._close_cause)
         self.response_watch.close()
         self.reader.close()  # fails a body that is being received
-        self.streamed_response = None
         exchange = self.exchange
         self.exchange = None
         self.on_closed(self)
--- a/tests/policy/test_message_end.py
+++ b/tests/policy/test_message_end.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from loadbalancer.policy.clock import MILLISECOND, SECOND
 from loadbalancer.policy.message_end import (
     CLIENT_BUFFER_BYTES,
     DRAIN_NS,
@@ -14,7 +15,6 @@
     LATE_NS,
     LONG_BYTES,
     MAX_HOLD_NS,
-    MILLISECOND,
     REQUEST_RULES,
     RESPONSE_RULES,
     SHORT_BYTES,
@@ -30,7 +30,6 @@
     hold_ns,
 )
 
-SECOND = 1000 * MILLISECOND
 MAX_PAUSE_MS = 1_900  # within what is asked of peers
 LOST_NS = 500 * MILLISECOND  # behind its client's time, an answer is lost
 HELD_UP_NS = 150 * MILLISECOND  # for so long a process may be held up
