Soak: the form of answer that a request asks for is read in one place

The clients read it from the query twice and the history once; Asked.answer_form does now. A bound of draw_lumps that a constant always holds is gone. Draws and verdicts are unchanged.

--- a/loadbalancer/testbed/soak/clients.py
+++ b/loadbalancer/testbed/soak/clients.py
@@ -162,7 +162,7 @@
         asked.sent_ns = time.monotonic_ns()
         limit_s = asked.wait_ms / 1000 + PATIENCE_S if leaves_s is None else leaves_s
         if asked.query and leaves_s is None:
-            limit_s += LONG_ANSWER_PATIENCE_S + AnswerForm.of_target(f"?{asked.query}").longest_s
+            limit_s += LONG_ANSWER_PATIENCE_S + asked.answer_form.longest_s
         try:
             async with asyncio.timeout(limit_s):
                 keep = await self._answer(asked, link)
@@ -191,7 +191,7 @@
         )
         if asked.sent_ns and not answering.done():
             limit_s = asked.wait_ms / 1000 + PATIENCE_S + LONG_ANSWER_PATIENCE_S
-            limit_s += AnswerForm.of_target(f"?{asked.query}").longest_s
+            limit_s += asked.answer_form.longest_s
             await asyncio.wait((answering,), timeout=limit_s)
         if not answering.done():
             asked.end = End.UNANSWERED if asked.sent_ns else End.LEFT
--- a/loadbalancer/testbed/soak/history.py
+++ b/loadbalancer/testbed/soak/history.py
@@ -60,10 +60,15 @@
         """When its client no longer waits."""
         return self.sent_ns + self.wait_ms * NS_PER_MS
 
+    @property
+    def answer_form(self) -> AnswerForm:
+        """The form of answer that its query asks for."""
+        return AnswerForm.of_target(f"?{self.query}")
+
     @property
     def is_long_answer(self) -> bool:
         """Whether a proxy has to take its answer for a long one, whose first byte is timed."""
-        return AnswerForm.of_target(f"?{self.query}").is_long
+        return self.answer_form.is_long
 
     @property
     def body_bytes(self) -> int:
--- a/loadbalancer/testbed/soak/long_answers.py
+++ b/loadbalancer/testbed/soak/long_answers.py
@@ -106,7 +106,7 @@
         """Return a random answer of over 64 KiB in lumps, with pauses up to `PAUSE_MS`."""
         lump = log_uniform(rng, LUMP_BYTES)
         fewest = LONG_ANSWER_BYTES // lump + 1
-        lumps = rng.randint(max(2, fewest), max(2, MAX_LUMPS))
+        lumps = rng.randint(max(2, fewest), MAX_LUMPS)
         longest_ms = min(PAUSE_MS[1], 2 * MAX_PAUSES_MS // lumps)
         return cls(
             lump * lumps,
