--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -41,6 +41,20 @@
 )
 
 
+def settings_by_cancel(objective_ns: int, deadline_ns: int) -> dict[bool, api.Settings]:
+    """Return settings with this objective and deadline, by whether attempts may be cancelled."""
+    classes = {
+        name: replace(request_class, latency_objective_ns=objective_ns, deadline_ns=deadline_ns)
+        for name, request_class in CLASSES.items()
+    }
+    return {
+        may_cancel: replace(
+            SETTINGS, classes=classes, limits=replace(SETTINGS.limits, may_cancel=may_cancel)
+        )
+        for may_cancel in (False, True)
+    }
+
+
 def run(test: Coroutine[Any, Any, None]) -> None:
     """Run a test on uvloop, the event loop that the program uses, with a time limit."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -8,7 +8,7 @@
 import time
 from collections.abc import Awaitable
 from contextlib import suppress
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 import pytest
@@ -17,7 +17,7 @@
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.testbed.soak.long_answers import AnswerForm, Framing
 from loadbalancer.testbed.soak.long_requests import SEND_BUFFERS, Reading, RequestForm
-from tests.fakes import MS, SECOND, SETTINGS, http_response, read_message, run
+from tests.fakes import MS, SECOND, http_response, read_message, run, settings_by_cancel
 from tests.proxy.test_slow_readers import body_pieces
 from tests.raw_http import ConnectionHandler, balancer_with_raw_upstream, post_head, read_head
 
@@ -26,17 +26,7 @@
 SMALL_BUFFER: Final = 8 * 1024
 READ_BYTES: Final = 64 * 1024
 FRAMINGS: Final = (Framing.CHUNKED, Framing.CLOSE, Framing.LENGTH)
-SETTINGS_BY_CANCEL: Final = {
-    may_cancel: replace(
-        SETTINGS,
-        classes={
-            name: replace(request_class, latency_objective_ns=200 * MS, deadline_ns=3 * SECOND)
-            for name, request_class in SETTINGS.classes.items()
-        },
-        limits=replace(SETTINGS.limits, may_cancel=may_cancel),
-    )
-    for may_cancel in (False, True)
-}
+SETTINGS_BY_CANCEL: Final = settings_by_cancel(200 * MS, 3 * SECOND)
 
 
 def head_of(name: str, wait_ms: int, *headers: str) -> bytes:
@@ -152,7 +142,7 @@
     async def play(
         address: tuple[str, int], stop: int, wait_ms: int, upstream_waits_ms: int
     ) -> None:
-        form = AnswerForm(60_000, 0, framing, lump=max(1, stop), stop=max(1, stop))
+        form = AnswerForm(60_000, 0, framing, lump=stop, stop=stop)
         reader, writer = await asyncio.open_connection(*address)
         query = f"{form.query}&hold_ms={upstream_waits_ms}"
         sent_s = time.monotonic()
@@ -247,18 +237,26 @@
     return Answered(answer.status, answered_s - sent_s[0] if is_sent else 0.0)
 
 
-SLOW_READINGS: Final = [
-    (size, rate, wait_ms)
-    for size, rate, wait_ms in (
-        (150_000, 40_000, 423),
-        (963_000, 77_000, 423),
-        (963_000, 103_000, 750),
-        (4_000_000, 116_000, 750),
-        (4_000_000, 97_000, 2_500),
-        (4_000_000, 51_000, 750),
-        (10_700_000, 116_000, 794),
-    )
-]
+SLOW_READINGS: Final = (
+    # Size, bytes a second that its upstream reads, the client's time in ms.
+    (150_000, 40_000, 423),
+    (963_000, 77_000, 423),
+    (963_000, 103_000, 750),
+    (4_000_000, 116_000, 750),
+    (4_000_000, 97_000, 2_500),
+    (4_000_000, 51_000, 750),
+    (10_700_000, 116_000, 794),
+)
+
+
+async def send_slow_reading(
+    address: tuple[str, int], framing: Framing, number: int, send_buffer: int, in_bursts: bool
+) -> None:
+    """Send a request that is read slowly, and expect its answer by its client's time."""
+    size, rate, wait_ms = SLOW_READINGS[number]
+    form = RequestForm(size, framing, rate, in_bursts, send_buffer)
+    answered = await send(address, f"r{number}-{send_buffer}", form, wait_ms)
+    assert answered.after_s <= wait_ms / 1000 + LATE_S, form
 
 
 # Issue 72, picture (a): where a server read a large request slowly, the answer came seconds late.
@@ -267,19 +265,13 @@
 def test_a_request_that_is_read_slowly_is_answered_by_its_clients_time(
     framing: Framing, in_bursts: bool
 ) -> None:
-    async def play(address: tuple[str, int], number: int, send_buffer: int) -> None:
-        size, rate, wait_ms = SLOW_READINGS[number]
-        form = RequestForm(size, framing, rate, in_bursts, send_buffer)
-        answered = await send(address, f"r{number}-{send_buffer}", form, wait_ms)
-        assert answered.after_s <= wait_ms / 1000 + LATE_S, form
-
     async def main() -> None:
         async with balancer_with_raw_upstream(
             read_as_asked(), SMALL_BUFFER, settings=SETTINGS_BY_CANCEL[True]
         ) as harness:
             await gather(
                 *(
-                    play(harness.address, number, send_buffer)
+                    send_slow_reading(harness.address, framing, number, send_buffer, in_bursts)
                     for number in range(len(SLOW_READINGS))
                     for send_buffer in (0, *SEND_BUFFERS)
                 )
@@ -293,19 +285,16 @@
 def test_a_request_that_is_read_slowly_is_answered_in_time_where_memory_is_scarce(
     framing: Framing,
 ) -> None:
-    async def play(address: tuple[str, int], number: int, send_buffer: int) -> None:
-        size, rate, wait_ms = SLOW_READINGS[number]
-        form = RequestForm(size, framing, rate, False, send_buffer)
-        answered = await send(address, f"r{number}-{send_buffer}", form, wait_ms)
-        assert answered.after_s <= wait_ms / 1000 + LATE_S, form
-
     async def main() -> None:
         async with balancer_with_raw_upstream(
             read_as_asked(), SMALL_BUFFER, settings=SETTINGS_BY_CANCEL[True], memory_mb=1
         ) as harness:
             for number in range(len(SLOW_READINGS)):
                 await gather(
-                    *(play(harness.address, number, buffer) for buffer in (0, *SEND_BUFFERS))
+                    *(
+                        send_slow_reading(harness.address, framing, number, buffer, False)
+                        for buffer in (0, *SEND_BUFFERS)
+                    )
                 )
 
     run(main())
--- a/tests/proxy/test_slow_answers.py
+++ b/tests/proxy/test_slow_answers.py
@@ -3,26 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 import pytest
 
-from tests.fakes import MS, SETTINGS, BalancerHarness, Message, http_response, read_message, run
+from tests.fakes import (
+    MS,
+    BalancerHarness,
+    Message,
+    http_response,
+    read_message,
+    run,
+    settings_by_cancel,
+)
 from tests.proxy.test_slow_readers import body_pieces
 from tests.raw_http import ConnectionHandler, balancer_with_raw_upstream, post_head, read_head
 
-SHORT_OBJECTIVE: Final = {
-    may_cancel: replace(
-        SETTINGS,
-        classes={
-            name: replace(request_class, latency_objective_ns=200 * MS, deadline_ns=500 * MS)
-            for name, request_class in SETTINGS.classes.items()
-        },
-        limits=replace(SETTINGS.limits, may_cancel=may_cancel),
-    )
-    for may_cancel in (False, True)
-}
+SHORT_OBJECTIVE: Final = settings_by_cancel(200 * MS, 500 * MS)
 LONG_BYTES: Final = 70_000
 PIECE_BYTES: Final = 2_000
 LONG_S: Final = 1.2  # more than the deadline
