--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,103 +1,138 @@
-"""A settings document is put while a balancer's process is replaced: does it reach the new one?
+"""Bad clients send bodies of 60 MB to a class that doesn't exist: does the balancer keep its limit?
 
-Which of the two processes hears of the put first is chance, so there are some replacements.
+The class is `ready`, so the path is the one at which the balancer says whether it is ready.
 """
 
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 from bed import (
     BROKEN,
     HELD,
     HOST,
-    OK,
     Bed,
     Clients,
+    Discovery,
     Program,
-    SetupError,
     Upstream,
-    call_once,
     free_port,
+    platform_settings,
+    read_head,
     run,
 )
-from store_bed import CLASSES, Store, serve, server_tables, store_table
 
-ROUNDS = 5
-TAKE_OVER_S = 3.0  # OPERATION: the new process says yes within 6 s
-OLD_ENDS_S = 3.7  # OPERATION: the longest deadline plus 0.7 s after SIGTERM
-SETTLE_S = 3.0  # far more than a put takes to every balancer
-WATCH_S = 3.0
+MEMORY_MB = 192  # DEPLOY: on scored days the limits are at most 192 MB and 1,024 descriptors
+SOCKETS = 1024
+BAD_CLIENTS = 20
+BODY_BYTES = 60_000_000  # DAYS, Bad clients: "bodies of 60 MB"
+CHUNK_BYTES = 100_000
+OWED_S = 6.0  # DAYS: an error or a close within 6 s with 60 MB to send
+QUIET_S = 3.0
+WATCH_S = 12.0
+LOOK_S = 0.02
 
 
-class Operators:
-    """What the operators do: they put documents, and replace the process."""
+def resident_bytes(program: Program) -> int:
+    """Return the resident memory of the balancer's process."""
+    text = Path(f"/proc/{program.process.pid}/statm").read_text(encoding="ascii")
+    return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
-    def __init__(self, bed: Bed) -> None:
+
+class Platform:
+    """The platform's limit on memory: over it, the balancer is killed."""
+
+    def __init__(self, bed: Bed, balancer: Program) -> None:
         self.bed = bed
-        self.store = Store(bed)
-        self.port = free_port()
-        self.upstreams = [Upstream(bed.record, f"box-{number}") for number in range(1, 7)]
-        self.settings = ""
-        self.balancer: Program | None = None
-
-    async def start(self) -> None:
-        """Start the store, the upstreams and the balancer."""
-        await self.store.start()
-        for upstream in self.upstreams:
-            await upstream.start()
-        await self.put(self.upstreams, "all")
-        self.settings = store_table(self.store, 'document = "balancer/orders"\n')
-        self.balancer = await serve(self.bed, "balancer-0", self.settings)
-        await self.bed.wait_until_ready(self.balancer, self.port, "/ready")
-
-    async def put(self, upstreams: list[Upstream], note: str) -> None:
-        """Put the document with these upstreams; the put has to be accepted."""
-        text = self.bed.folder / "orders.toml"
-        head = f'listen = "{HOST}:{self.port}"\nstate = "{self.bed.folder}/state"\n'
-        self.bed.write_text(text, head + server_tables(upstreams) + CLASSES)
-        said = await self.store.command(f"config put balancer/orders {text} --note {note}")
-        self.bed.record.say(f"put {note}: {said}")
-
-    async def take_out(self, number: int) -> int:
-        """Take an upstream out while the process is replaced; return how many requests it gets."""
-        record = self.bed.record
-        box = self.upstreams[number]
-        old = new = self.balancer
-        assert old is not None
-        if self.bed.is_troubled:
-            record.say("the process is replaced: the new one starts beside the old one")
-            new = self.balancer = await serve(self.bed, f"balancer-{number + 1}", self.settings)
-            await asyncio.sleep(TAKE_OVER_S)
-        await self.put([u for u in self.upstreams if u is not box], f"without-{box.name}")
-        if self.bed.is_troubled:
-            old.send(signal.SIGTERM)
-            await asyncio.wait_for(old.process.wait(), OLD_ENDS_S + 1.0)
-            record.say("the old process has ended")
-        await asyncio.sleep(SETTLE_S)
-        from_s = record.now()
-        await asyncio.sleep(WATCH_S)
-        if not new.is_running or (await call_once(self.port, "GET", "/ready"))[0] != OK:
-            raise SetupError("the balancer does not serve")
-        got = sum(at_s >= from_s for at_s, _ in box.got)
-        record.say(f"{box.name} got {got} requests, from {SETTLE_S:.0f} s on after that")
-        await self.put(self.upstreams, "all")
-        return got
+        self.balancer = balancer
+        self.most_bytes = 0
+        self.has_killed = False
+
+    async def watch(self) -> None:
+        """Look at the memory until the balancer is killed or ends."""
+        while self.balancer.is_running:
+            with suppress(OSError, IndexError):
+                self.most_bytes = max(self.most_bytes, resident_bytes(self.balancer))
+            if self.most_bytes > MEMORY_MB << 20:
+                self.bed.record.say(f"over {MEMORY_MB} MB: the balancer is killed")
+                self.has_killed = True
+                self.balancer.send(signal.SIGKILL)
+                return
+            await asyncio.sleep(LOOK_S)
+
+
+async def bad_client(bed: Bed, port: int, number: int) -> None:
+    """Send a body of 60 MB at full speed, and read what comes."""
+    record = bed.record
+    status = "none"
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+    except OSError:
+        return
+    answer = asyncio.create_task(read_head(reader))
+    record.line("bad client sends", number=number)
+    try:
+        writer.write(
+            f"POST /ready HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: bad-{number}\r\n"
+            "X-Class: ready\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        piece = b"%x\r\n%b\r\n" % (CHUNK_BYTES, b"z" * CHUNK_BYTES)
+        for _ in range(BODY_BYTES // CHUNK_BYTES):
+            writer.write(piece)
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        async with asyncio.timeout(OWED_S):
+            head = await answer
+        status = "close" if head is None else head[0]
+    except (OSError, TimeoutError) as error:
+        status = type(error).__name__
+    finally:
+        answer.cancel()
+        writer.close()
+    record.line("bad client ends", number=number, got=status.replace(" ", "_"))
 
 
 async def case(bed: Bed) -> int:
     """Run the case."""
-    operators = Operators(bed)
-    await operators.start()
-    clients = Clients(bed.record, operators.port)
-    await asyncio.sleep(SETTLE_S)
-    found = [await operators.take_out(number) for number in range(ROUNDS)]
+    record = bed.record
+    upstreams = [Upstream(record, f"s-{number:08x}") for number in range(1, 7)]
+    for upstream in upstreams:
+        await upstream.start()
+    discovery = Discovery(record, upstreams)
+    await discovery.start()
+    port = free_port()
+    config = {
+        "name": "n1",
+        "listen": f"{HOST}:{port}",
+        "discovery": f"{HOST}:{discovery.port}",
+        "seed": os.urandom(8).hex(),
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "known": discovery.whole(),
+        "settings": platform_settings(),
+    }
+    balancer = await bed.start_balancer("n1", config, port, bed.new_folder("tmp"))
+    platform = Platform(bed, balancer)
+    watching = asyncio.create_task(platform.watch())
+    clients = Clients(record, port, booked_share=0.4)
+    await asyncio.sleep(QUIET_S)
+    record.say(f"with sound clients alone: {platform.most_bytes / 1e6:.0f} MB")
+    if bed.is_troubled:
+        record.say(f"{BAD_CLIENTS} bad clients send 60 MB each")
+        bad = [bad_client(bed, port, number) for number in range(BAD_CLIENTS)]
+        await asyncio.gather(*bad)
+    else:
+        await asyncio.sleep(WATCH_S)
+    await asyncio.sleep(QUIET_S)
+    crashed = platform.has_killed or not balancer.is_running
+    watching.cancel()
     await clients.stop()
-    lost = sum(got > 0 for got in found)
-    bed.record.say(f"{lost} of {ROUNDS} accepted puts never reached the process that serves")
-    return BROKEN if lost else HELD
+    record.say(f"the most memory: {platform.most_bytes / 1e6:.0f} MB of {MEMORY_MB}")
+    record.say(f"{len(clients.lost_bookings())} bookings were neither served nor refused")
+    return BROKEN if crashed else HELD
 
 
 run(Path(__file__).resolve().parent, case)
