Review: a case that is told to end ends its programs too

Cause: a script that gets SIGTERM left the balancer and the store's nodes running. Change: SIGTERM and SIGINT cancel the case, which then ends all programs and exits with 2.

--- a/review/bed-2/bed.py
+++ b/review/bed-2/bed.py
@@ -586,11 +586,15 @@
 
     async def go() -> int:
         bed = Bed(record)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # the programs are ended then, too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         record.say("with the disruption" if bed.is_troubled else "without the disruption")
         try:
             async with asyncio.timeout(LIMIT_S):
                 return await case(bed)
-        except (SetupError, OSError, TimeoutError) as error:
+        except (SetupError, OSError, TimeoutError, asyncio.CancelledError) as error:
             record.say(f"could not run: {type(error).__name__} {error}")
             return COULD_NOT_RUN
         finally:
