A body has an owner before its request is answered, and /ready is not buffered

POST /ready was answered 200, as if it had run.

Cause: a body over 64 KiB is streamed, and its request handled, while it arrives. The readiness check was answered before anybody was the stream's source, on a connection that stayed open; such a stream can pause nobody and buffered up to 32 MB for each connection.

Why the fix works: ClientUpload.take_over makes the connection the source before the request is looked at, and each answer leads through _end_request, which ends what has not arrived. A stream without a source fails at 128 KiB, so the next answer that forgets one costs no memory. A readiness check is a GET or HEAD without a body (proxy/readiness.py); anything else is an ordinary request.

--- a/loadbalancer/proxy/body_stream.py
+++ b/loadbalancer/proxy/body_stream.py
@@ -15,6 +15,9 @@
 
 MAX_LENGTH = 32 * 1024 * 1024  # bytes of the longest body that is accepted
 READ_SIZE = 64 * 1024  # bytes that are read from a socket at a time
+# Bytes that a body without a source may buffer: what is buffered before a body is streamed, and one
+# read. Nobody can be paused for more.
+MAX_UNOWNED_BYTES = 2 * READ_SIZE
 
 
 class BodyState(Enum):
@@ -46,7 +49,8 @@
     """A queue of pieces that ends or fails, and notifies its reader of each change.
 
     Only a body that may still receive more controls its source. When it ends or fails, it
-    detaches the source, which reads on even if it was paused, and never calls it again.
+    detaches the source, which reads on even if it was paused, and never calls it again. A body
+    without a source fails as soon as it holds more than `MAX_UNOWNED_BYTES`.
 
     With `keep`, the body can be read again from its start, until pieces that were already taken
     have to be dropped to free buffer space; see `is_replayable`. Such a body is read ahead as far
@@ -136,6 +140,9 @@
             return
         self.pieces.append(data)
         self._adjust_buffered(len(data))
+        if self.source is None and self.buffered > MAX_UNOWNED_BYTES:
+            self.fail()
+            return
         if self.buffered >= self.memory.buffer_bytes and not self.paused:
             self._drop_taken()
             if self.buffered >= self._max_buffered:
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -19,6 +19,7 @@
 from loadbalancer.proxy.messages import Headers, Request, Response, UnacceptableMessageError
 from loadbalancer.proxy.parse import MAX_BODY, RequestReader
 from loadbalancer.proxy.peer_transport import PeerTransport, ReadPause
+from loadbalancer.proxy.readiness import is_readiness_check, readiness_answer
 from loadbalancer.proxy.request_intake import RequestIntake
 from loadbalancer.proxy.requests import OpenRequest
 from loadbalancer.proxy.send_progress import SendState
@@ -33,7 +34,6 @@
 # Requests and pieces of input that one connection handles in an event-loop iteration. The others
 # have their turn before it continues.
 TURN_REQUESTS = 8
-READY_PATH = b"/ready"
 
 
 class ClientConnection(BufferedReader):
@@ -442,26 +442,25 @@
     def _handle_request(self, head: Request) -> None:
         """Handle a request that is complete except for a streamed body."""
         self.writer.expect(head)
-        stream = head.stream
-        if head.target.partition(b"?")[0] == READY_PATH:
-            ready = self.frontend.ready
-            self._answer(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
+        if head.stream is not None:
+            self.upload.take_over(head.stream)
+        if is_readiness_check(head):
+            status, text = readiness_answer(self.frontend.ready)
+            self._answer(status, [], text)
             return
         try:
             request = self.intake.open_request(head, self, self.received_ns)
         except UnacceptableMessageError as error:
             self.driver.traffic_log.request_closed("-", f"not acceptable, {error.status}")
             # After a complete message the connection stays usable.
-            self._answer(
-                error.status, [], f"{error}\n".encode(), close_after_answer=stream is not None
-            )
+            self._answer(error.status, [], f"{error}\n".encode())
             return
         self.open_request = request
-        if stream is None:
+        if head.stream is None:
             self.frontend.leave_phase(self)
         else:
             self._send_continue()
-            self.upload.begin(stream, request.wait_ns, self.received_ns)
+            self.upload.begin(request.wait_ns, self.received_ns)
         if not self.driver.arrive(request):
             name = request.arrival.request
             self.driver.traffic_log.request_closed(name, "too many open requests")
--- a/loadbalancer/proxy/client_upload.py
+++ b/loadbalancer/proxy/client_upload.py
@@ -60,11 +60,15 @@
 
 
 class ClientUpload:
-    """The body of the open request of a client's connection, which is its source.
+    """The body of the request that a client's connection reads; the connection is its source.
+
+    A streamed body is taken over before its request is looked at, so that any answer finds it here
+    and ends it.
 
     Attributes:
-        body: The body; None: the open request has none that is streamed.
-        transit: Decides when the client is answered while the body is not read as it comes.
+        body: The body; None: the request has none that is streamed.
+        transit: Decides when the client is answered while the body is not read as it comes; None:
+            the request is not open yet.
         progress_bytes: Bytes received since the time limit was last restarted.
     """
 
@@ -85,7 +89,7 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether the open request has a streamed body."""
+        """Whether the request has a streamed body."""
         return self.body is not None
 
     @property
@@ -108,17 +112,25 @@
         """Bytes of the body that wait for its upstream, or are kept for a retry."""
         return 0 if self.body is None else self.body.buffered
 
-    def begin(self, body: Body, wait_ns: int, received_ns: int) -> None:
-        """Become the source of a body.
+    def take_over(self, body: Body) -> None:
+        """Become the source of a body, whatever its request is answered."""
+        self.body = body
+        body.attach(self)
+
+    def begin(self, wait_ns: int, received_ns: int) -> None:
+        """Watch the body of a request that is open now.
 
         Args:
-            body: The body.
             wait_ns: How long the client waits from its last byte.
             received_ns: When the latest bytes arrived in the kernel.
         """
-        self.body = body
-        self.transit = RequestTransit(body.length, wait_ns, received_ns, time.monotonic_ns())
-        body.attach(self)
+        body = self.body
+        if body is None:
+            return
+        now_ns = time.monotonic_ns()
+        self.transit = RequestTransit(body.length, wait_ns, received_ns, now_ns)
+        if body.paused:
+            self.transit.pause(now_ns)
 
     def finish(self) -> None:
         """Forget the body, which has arrived or is no longer wanted."""
--- a/loadbalancer/testbed/soak/crowd.py
+++ b/loadbalancer/testbed/soak/crowd.py
@@ -17,6 +17,8 @@
 BODY_BYTES: Final = 64_000
 STALLED_BODY_BYTES: Final = 63_000
 LONG_BODY_BYTES: Final = 4_000_000
+CHUNK_BYTES: Final = 50_000
+REFUSED: Final = ("POST /ready", "GET /ready", "HEAD /ready", "POST /nowhere", "GET /read")
 MANY_FIELDS: Final = 1_900
 TINY_FIELDS: Final = 3_900
 PIPELINED: Final = 300
@@ -32,6 +34,7 @@
     SLOW_BODY = "writes a short body slowly"
     STALLED_BODY = "stops shortly before the end of a short body"
     STALLED_LONG_BODY = "stops in the middle of a long body"
+    REFUSED_LONG_BODY = "sends a long body in chunks with a request that is answered early"
     MANY_FIELDS = "sends a head of many short fields without an end"
     TINY_FIELDS = "sends a head of the shortest fields without an end"
     PIPELINE = "sends many requests behind one whose answer it does not read, and leaves"
@@ -42,6 +45,7 @@
     {
         Behavior.STALLED_BODY,
         Behavior.STALLED_LONG_BODY,
+        Behavior.REFUSED_LONG_BODY,
         Behavior.MANY_FIELDS,
         Behavior.TINY_FIELDS,
         Behavior.PIPELINE,
@@ -87,6 +91,7 @@
             Behavior.SLOW_BODY: self._slow_body,
             Behavior.STALLED_BODY: self._stalled_body,
             Behavior.STALLED_LONG_BODY: self._stalled_long_body,
+            Behavior.REFUSED_LONG_BODY: self._refused_long_body,
             Behavior.MANY_FIELDS: self._many_fields,
             Behavior.TINY_FIELDS: self._tiny_fields,
             Behavior.PIPELINE: self._pipeline,
@@ -144,6 +149,18 @@
         writer.write(head(self._name(), f"Content-Length: {LONG_BODY_BYTES}", effect="pay"))
         writer.write(bytes(LONG_BODY_BYTES // 2))
 
+    async def _refused_long_body(
+        self, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        start = self.rng.choice(REFUSED)
+        fields = "Host: soak\r\nTransfer-Encoding: chunked"
+        name = self._name()
+        writer.write(f"{start} HTTP/1.1\r\nX-Request-Id: {name}\r\n{fields}\r\n\r\n".encode())
+        chunk = b"%x\r\n%b\r\n" % (CHUNK_BYTES, bytes(CHUNK_BYTES))
+        for _ in range(0, LONG_BODY_BYTES, CHUNK_BYTES):
+            writer.write(chunk)
+            await writer.drain()
+
     async def _many_fields(
         self, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
