An answer of discovery is used however late it comes, and its delay is learnt

Cause: a poll that timed out was given up, its connection closed under the answer. The timeouts of 0.8 to 2.4 s were guesses at the peer's latency from which nothing was learnt.

Why the fix works: late polls stay in flight beside the next one, three at most, and answers are used in the order of what they tell. The delay that answers show sets timeouts and holds, and for how long the list may lack a change that is in force; nothing new is sent by it then. So each delay under 6 s keeps the drain rule, without more polls.

--- a/loadbalancer/cli/lab.py
+++ b/loadbalancer/cli/lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import shlex
 import sys
 from pathlib import Path
@@ -371,6 +372,10 @@
         float,
         typer.Option(help="Share of the requests with a long body, or an answer in lumps."),
     ] = 0.0,
+    discovery_delay: Annotated[
+        float,
+        typer.Option(help="All of discovery's answers are late, by up to so many s.", max=6.0),
+    ] = 0.0,
 ) -> None:
     """Real balancers on loopback under troubles that overlap, judged by the rules; a breach is
     status 1.
@@ -401,6 +406,7 @@
             long_answers=long_answers,
             flood=flood,
             long_messages=long_messages,
+            discovery_delay_s=random.Random(number).uniform(0.0, discovery_delay),
         )
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             verdict = runner.run(play(plan))
--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -1,4 +1,8 @@
-"""Client of the discovery service: fetches the list, watches for changes, handles failed polls."""
+"""Client of the discovery service: fetches the list, watches for changes, handles failed polls.
+
+A poll that times out stays in flight: its answer is used whenever it arrives (`LateCalls`), beside
+the poll that follows it.
+"""
 
 from __future__ import annotations
 
@@ -8,11 +12,20 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Any, Final
 
 from loadbalancer.policy import api
+from loadbalancer.proxy.discovery_call import (
+    DiscoveryCall,
+    LateCalls,
+    MalformedAnswerError,
+    PollError,
+    PollTimeoutError,
+)
 from loadbalancer.proxy.discovery_watch import (
+    MS_PER_S,
     POLL_TIMEOUT_S,
     DiscoveryWatch,
     Poll,
@@ -22,37 +35,21 @@
 from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.endpoint_list import EndpointList, read_list
 from loadbalancer.proxy.endpoint_staleness import EndpointStaleness
-from loadbalancer.proxy.exchange import Exchange, ExpectedResponse
 from loadbalancer.proxy.memory_account import MemoryAccount
 from loadbalancer.proxy.messages import Response, message
 from loadbalancer.proxy.policy_driver import Driver
+from loadbalancer.proxy.timers import call_after
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
 from loadbalancer.settings import Json, MalformedError
 
 log = logging.getLogger(__name__)
 
-MAX_LIST_BYTES: Final = 4 * 1024 * 1024
 PATH: Final = b"/v1/endpoints"
 NO_VERSION: Final = -1  # older than the version of any list
 
 ListListener = Callable[[api.EndpointListKind, list[Endpoint]], None]
 
 
-class PollError(Exception):
-    """A poll failed.
-
-    Raised itself if the poll was rejected, its connection broke, or none was established.
-    """
-
-
-class PollTimeoutError(PollError):
-    """No answer arrived within the poll's timeout."""
-
-
-class MalformedAnswerError(PollError):
-    """The answer is malformed."""
-
-
 def poll_outcome(error: Exception) -> PollOutcome:
     """Return the outcome of a poll that raised this error."""
     if isinstance(error, PollTimeoutError):
@@ -67,7 +64,7 @@
 
 
 class Discovery:
-    """Polls discovery, one poll at a time, and passes lists and changes to a listener.
+    """Polls discovery, and passes lists and changes to a listener.
 
     Args:
         driver: Receives the endpoint list.
@@ -79,6 +76,9 @@
         listener: Receives lists, changes and failed polls; initially the policy's driver.
         version: The version of the current list; `NO_VERSION` if there is none.
         answered_s: When discovery last answered, with or without changes (monotonic).
+        connection: The connection of the current poll, or for the next one; None: there is none.
+        late_calls: Polls that have timed out; their answers are used when they arrive.
+        progress: Set when the current poll has ended, or the answer to a late one has arrived.
     """
 
     def __init__(
@@ -97,6 +97,9 @@
         self.version = NO_VERSION
         self.answered_s = 0.0
         self.connection: UpstreamConnection | None = None
+        self.late_calls = LateCalls()
+        self.progress = asyncio.Event()
+        self.settle_timer: asyncio.TimerHandle | None = None
         self.is_watching = False
         self.task: asyncio.Task[None] | None = None  # runs the polls
 
@@ -120,6 +123,8 @@
     def subscribe(self, on: bool) -> None:
         """Start the watch if `on`; otherwise stop it, or any other poll."""
         self.is_watching = on
+        if not on:
+            self.late_calls.give_up()
         self._replace_task(self._watch() if on else None)
 
     def fetch(self) -> None:
@@ -137,14 +142,17 @@
         self.address = address
         self.version = NO_VERSION
         self.watch.forget_list()
-        if self.connection is not None:
-            self.connection.abort()
+        self._close_connections()
         if self.task is not None:  # the task may be waiting in its backoff
             self.fetch()
 
     def close(self) -> None:
         """Stop polling."""
         self._replace_task(None)
+        self._close_connections()
+
+    def _close_connections(self) -> None:
+        self.late_calls.give_up()
         if self.connection is not None:
             self.connection.abort()
 
@@ -156,42 +164,136 @@
         if self.task is not None:
             self.task.cancel()
         if coroutine is None:
-            self.staleness.close()
+            self.watch.trust_list()
+            self._update_staleness()
         self.task = (
             asyncio.get_running_loop().create_task(coroutine) if coroutine is not None else None
         )
 
     async def _watch(self) -> None:
-        """Poll continuously; each poll begins after the answer to the previous one."""
+        """Poll continuously; each poll begins after the previous one was answered or timed out."""
         while True:
+            pause_s: float | None
             try:
-                await self._poll()
-                pause_s = self.watch.on_outcome(PollOutcome.ANSWERED, time.monotonic())
+                pause_s = await self._poll()
             except Exception as error:  # noqa: BLE001 (an unexpected error must not stop the watch)
                 pause_s = self.watch.on_outcome(poll_outcome(error), time.monotonic())
                 _log_failure(error)
-                if self.watch.deadline_s is not None:
-                    self.staleness.on_watch_silent(self.watch.deadline_s)
+                self._update_staleness()
             # None: the poll failed, and there is no deadline or it has long passed. The watch ends,
             # or polls again after a backoff.
             if pause_s is None and not self.is_always_watching:
                 self.is_watching = False
                 self.listener(api.EndpointListKind.FAILED, [])  # the policy requests another poll
                 return
-            await asyncio.sleep(self.watch.backoff_pause_s() if pause_s is None else pause_s)
+            await self._pause(self.watch.backoff_pause_s() if pause_s is None else pause_s)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait before the next poll; the answer to a late one ends the wait."""
+        self.progress.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.progress.wait()
 
     async def _fetch(self) -> None:
         try:
             await self._poll()
             self.watch.on_list_known()
+            self._update_staleness()
         except Exception as error:  # noqa: BLE001 (the policy requests another poll)
             _log_failure(error)
             self.listener(api.EndpointListKind.FAILED, [])
 
-    async def _poll(self) -> None:
+    async def _poll(self) -> float:
+        """Send a poll, and apply its answer; return the pause before the next one.
+
+        A poll without a hold ends, too, with the answer to a late one, which makes it needless.
+        """
         poll = self.watch.next_poll(time.monotonic())
-        answer = _parse(await self._get(self._target(poll), poll.timeout_s))
-        self.answered_s = time.monotonic()
+        self._update_staleness()
+        connect_deadline_s = asyncio.get_running_loop().time() + POLL_TIMEOUT_S
+        connection = await self._connect(connect_deadline_s)
+        self.progress.clear()
+        is_ended = False
+
+        def on_ended(ended: DiscoveryCall) -> None:
+            nonlocal is_ended
+            is_ended = True
+            if self.late_calls.remove(ended):
+                self._late_call_ended(ended)
+            else:
+                self.progress.set()
+
+        call = DiscoveryCall(poll, connection, self._request(poll), on_ended)
+        call.start()
+        answered_s = self.answered_s
+        try:
+            async with asyncio.timeout_at(self._timeout_at(poll, connect_deadline_s)):
+                while not (is_ended or (not poll.hold_ms and self.answered_s > answered_s)):
+                    await self.progress.wait()
+                    self.progress.clear()
+        except TimeoutError:
+            self._let_be_late(call)
+            raise PollTimeoutError("no answer: timeout") from None
+        except BaseException:
+            call.give_up()
+            raise
+        if not is_ended:
+            self._let_be_late(call)
+            return self.watch.schedule.pause_s
+        answer = self._read(call)
+        self._apply(answer)
+        now_s = time.monotonic()
+        pause_s = self.watch.on_outcome(PollOutcome.ANSWERED, now_s, bool(answer.endpoints))
+        self._answered(poll)
+        return pause_s or 0.0
+
+    @staticmethod
+    def _timeout_at(poll: Poll, connect_deadline_s: float) -> float:
+        """Return when a poll that is sent now times out (event-loop time)."""
+        if poll.timeout_s is None:
+            return connect_deadline_s
+        return asyncio.get_running_loop().time() + poll.timeout_s
+
+    def _let_be_late(self, call: DiscoveryCall) -> None:
+        """Let a poll stay in flight beside the next one."""
+        self.connection = None
+        self.late_calls.add(call)
+
+    def _late_call_ended(self, call: DiscoveryCall) -> None:
+        """Use the answer to a poll that had timed out, if it has one."""
+        now_s = time.monotonic()
+        try:
+            answer = self._read(call)
+            self._apply(answer)
+        except Exception as error:  # noqa: BLE001 (it must not end the watch, nor the connection)
+            _log_failure(error)
+            return
+        log.info(
+            "late discovery answer: version=%d after_s=%.3f hold_s=%.3f",
+            answer.version,
+            now_s - call.poll.started_s,
+            call.poll.hold_ms / MS_PER_S,
+        )
+        self.watch.on_answer(call.poll, now_s, bool(answer.endpoints))
+        self._answered(call.poll)
+        self.progress.set()
+
+    def _read(self, call: DiscoveryCall) -> EndpointList:
+        """Return the answer to a poll, and keep one connection for the next one.
+
+        Raises:
+            PollError: There is no valid answer.
+            MalformedError: The list is malformed.
+        """
+        if self.connection is None:
+            self.connection = call.connection
+        elif self.connection is not call.connection:
+            call.connection.abort()
+        return _parse(call.response())
+
+    def _apply(self, answer: EndpointList) -> None:
+        """Pass on a list, or changes that are not known."""
         endpoints = answer.endpoints
         is_full = answer.is_full
         # An older answer, or changes whose version is not newer, contain no new information.
@@ -199,57 +301,42 @@
             endpoints = []
             is_full = False
         self.version = max(self.version, answer.version)
-        self.staleness.on_answer()
         if endpoints or is_full or not self.is_always_watching:
             kind = api.EndpointListKind.FULL if is_full else api.EndpointListKind.DELTA
             self.listener(kind, endpoints)
             self._log_list(kind, endpoints)
+
+    def _answered(self, poll: Poll) -> None:
+        """Note that a poll is answered, and what that tells of the list."""
+        self.answered_s = time.monotonic()
+        self.late_calls.give_up_before(poll)
+        self._update_staleness()
         self.driver.start_times.list_received(time.monotonic_ns())
 
+    def _update_staleness(self) -> None:
+        """Apply the deadline of the changes that may not be known, and look again when it ends."""
+        if self.settle_timer is not None:
+            self.settle_timer.cancel()
+            self.settle_timer = None
+        self.watch.settle(time.monotonic())
+        self.staleness.update(self.watch.deadline_s)
+        settles_s = self.watch.settles_s
+        if settles_s is not None:
+            left_s = settles_s - time.monotonic()
+            self.settle_timer = call_after(max(0.0, left_s), self._update_staleness)
+
     def _log_list(self, kind: api.EndpointListKind, endpoints: list[Endpoint]) -> None:
         driver = self.driver
         driver.traffic_log.endpoint_list_received(
             kind, self.version, len(endpoints), len(driver.upstreams.targets)
         )
 
-    def _target(self, poll: Poll) -> bytes:
-        if poll.kind is PollKind.FULL_LIST:
-            return PATH
-        return PATH + b"?from=%d&hold_ms=%d" % (self.version, poll.hold_ms)
-
-    async def _get(self, target: bytes, timeout_s: float | None) -> Response:
-        """Send one request and return the response.
-
-        Args:
-            target: The request target.
-            timeout_s: The time for the answer once connected; None: what is left
-                of `POLL_TIMEOUT_S` after connecting.
-        """
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + POLL_TIMEOUT_S
-        connection = await self._connect(deadline_s)
-        answer: asyncio.Future[tuple[api.AttemptResult, Response | None]] = loop.create_future()
-
-        def on_end(result: api.AttemptResult, response: Response | None) -> None:
-            if not answer.done():
-                answer.set_result((result, response))
-
+    def _request(self, poll: Poll) -> bytes:
+        target = PATH
+        if poll.kind is not PollKind.FULL_LIST:
+            target += b"?from=%d&hold_ms=%d" % (self.version, poll.hold_ms)
         host = f"{self.address[0]}:{self.address[1]}".encode()
-        request = message(b"GET %b HTTP/1.1" % target, [(b"Host", host)])
-        exchange = Exchange(request, on_end, expected=ExpectedResponse(MAX_LIST_BYTES))
-        exchange.expire_in(deadline_s - loop.time() if timeout_s is None else timeout_s)
-        connection.start(exchange)
-        try:
-            result, response = await answer
-        finally:
-            exchange.give_up(api.AttemptResult.CANCELLED)
-        if response is None:
-            errors = {
-                api.AttemptResult.TIMEOUT: PollTimeoutError,
-                api.AttemptResult.ERROR: MalformedAnswerError,
-            }
-            raise errors.get(result, PollError)(f"no answer: {result.value}")
-        return response
+        return message(b"GET %b HTTP/1.1" % target, [(b"Host", host)])
 
     async def _connect(self, deadline_s: float) -> UpstreamConnection:
         """Return a connection that is ready for a request."""
@@ -257,6 +344,7 @@
             if self.connection.reusable:
                 return self.connection
             self.connection.abort()
+            self.connection = None
         connection = UpstreamConnection(_ignore_connection, _ignore_connection, self.memory)
         try:
             async with asyncio.timeout_at(deadline_s):
--- a/loadbalancer/proxy/discovery_watch.py
+++ b/loadbalancer/proxy/discovery_watch.py
@@ -13,6 +13,11 @@
     hold + ANSWER_GRACE_S           the poll times out
     deadline - hold - ANSWER_GRACE_S  remains for recovery: at least 1.2 s, whatever the hold
 
+A poll that times out stays in flight, and its answer is used whenever it arrives; the next poll is
+sent beside it. From the answers follows how late discovery is. If that is more than a poll's
+timeout, the next polls wait for longer, and holds are shorter, so that an answer arrives before the
+deadline. Where it can't, nothing new is sent from the deadline on, until it has arrived.
+
 Discovery serves polls sequentially, so all balancers whose watches fell silent together share the
 remaining time. The changes since a known version are a few lines. A full list costs discovery as
 much as dozens of such answers, and so may the first poll of a new watch. Discovery rejects polls
@@ -23,8 +28,9 @@
 
 from __future__ import annotations
 
+import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Final
 
@@ -58,12 +64,22 @@
 # changes are polled for without a hold (a check), with the timeout `CHECK_TIMEOUT_S`. Failed checks
 # are repeated after a short pause until `MAX_RECOVERY_S` after the deadline.
 CHECK_TIMEOUT_S = 1.2
-# Timeout of a check after one that timed out. The deadline has passed by then, and discovery is
-# either down or slow. A slow service needs enough time, or no poll would ever succeed again.
-RECHECK_TIMEOUT_S = 2.4
+RECHECK_TIMEOUT_S = 2.4  # of a check after one that timed out
 # If the last answer was slower than `CHECK_TIMEOUT_S`, the next poll with a hold times out only
-# `DEADLINE_MARGIN_S` before its deadline. That leaves no time for a check, which would fail anyway.
+# `DEADLINE_MARGIN_S` before its deadline, or `DELAY_MARGIN_S` after an answer of the same delay is
+# due, if that is later. That leaves no time for a check, which would be late anyway.
 DEADLINE_MARGIN_S = 0.1
+DELAY_MARGIN_S = 0.3
+# A poll without an answer is given up so long after its hold. It exceeds the time after which all
+# that discovery has to tell is in force.
+MAX_ANSWER_S = 8.0
+# Polls that have timed out and stay in flight beside the current one. The oldest is kept longest:
+# its answer is the next to arrive if discovery is slow, that of the current one if it was silent.
+MAX_LATE_POLLS = 2
+# The longest hold of a very slow discovery's sole poller, which other balancers take for silent
+# after 12 s without news of its list.
+MAX_SOLE_POLLER_HOLD_MS = 5_000
+MOVE_DEADLINE_S = 4.0  # from SIGHUP until what discovery at another address has to tell is in force
 RECHECK_PAUSE_S = 0.1
 RECHECK_PAUSE_PER_BALANCER_S = 0.01
 MAX_RECOVERY_S = 4.0
@@ -78,6 +94,12 @@
     return max(CHANGE_DEADLINE_S, hold_ms / MS_PER_S + HOLD_DEADLINE_S)
 
 
+def can_answer_in_time(hold_ms: int, delay_s: float) -> bool:
+    """Return whether an answer that is late by this delay arrives before a poll's deadline."""
+    due_s = hold_ms / MS_PER_S + delay_s + DELAY_MARGIN_S
+    return due_s <= deadline_in_s(hold_ms) - DEADLINE_MARGIN_S
+
+
 class PollKind(Enum):
     """Type of a poll."""
 
@@ -105,11 +127,35 @@
         hold_ms: How long discovery may delay the answer; 0: it answers immediately.
         timeout_s: Time for the answer once connected; None: the remainder of `POLL_TIMEOUT_S`,
             which includes the connect.
+        started_s: When it was sent, in monotonic seconds.
     """
 
     kind: PollKind
     hold_ms: int
     timeout_s: float | None
+    started_s: float = 0.0
+
+    @property
+    def deadline_s(self) -> float:
+        """When a change that the poll hides is in force, if it falls silent."""
+        if self.kind is PollKind.FULL_LIST:
+            return self.started_s + MOVE_DEADLINE_S
+        return self.started_s + deadline_in_s(self.hold_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Doubt:
+    """A time in which discovery may have had a change that is not known.
+
+    Attributes:
+        started_s: When it began; an answer to a poll that was sent then or later ends it.
+        deadline_s: When such a change is in force.
+        until_s: When it ends without an answer, because the change would be known by then.
+    """
+
+    started_s: float
+    deadline_s: float
+    until_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,25 +197,43 @@
 
     Attributes:
         has_list: Whether a list is known, so that discovery can send the changes since its version.
-        deadline_s: When a change hidden by a silent watch may be in force; None: discovery has
-            answered since.
-        is_slow: Whether the last answer came more than `CHECK_TIMEOUT_S` after its hold.
+        delay_s: How late answers are after their hold, in seconds. It rises to the delay of the
+            last answer at once, and falls by half of the difference.
     """
 
     def __init__(self, balancers: int, index: int, rng: random.Random) -> None:
         self.rng = rng
         self.next_kind = PollKind.FULL_LIST
         self.has_list = False
-        self.deadline_s: float | None = None
-        self.is_slow = False
+        self.delay_s = 0.0
+        self._doubts: list[Doubt] = []
         self._has_check_failed = False
         self._fleet_size = max(1, balancers)
         self._fleet_index = index % self._fleet_size
         self._backoff_s = MIN_BACKOFF_S
-        self._poll: Poll | None = None  # in flight
-        self._poll_started_s = 0.0
+        self._poll = Poll(PollKind.FULL_LIST, 0, None)  # the latest
         self.set_sole_poller(False)
 
+    @property
+    def deadline_s(self) -> float | None:
+        """When a change that is not known may be in force; None: there can't be one."""
+        return min((doubt.deadline_s for doubt in self._doubts), default=None)
+
+    @property
+    def settles_s(self) -> float | None:
+        """When `settle` is due; None: only an answer can end the doubt."""
+        until_s = min((doubt.until_s for doubt in self._doubts), default=math.inf)
+        return None if math.isinf(until_s) else until_s
+
+    def settle(self, now_s: float) -> None:
+        """End doubts about changes that would be known by now."""
+        self._doubts = [doubt for doubt in self._doubts if doubt.until_s > now_s]
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether answers come more than `CHECK_TIMEOUT_S` after their hold."""
+        return self.delay_s > CHECK_TIMEOUT_S
+
     @property
     def mean_hold_ms(self) -> float:
         """The mean hold over the fleet."""
@@ -177,6 +241,7 @@
 
     def set_sole_poller(self, is_sole: bool) -> None:
         """Set whether this balancer alone polls for the fleet, with a fleet size of 1."""
+        self._is_sole_poller = is_sole
         self.index = 0 if is_sole else self._fleet_index
         self.schedule = PollSchedule.for_fleet(1 if is_sole else self._fleet_size)
 
@@ -184,70 +249,148 @@
         """Handle a list from a cache or a separate poll; next, poll for changes since."""
         self.next_kind = PollKind.CATCH_UP
         self.has_list = True
-        self.deadline_s = None
+        self.trust_list()
+
+    def trust_list(self) -> None:
+        """End all doubts, because the list comes from a source that is known to be current."""
+        self._doubts.clear()
 
     def forget_list(self) -> None:
         """Discard the known list, and poll for the full list next."""
         self.next_kind = PollKind.FULL_LIST
         self.has_list = False
 
+    # ---- the next poll ---------------------------------------------------------------------------
+
     def next_poll(self, now_s: float) -> Poll:
         """Return the poll to send now."""
-        self._poll = self._make_poll()
-        self._poll_started_s = now_s
-        return self._poll
+        poll = replace(self._make_poll(), started_s=now_s)
+        self._poll = poll
+        may_exceed_deadline = (
+            poll.timeout_s is not None and now_s + poll.timeout_s > poll.deadline_s
+        )
+        if may_exceed_deadline and self._is_watch(poll.kind):
+            self._doubts.append(Doubt(now_s, poll.deadline_s))
+        return poll
 
     def _make_poll(self) -> Poll:
+        due_s = self.delay_s + DELAY_MARGIN_S
         if self.next_kind is PollKind.FULL_LIST:
-            return Poll(PollKind.FULL_LIST, 0, None)
+            return Poll(PollKind.FULL_LIST, 0, due_s if due_s > POLL_TIMEOUT_S else None)
         if self.next_kind is PollKind.CHECK:
             timeout_s = RECHECK_TIMEOUT_S if self._has_check_failed else CHECK_TIMEOUT_S
-            return Poll(PollKind.CHECK, 0, timeout_s)
+            return Poll(PollKind.CHECK, 0, max(timeout_s, due_s) if self.is_slow else timeout_s)
         hold_ms = self.schedule.hold_ms(self.index, self.rng)
         if self.next_kind is PollKind.CATCH_UP:
             hold_ms = min(hold_ms, CATCH_UP_HOLD_MS)
-        if self.is_slow:
-            return Poll(self.next_kind, hold_ms, deadline_in_s(hold_ms) - DEADLINE_MARGIN_S)
-        return Poll(self.next_kind, hold_ms, hold_ms / MS_PER_S + ANSWER_GRACE_S)
-
-    def on_outcome(self, outcome: PollOutcome, now_s: float) -> float | None:
-        """Handle the outcome of a poll.
+        if not self.is_slow:
+            return Poll(self.next_kind, hold_ms, hold_ms / MS_PER_S + ANSWER_GRACE_S)
+        hold_ms = self._hold_of_slow_discovery(hold_ms)
+        timeout_s = max(deadline_in_s(hold_ms) - DEADLINE_MARGIN_S, hold_ms / MS_PER_S + due_s)
+        return Poll(self.next_kind, hold_ms, timeout_s)
+
+    def _hold_of_slow_discovery(self, hold_ms: int) -> int:
+        """Return the hold of a poll, given how late discovery is.
+
+        A shorter hold lets the answer arrive before the deadline. It is taken if polls are not more
+        frequent than usual, and a change that follows another is known before its deadline, too.
+        Otherwise each poll costs time in which nothing is sent, and there are as few as possible.
+        """
+        if can_answer_in_time(hold_ms, self.delay_s):
+            return hold_ms
+        longest_s = CHANGE_DEADLINE_S - DEADLINE_MARGIN_S - DELAY_MARGIN_S - self.delay_s
+        is_frequent = longest_s + self.delay_s < self.mean_hold_ms / MS_PER_S
+        if not is_frequent and not self._doubt_after_answer(0.0):
+            return int(longest_s * MS_PER_S)
+        return max(hold_ms, MAX_SOLE_POLLER_HOLD_MS if self._is_sole_poller else MAX_MEAN_HOLD_MS)
+
+    # ---- outcomes --------------------------------------------------------------------------------
+
+    def on_outcome(
+        self, outcome: PollOutcome, now_s: float, brings_changes: bool = False
+    ) -> float | None:
+        """Handle the outcome of the latest poll; if it timed out, it stays in flight.
+
+        Args:
+            outcome: The outcome.
+            now_s: The time in monotonic seconds.
+            brings_changes: Whether the answer has entries, known ones or not, so that it may have
+                come before the end of the hold.
 
         Returns:
             The pause before the next poll, in seconds; None: the poll failed, and the caller waits
             for `backoff_pause_s`.
         """
-        kind = self.next_kind
+        kind = self._poll.kind
         if outcome is PollOutcome.ANSWERED:
-            self._note_delay(now_s)
-            self.next_kind = PollKind.WATCH
-            self.has_list = True
-            self.deadline_s = None
-            if kind is not PollKind.FULL_LIST:
-                self._backoff_s = MIN_BACKOFF_S
-            return self._jittered(self.schedule.pause_s)
-        is_watch_silent = outcome is PollOutcome.TIMED_OUT and kind in (
-            PollKind.WATCH,
-            PollKind.CATCH_UP,
-        )
+            return self.on_answer(self._poll, now_s, brings_changes)
+        has_timed_out = outcome is PollOutcome.TIMED_OUT
+        is_watch_silent = has_timed_out and self._is_watch(kind)
+        self._doubts = [doubt for doubt in self._doubts if doubt.started_s != self._poll.started_s]
         if is_watch_silent:
-            self._set_deadline()
-        self._has_check_failed = kind is PollKind.CHECK and outcome is PollOutcome.TIMED_OUT
+            self._doubts.append(Doubt(self._poll.started_s, self._poll.deadline_s))
+        self._has_check_failed = kind is PollKind.CHECK and has_timed_out
         self._choose_after_failure(kind, outcome)
-        if self.deadline_s is None or now_s > self.deadline_s + MAX_RECOVERY_S:
+        deadline_s = self.deadline_s
+        if has_timed_out and kind is PollKind.FULL_LIST:
+            self._doubts.append(Doubt(self._poll.started_s, self._poll.deadline_s))
+        if deadline_s is None or now_s > deadline_s + MAX_RECOVERY_S:
             return None
         return self._jittered(
             self.schedule.pause_s if is_watch_silent else self.schedule.recheck_pause_s
         )
 
-    def _note_delay(self, now_s: float) -> None:
+    def on_answer(self, poll: Poll, now_s: float, brings_changes: bool = False) -> float:
+        """Handle the answer to a poll, which may have timed out before.
+
+        Args:
+            poll: The poll.
+            now_s: The time in monotonic seconds.
+            brings_changes: As for `on_outcome`.
+
+        Returns:
+            The pause before the next poll, in seconds.
+        """
+        self._note_delay(poll, now_s, brings_changes)
+        self._doubts = [doubt for doubt in self._doubts if doubt.started_s > poll.started_s]
+        pause_s = self._jittered(self.schedule.pause_s)
+        doubts = self._doubt_after_answer(now_s)
+        self._doubts += doubts
+        # If discovery is no longer late, a check ends the doubt at once.
+        is_check_due = bool(doubts) and poll.kind is not PollKind.CHECK
+        self.next_kind = PollKind.CHECK if is_check_due else PollKind.WATCH
+        self.has_list = True
+        if poll.kind is not PollKind.FULL_LIST:
+            self._backoff_s = MIN_BACKOFF_S
+        return pause_s
+
+    def _note_delay(self, poll: Poll, now_s: float, brings_changes: bool) -> None:
         """Record the answer's delay after its hold; answers before its end don't count."""
         self._has_check_failed = False
-        if self._poll is None or self._poll.kind is PollKind.FULL_LIST:
-            return
-        delay_s = now_s - self._poll_started_s - self._poll.hold_ms / MS_PER_S
-        if delay_s > 0.0:
-            self.is_slow = delay_s > CHECK_TIMEOUT_S
+        delay_s = now_s - poll.started_s - poll.hold_ms / MS_PER_S
+        if poll.kind is PollKind.FULL_LIST and delay_s <= POLL_TIMEOUT_S:
+            return  # a full list takes longer than changes, and tells little of their delay
+        delay_s = min(delay_s, CHANGE_DEADLINE_S)
+        if brings_changes and poll.hold_ms:
+            delay_s = max(delay_s, self.delay_s)  # the hold was shorter than asked for
+        if delay_s > self.delay_s:
+            self.delay_s = delay_s
+        elif delay_s > 0.0:
+            self.delay_s = (delay_s + self.delay_s) / 2
+
+    def _doubt_after_answer(self, now_s: float) -> list[Doubt]:
+        """Return the doubt about changes since discovery wrote the answer that arrives now.
+
+        The next poll brings them. If discovery is very late, that is after their deadline.
+        """
+        deadline_s = now_s - self.delay_s + CHANGE_DEADLINE_S
+        until_s = now_s + self.schedule.pause_s + self.delay_s + DELAY_MARGIN_S
+        return [Doubt(now_s, deadline_s, until_s)] if until_s > deadline_s else []
+
+    @staticmethod
+    def _is_watch(kind: PollKind) -> bool:
+        """Whether discovery may hold the answer to such a poll."""
+        return kind in (PollKind.WATCH, PollKind.CATCH_UP)
 
     def _choose_after_failure(self, kind: PollKind, outcome: PollOutcome) -> None:
         """Choose the next poll after one without a valid answer.
@@ -267,15 +410,6 @@
         else:
             self.next_kind = PollKind.CATCH_UP if self.deadline_s is None else PollKind.CHECK
 
-    def _set_deadline(self) -> None:
-        """Set the deadline after a silent poll, as if the silence began with the poll."""
-        assert self._poll is not None
-        deadline_s = self._poll_started_s + deadline_in_s(self._poll.hold_ms)
-        if self.deadline_s is None:
-            self.deadline_s = deadline_s
-        else:
-            self.deadline_s = min(deadline_s, self.deadline_s)
-
     def _jittered(self, max_s: float) -> float:
         return max_s * self.rng.uniform(0.7, 1.0)
 
--- a/loadbalancer/proxy/endpoint_staleness.py
+++ b/loadbalancer/proxy/endpoint_staleness.py
@@ -1,9 +1,10 @@
 """Decides whether the endpoint list may be used while discovery does not answer.
 
-A watch that falls silent may hide a change. Once such a change would be in force, the list is
-stale: any of its upstreams may be draining, and the balancer would not notice. No new request is
-sent with a stale list until discovery answers. After `MAX_STALE_S` the list is used nevertheless:
-if discovery stays unreachable, using an old list is better than serving no clients at all.
+A watch that falls silent, and a discovery that answers late, may hide a change. Once such a change
+would be in force, the list is stale: any of its upstreams may be draining, and the balancer would
+not notice. No new request is sent with a stale list until discovery answers. After `MAX_STALE_S`
+without an answer the list is used nevertheless: if discovery stays unreachable, using an old list
+is better than serving no clients at all.
 """
 
 from __future__ import annotations
@@ -31,8 +32,8 @@
     """Degree to which the list is trusted."""
 
     FRESH = "discovery has answered since the last silence"
-    SUSPECT = "a watch fell silent: what it hid is not in force yet"
-    STALE = "what it hid is in force by now: nothing new is sent"
+    SUSPECT = "discovery may have a change that is not known, and not in force yet"
+    STALE = "such a change may be in force by now: nothing new is sent"
     OVERRIDDEN = "discovery is unreachable for too long: the old list is used after all"
 
 
@@ -44,31 +45,35 @@
         self.state = Staleness.FRESH
         self.timer: asyncio.TimerHandle | None = None
 
-    def on_watch_silent(self, deadline_s: float) -> None:
-        """Handle a watch that fell silent; repeated calls during the silence do nothing.
+    def update(self, deadline_s: float | None) -> None:
+        """Handle the deadline of the changes that may not be known.
 
         Args:
-            deadline_s: When a change hidden by the watch is in force, in monotonic seconds.
+            deadline_s: When such a change may be in force, in monotonic seconds; None: there can't
+                be one.
         """
-        if self.state is Staleness.FRESH:
-            self.state = Staleness.SUSPECT
-            grace_s = self.driver.settings.rules.drain_grace_ns / NS_PER_S
-            until_s = deadline_s + max(0.0, grace_s - PROCESSING_MARGIN_S)
-            self._set_timer(until_s - time.monotonic(), self._expire)
-
-    def on_answer(self) -> None:
-        """Handle a list, or changes, from discovery."""
+        if deadline_s is None:
+            self._trust(Staleness.FRESH)
+            return
+        grace_s = self.driver.settings.rules.drain_grace_ns / NS_PER_S
+        left_s = deadline_s + max(0.0, grace_s - PROCESSING_MARGIN_S) - time.monotonic()
+        if left_s > 0.0 or self.is_trusted:
+            self._trust(Staleness.SUSPECT)
+            self._set_timer(left_s, self._expire)
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether the list is used without restriction."""
+        return self.state in (Staleness.FRESH, Staleness.SUSPECT)
+
+    def _trust(self, state: Staleness) -> None:
         self._cancel_timer()
         was_stale = self.state is Staleness.STALE
-        self.state = Staleness.FRESH
+        self.state = state
         if was_stale:
             log.info("endpoint list fresh again")
             self.driver.set_trusted(True)
 
-    def close(self) -> None:
-        """Trust the list, which another source provides once discovery is not polled."""
-        self.on_answer()
-
     def _expire(self) -> None:
         self.state = Staleness.STALE
         log.warning("endpoint list stale: nothing new is sent until discovery answers")
--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -17,15 +17,23 @@
 class Discovery:
     """The service. Each balancer process is told an address of its own, so that its calls are
     known.
+
+    Args:
+        history: What happens.
+        usual_delay_s: How late all answers are.
+
+    Attributes:
+        delay_s: How late answers are now.
     """
 
-    def __init__(self, history: History) -> None:
+    def __init__(self, history: History, usual_delay_s: float = 0.0) -> None:
         self.history = history
+        self.usual_delay_s = usual_delay_s
         self.rows: dict[str, Json] = {}
         self.changed: list[tuple[int, str]] = []
         self.version = 1
         self.busy = self.down = False
-        self.delay_s = 0.0
+        self.delay_s = usual_delay_s
         self.servers: dict[int, asyncio.Server] = {}  # by port
         self.process_at: dict[int, int] = {}
         self.links: set[Caller] = set()
--- a/loadbalancer/testbed/soak/discovery_faults.py
+++ b/loadbalancer/testbed/soak/discovery_faults.py
@@ -51,12 +51,16 @@
             await self.discovery.come_back()
 
     async def _slow(self, event: Event) -> None:
-        self.discovery.delay_s = SLOW_ANSWER_S
+        self._answer_later_by(SLOW_ANSWER_S)
         await self._outage(event)
-        self.discovery.delay_s = 0.0
+        self._answer_later_by(0.0)
 
     async def _late(self, event: Event) -> None:
         """Answer everything late: a change is known all the same within its term."""
-        self.discovery.delay_s = random.Random(event.draw).uniform(*LATE_ANSWER_S)
+        self._answer_later_by(random.Random(event.draw).uniform(*LATE_ANSWER_S))
         await asyncio.sleep(event.lasts_s)
-        self.discovery.delay_s = 0.0
+        self._answer_later_by(0.0)
+
+    def _answer_later_by(self, seconds: float) -> None:
+        discovery = self.discovery
+        discovery.delay_s = max(discovery.usual_delay_s, seconds)
--- a/loadbalancer/testbed/soak/plan.py
+++ b/loadbalancer/testbed/soak/plan.py
@@ -56,6 +56,7 @@
         long_answers: The share of the requests that ask for a long answer, written slowly.
         long_messages: The share of the requests with a long answer in lumps, an answer that stops,
             or a long body that its client writes or its upstream reads slowly.
+        discovery_delay_s: How late all answers of discovery are.
         cold_returns: Upstreams of limited capacity are lost and come back cold under a burst.
     """
 
@@ -77,6 +78,7 @@
     long_answers: float = 0.0
     flood: Flood | None = None
     long_messages: float = 0.0
+    discovery_delay_s: float = 0.0
 
     @property
     def cold_ns(self) -> int:
--- a/loadbalancer/testbed/soak/run.py
+++ b/loadbalancer/testbed/soak/run.py
@@ -74,7 +74,7 @@
         rng = random.Random(plan.seed)
         self.history = History()
         self.library = shim.build(folder)
-        self.discovery = Discovery(self.history)
+        self.discovery = Discovery(self.history, plan.discovery_delay_s)
         self.upstreams = [
             Upstream(
                 f"s-{n}",
