Discovery: waiting for a poll is a function; a poll that has just ended is not late

Cause: a poll that ended in the turn of the event loop in which its timeout fired was put among the late ones, and its answer was never read; by reading, not seen. The function that polls had grown to 45 lines, and two tests of long answers repeated each other.

--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -213,32 +213,10 @@
         self._update_staleness()
         connect_deadline_s = asyncio.get_running_loop().time() + POLL_TIMEOUT_S
         connection = await self._connect(connect_deadline_s)
-        self.progress.clear()
-        is_ended = False
-
-        def on_ended(ended: DiscoveryCall) -> None:
-            nonlocal is_ended
-            is_ended = True
-            if self.late_calls.remove(ended):
-                self._late_call_ended(ended)
-            else:
-                self.progress.set()
-
-        call = DiscoveryCall(poll, connection, self._request(poll), on_ended)
+        call = DiscoveryCall(poll, connection, self._request(poll), self._call_ended)
         call.start()
-        answered_s = self.answered_s
-        try:
-            async with asyncio.timeout_at(self._timeout_at(poll, connect_deadline_s)):
-                while not (is_ended or (not poll.hold_ms and self.answered_s > answered_s)):
-                    await self.progress.wait()
-                    self.progress.clear()
-        except TimeoutError:
-            self._let_be_late(call)
-            raise PollTimeoutError("no answer: timeout") from None
-        except BaseException:
-            call.give_up()
-            raise
-        if not is_ended:
+        await self._wait_for(call, self._timeout_at(poll, connect_deadline_s))
+        if not call.has_ended:
             self._let_be_late(call)
             return self.watch.schedule.pause_s
         answer = self._read(call)
@@ -248,6 +226,28 @@
         self._answered(poll)
         return pause_s or 0.0
 
+    async def _wait_for(self, call: DiscoveryCall, timeout_at_s: float) -> None:
+        """Wait for the end of a poll, or for the answer to a late one if that makes it needless.
+
+        Raises:
+            PollTimeoutError: The poll has timed out, and stays in flight.
+        """
+        answered_s = self.answered_s
+        is_needless = False
+        try:
+            async with asyncio.timeout_at(timeout_at_s):
+                while not (call.has_ended or is_needless):
+                    self.progress.clear()
+                    await self.progress.wait()
+                    is_needless = not call.poll.hold_ms and self.answered_s > answered_s
+        except TimeoutError:
+            if not call.has_ended:  # it may have ended in the same turn of the event loop
+                self._let_be_late(call)
+                raise PollTimeoutError("no answer: timeout") from None
+        except BaseException:
+            call.give_up()
+            raise
+
     @staticmethod
     def _timeout_at(poll: Poll, connect_deadline_s: float) -> float:
         """Return when a poll that is sent now times out (event-loop time)."""
@@ -260,6 +260,12 @@
         self.connection = None
         self.late_calls.add(call)
 
+    def _call_ended(self, call: DiscoveryCall) -> None:
+        if self.late_calls.remove(call):
+            self._late_call_ended(call)
+        else:
+            self.progress.set()
+
     def _late_call_ended(self, call: DiscoveryCall) -> None:
         """Use the answer to a poll that had timed out, if it has one."""
         now_s = time.monotonic()
--- a/loadbalancer/proxy/discovery_call.py
+++ b/loadbalancer/proxy/discovery_call.py
@@ -40,6 +40,7 @@
 
     Attributes:
         connection: The connection.
+        has_ended: Whether the poll has an outcome.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
     ) -> None:
         self.poll = poll
         self.connection = connection
+        self.has_ended = False
         self._on_ended = on_ended
         self._result = api.AttemptResult.CANCELLED
         self._response: Response | None = None
@@ -83,6 +85,7 @@
     def _end(self, result: api.AttemptResult, response: Response | None) -> None:
         self._result = result
         self._response = response
+        self.has_ended = True
         self._on_ended(self)
 
 
--- a/tests/proxy/test_message_ends.py
+++ b/tests/proxy/test_message_ends.py
@@ -113,17 +113,23 @@
     run(main())
 
 
+async def expect_whole(address: tuple[str, int], name: str, form: AnswerForm, wait_ms: int) -> None:
+    """Ask for an answer of this form, and expect all of it."""
+    reader, writer = await asyncio.open_connection(*address)
+    head = head_of(name, wait_ms, "Content-Length: 0")
+    writer.write(with_target(head, form.query))
+    answer_head = await read_head(reader)
+    assert answer_head.startswith("http/1.1 200")
+    received = sum([len(piece) async for piece in body_pieces(reader, answer_head)])
+    assert received == form.size, (received, form)
+
+
 # A long answer was cut off whose body began more than 0.35 s behind its client's time.
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_a_long_answer_whose_body_begins_late_is_not_cut_off(framing: Framing) -> None:
     async def play(address: tuple[str, int], number: int, first_ms: int, wait_ms: int) -> None:
         form = AnswerForm(90_000, 0, framing, lump=2_000, pause_ms=50, first_ms=first_ms)
-        reader, writer = await asyncio.open_connection(*address)
-        head = head_of(f"r{number}", wait_ms, "Content-Length: 0")
-        writer.write(with_target(head, form.query))
-        answer_head = await read_head(reader)
-        received = sum([len(piece) async for piece in body_pieces(reader, answer_head)])
-        assert received == form.size, (received, form)
+        await expect_whole(address, f"r{number}", form, wait_ms)
 
     async def main() -> None:
         async with balancer_with_raw_upstream(
@@ -144,13 +150,7 @@
         form = AnswerForm(
             200_000, 0, framing, lump=100_000, first=first, pause_ms=1, first_pause_ms=pause_ms
         )
-        reader, writer = await asyncio.open_connection(*address)
-        head = head_of(f"r{first}-{pause_ms}-{wait_ms}", wait_ms, "Content-Length: 0")
-        writer.write(with_target(head, form.query))
-        answer_head = await read_head(reader)
-        assert answer_head.startswith("http/1.1 200")
-        received = sum([len(piece) async for piece in body_pieces(reader, answer_head)])
-        assert received == form.size, (received, form)
+        await expect_whole(address, f"r{first}-{pause_ms}-{wait_ms}", form, wait_ms)
 
     async def main() -> None:
         async with balancer_with_raw_upstream(
