Soak: one call enables an upstream, however often it was disabled

Cause: two troubles disabled the same upstream at the same balancer, and the first one's end enabled it, as the pages have it ("a single call back ends the ban"). Change: the end of a ban ends all of the same balancer and upstream.

--- a/loadbalancer/testbed/soak/balancer_faults.py
+++ b/loadbalancer/testbed/soak/balancer_faults.py
@@ -240,6 +240,14 @@
         await asyncio.sleep(event.lasts_s)
         control.set(part=0.0)
 
+    def _end_bans(self, enabled: Disabled) -> None:
+        """Note that an upstream is enabled: one call does that, however often it was disabled."""
+        now_ns = time.monotonic_ns()
+        for record in self.history.disabled:
+            is_same = (record.balancer, record.upstream) == (enabled.balancer, enabled.upstream)
+            if is_same and not record.until_ns:
+                record.until_ns = now_ns
+
     async def _disable(self, event: Event) -> None:
         balancer = self._balancer(event)
         upstream = self.upstreams[int(event.draw * 7919) % len(self.upstreams)]
@@ -252,7 +260,7 @@
         await asyncio.sleep(event.lasts_s)
         async with balancer.turn:
             assert balancer.now is not None
-            record.until_ns = time.monotonic_ns()
+            self._end_bans(record)
             for _ in range(20):
                 if await balancer.now.call("POST", f"/-/upstreams/{upstream.name}/enable") == 200:
                     return
