Discovery: one function uses an answer, whether or not its poll was late

Cause: the way from an answer to the list, the delay and the staleness stood twice, for the poll that is waited for and for a late one, and on_outcome carried a parameter for the first alone. Change: Discovery._use serves both; the period of short holds is a term of its own and no longer a sum that takes back its difference; a test uses until_closed, which existed. Behaviour is as it was.

--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -219,12 +219,7 @@
         if not call.has_ended:
             self._let_be_late(call)
             return self.watch.schedule.pause_s
-        answer = self._read(call)
-        self._apply(answer)
-        now_s = time.monotonic()
-        pause_s = self.watch.on_outcome(PollOutcome.ANSWERED, now_s, bool(answer.endpoints))
-        self._answered(poll)
-        return pause_s or 0.0
+        return self._use(poll, self._read(call))
 
     async def _wait_for(self, call: DiscoveryCall, timeout_at_s: float) -> None:
         """Wait for the end of a poll, or for the answer to a late one if that makes it needless.
@@ -268,21 +263,18 @@
 
     def _late_call_ended(self, call: DiscoveryCall) -> None:
         """Use the answer to a poll that had timed out, if it has one."""
-        now_s = time.monotonic()
         try:
             answer = self._read(call)
-            self._apply(answer)
+            self._use(call.poll, answer)
         except Exception as error:  # noqa: BLE001 (it must not end the watch, nor the connection)
             _log_failure(error)
             return
         log.info(
             "late discovery answer: version=%d after_s=%.3f hold_s=%.3f",
             answer.version,
-            now_s - call.poll.started_s,
+            time.monotonic() - call.poll.started_s,
             call.poll.hold_ms / MS_PER_S,
         )
-        self.watch.on_answer(call.poll, now_s, bool(answer.endpoints))
-        self._answered(call.poll)
         self.progress.set()
 
     def _read(self, call: DiscoveryCall) -> EndpointList:
@@ -298,6 +290,16 @@
             call.connection.abort()
         return _parse(call.response())
 
+    def _use(self, poll: Poll, answer: EndpointList) -> float:
+        """Apply the answer to a poll, late or not; return the pause before the next poll."""
+        self._apply(answer)
+        self.answered_s = time.monotonic()
+        pause_s = self.watch.on_answer(poll, self.answered_s, bool(answer.endpoints))
+        self.late_calls.give_up_before(poll)
+        self._update_staleness()
+        self.driver.start_times.list_received(time.monotonic_ns())
+        return pause_s
+
     def _apply(self, answer: EndpointList) -> None:
         """Pass on a list, or changes that are not known."""
         endpoints = answer.endpoints
@@ -312,13 +314,6 @@
             self.listener(kind, endpoints)
             self._log_list(kind, endpoints)
 
-    def _answered(self, poll: Poll) -> None:
-        """Note that a poll is answered, and what that tells of the list."""
-        self.answered_s = time.monotonic()
-        self.late_calls.give_up_before(poll)
-        self._update_staleness()
-        self.driver.start_times.list_received(time.monotonic_ns())
-
     def _update_staleness(self) -> None:
         """Apply the deadline of the changes that may not be known, and look again when it ends."""
         if self.settle_timer is not None:
--- a/loadbalancer/proxy/discovery_watch.py
+++ b/loadbalancer/proxy/discovery_watch.py
@@ -298,32 +298,24 @@
         """
         if can_answer_in_time(hold_ms, self.delay_s):
             return hold_ms
-        longest_s = CHANGE_DEADLINE_S - DEADLINE_MARGIN_S - DELAY_MARGIN_S - self.delay_s
-        is_frequent = longest_s + self.delay_s < self.mean_hold_ms / MS_PER_S
+        period_s = CHANGE_DEADLINE_S - DEADLINE_MARGIN_S - DELAY_MARGIN_S  # between two answers
+        is_frequent = period_s < self.mean_hold_ms / MS_PER_S
         if not is_frequent and not self._doubt_after_answer(0.0):
-            return int(longest_s * MS_PER_S)
+            return int((period_s - self.delay_s) * MS_PER_S)
         return max(hold_ms, MAX_SOLE_POLLER_HOLD_MS if self._is_sole_poller else MAX_MEAN_HOLD_MS)
 
     # ---- outcomes --------------------------------------------------------------------------------
 
-    def on_outcome(
-        self, outcome: PollOutcome, now_s: float, brings_changes: bool = False
-    ) -> float | None:
+    def on_outcome(self, outcome: PollOutcome, now_s: float) -> float | None:
         """Handle the outcome of the latest poll; if it timed out, it stays in flight.
 
-        Args:
-            outcome: The outcome.
-            now_s: The time in monotonic seconds.
-            brings_changes: Whether the answer has entries, known ones or not, so that it may have
-                come before the end of the hold.
-
         Returns:
             The pause before the next poll, in seconds; None: the poll failed, and the caller waits
             for `backoff_pause_s`.
         """
         kind = self._poll.kind
         if outcome is PollOutcome.ANSWERED:
-            return self.on_answer(self._poll, now_s, brings_changes)
+            return self.on_answer(self._poll, now_s)
         has_timed_out = outcome is PollOutcome.TIMED_OUT
         is_watch_silent = has_timed_out and self._is_watch(kind)
         self._doubts = [doubt for doubt in self._doubts if doubt.started_s != self._poll.started_s]
@@ -332,6 +324,7 @@
         self._has_check_failed = kind is PollKind.CHECK and has_timed_out
         self._choose_after_failure(kind, outcome)
         deadline_s = self.deadline_s
+        # A full list that times out is followed by a backoff, unless a change was missed before.
         if has_timed_out and kind is PollKind.FULL_LIST:
             self._doubts.append(Doubt(self._poll.started_s, self._poll.deadline_s))
         if deadline_s is None or now_s > deadline_s + MAX_RECOVERY_S:
@@ -346,7 +339,8 @@
         Args:
             poll: The poll.
             now_s: The time in monotonic seconds.
-            brings_changes: As for `on_outcome`.
+            brings_changes: Whether the answer has entries, known ones or not, so that it may have
+                come before the end of the hold.
 
         Returns:
             The pause before the next poll, in seconds.
--- a/tests/proxy/test_body_ownership.py
+++ b/tests/proxy/test_body_ownership.py
@@ -12,6 +12,7 @@
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.memory_account import MemoryAccount
 from tests.fakes import read_message, run, running_balancer
+from tests.proxy.test_memory_account import until_closed
 
 CLIENTS: Final = 4
 BODY_BYTES: Final = 3_000_000
@@ -63,8 +64,7 @@
         async with running_balancer() as harness:
             assert (await harness.ask("before")).status == 200
             memory = frontends[0].memory
-            while frontends[0].clients:
-                await asyncio.sleep(0)
+            await until_closed(frontends[0])
             at_rest_bytes = memory.held_bytes
             clients = [await harness.client() for _ in range(CLIENTS)]
             for number, client in enumerate(clients):
