--- /dev/null
+++ b/tests/proxy/test_handover_lists.py
@@ -0,0 +1,212 @@
+"""Tests that the processes of a balancer use one endpoint list while one replaces the other."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable, Iterable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from itertools import count
+from pathlib import Path
+from typing import Any, Final
+
+import pytest
+
+from loadbalancer.settings import Json
+from tests.fakes import Client, FakeDiscovery, FakeUpstream, Message, free_port, run
+from tests.proxy.test_program import (
+    SETTINGS,
+    call_admin_api,
+    config,
+    listen_address,
+    running_program,
+)
+
+BALANCERS: Final = 4
+CLIENTS: Final = 2  # of each balancer, each with one request at a time
+READY_POLL_S: Final = 0.01
+TERM_DELAY_S: Final = 0.25  # from the readiness of the new process to SIGTERM to the old one
+DRAIN_DELAY_S: Final = 0.1  # from the readiness of the last new process to the change
+# A change is in force from 2 s after the readiness of the new process on. Sends may go on for the
+# grace period and the slack of the rules on sockets.
+HANDOVER_S: Final = 2.0
+GRACE_S: Final = 0.5
+SLACK_S: Final = 0.05
+OBSERVED_S: Final = 2.5  # beyond the latest legal send
+SERVED_SHARE: Final = 0.95
+
+ServiceTime = Callable[
+    [bool, random.Random], float
+]  # of a call: whether it is its connection's first
+
+
+class BusyDiscovery(FakeDiscovery):
+    """A discovery service whose calls take time, in turn or side by side."""
+
+    def __init__(
+        self, rows: Iterable[Json], service_s: ServiceTime, is_sequential: bool, seed: int
+    ) -> None:
+        super().__init__(rows)
+        self.service_s = service_s
+        self.turn = asyncio.Semaphore(1 if is_sequential else BALANCERS * BALANCERS)
+        self.rng = random.Random(seed)
+        self.known_connections: set[int] = set()
+
+    async def _list_or_changes(self, message: Message) -> bytes | None:
+        is_first = message.connection_number not in self.known_connections
+        self.known_connections.add(message.connection_number)
+        async with self.turn:
+            await asyncio.sleep(self.service_s(is_first, self.rng))
+        return await super()._list_or_changes(message)
+
+
+class TimedUpstream(FakeUpstream):
+    """An upstream that records when requests arrive, by the balancer that sent them."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.arrivals: list[tuple[str, float]] = []
+
+    async def _next_response(self, message: Message) -> bytes | None:
+        balancer = message.headers["x-request-id"].partition("-")[0]
+        self.arrivals.append((balancer, time.monotonic()))
+        return await super()._next_response(message)
+
+
+@dataclass
+class ReplacedBalancer:
+    """One balancer, whose process is replaced by a second one.
+
+    Attributes:
+        ready_s: When the second process was ready.
+        statuses: Of all requests that its clients sent.
+    """
+
+    number: int
+    folder: Path
+    configuration: Json
+    ready_s: float = 0.0
+    statuses: list[int] = field(default_factory=list)
+    processes: list[asyncio.subprocess.Process] = field(default_factory=list)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    async def start_process(self, stack: AsyncExitStack) -> None:
+        """Start another process, and wait until it is ready."""
+        admin_address = f"127.0.0.1:{free_port()}"
+        process = await stack.enter_async_context(
+            running_program(
+                self.folder / f"{len(self.processes)}.json",
+                self.configuration,
+                TMPDIR=str(self.folder),
+                BALANCER_MGMT=admin_address,
+            )
+        )
+        self.processes.append(process)
+        assert process.stderr is not None
+        self.tasks.append(asyncio.create_task(self._read_log(process.stderr)))
+        while await self._readiness(admin_address) != 200:
+            await asyncio.sleep(READY_POLL_S)
+        self.ready_s = time.monotonic()
+
+    @staticmethod
+    async def _read_log(log: asyncio.StreamReader) -> None:
+        async for _line in log:
+            pass
+
+    @staticmethod
+    async def _readiness(admin_address: str) -> int:
+        try:
+            return await call_admin_api(admin_address, "/-/ready", "GET")
+        except ConnectionError:
+            return 0
+
+    async def send_requests(self) -> None:
+        """Send requests, each on a new connection, until cancelled."""
+        for number in count():
+            client = await Client.connect(listen_address(self.configuration))
+            response = await client.ask(f"n{self.number}-{id(client)}-{number}")
+            self.statuses.append(response.status)
+            client.close()
+
+    def late_sends(self, upstream: TimedUpstream) -> list[float]:
+        """Return how late its sends to a drained upstream were, in seconds."""
+        limit_s = self.ready_s + HANDOVER_S + GRACE_S + SLACK_S
+        name = f"n{self.number}"
+        return [
+            at_s - limit_s
+            for sender, at_s in upstream.arrivals
+            if sender == name and at_s > limit_s
+        ]
+
+
+async def replace_all(
+    folder: Path, discovery: BusyDiscovery, upstreams: list[TimedUpstream], **settings: Any
+) -> list[ReplacedBalancer]:
+    """Replace the processes of all balancers while an upstream begins to drain."""
+    known = discovery.full_list()
+    balancers = []
+    for number in range(BALANCERS):
+        own_folder = folder / f"n{number}"
+        own_folder.mkdir()
+        fleet = {"me": number, "replicas_of_me": BALANCERS, **settings}
+        configuration = config(
+            discovery=f"127.0.0.1:{discovery.port}",
+            known=known,
+            name=f"n{number}",
+            seed=f"{number + 1:x}",
+            settings={**SETTINGS, **fleet},
+        )
+        balancers.append(ReplacedBalancer(number, own_folder, configuration))
+    async with AsyncExitStack() as stack:
+        await asyncio.gather(*(b.start_process(stack) for b in balancers))
+        await discovery.until(lambda: len(discovery.known_connections) >= BALANCERS)
+        clients = [
+            asyncio.create_task(b.send_requests()) for b in balancers for _ in range(CLIENTS)
+        ]
+        await asyncio.gather(*(b.start_process(stack) for b in balancers))
+        await asyncio.sleep(DRAIN_DELAY_S)
+        discovery.change(upstreams[0].row("Terminating"))
+        await asyncio.sleep(TERM_DELAY_S - DRAIN_DELAY_S)
+        for balancer in balancers:
+            balancer.processes[0].send_signal(signal.SIGTERM)
+        end_s = max(b.ready_s for b in balancers) + HANDOVER_S + GRACE_S + OBSERVED_S
+        await asyncio.sleep(end_s - time.monotonic())
+        for task in clients:
+            task.cancel()
+        failures = await asyncio.gather(*clients, return_exceptions=True)
+        assert all(isinstance(error, asyncio.CancelledError) for error in failures)
+    return balancers
+
+
+SERVICE_TIMES: Final[dict[str, tuple[ServiceTime, bool]]] = {
+    "at once": (lambda _is_first, _rng: 0.0, True),
+    "in turn": (lambda _is_first, rng: rng.uniform(0.05, 0.35), True),
+    "first calls in turn": (lambda is_first, rng: is_first * rng.uniform(0.3, 0.5), True),
+    "first calls side by side": (lambda is_first, _rng: is_first * 2.4, False),
+}
+
+
+# Incident of 2026-12-06: a process that replaced another sent requests to an upstream of whose
+# drain the other process had been told, until discovery answered it.
+@pytest.mark.parametrize("service", SERVICE_TIMES)
+def test_a_new_process_sends_nothing_to_an_upstream_whose_drain_the_old_one_was_told(
+    tmp_path: Path, service: str
+) -> None:
+    async def test() -> None:
+        upstreams = [TimedUpstream(f"s-{n}") for n in range(4)]
+        for upstream in upstreams:
+            await upstream.start()
+        service_s, is_sequential = SERVICE_TIMES[service]
+        discovery = BusyDiscovery((u.row() for u in upstreams), service_s, is_sequential, seed=83)
+        await discovery.start()
+        balancers = await replace_all(tmp_path, discovery, upstreams, registry_mode="ask")
+        assert [b.late_sends(upstreams[0]) for b in balancers] == [[]] * BALANCERS
+        statuses = [status for b in balancers for status in b.statuses]
+        assert statuses.count(200) >= SERVED_SHARE * len(statuses)
+        for server in (*upstreams, discovery):
+            server.stop()
+
+    run(test())
