--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import json
-import logging
 import random
 import time
 from collections.abc import Callable, Coroutine
@@ -24,8 +23,8 @@
     PollError,
     PollTimeoutError,
 )
+from loadbalancer.proxy.discovery_log import DiscoveryLog
 from loadbalancer.proxy.discovery_watch import (
-    MS_PER_S,
     POLL_TIMEOUT_S,
     DiscoveryWatch,
     Poll,
@@ -42,8 +41,6 @@
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
 from loadbalancer.settings import Json, MalformedError
 
-log = logging.getLogger(__name__)
-
 PATH: Final = b"/v1/endpoints"
 NO_VERSION: Final = -1  # older than the version of any list
 
@@ -94,6 +91,7 @@
             settings.instance_count, settings.instance_index, random.Random(seed)
         )
         self.staleness = EndpointStaleness(driver)
+        self.log = DiscoveryLog()
         self.version = NO_VERSION
         self.answered_s = 0.0
         self.connection: UpstreamConnection | None = None
@@ -178,7 +176,7 @@
                 pause_s = await self._poll()
             except Exception as error:  # noqa: BLE001 (an unexpected error must not stop the watch)
                 pause_s = self.watch.on_outcome(poll_outcome(error), time.monotonic())
-                _log_failure(error)
+                self.log.failed(error)
                 self._update_staleness()
             # None: the poll failed, and there is no deadline or it has long passed. The watch ends,
             # or polls again after a backoff.
@@ -201,7 +199,7 @@
             self.watch.on_list_known()
             self._update_staleness()
         except Exception as error:  # noqa: BLE001 (the policy requests another poll)
-            _log_failure(error)
+            self.log.failed(error)
             self.listener(api.EndpointListKind.FAILED, [])
 
     async def _poll(self) -> float:
@@ -210,6 +208,7 @@
         A poll without a hold ends, too, with the answer to a late one, which makes it needless.
         """
         poll = self.watch.next_poll(time.monotonic())
+        self.log.poll_begun(poll, self.version)
         self._update_staleness()
         connect_deadline_s = asyncio.get_running_loop().time() + POLL_TIMEOUT_S
         connection = await self._connect(connect_deadline_s)
@@ -267,14 +266,9 @@
             answer = self._read(call)
             self._use(call.poll, answer)
         except Exception as error:  # noqa: BLE001 (it must not end the watch, nor the connection)
-            _log_failure(error)
+            self.log.failed(error)
             return
-        log.info(
-            "late discovery answer: version=%d after_s=%.3f hold_s=%.3f",
-            answer.version,
-            time.monotonic() - call.poll.started_s,
-            call.poll.hold_ms / MS_PER_S,
-        )
+        self.log.answered_late(call.poll, answer.version)
         self.progress.set()
 
     def _read(self, call: DiscoveryCall) -> EndpointList:
@@ -294,6 +288,7 @@
         """Apply the answer to a poll, late or not; return the pause before the next poll."""
         self._apply(answer)
         self.answered_s = time.monotonic()
+        self.log.answered(self.version)
         pause_s = self.watch.on_answer(poll, self.answered_s, bool(answer.endpoints))
         self.late_calls.give_up_before(poll)
         self._update_staleness()
@@ -369,13 +364,3 @@
     except (ValueError, RecursionError) as error:
         raise MalformedAnswerError(f"not JSON: {error}") from None
     return read_list(raw)
-
-
-def _log_failure(error: Exception) -> None:
-    """Log an expected failure in one line, and any other error with its traceback."""
-    is_expected = isinstance(error, PollError | MalformedError)
-    log.warning(
-        "discovery poll failed: error=%s",
-        error or type(error).__name__,
-        exc_info=None if is_expected else error,
-    )
--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -66,10 +66,14 @@
         config: The configuration.
         listener: The listening socket for clients.
         has_admin_api: Whether descriptors are reserved for the admin API.
+
+    Attributes:
+        started_s: When it was created (monotonic).
     """
 
     def __init__(self, config: Config, listener: socket.socket, has_admin_api: bool) -> None:
         settings = config.settings
+        self.started_s = time.monotonic()
         self.config = config
         self.registry = ProcessRegistry(config.folder)
         resources = ResourceLimits(
@@ -151,6 +155,12 @@
         gc.freeze()  # startup objects are permanent; excludes them from collections
         self.limits.measure_rest()
         self.frontend.start()
+        log.info(
+            "accepting clients: upstreams=%d other_processes=%d after_s=%.3f",
+            len(self.upstreams.targets),
+            len(self.registry.others),
+            time.monotonic() - self.started_s,
+        )
 
     async def wait_for_shutdown(self) -> None:
         """Wait for the shutdown to begin and for the final answers."""
--- a/tests/proxy/test_handover_lists.py
+++ b/tests/proxy/test_handover_lists.py
@@ -83,6 +83,7 @@
     Attributes:
         ready_s: When the second process was ready.
         statuses: Of all requests that its clients sent.
+        log: The log lines of both processes.
     """
 
     number: int
@@ -90,6 +91,7 @@
     configuration: Json
     ready_s: float = 0.0
     statuses: list[int] = field(default_factory=list)
+    log: list[str] = field(default_factory=list)
     processes: list[asyncio.subprocess.Process] = field(default_factory=list)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
@@ -111,10 +113,13 @@
             await asyncio.sleep(READY_POLL_S)
         self.ready_s = time.monotonic()
 
-    @staticmethod
-    async def _read_log(log: asyncio.StreamReader) -> None:
-        async for _line in log:
-            pass
+    async def _read_log(self, log: asyncio.StreamReader) -> None:
+        async for line in log:
+            self.log.append(line.decode().strip())
+
+    def logged(self, text: str) -> list[str]:
+        """Return the log lines with this text."""
+        return [line for line in self.log if text in line]
 
     @staticmethod
     async def _readiness(admin_address: str) -> int:
@@ -210,3 +215,27 @@
             server.stop()
 
     run(test())
+
+
+# Incident of 2026-12-06: the logs did not show when a new process took clients, by which list, and
+# when it asked discovery first.
+def test_each_process_logs_when_it_takes_clients_and_is_first_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = TimedUpstream("s-0")
+        await upstream.start()
+        service_s, is_sequential = SERVICE_TIMES["at once"]
+        discovery = BusyDiscovery([upstream.row()], service_s, is_sequential, seed=83)
+        await discovery.start()
+        balancers = await replace_all(tmp_path, discovery, [upstream], registry_mode="ask")
+        for balancer in balancers:
+            accepting = balancer.logged("accepting clients: upstreams=1 other_processes=")
+            assert [line.split()[4] for line in accepting] == [
+                "other_processes=0",
+                "other_processes=1",
+            ]
+            assert len(balancer.logged("first discovery poll: kind=")) == 2
+            assert len(balancer.logged("first discovery answer: version=")) == 2
+        for server in (upstream, discovery):
+            server.stop()
+
+    run(test())
