Processes of a balancer share the list that discovery told any of them

Cause: a process that replaces another began with its cached list, asked discovery up to 2.5 s later, and nothing counted the 2 s after which that list is too old; what the other process had been told stayed there. Class: state that belongs to the node is kept by a process, and lost when another takes its place.

- Each process shares its list with version, source and age in a file beside its process note while two run, and uses a newer one.
The process that is told to end watches discovery until the other has been answered, within its time.
- A process that replaces another counts its term from its readiness, and sends nothing once a change that it may lack is in force, unless the other process covers it (proxy/list_confirmation.py, without I/O).
- It polls within 1 s, each balancer of a fleet in a slot of its own, and without a hold until it has an answer.

With a store the list comes from its leader and is not shared here.

--- a/loadbalancer/policy/api.py
+++ b/loadbalancer/policy/api.py
@@ -305,6 +305,10 @@
     processes: int  # this one included
 
 
+class ReplacementBegan(NamedTuple):
+    """This proxy begins while the process that it replaces still runs."""
+
+
 Event = (
     EndpointsUpdated
     | EndpointTrustChanged
@@ -320,6 +324,7 @@
     | LearnedState
     | TrafficPlan
     | ProcessCountChanged
+    | ReplacementBegan
 )
 
 # ---- actions -------------------------------------------------------------------------------------
--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -147,6 +147,8 @@
             learned_state.restore(self.context, event, now)
         elif type(event) is api.ProcessCountChanged:
             self.upstream_set.slow_start.processes = event.processes
+        elif type(event) is api.ReplacementBegan:
+            self.subscription.replacement_began(now)
         elif type(event) is api.TrafficPlan:
             for name, bucket in self.buckets.items():
                 bucket.planned_rate = event.tenant_rates.get(name, 0.0)
--- a/loadbalancer/policy/subscription.py
+++ b/loadbalancer/policy/subscription.py
@@ -12,6 +12,9 @@
 # The first subscription is delayed by a random time up to these, without and with known upstreams.
 SPREAD_WITHOUT_UPSTREAMS_NS = SECOND // 20
 SPREAD_NS = 5 * SECOND // 2
+# Of a proxy that replaces another process: what that one was notified of binds it 2 s after it
+# accepts clients.
+REPLACEMENT_SPREAD_NS = SECOND
 # Maximum backoff after a failed call. A proxy must apply a change within 6 s after discovery has it
 # and is reachable; two calls must also fit into that time.
 MAX_BACKOFF_NS = 2 * SECOND
@@ -36,6 +39,17 @@
             first_delay_ns = int(context.rng.random() * SPREAD_WITHOUT_UPSTREAMS_NS)
             context.timers.schedule(now + first_delay_ns, FirstSubscribeTimer())
 
+    def replacement_began(self, now: int) -> None:
+        """Subscribe early, because this proxy replaces another process.
+
+        The times of a fleet's proxies are spread evenly, as they may all be replaced together.
+        """
+        settings = self.context.settings
+        proxies = max(1, settings.instance_count)
+        slot = settings.instance_index % proxies + self.context.rng.random()
+        spread_ns = min(REPLACEMENT_SPREAD_NS, settings.rules.list_expiry_ns / 4)
+        self.context.timers.schedule(now + int(spread_ns * slot / proxies), SubscribeTimer())
+
     def failed(self, now: int) -> None:
         """Subscribe again after a backoff, which keeps many proxies from overloading discovery."""
         self.is_subscribed = False
--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -10,7 +10,7 @@
 import json
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from contextlib import suppress
 from http import HTTPStatus
 from typing import Any, Final
@@ -34,9 +34,11 @@
 from loadbalancer.proxy.endpoint import Endpoint
 from loadbalancer.proxy.endpoint_list import EndpointList, read_list
 from loadbalancer.proxy.endpoint_staleness import EndpointStaleness
+from loadbalancer.proxy.list_confirmation import ListConfirmation
 from loadbalancer.proxy.memory_account import MemoryAccount
 from loadbalancer.proxy.messages import Response, message
 from loadbalancer.proxy.policy_driver import Driver
+from loadbalancer.proxy.shared_list import SharedList
 from loadbalancer.proxy.timers import call_after
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
 from loadbalancer.settings import Json, MalformedError
@@ -56,6 +58,10 @@
     return PollOutcome.REFUSED if isinstance(error, PollError) else PollOutcome.FAILED
 
 
+def _do_nothing() -> None:
+    """Ignore a change of the list."""
+
+
 def _ignore_connection(connection: UpstreamConnection) -> None:
     """Ignore a released or lost connection: connections to discovery belong to no pool."""
 
@@ -71,6 +77,8 @@
 
     Attributes:
         listener: Receives lists, changes and failed polls; initially the policy's driver.
+        on_change: Called when the list, or what is known of its age, may have changed.
+        confirmation: Whether discovery has to confirm the list that the process began with.
         version: The version of the current list; `NO_VERSION` if there is none.
         answered_s: When discovery last answered, with or without changes (monotonic).
         connection: The connection of the current poll, or for the next one; None: there is none.
@@ -92,6 +100,9 @@
         )
         self.staleness = EndpointStaleness(driver)
         self.log = DiscoveryLog()
+        self.on_change: Callable[[], None] = _do_nothing
+        self.confirmation = ListConfirmation()
+        self.has_answered = False  # at the current address
         self.version = NO_VERSION
         self.answered_s = 0.0
         self.connection: UpstreamConnection | None = None
@@ -101,10 +112,14 @@
         self.is_watching = False
         self.task: asyncio.Task[None] | None = None  # runs the polls
 
-    def start(self, cached_list: Json | None) -> None:
+    def start(self, cached_list: Json | None, is_replacement: bool = False) -> None:
         """Apply a cached list, if any, and start the watch if it always runs.
 
         With other settings the policy starts and stops the watch.
+
+        Args:
+            cached_list: The list, which may lack changes that this balancer was notified of.
+            is_replacement: Whether another process of this balancer runs.
         """
         if cached_list is not None:
             cached = read_list(cached_list)
@@ -112,8 +127,60 @@
             self.watch.on_list_known()
             self.listener(api.EndpointListKind.CACHED, cached.endpoints)
             self._log_list(api.EndpointListKind.CACHED, cached.endpoints)
+        if cached_list is not None or is_replacement:
+            self.confirmation.begin(time.monotonic(), self.is_always_watching, is_replacement)
         if self.is_always_watching:
             self.subscribe(True)
+        self._update_staleness()
+
+    def on_accepting(self) -> None:
+        """Handle that this process accepts clients from now on."""
+        self.confirmation.on_accepting(time.monotonic())
+        self._update_staleness()
+
+    # ---- the other processes of this balancer ----------------------------------------------------
+
+    @property
+    def source(self) -> str:
+        """The address, as text."""
+        return f"{self.address[0]}:{self.address[1]}"
+
+    def shared_list(self) -> SharedList:
+        """Return the current list, to be shared with the other processes."""
+        targets = self.driver.upstreams.targets.values()
+        return SharedList(
+            self.source,
+            self.version,
+            self.has_answered,
+            self._deadline_s,
+            self.watch.delay_s,
+            tuple(target.endpoint for target in targets),
+        )
+
+    def use_shared_lists(self, lists: Iterable[SharedList]) -> None:
+        """Use the newest list of the other processes, if it is newer than that of this one.
+
+        Lists of a discovery at another address have versions of their own, and are ignored.
+        """
+        usable = [shared for shared in lists if shared.source == self.source]
+        if self.confirmation.is_needed:
+            self.confirmation.on_shared_lists(usable, time.monotonic())
+            self._update_staleness()
+        newest = max(usable, key=lambda shared: shared.version, default=None)
+        if newest is not None and newest.version > self.version:
+            self._use_shared_list(newest)
+
+    def _use_shared_list(self, shared: SharedList) -> None:
+        self.version = shared.version
+        if not self.has_answered:
+            self.watch.delay_s = max(self.watch.delay_s, shared.delay_s)
+        endpoints = list(shared.endpoints)
+        self.listener(api.EndpointListKind.CACHED, endpoints)
+        self._log_list(api.EndpointListKind.CACHED, endpoints)
+        self.log.used_shared_list(shared.version)
+        self.on_change()
+
+    # ---- polls -----------------------------------------------------------------------------------
 
     def _pass_to_driver(self, kind: api.EndpointListKind, endpoints: list[Endpoint]) -> None:
         self.driver.learn(kind, endpoints)
@@ -139,6 +206,7 @@
         """
         self.address = address
         self.version = NO_VERSION
+        self.has_answered = False
         self.watch.forget_list()
         self._close_connections()
         if self.task is not None:  # the task may be waiting in its backoff
@@ -163,6 +231,7 @@
             self.task.cancel()
         if coroutine is None:
             self.watch.trust_list()
+            self.confirmation.on_answer()
             self._update_staleness()
         self.task = (
             asyncio.get_running_loop().create_task(coroutine) if coroutine is not None else None
@@ -175,9 +244,7 @@
             try:
                 pause_s = await self._poll()
             except Exception as error:  # noqa: BLE001 (an unexpected error must not stop the watch)
-                pause_s = self.watch.on_outcome(poll_outcome(error), time.monotonic())
-                self.log.failed(error)
-                self._update_staleness()
+                pause_s = self._poll_failed(error)
             # None: the poll failed, and there is no deadline or it has long passed. The watch ends,
             # or polls again after a backoff.
             if pause_s is None and not self.is_always_watching:
@@ -186,6 +253,16 @@
                 return
             await self._pause(self.watch.backoff_pause_s() if pause_s is None else pause_s)
 
+    def _poll_failed(self, error: Exception) -> float | None:
+        """Handle a failed poll; return the pause before the next one, as `on_outcome` does."""
+        self.log.failed(error)
+        outcome = poll_outcome(error)
+        if outcome is PollOutcome.REFUSED:
+            self.confirmation.on_refusal()
+        pause_s = self.watch.on_outcome(outcome, time.monotonic())
+        self._update_staleness()
+        return pause_s
+
     async def _pause(self, seconds: float) -> None:
         """Wait before the next poll; the answer to a late one ends the wait."""
         self.progress.clear()
@@ -207,6 +284,7 @@
 
         A poll without a hold ends, too, with the answer to a late one, which makes it needless.
         """
+        self.watch.awaits_confirmation = self.confirmation.is_needed
         poll = self.watch.next_poll(time.monotonic())
         self.log.poll_begun(poll, self.version)
         self._update_staleness()
@@ -288,6 +366,8 @@
         """Apply the answer to a poll, late or not; return the pause before the next poll."""
         self._apply(answer)
         self.answered_s = time.monotonic()
+        self.has_answered = True
+        self.confirmation.on_answer()
         self.log.answered(self.version)
         pause_s = self.watch.on_answer(poll, self.answered_s, bool(answer.endpoints))
         self.late_calls.give_up_before(poll)
@@ -315,11 +395,18 @@
             self.settle_timer.cancel()
             self.settle_timer = None
         self.watch.settle(time.monotonic())
-        self.staleness.update(self.watch.deadline_s)
+        self.staleness.update(self._deadline_s)
         settles_s = self.watch.settles_s
         if settles_s is not None:
             left_s = settles_s - time.monotonic()
             self.settle_timer = call_after(max(0.0, left_s), self._update_staleness)
+        self.on_change()
+
+    @property
+    def _deadline_s(self) -> float | None:
+        """When a change that is not known may be in force (monotonic); None: there can't be one."""
+        deadlines_s = (self.watch.deadline_s, self.confirmation.deadline_s)
+        return min((at_s for at_s in deadlines_s if at_s is not None), default=None)
 
     def _log_list(self, kind: api.EndpointListKind, endpoints: list[Endpoint]) -> None:
         driver = self.driver
@@ -331,8 +418,7 @@
         target = PATH
         if poll.kind is not PollKind.FULL_LIST:
             target += b"?from=%d&hold_ms=%d" % (self.version, poll.hold_ms)
-        host = f"{self.address[0]}:{self.address[1]}".encode()
-        return message(b"GET %b HTTP/1.1" % target, [(b"Host", host)])
+        return message(b"GET %b HTTP/1.1" % target, [(b"Host", self.source.encode())])
 
     async def _connect(self, deadline_s: float) -> UpstreamConnection:
         """Return a connection that is ready for a request."""
--- a/loadbalancer/proxy/discovery_log.py
+++ b/loadbalancer/proxy/discovery_log.py
@@ -41,6 +41,11 @@
         after_s = time.monotonic() - self._started_s
         log.info("first discovery answer: version=%d after_s=%.3f", version, after_s)
 
+    @staticmethod
+    def used_shared_list(version: int) -> None:
+        """Log the use of a list that another process of this balancer shares."""
+        log.info("endpoint list of another process used: version=%d", version)
+
     @staticmethod
     def answered_late(poll: Poll, version: int) -> None:
         """Log the answer to a poll that had timed out."""
--- a/loadbalancer/proxy/discovery_watch.py
+++ b/loadbalancer/proxy/discovery_watch.py
@@ -104,7 +104,7 @@
     """Type of a poll."""
 
     FULL_LIST = "the full list"
-    CHECK = "changes since the known list, without a hold: after a watch that fell silent"
+    CHECK = "changes since the known list, without a hold: it may lack some that are in force"
     CATCH_UP = "changes since the known list, after a poll without an answer"
     WATCH = "changes since the known list, after an answer: it may wait for long"
 
@@ -197,6 +197,7 @@
 
     Attributes:
         has_list: Whether a list is known, so that discovery can send the changes since its version.
+        awaits_confirmation: Whether the known list has to be confirmed, so that no poll may wait.
         delay_s: How late answers are after their hold, in seconds. It rises to the delay of the
             last answer at once, and falls by half of the difference.
     """
@@ -205,6 +206,7 @@
         self.rng = rng
         self.next_kind = PollKind.FULL_LIST
         self.has_list = False
+        self.awaits_confirmation = False
         self.delay_s = 0.0
         self._doubts: list[Doubt] = []
         self._has_check_failed = False
@@ -277,7 +279,8 @@
         due_s = self.delay_s + DELAY_MARGIN_S
         if self.next_kind is PollKind.FULL_LIST:
             return Poll(PollKind.FULL_LIST, 0, due_s if due_s > POLL_TIMEOUT_S else None)
-        if self.next_kind is PollKind.CHECK:
+        is_catch_up = self.next_kind is PollKind.CATCH_UP
+        if self.next_kind is PollKind.CHECK or (is_catch_up and self.awaits_confirmation):
             timeout_s = RECHECK_TIMEOUT_S if self._has_check_failed else CHECK_TIMEOUT_S
             return Poll(PollKind.CHECK, 0, max(timeout_s, due_s) if self.is_slow else timeout_s)
         hold_ms = self.schedule.hold_ms(self.index, self.rng)
--- a/loadbalancer/proxy/endpoint_list.py
+++ b/loadbalancer/proxy/endpoint_list.py
@@ -9,7 +9,15 @@
 
 from loadbalancer.policy import api
 from loadbalancer.proxy.endpoint import Endpoint, upstream_number
-from loadbalancer.settings import MalformedError, checked, choice, optional, required, split_address
+from loadbalancer.settings import (
+    Json,
+    MalformedError,
+    checked,
+    choice,
+    optional,
+    required,
+    split_address,
+)
 
 log = logging.getLogger(__name__)
 
@@ -18,6 +26,7 @@
     "Terminating": api.UpstreamState.DRAINING,
     "Gone": api.UpstreamState.REMOVED,
 }
+STATE_NAMES: Final = {state: name for name, state in STATES.items()}
 MAX_STARTED_MS: Final = 1 << 53
 
 
@@ -70,6 +79,21 @@
     )
 
 
+def write_endpoint(endpoint: Endpoint) -> Json:
+    """Return an entry that `read_endpoint` parses."""
+    entry = endpoint.entry
+    return {
+        "id": endpoint.name,
+        "addr": f"{endpoint.host}:{endpoint.port}",
+        "zone": entry.zone,
+        "kind": entry.kind,
+        "cell": entry.cell,
+        "state": STATE_NAMES[entry.state],
+        "weight": entry.weight,
+        "started_ms": endpoint.started_ms,
+    }
+
+
 def read_list(raw: Any) -> EndpointList:
     """Parse a list; invalid entries are skipped, and logged in one line.
 
--- a/loadbalancer/proxy/fixed_list.py
+++ b/loadbalancer/proxy/fixed_list.py
@@ -15,8 +15,8 @@
         self.driver = driver
         self.endpoints = read_list(servers).endpoints
 
-    def start(self, known: Json | None) -> None:  # noqa: ARG002 (as Discovery.start)
-        """Apply the list; a cached list is ignored."""
+    def start(self) -> None:
+        """Apply the list."""
         self.fetch()
 
     def replace(self, servers: Json) -> None:
--- a/loadbalancer/proxy/policy_driver.py
+++ b/loadbalancer/proxy/policy_driver.py
@@ -180,6 +180,10 @@
             self._processes = processes
             self.post(api.ProcessCountChanged(processes))
 
+    def begin_replacement(self) -> None:
+        """Notify the policy that this process replaces another one, which still runs."""
+        self.post(api.ReplacementBegan())
+
     def metrics_text(self) -> str:
         """Return the counters of this process in the Prometheus text format."""
         denials = {reason.value: count for reason, count in self.violations.counts.items()}
--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -17,6 +17,7 @@
 from loadbalancer.proxy.configuration import Config, read_config
 from loadbalancer.proxy.disabled_upstreams import DisabledUpstreams
 from loadbalancer.proxy.discovery import Discovery
+from loadbalancer.proxy.endpoint_handover import EndpointHandover
 from loadbalancer.proxy.fixed_list import FixedList
 from loadbalancer.proxy.frontend import Frontend
 from loadbalancer.proxy.gossip import GossipProtocol
@@ -66,12 +67,19 @@
         config: The configuration.
         listener: The listening socket for clients.
         has_admin_api: Whether descriptors are reserved for the admin API.
+        has_companion: Whether a companion provides the endpoint list.
 
     Attributes:
         started_s: When it was created (monotonic).
     """
 
-    def __init__(self, config: Config, listener: socket.socket, has_admin_api: bool) -> None:
+    def __init__(
+        self,
+        config: Config,
+        listener: socket.socket,
+        has_admin_api: bool,
+        has_companion: bool = False,
+    ) -> None:
         settings = config.settings
         self.started_s = time.monotonic()
         self.config = config
@@ -93,6 +101,9 @@
         self.disabled = DisabledUpstreams(config.folder, config.name, self.registry, self.driver)
         self.discovery = self._make_discovery()
         self.driver.discovery = self.discovery
+        self.handover: EndpointHandover | None = None
+        if isinstance(self.discovery, Discovery) and not has_companion:
+            self.handover = EndpointHandover(self.registry, self.discovery)
         self.frontend = Frontend(self.driver, listener, self.limits.shares.clients, self.memory)
         self.admin_api = AdminApi(
             lambda: self.frontend.ready, self.disabled, self.driver.metrics_text
@@ -108,7 +119,7 @@
         """Start all components except the client listener."""
         await self._start_gossip()
         self.disabled.start()  # before the first endpoint list arrives
-        self.discovery.start(self.config.known)
+        self._start_discovery()
         self.limits.start(self.frontend, self.upstreams, self.memory)
         self._count_processes()
         self.registry.on_check(self._count_processes)
@@ -116,6 +127,17 @@
         if admin_socket is not None:
             await self.admin_api.start(admin_socket)
 
+    def _start_discovery(self) -> None:
+        if isinstance(self.discovery, FixedList):
+            self.discovery.start()
+            return
+        is_replacement = self.handover is not None and not self.registry.is_alone
+        self.discovery.start(self.config.known, is_replacement)
+        if is_replacement:
+            self.driver.begin_replacement()
+        if self.handover is not None:
+            self.handover.start()
+
     def _count_processes(self) -> None:
         self.driver.set_process_count(1 + len(self.registry.others))
 
@@ -150,13 +172,17 @@
             await self.registry.wait_for_others(
                 lambda note: note.is_within_share, TAKEOVER_TIMEOUT_S
             )
+            if self.handover is not None:
+                self.handover.check()
             await self.driver.wait_until_ready(TAKEOVER_TIMEOUT_S)
         gc.collect()
         gc.freeze()  # startup objects are permanent; excludes them from collections
         self.limits.measure_rest()
         self.frontend.start()
+        if isinstance(self.discovery, Discovery):
+            self.discovery.on_accepting()
         log.info(
-            "accepting clients: upstreams=%d other_processes=%d after_s=%.3f",
+            "serving clients: upstreams=%d other_processes=%d after_s=%.3f",
             len(self.upstreams.targets),
             len(self.registry.others),
             time.monotonic() - self.started_s,
@@ -176,6 +202,8 @@
                     "shutdown with client connections open: connections=%d",
                     frontend.connections_open,
                 )
+        if self.handover is not None:
+            await self.handover.wait_until_others_are_answered(frontend.answer_deadline_ns)
 
     async def _wait_for_last_answers(self) -> bool:
         """Wait for the final answers, then for long answers that are under way.
@@ -207,7 +235,10 @@
             await self.companion.close()
         self.frontend.close()
         self.admin_api.close()
-        self.discovery.close()
+        if self.handover is not None:
+            self.handover.close()
+        else:
+            self.discovery.close()
         self.upstreams.close()
         self.shared_executions.close()
         self.registry.close()
@@ -229,7 +260,7 @@
         read: Reads the current configuration, for a reload.
         companion: Creates the companion.
     """
-    process = BalancerProcess(config, listener, admin_socket is not None)
+    process = BalancerProcess(config, listener, admin_socket is not None, companion is not None)
     await process.start(admin_socket)
     reloader = Reloader(config, process.discovery, read)
     process.handle_signals(reloader.reload)
--- a/tests/proxy/test_handover_lists.py
+++ b/tests/proxy/test_handover_lists.py
@@ -228,7 +228,7 @@
         await discovery.start()
         balancers = await replace_all(tmp_path, discovery, [upstream], registry_mode="ask")
         for balancer in balancers:
-            accepting = balancer.logged("accepting clients: upstreams=1 other_processes=")
+            accepting = balancer.logged("serving clients: upstreams=1 other_processes=")
             assert [line.split()[4] for line in accepting] == [
                 "other_processes=0",
                 "other_processes=1",
