Where lists are pushed, a process confirms its cached list from its first moment on

Cause: a cached list had no limit in time. STANDING counts what discovery has as told from the first moment of a new process, without an exception for a discovery that answers late; a call that is refused says that discovery tells nobody, and ends the wait.

All requests are served, as they wait.

--- a/loadbalancer/proxy/list_confirmation.py
+++ b/loadbalancer/proxy/list_confirmation.py
@@ -6,8 +6,8 @@
 discovery only until such a change may be in force:
 
     asked for, replaces a process   `REPLACEMENT_DEADLINE_S` after it accepts clients
-    pushed, replaces a process      from its start
-    no other process                no limit here
+    asked for, no other process     no limit here: the settings' expiry of lists covers it
+    pushed                          from its start
 
 While the other process runs and shares the list that discovery keeps up to date there, no change
 is missing. Once it has ended in order, later changes are in force `CHANGE_DEADLINE_S` after its
@@ -56,7 +56,7 @@
             is_pushed: Whether discovery pushes lists.
             is_replacement: Whether another process of this balancer runs.
         """
-        if is_replacement:
+        if is_pushed or is_replacement:
             self.state = Confirmation.AWAITED
         self._is_pushed = is_pushed
         self._in_force_s = now_s if is_pushed else math.inf
--- a/tests/proxy/test_handover_lists.py
+++ b/tests/proxy/test_handover_lists.py
@@ -16,7 +16,7 @@
 import pytest
 
 from loadbalancer.settings import Json
-from tests.fakes import Client, FakeDiscovery, FakeUpstream, Message, free_port, run
+from tests.fakes import SECOND, Client, FakeDiscovery, FakeUpstream, Message, free_port, run
 from tests.proxy.test_program import (
     SETTINGS,
     call_admin_api,
@@ -136,9 +136,9 @@
             self.statuses.append(response.status)
             client.close()
 
-    def late_sends(self, upstream: TimedUpstream) -> list[float]:
-        """Return how late its sends to a drained upstream were, in seconds."""
-        limit_s = self.ready_s + HANDOVER_S + GRACE_S + SLACK_S
+    def late_sends(self, upstream: TimedUpstream, term_s: float = HANDOVER_S) -> list[float]:
+        """Return how late its sends to an upstream were, whose drain is in force after `term_s`."""
+        limit_s = self.ready_s + term_s + GRACE_S + SLACK_S
         name = f"n{self.number}"
         return [
             at_s - limit_s
@@ -147,16 +147,17 @@
         ]
 
 
-async def replace_all(
-    folder: Path, discovery: BusyDiscovery, upstreams: list[TimedUpstream], **settings: Any
+def make_balancers(
+    folder: Path, discovery: BusyDiscovery, **settings: Any
 ) -> list[ReplacedBalancer]:
-    """Replace the processes of all balancers while an upstream begins to drain."""
+    """Return balancers that know discovery's current list, without processes."""
     known = discovery.full_list()
     balancers = []
     for number in range(BALANCERS):
         own_folder = folder / f"n{number}"
         own_folder.mkdir()
-        fleet = {"me": number, "replicas_of_me": BALANCERS, **settings}
+        rules = {"stop_sending_within_ns": int(GRACE_S * SECOND)}
+        fleet = {"me": number, "replicas_of_me": BALANCERS, "rules": rules, **settings}
         configuration = config(
             discovery=f"127.0.0.1:{discovery.port}",
             known=known,
@@ -165,6 +166,14 @@
             settings={**SETTINGS, **fleet},
         )
         balancers.append(ReplacedBalancer(number, own_folder, configuration))
+    return balancers
+
+
+async def replace_all(
+    folder: Path, discovery: BusyDiscovery, upstreams: list[TimedUpstream], **settings: Any
+) -> list[ReplacedBalancer]:
+    """Replace the processes of all balancers while an upstream begins to drain."""
+    balancers = make_balancers(folder, discovery, **settings)
     async with AsyncExitStack() as stack:
         await asyncio.gather(*(b.start_process(stack) for b in balancers))
         await discovery.until(lambda: len(discovery.known_connections) >= BALANCERS)
@@ -217,6 +226,37 @@
     run(test())
 
 
+# Related to the incident of 2026-12-06: a process that starts where lists are pushed used its
+# cached list until discovery answered, though what discovery has is in force from the start on.
+def test_a_process_whose_list_is_pushed_uses_a_cached_one_only_for_the_grace_period(
+    tmp_path: Path,
+) -> None:
+    async def test() -> None:
+        upstreams = [TimedUpstream(f"s-{n}") for n in range(2)]
+        for upstream in upstreams:
+            await upstream.start()
+        discovery = BusyDiscovery((u.row() for u in upstreams), lambda *_: 1.5, False, seed=83)
+        await discovery.start()
+        balancer = make_balancers(tmp_path, discovery, registry_mode="push")[0]
+        discovery.change(upstreams[0].row("Terminating"))
+        async with AsyncExitStack() as stack:
+            await balancer.start_process(stack)
+            clients = [asyncio.create_task(balancer.send_requests()) for _ in range(4 * CLIENTS)]
+            while not balancer.logged("first discovery answer"):
+                await asyncio.sleep(READY_POLL_S)
+            served = len(upstreams[1].arrivals)
+            while len(upstreams[1].arrivals) < served + 50:
+                await asyncio.sleep(READY_POLL_S)
+            for client in clients:
+                client.cancel()
+        assert balancer.late_sends(upstreams[0], term_s=0.0) == []
+        assert set(balancer.statuses) == {200}
+        for server in (*upstreams, discovery):
+            server.stop()
+
+    run(test())
+
+
 # Incident of 2026-12-06: the logs did not show when a new process took clients, by which list, and
 # when it asked discovery first.
 def test_each_process_logs_when_it_takes_clients_and_is_first_answered(tmp_path: Path) -> None:
