Soak: a process that is held up goes on, also when it was replaced meanwhile

The soak stopped the process that a balancer had, and continued the one that it had by then: if it was replaced within the 0.02 to 0.15 s between, the old one stood still until it was killed, and what was open there counted as unanswered.

--- a/loadbalancer/testbed/soak/balancer_faults.py
+++ b/loadbalancer/testbed/soak/balancer_faults.py
@@ -154,7 +154,7 @@
             await balancer.move()
             await self._take_over(balancer)
 
-    async def _second(self, balancer: Balancer) -> Running | None:
+    async def second(self, balancer: Balancer) -> Running | None:
         """Start a second process; None where it was not ready in its time, which is a breach."""
         second = await balancer.start()
         if await second.ready(TAKE_OVER_S):
@@ -166,7 +166,7 @@
     async def _take_over(self, balancer: Balancer) -> None:
         """Start a second process, and tell the first one to end."""
         old = balancer.now
-        new = await self._second(balancer)
+        new = await self.second(balancer)
         if new is not None and old is not None:
             balancer.now = new
             await old.end()
@@ -176,7 +176,7 @@
         balancer = self._balancer(event)
         async with balancer.turn:
             old = balancer.now
-            new = await self._second(balancer)
+            new = await self.second(balancer)
             if new is None or old is None:
                 return
             balancer.now = new
@@ -191,7 +191,7 @@
         rng = random.Random(event.draw)
         async with balancer.turn:
             old = balancer.now
-            new = await self._second(balancer)
+            new = await self.second(balancer)
             if new is None or old is None:
                 return
             await asyncio.sleep(rng.uniform(*SERIES_GAP_S))
@@ -221,11 +221,12 @@
 
     async def _hold_up(self, event: Event) -> None:
         balancer = self._balancer(event)
-        if balancer.now is not None:
+        running = balancer.now
+        if running is not None:
             since = time.monotonic_ns()
-            balancer.now.signal(signal.SIGSTOP)
+            running.signal(signal.SIGSTOP)
             await asyncio.sleep(event.lasts_s)
-            balancer.now.signal(signal.SIGCONT)
+            running.signal(signal.SIGCONT)
             self.history.stops.append((balancer.number, since, time.monotonic_ns()))
 
     async def _clock(self, event: Event) -> None:
