--- a/loadbalancer/cli/lab.py
+++ b/loadbalancer/cli/lab.py
@@ -376,6 +376,13 @@
         float,
         typer.Option(help="All of discovery's answers are late, by up to so many s.", max=6.0),
     ] = 0.0,
+    first_call: Annotated[
+        float,
+        typer.Option(help="The first call on a connection to discovery takes up to so many s."),
+    ] = 0.0,
+    replacements: Annotated[
+        bool, typer.Option("--replacements", help="All balancers are replaced, in series.")
+    ] = False,
 ) -> None:
     """Real balancers on loopback under troubles that overlap, judged by the rules; a breach is
     status 1.
@@ -407,6 +414,8 @@
             flood=flood,
             long_messages=long_messages,
             discovery_delay_s=random.Random(number).uniform(0.0, discovery_delay),
+            first_call_s=random.Random(f"{number}/first call").uniform(0.0, first_call),
+            replacements=replacements,
         )
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             verdict = runner.run(play(plan))
--- a/loadbalancer/testbed/soak/balancers.py
+++ b/loadbalancer/testbed/soak/balancers.py
@@ -129,6 +129,7 @@
         self.control = Control(folder / "control")
         self.port = free_port()
         self.now: Running | None = None
+        self.discovery_address = ""  # of all its processes, until it is moved
         self.turn = asyncio.Lock()  # one change of its processes at a time
 
     def _config(self, door: int, discovery: str, path: Path) -> None:
@@ -157,7 +158,9 @@
         self.history.processes.append(record)
         door = free_port()
         path = self.folder / f"config-{record.number}.json"
-        self._config(door, await self.discovery.open(record.number), path)
+        if not self.discovery_address:
+            self.discovery_address = await self.discovery.open(self.number)
+        self._config(door, self.discovery_address, path)
         environ = {
             name: value for name, value in os.environ.items() if not name.startswith("BALANCER_")
         }
@@ -186,5 +189,6 @@
         if self.now is not None:
             record = self.now.record
             path = self.folder / f"config-{record.number}.json"
-            self._config(self.now.door, await self.discovery.open(record.number), path)
+            self.discovery_address = await self.discovery.open(self.number)
+            self._config(self.now.door, self.discovery_address, path)
             self.now.signal(signal.SIGHUP)
--- a/loadbalancer/testbed/soak/checker.py
+++ b/loadbalancer/testbed/soak/checker.py
@@ -7,7 +7,8 @@
              answer without a length that stops is over behind the longest pause, and does not seem
              whole
 twice        what may not be repeated runs once; a keyed request not beyond its window
-drain        nothing new to an upstream that drains, went or is disabled, behind the grace
+drain        nothing new to an upstream that drains, went or is disabled, behind the grace, by
+             any process of a balancer of which one was notified (notification_times.py)
 late begin   no attempt begins more than 0.1 s after its client closed
 slow start   a cold upstream gets no more than its budget of a window, from all balancers together
 told         an attempt tells no more than its client has left, with 0.15 s of slack
@@ -27,14 +28,13 @@
 from loadbalancer.testbed.soak.history import (
     Asked,
     Attempt,
-    Call,
-    Change,
     ColdStart,
     End,
     History,
     Kind,
     Process,
 )
+from loadbalancer.testbed.soak.notification_times import NotificationTimes
 from loadbalancer.testbed.soak.plan import EARLIEST_KILL_NS, KILL_MARGIN_NS, MS, SECOND
 from loadbalancer.testbed.soak.slow_start_check import Overload, SlowStartRules, windows
 
@@ -48,7 +48,6 @@
 LATE_BEGIN_NS = 100 * MS
 TOLD_SLACK_NS = 150 * MS
 RULE_SLACK_NS = 50 * MS
-TERM_NS, HOLD_TERM_NS = 6 * SECOND, 2 * SECOND
 LONG_BODY = 64 * 1024  # beyond it, the pages time the first bytes of the answer
 MAX_LOGGED = 200  # characters of a log line in a breach
 BAD_LOG = ("Traceback", "ERROR", "never retrieved", "violation")
@@ -92,9 +91,7 @@
         self.by_id: dict[str, list[Attempt]] = defaultdict(list)
         for attempt in history.attempts:
             self.by_id[attempt.id].append(attempt)
-        self.calls: dict[int, list[Call]] = defaultdict(list)
-        for call in history.calls:
-            self.calls[call.process].append(call)
+        self.notifications = NotificationTimes(history)
 
     def breaches(self) -> list[Breach]:
         """All, in the order of time, each with the soak's own lag."""
@@ -243,7 +240,8 @@
                 if not change.made_ns < attempt.first_ns < until_ns - MARGIN_NS:
                     continue
                 home = self.homes.get(attempt.id, -1)
-                ago_ns = attempt.first_ns - self._told_at(home, attempt, change)
+                in_force_ns = self.notifications.in_force_ns(home, change, attempt.first_ns)
+                ago_ns = attempt.first_ns - in_force_ns
                 if ago_ns > self.grace_ns + RULE_SLACK_NS + MARGIN_NS:
                     what = f"request {attempt.id} by balancer {home} to {attempt.upstream}"
                     yield Breach(
@@ -251,39 +249,6 @@
                     )
         yield from self._disabled(by_upstream)
 
-    def _told_at(self, balancer: int, attempt: Attempt, change: Change) -> int:
-        """By when the balancer's processes that run then count as told: all of them, as it is not
-        known whose attempt it is.
-        """
-        return max(
-            (
-                self._told_ns(p, change)
-                for p in self.history.processes
-                if p.balancer == balancer
-                and p.started_ns < attempt.first_ns < (p.ended_ns or 1 << 62)
-            ),
-            default=1 << 62,
-        )
-
-    def _told_ns(self, process: Process, change: Change) -> int:
-        """By when this process counts as told of the change."""
-        calls = self.calls[process.number]
-        told = [
-            c.answered_ns for c in calls if c.answered_ns and c.told >= change.version > c.known
-        ]
-        told += [
-            silence_due_ns(c)
-            for c in calls
-            if c.silent_ns
-            and c.known < change.version
-            and c.silent_ns <= change.made_ns <= min(silence_due_ns(c), recovered_ns(c, calls))
-        ]
-        reached_ns = max(change.made_ns, process.started_ns)
-        for begun_ns, ended_ns in self.history.outages:
-            if begun_ns <= reached_ns + TERM_NS and ended_ns > reached_ns:
-                reached_ns = ended_ns
-        return min([*told, reached_ns + TERM_NS])
-
     def _disabled(self, by_upstream: dict[str, list[Attempt]]) -> Iterator[Breach]:
         for d in self.history.disabled:
             until_ns = d.until_ns or 1 << 62
@@ -325,23 +290,16 @@
                 yield Breach("slow start", first.at_ns, what)
 
     def _is_notified(self, attempt: Attempt, start: ColdStart) -> bool:
-        """Whether the process that sent it counts as notified of the start.
+        """Whether the balancer that sent it counts as notified of the start.
 
         A process that began after the change had the upstream in its first list.
         """
         balancer = self.homes.get(attempt.id, -1)
         change = start.change
-        running = [
-            process
-            for process in self.history.processes
-            if process.balancer == balancer
-            and process.started_ns < attempt.first_ns < (process.ended_ns or 1 << 62)
-        ]
-        return bool(running) and all(
-            process.started_ns >= change.made_ns
-            or self._told_ns(process, change) <= attempt.first_ns
-            for process in running
-        )
+        running = self.notifications.running(balancer, attempt.first_ns)
+        has_begun_later = all(process.started_ns >= change.made_ns for process in running)
+        in_force_ns = self.notifications.in_force_ns(balancer, change, attempt.first_ns)
+        return bool(running) and (has_begun_later or in_force_ns <= attempt.first_ns)
 
     # ---- attempts --------------------------------------------------------------------------------
 
@@ -414,16 +372,6 @@
     return process.status == 0 or has_no_handler
 
 
-def silence_due_ns(call: Call) -> int:
-    """By when what a silent watch hid counts as told."""
-    return max(call.silent_ns + TERM_NS, call.begun_ns + call.hold_ms * MS + HOLD_TERM_NS)
-
-
-def recovered_ns(silent: Call, calls: list[Call]) -> int:
-    """When a later call was answered: what came after that it did not hide."""
-    return min((c.answered_ns for c in calls if c.answered_ns > silent.silent_ns), default=1 << 62)
-
-
 def describe(asked: Asked) -> str:
     """A request in a few words."""
     took_ms = (asked.ended_ns - asked.sent_ns) / MS
--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -13,21 +13,27 @@
 from loadbalancer.testbed.soak.history import Call, History
 from loadbalancer.testbed.soak.ports import free_port
 
+MAX_QUEUED_S = 0.5  # a call that would wait for longer is turned away
+
 
 class Discovery:
-    """The service. Each balancer process is told an address of its own, so that its calls are
-    known.
+    """The service. Each balancer has an address of its own, so that its calls are known.
 
     Args:
         history: What happens.
         usual_delay_s: How late all answers are.
+        first_call_s: What the first call on a connection takes; such calls are handled in turn.
 
     Attributes:
         delay_s: How late answers are now.
     """
 
-    def __init__(self, history: History, usual_delay_s: float = 0.0) -> None:
+    def __init__(
+        self, history: History, usual_delay_s: float = 0.0, first_call_s: float = 0.0
+    ) -> None:
         self.history = history
+        self.first_call_s = first_call_s
+        self.free_at_s = 0.0  # when the calls that take time will have been handled
         self.usual_delay_s = usual_delay_s
         self.rows: dict[str, Json] = {}
         self.changed: list[tuple[int, str]] = []
@@ -35,30 +41,30 @@
         self.busy = self.down = False
         self.delay_s = usual_delay_s
         self.servers: dict[int, asyncio.Server] = {}  # by port
-        self.process_at: dict[int, int] = {}
+        self.balancer_at: dict[int, int] = {}
         self.links: set[Caller] = set()
 
-    async def open(self, process: int) -> str:
-        """An address for this process."""
+    async def open(self, balancer: int) -> str:
+        """An address for this balancer."""
         port = free_port()
-        server = await self._listen(port, process)
-        self.servers[port], self.process_at[port] = server, process
+        server = await self._listen(port, balancer)
+        self.servers[port], self.balancer_at[port] = server, balancer
         if self.down:
             server.close()
             await server.wait_closed()
         return f"127.0.0.1:{port}"
 
-    async def _listen(self, port: int, process: int) -> asyncio.Server:
+    async def _listen(self, port: int, balancer: int) -> asyncio.Server:
         return await asyncio.get_running_loop().create_server(
-            lambda: Caller(self, process), "127.0.0.1", port, reuse_address=True
+            lambda: Caller(self, balancer), "127.0.0.1", port, reuse_address=True
         )
 
     async def come_back(self) -> None:
         """Take calls again."""
         self.down = False
-        for port, process in list(self.process_at.items()):  # processes start meanwhile
+        for port, balancer in list(self.balancer_at.items()):  # balancers move meanwhile
             if not self.servers[port].is_serving():
-                self.servers[port] = await self._listen(port, process)
+                self.servers[port] = await self._listen(port, balancer)
 
     def change(self, row: Json) -> int:
         """An upstream is so from now on; who watches is told. Gives the version."""
@@ -88,6 +94,17 @@
         for link in list(self.links):
             link.abort()
 
+    def admit(self, is_first: bool) -> float | None:
+        """How long a call takes to be handled, in seconds; None: it would wait for too long."""
+        if not (is_first and self.first_call_s):
+            return 0.0
+        now_s = time.monotonic()
+        queued_s = max(0.0, self.free_at_s - now_s)
+        if queued_s > MAX_QUEUED_S:
+            return None
+        self.free_at_s = now_s + queued_s + self.first_call_s
+        return queued_s + self.first_call_s
+
     def whole(self) -> Json:
         """The whole list, without what has gone."""
         servers = [row for row in self.rows.values() if row["state"] != "Gone"]
@@ -106,8 +123,9 @@
 class Caller(asyncio.Protocol):
     """A balancer's connection to it."""
 
-    def __init__(self, discovery: Discovery, process: int) -> None:
-        self.discovery, self.process = discovery, process
+    def __init__(self, discovery: Discovery, balancer: int) -> None:
+        self.discovery, self.balancer = discovery, balancer
+        self.has_called = False
         self.transport: asyncio.Transport | None = None
         self.data = b""
         self.call: Call | None = None
@@ -134,17 +152,19 @@
         self.data = b""
         query = {key: int(values[0]) for key, values in parse_qs(target.partition("?")[2]).items()}
         call = Call(
-            self.process, time.monotonic_ns(), query.get("hold_ms", 0), query.get("from", -1)
+            self.balancer, time.monotonic_ns(), query.get("hold_ms", 0), query.get("from", -1)
         )
         self.call = call
         self.discovery.history.calls.append(call)
+        wait_s = self.discovery.admit(is_first=not self.has_called)
+        self.has_called = True
         loop = asyncio.get_running_loop()
-        if self.discovery.busy:
+        if self.discovery.busy or wait_s is None:
             self._write(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
         elif "from" not in query or call.known < self.discovery.version:
-            loop.call_later(self.discovery.delay_s, self._answer, call)
+            loop.call_later(wait_s + self.discovery.delay_s, self._answer, call)
         else:
-            hold_s = call.hold_ms / 1000 + self.discovery.delay_s
+            hold_s = wait_s + call.hold_ms / 1000 + self.discovery.delay_s
             self.holding = loop.call_later(hold_s, self._answer, call)
 
     def changed(self) -> None:
--- a/loadbalancer/testbed/soak/history.py
+++ b/loadbalancer/testbed/soak/history.py
@@ -123,11 +123,11 @@
 
 @dataclass(slots=True)
 class Call:
-    """A call to discovery by one connection. `silent_ns`: it fell silent then; `told`: the version
-    that its answer brought up to.
+    """A call to discovery by a process of a balancer. `silent_ns`: it fell silent then; `told`: the
+    version that its answer brought up to.
     """
 
-    process: int
+    balancer: int
     begun_ns: int
     hold_ms: int
     known: int
--- a/loadbalancer/testbed/soak/plan.py
+++ b/loadbalancer/testbed/soak/plan.py
@@ -57,6 +57,8 @@
         long_messages: The share of the requests with a long answer in lumps, an answer that stops,
             or a long body that its client writes or its upstream reads slowly.
         discovery_delay_s: How late all answers of discovery are.
+        first_call_s: What the first call on a connection to discovery takes.
+        replacements: All balancers are replaced together, in series, while upstreams drain.
         cold_returns: Upstreams of limited capacity are lost and come back cold under a burst.
     """
 
@@ -79,6 +81,8 @@
     flood: Flood | None = None
     long_messages: float = 0.0
     discovery_delay_s: float = 0.0
+    first_call_s: float = 0.0
+    replacements: bool = False
 
     @property
     def cold_ns(self) -> int:
--- a/loadbalancer/testbed/soak/run.py
+++ b/loadbalancer/testbed/soak/run.py
@@ -34,6 +34,7 @@
     SECOND,
     Plan,
 )
+from loadbalancer.testbed.soak.replacements import Replacements
 from loadbalancer.testbed.soak.slow_start_check import SlowStartRules
 from loadbalancer.testbed.soak.troubles import Event, Trouble, schedule
 from loadbalancer.testbed.soak.upstream_faults import UpstreamFaults
@@ -74,7 +75,7 @@
         rng = random.Random(plan.seed)
         self.history = History()
         self.library = shim.build(folder)
-        self.discovery = Discovery(self.history, plan.discovery_delay_s)
+        self.discovery = Discovery(self.history, plan.discovery_delay_s, plan.first_call_s)
         self.upstreams = [
             Upstream(
                 f"s-{n}",
@@ -110,6 +111,9 @@
         self.upstream_faults = UpstreamFaults(
             self.upstreams, self.discovery, self.history, self.cold_returns.lost_names
         )
+        self.replacements = Replacements(
+            plan.seed, self.balancers, self.balancer_faults, self.upstream_faults
+        )
         self.began_s = 0.0
         self.actions: dict[Trouble, Callable[[Event], Awaitable[None]]] = {
             **self.balancer_faults.actions,
@@ -132,6 +136,8 @@
         troubles = [asyncio.create_task(self._at(event)) for event in self._events()]
         if self.plan.cold_returns:
             troubles.append(asyncio.create_task(self.cold_returns.run()))
+        if self.plan.replacements:
+            troubles.append(asyncio.create_task(self.replacements.run(self.plan.seconds)))
         await asyncio.sleep(self.plan.seconds)
         await asyncio.gather(*troubles)
         await asyncio.gather(*(asyncio.to_thread(flooder.stop) for flooder in self.flooders))
--- a/loadbalancer/testbed/soak/upstream_faults.py
+++ b/loadbalancer/testbed/soak/upstream_faults.py
@@ -102,17 +102,20 @@
 
     async def _drain(self, event: Event) -> None:
         """It goes on answering: nothing but the list tells."""
-        upstream = self._upstream(event)
+        state = "Gone" if event.draw * 1000 % 1 < GONE_SHARE else "Terminating"
+        await self.drain(self._upstream(event), state, event.lasts_s)
+
+    async def drain(self, upstream: Upstream, state: str, lasts_s: float) -> None:
+        """List an upstream in this state for a time, unless too many are, or it is lost."""
         if upstream.name in self.draining or len(self.draining) > len(self.upstreams) // 2:
             return
         if upstream.name in self.lost:
             return
         self.draining.add(upstream.name)
-        state = "Gone" if event.draw * 1000 % 1 < 0.3 else "Terminating"
         change = Change(upstream.name, 0, time.monotonic_ns())
         change.version = self.discovery.change(row_of(upstream, state))
         self.history.changes.append(change)
-        await asyncio.sleep(event.lasts_s)
+        await asyncio.sleep(lasts_s)
         self.draining.discard(upstream.name)
         if not change.until_ns and upstream.name not in self.lost:
             change.until_ns = time.monotonic_ns()
