A process that can't register counts as one that replaces another

Now it counts the term and asks early as a replacement does; discovery's answer ends that, nothing is refused where it answers.

The test (a state folder that is missing) failed before and passes; without a folder in the configuration nothing changes.

--- a/loadbalancer/proxy/process.py
+++ b/loadbalancer/proxy/process.py
@@ -131,12 +131,14 @@
         if isinstance(self.discovery, FixedList):
             self.discovery.start()
             return
-        is_replacement = self.handover is not None and not self.registry.is_alone
+        if self.handover is None:
+            self.discovery.start(self.config.known)
+            return
+        is_replacement = not self.registry.is_alone or self.registry.is_failing
         self.discovery.start(self.config.known, is_replacement)
         if is_replacement:
             self.driver.begin_replacement()
-        if self.handover is not None:
-            self.handover.start()
+        self.handover.start()
 
     def _count_processes(self) -> None:
         self.driver.set_process_count(1 + len(self.registry.others))
--- a/loadbalancer/proxy/process_handover.py
+++ b/loadbalancer/proxy/process_handover.py
@@ -79,6 +79,11 @@
         """The file of this process; None while it has none."""
         return Path(self._path) if self._path else None
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether this process could not register, so that others may run unknown to each other."""
+        return self.folder is not None and self._descriptor is None
+
     @property
     def others(self) -> list[ProcessNote]:
         """The notes of the other processes."""
--- a/tests/proxy/test_list_confirmation.py
+++ b/tests/proxy/test_list_confirmation.py
@@ -11,13 +11,18 @@
 import pytest
 
 from loadbalancer.policy import api
+from loadbalancer.proxy.configuration import Config
+from loadbalancer.proxy.discovery import Discovery
 from loadbalancer.proxy.discovery_watch import CHANGE_DEADLINE_S
 from loadbalancer.proxy.endpoint_list import read_endpoint
 from loadbalancer.proxy.list_confirmation import REPLACEMENT_DEADLINE_S, ListConfirmation
+from loadbalancer.proxy.listener import listening_socket
+from loadbalancer.proxy.process import BalancerProcess
 from loadbalancer.proxy.process_handover import ProcessRegistry
 from loadbalancer.proxy.shared_endpoints import SharedEndpoints, list_path
 from loadbalancer.proxy.shared_list import SharedList
 from loadbalancer.settings import MalformedError
+from tests.fakes import SETTINGS, free_port, run
 
 STEP_S: Final = 0.01
 SHARING_S: Final = 0.06  # until the other process uses a list that is shared
@@ -170,3 +175,25 @@
     assert other_files.all == [SHARED]
     registry.close()
     other.close()
+
+
+# Related to the incident of 2026-12-06: processes that can't register don't know of each other.
+@pytest.mark.parametrize(("folder", "is_needed"), [("", False), ("missing", True)])
+def test_a_process_that_can_not_register_counts_as_a_replacement(
+    tmp_path: Path, folder: str, is_needed: bool
+) -> None:
+    async def test() -> None:
+        settings = replace(SETTINGS, discovery_push=False)
+        discovery = ("127.0.0.1", free_port())
+        with listening_socket(("127.0.0.1", 0)) as listener:
+            config = Config(
+                listener.getsockname(), discovery, 7, 1024, settings, {"version": 3, "servers": []},
+                None, [], None, folder=tmp_path / folder,
+            )  # fmt: skip
+            process = BalancerProcess(config, listener, has_admin_api=False)
+            await process.start(None)
+            assert isinstance(process.discovery, Discovery)
+            assert process.discovery.confirmation.is_needed is is_needed
+            await process.close()
+
+    run(test())
