--- a/loadbalancer/proxy/atomic_files.py
+++ b/loadbalancer/proxy/atomic_files.py
@@ -10,12 +10,29 @@
 import os
 from contextlib import suppress
 from pathlib import Path
-from typing import Final
+from typing import Final, NamedTuple
 
 SUFFIX_BYTES: Final = 6
 NEW_FILE_FLAGS: Final = os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_NOFOLLOW | os.O_CLOEXEC
 
 
+class FileVersion(NamedTuple):
+    """Identifies one replacement of a file."""
+
+    inode: int
+    modified_ns: int
+
+
+def file_version(path: Path) -> FileVersion:
+    """Return the version of a file.
+
+    Raises:
+        OSError: The file does not exist, or can't be examined.
+    """
+    stat = path.stat()
+    return FileVersion(stat.st_ino, stat.st_mtime_ns)
+
+
 def replace_file(path: Path, data: bytes) -> None:
     """Replace a file.
 
--- a/loadbalancer/proxy/disabled_upstreams.py
+++ b/loadbalancer/proxy/disabled_upstreams.py
@@ -22,7 +22,12 @@
 from typing import Any, BinaryIO, NamedTuple, Protocol
 
 from loadbalancer.proxy.admin_api import CallDeclinedError
-from loadbalancer.proxy.atomic_files import remove_leftovers, replace_file
+from loadbalancer.proxy.atomic_files import (
+    FileVersion,
+    file_version,
+    remove_leftovers,
+    replace_file,
+)
 from loadbalancer.proxy.process_handover import ProcessRegistry
 from loadbalancer.settings import MalformedError, checked, required
 
@@ -50,13 +55,6 @@
         """Disable or enable an upstream."""
 
 
-class FileVersion(NamedTuple):
-    """Identifies one replacement of the file."""
-
-    inode: int
-    modified_ns: int
-
-
 class DisabledSet(NamedTuple):
     """Content of the file."""
 
@@ -274,8 +272,7 @@
         assert self.folder is not None
         path = self.folder / FILE
         try:
-            stat = path.stat()
-            version = FileVersion(stat.st_ino, stat.st_mtime_ns)
+            version = file_version(path)
             if version == self._read_version:
                 return
             with open(path, "rb") as file:
--- a/loadbalancer/proxy/discovery.py
+++ b/loadbalancer/proxy/discovery.py
@@ -7,21 +7,20 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import time
 from collections.abc import Callable, Coroutine, Iterable
 from contextlib import suppress
-from http import HTTPStatus
 from typing import Any, Final
 
 from loadbalancer.policy import api
 from loadbalancer.proxy.discovery_call import (
     DiscoveryCall,
     LateCalls,
-    MalformedAnswerError,
-    PollError,
     PollTimeoutError,
+    open_connection,
+    parse_answer,
+    poll_outcome,
 )
 from loadbalancer.proxy.discovery_log import DiscoveryLog
 from loadbalancer.proxy.discovery_watch import (
@@ -36,12 +35,12 @@
 from loadbalancer.proxy.endpoint_staleness import EndpointStaleness
 from loadbalancer.proxy.list_confirmation import ListConfirmation
 from loadbalancer.proxy.memory_account import MemoryAccount
-from loadbalancer.proxy.messages import Response, message
+from loadbalancer.proxy.messages import message
 from loadbalancer.proxy.policy_driver import Driver
 from loadbalancer.proxy.shared_list import SharedList
 from loadbalancer.proxy.timers import call_after
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
-from loadbalancer.settings import Json, MalformedError
+from loadbalancer.settings import Json
 
 PATH: Final = b"/v1/endpoints"
 NO_VERSION: Final = -1  # older than the version of any list
@@ -49,23 +48,10 @@
 ListListener = Callable[[api.EndpointListKind, list[Endpoint]], None]
 
 
-def poll_outcome(error: Exception) -> PollOutcome:
-    """Return the outcome of a poll that raised this error."""
-    if isinstance(error, PollTimeoutError):
-        return PollOutcome.TIMED_OUT
-    if isinstance(error, MalformedAnswerError | MalformedError):
-        return PollOutcome.MALFORMED
-    return PollOutcome.REFUSED if isinstance(error, PollError) else PollOutcome.FAILED
-
-
 def _do_nothing() -> None:
     """Ignore a change of the list."""
 
 
-def _ignore_connection(connection: UpstreamConnection) -> None:
-    """Ignore a released or lost connection: connections to discovery belong to no pool."""
-
-
 class Discovery:
     """Polls discovery, and passes lists and changes to a listener.
 
@@ -360,7 +346,7 @@
             self.connection = call.connection
         elif self.connection is not call.connection:
             call.connection.abort()
-        return _parse(call.response())
+        return parse_answer(call.response())
 
     def _use(self, poll: Poll, answer: EndpointList) -> float:
         """Apply the answer to a poll, late or not; return the pause before the next poll."""
@@ -427,26 +413,5 @@
                 return self.connection
             self.connection.abort()
             self.connection = None
-        connection = UpstreamConnection(_ignore_connection, _ignore_connection, self.memory)
-        try:
-            async with asyncio.timeout_at(deadline_s):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: connection, *self.address
-                )
-        except BaseException as error:
-            connection.abort()  # the connect may have completed although it was cancelled
-            if isinstance(error, OSError):
-                raise PollError(f"no connection: {error or 'timed out'}") from None
-            raise
-        self.connection = connection
-        return connection
-
-
-def _parse(response: Response) -> EndpointList:
-    if response.status != HTTPStatus.OK:
-        raise PollError(f"answered {response.status}")
-    try:
-        raw = json.loads(response.body)
-    except (ValueError, RecursionError) as error:
-        raise MalformedAnswerError(f"not JSON: {error}") from None
-    return read_list(raw)
+        self.connection = await open_connection(self.address, deadline_s, self.memory)
+        return self.connection
--- a/loadbalancer/proxy/discovery_call.py
+++ b/loadbalancer/proxy/discovery_call.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 
 from loadbalancer.policy import api
-from loadbalancer.proxy.discovery_watch import MAX_ANSWER_S, MAX_LATE_POLLS, MS_PER_S, Poll
+from loadbalancer.proxy.discovery_watch import (
+    MAX_ANSWER_S,
+    MAX_LATE_POLLS,
+    MS_PER_S,
+    Poll,
+    PollOutcome,
+)
+from loadbalancer.proxy.endpoint_list import EndpointList, read_list
 from loadbalancer.proxy.exchange import Exchange, ExpectedResponse
+from loadbalancer.proxy.memory_account import MemoryAccount
 from loadbalancer.proxy.messages import Response
 from loadbalancer.proxy.upstream_connection import UpstreamConnection
+from loadbalancer.settings import MalformedError
 
 MAX_LIST_BYTES: Final = 4 * 1024 * 1024
 
@@ -29,6 +41,51 @@
     """The answer is malformed."""
 
 
+def poll_outcome(error: Exception) -> PollOutcome:
+    """Return the outcome of a poll that raised this error."""
+    if isinstance(error, PollTimeoutError):
+        return PollOutcome.TIMED_OUT
+    if isinstance(error, MalformedAnswerError | MalformedError):
+        return PollOutcome.MALFORMED
+    return PollOutcome.REFUSED if isinstance(error, PollError) else PollOutcome.FAILED
+
+
+async def open_connection(
+    address: tuple[str, int], deadline_s: float, memory: MemoryAccount
+) -> UpstreamConnection:
+    """Return a new connection to discovery, by this time of the event loop.
+
+    Raises:
+        PollError: There is none.
+    """
+    connection = UpstreamConnection(_ignore_connection, _ignore_connection, memory)
+    try:
+        async with asyncio.timeout_at(deadline_s):
+            await asyncio.get_running_loop().create_connection(lambda: connection, *address)
+    except BaseException as error:
+        connection.abort()  # the connect may have completed although it was cancelled
+        if isinstance(error, OSError):
+            raise PollError(f"no connection: {error or 'timed out'}") from None
+        raise
+    return connection
+
+
+def parse_answer(response: Response) -> EndpointList:
+    """Return the list, or the changes, in a response.
+
+    Raises:
+        PollError: The response is no valid answer.
+        MalformedError: The list is malformed.
+    """
+    if response.status != HTTPStatus.OK:
+        raise PollError(f"answered {response.status}")
+    try:
+        raw = json.loads(response.body)
+    except (ValueError, RecursionError) as error:
+        raise MalformedAnswerError(f"not JSON: {error}") from None
+    return read_list(raw)
+
+
 class DiscoveryCall:
     """One poll in flight.
 
@@ -89,6 +146,10 @@
         self._on_ended(self)
 
 
+def _ignore_connection(connection: UpstreamConnection) -> None:
+    """Ignore a released or lost connection: connections to discovery belong to no pool."""
+
+
 def _ignore_call(_call: DiscoveryCall) -> None:
     """Do nothing: the answer is not wanted."""
 
--- a/loadbalancer/proxy/shared_endpoints.py
+++ b/loadbalancer/proxy/shared_endpoints.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from loadbalancer.proxy.atomic_files import replace_file
+from loadbalancer.proxy.atomic_files import FileVersion, file_version, replace_file
 from loadbalancer.proxy.process_handover import PREFIX as NOTE_PREFIX
 from loadbalancer.proxy.process_handover import RETRY_S, ProcessRegistry
 from loadbalancer.proxy.shared_list import SharedList
@@ -24,13 +24,6 @@
 MAX_FILE_BYTES: Final = 4 * 1024 * 1024
 
 
-class FileVersion(NamedTuple):
-    """Identifies one replacement of a file."""
-
-    inode: int
-    modified_ns: int
-
-
 class ReadFile(NamedTuple):
     """A file that was read.
 
@@ -131,8 +124,7 @@
     def _read_file(self, path: Path) -> None:
         """Read a file if it has changed; if that fails, its last known list stays."""
         try:
-            stat = path.stat()
-            version = FileVersion(stat.st_ino, stat.st_mtime_ns)
+            version = file_version(path)
             known = self._read.get(path)
             if known is not None and known.version == version:
                 return
