Tests: the race of an unread answer and a move waits for a watch that is held

The test needs an answer that is written and not read while a watch is open, and took any poll from the known version for that watch.

--- a/tests/proxy/test_endpoint_list_races.py
+++ b/tests/proxy/test_endpoint_list_races.py
@@ -186,7 +186,12 @@
 
     async def test() -> None:
         async with running_balancer(2) as harness:
-            await harness.wait_for_endpoint_list()
+            await harness.discovery.until(
+                lambda: any(
+                    "from=1&" in m.start_line[1] and "hold_ms=0" not in m.start_line[1]
+                    for m in harness.discovery.received_requests
+                )
+            )
             discovery_client = frontends[0].driver.discovery
             assert isinstance(discovery_client, discovery.Discovery)
             other_discovery = FakeDiscovery([harness.upstreams[1].row()])
