A refused poll does not end the deadline that a silent watch of the old process set

A process that replaced another forgot the other's deadline as soon as discovery refused it one call, and used a list that a silent watch had left behind, where the old process would have stopped. Cause: on_refusal ended the confirmation as a whole. It lifts now only the limits that discovery itself sets; the shared deadline stays, also one that is shared later.

--- a/loadbalancer/proxy/list_confirmation.py
+++ b/loadbalancer/proxy/list_confirmation.py
@@ -47,6 +47,8 @@
         self._is_pushed = False
         self._in_force_s = math.inf  # when a missing change may be in force, if nobody shares it
         self._covered_until_s = -math.inf  # until when no change in force is missing
+        self._shared_deadline_s: float | None = None  # the earliest of the shared lists
+        self._is_refused = False
 
     def begin(self, now_s: float, is_pushed: bool, is_replacement: bool) -> None:
         """Handle the start of the process with a list that may be old.
@@ -75,10 +77,12 @@
         """
         if not self.is_needed:
             return
-        covers = [self._covers_until_s(shared) for shared in lists]
-        if covers:
+        shared_lists = list(lists)
+        if shared_lists:
             self.state = Confirmation.HANDED_OVER
-            self._covered_until_s = max(covers)
+            self._covered_until_s = max(self._covers_until_s(s) for s in shared_lists)
+            deadlines_s = [s.deadline_s for s in shared_lists if s.deadline_s is not None]
+            self._shared_deadline_s = min(deadlines_s, default=None)
         elif self._covered_until_s > now_s:
             self._covered_until_s = now_s  # the process was killed
 
@@ -99,10 +103,10 @@
     def on_refusal(self) -> None:
         """Handle that discovery rejects polls or can't be reached: it notifies nobody then.
 
-        Only what another process was notified of may be missing, if that process shares nothing.
+        What another process was notified of may be missing, if that process shares nothing, and
+        so may what a silent watch of that process hides.
         """
-        if self._is_pushed or self.state is Confirmation.HANDED_OVER:
-            self.state = Confirmation.NOT_NEEDED
+        self._is_refused = self._is_pushed or self.state is Confirmation.HANDED_OVER
 
     @property
     def is_needed(self) -> bool:
@@ -113,4 +117,7 @@
     def deadline_s(self) -> float | None:
         """When a missing change may be in force, in monotonic seconds; None: there can't be one."""
         deadline_s = max(self._in_force_s, self._covered_until_s)
+        if self._is_refused:
+            hidden_s = self._shared_deadline_s
+            deadline_s = math.inf if hidden_s is None else max(self._in_force_s, hidden_s)
         return None if not self.is_needed or math.isinf(deadline_s) else deadline_s
--- a/tests/proxy/test_list_confirmation.py
+++ b/tests/proxy/test_list_confirmation.py
@@ -91,17 +91,47 @@
 
 
 @pytest.mark.parametrize(
-    ("is_pushed", "lists", "is_needed"),
-    [(False, [], True), (False, [replace(SHARED, is_answered=False)], False), (True, [], False)],
+    ("is_pushed", "lists", "deadline_s"),
+    [
+        (False, [], 10.2 + REPLACEMENT_DEADLINE_S),
+        (False, [replace(SHARED, is_answered=False)], None),
+        (False, [SHARED.ended(10.05)], None),
+        (True, [], None),
+    ],
 )
-def test_a_refused_poll_ends_the_wait_unless_another_process_may_know_more(
-    is_pushed: bool, lists: list[SharedList], is_needed: bool
+def test_a_refused_poll_ends_the_limit_unless_another_process_may_know_more(
+    is_pushed: bool, lists: list[SharedList], deadline_s: float | None
 ) -> None:
     confirmation = ListConfirmation()
     confirmation.begin(10.0, is_pushed, is_replacement=True)
     confirmation.on_shared_lists(lists, 10.1)
+    confirmation.on_accepting(10.2)
     confirmation.on_refusal()
-    assert confirmation.is_needed is is_needed
+    assert confirmation.deadline_s == deadline_s
+
+
+# Related to the incident of 2026-12-06: what a silent watch of the old process hid was forgotten
+# when discovery refused the new one.
+@pytest.mark.parametrize("is_answered", [True, False])
+@pytest.mark.parametrize("is_refused_before", [True, False])
+def test_a_refused_poll_does_not_end_the_deadline_of_a_silent_watch(
+    is_answered: bool, is_refused_before: bool
+) -> None:
+    confirmation = ListConfirmation()
+    confirmation.begin(10.0, is_pushed=False, is_replacement=True)
+    confirmation.on_accepting(10.2)
+    confirmation.on_shared_lists([replace(SHARED, is_answered=is_answered)], 10.3)
+    if is_refused_before:
+        confirmation.on_refusal()
+    in_doubt = replace(SHARED, is_answered=is_answered, deadline_s=15.0)
+    confirmation.on_shared_lists([in_doubt], 10.4)
+    if not is_refused_before:
+        confirmation.on_refusal()
+    assert confirmation.deadline_s == 15.0
+    confirmation.on_shared_lists([in_doubt.ended(11.0)], 11.1)
+    assert confirmation.deadline_s == 15.0
+    confirmation.on_answer()
+    assert confirmation.deadline_s is None
 
 
 def test_a_shared_list_keeps_all_fields() -> None:
