Soak: a watch that discovery has reset hides nothing from then on

The checker took what came within 6 s behind the begin of a silence for hidden by that watch, also behind its end. Watches end when discovery goes down (PROTOCOL, discovery), and what changes while it is down is in force 6 s behind its return: the case is allowed. A silent watch that nobody reset is judged as before, also one that the balancer closed. Judged by each process this could hardly be seen, as a new process had no silent call of its own.

--- a/loadbalancer/testbed/soak/discovery.py
+++ b/loadbalancer/testbed/soak/discovery.py
@@ -92,6 +92,8 @@
         for server in self.servers.values():
             server.close()
         for link in list(self.links):
+            if link.call is not None:
+                link.call.reset_ns = time.monotonic_ns()
             link.abort()
 
     def admit(self, is_first: bool) -> float | None:
--- a/loadbalancer/testbed/soak/history.py
+++ b/loadbalancer/testbed/soak/history.py
@@ -124,7 +124,7 @@
 @dataclass(slots=True)
 class Call:
     """A call to discovery by a process of a balancer. `silent_ns`: it fell silent then; `told`: the
-    version that its answer brought up to.
+    version that its answer brought up to; `reset_ns`: discovery went down and reset it.
     """
 
     balancer: int
@@ -134,6 +134,7 @@
     silent_ns: int = 0
     answered_ns: int = 0
     told: int = -1
+    reset_ns: int = 0
 
 
 @dataclass(slots=True)
--- a/loadbalancer/testbed/soak/notification_times.py
+++ b/loadbalancer/testbed/soak/notification_times.py
@@ -60,7 +60,7 @@
             for c in calls
             if c.silent_ns
             and c.known < change.version
-            and c.silent_ns <= change.made_ns <= min(silence_due_ns(c), recovered_ns(c, calls))
+            and c.silent_ns <= change.made_ns <= hidden_until_ns(c, calls)
         ]
         first_start_ns = min((p.started_ns for p in self.processes[balancer]), default=0)
         reached_ns = max(change.made_ns, first_start_ns)
@@ -75,6 +75,11 @@
     return max(call.silent_ns + TERM_NS, call.begun_ns + call.hold_ms * MS + HOLD_TERM_NS)
 
 
+def hidden_until_ns(call: Call, calls: list[Call]) -> int:
+    """Until when a silent watch hides what changes: it ends at the latest when it is reset."""
+    return min(silence_due_ns(call), recovered_ns(call, calls), call.reset_ns or 1 << 62)
+
+
 def recovered_ns(silent: Call, calls: list[Call]) -> int:
     """When a later call was answered: what came after that it did not hide."""
     return min((c.answered_ns for c in calls if c.answered_ns > silent.silent_ns), default=1 << 62)
--- a/tests/testbed/test_soak.py
+++ b/tests/testbed/test_soak.py
@@ -137,6 +137,16 @@
     assert rule in {b.rule for b in Checker(history, SECOND // 2, 2 * SECOND).breaches()}
 
 
+@pytest.mark.parametrize("reset_after_change", [False, True])
+def test_a_silent_watch_hides_nothing_once_discovery_has_reset_it(reset_after_change: bool) -> None:
+    history = good()
+    drained_behind_a_silence(history)
+    history.outages.append((START - 9 * SECOND, START - SECOND))
+    history.calls[0].reset_ns = START - (7 if reset_after_change else 9) * SECOND
+    rules = [breach.rule for breach in Checker(history, SECOND // 2, 2 * SECOND).breaches()]
+    assert rules == (["drain"] if reset_after_change else [])
+
+
 def test_a_kill_by_the_soak_excuses_what_was_open() -> None:
     history = good()
     no_answer(history)
