The path of a file beside a process note is built in one place

shared_endpoints.py built the path of its file from the note's as shared_executions.py did. Both call file_beside_note of process_handover.py now. Behaviour unchanged; style, types and 459 tests of the hand-over, the state folder and shared ids pass.

--- a/loadbalancer/proxy/process_handover.py
+++ b/loadbalancer/proxy/process_handover.py
@@ -28,6 +28,11 @@
 NOTE_FIELDS = 2
 
 
+def file_beside_note(note_path: Path, prefix: str) -> Path:
+    """Return another file of a process, named by its own prefix, from the path of its note."""
+    return note_path.with_name(prefix + note_path.name.removeprefix(PREFIX))
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessNote:
     """State that a process publishes to the others.
--- a/loadbalancer/proxy/shared_endpoints.py
+++ b/loadbalancer/proxy/shared_endpoints.py
@@ -13,8 +13,7 @@
 from typing import Final, NamedTuple
 
 from loadbalancer.proxy.atomic_files import FileVersion, file_version, replace_file
-from loadbalancer.proxy.process_handover import PREFIX as NOTE_PREFIX
-from loadbalancer.proxy.process_handover import RETRY_S, ProcessRegistry
+from loadbalancer.proxy.process_handover import RETRY_S, ProcessRegistry, file_beside_note
 from loadbalancer.proxy.shared_list import SharedList
 from loadbalancer.settings import MalformedError
 
@@ -37,7 +36,7 @@
 
 def list_path(note_path: Path) -> Path:
     """Return the file of a process, from the path of its process note."""
-    return note_path.with_name(PREFIX + note_path.name.removeprefix(NOTE_PREFIX))
+    return file_beside_note(note_path, PREFIX)
 
 
 class SharedEndpoints:
--- a/loadbalancer/proxy/shared_executions.py
+++ b/loadbalancer/proxy/shared_executions.py
@@ -14,8 +14,7 @@
 from typing import Final
 
 from loadbalancer.policy.execution_history import KEPT_NS
-from loadbalancer.proxy.process_handover import PREFIX as NOTE_PREFIX
-from loadbalancer.proxy.process_handover import ProcessRegistry
+from loadbalancer.proxy.process_handover import ProcessRegistry, file_beside_note
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +26,7 @@
 
 def executions_path(note_path: Path) -> Path:
     """Return the file of a process, from the path of its process note."""
-    return note_path.with_name(PREFIX + note_path.name.removeprefix(NOTE_PREFIX))
+    return file_beside_note(note_path, PREFIX)
 
 
 class SharedExecutions:
